--- /dev/null
+++ b/crates/arrowyard-adapter/src/manifest.rs
@@ -0,0 +1,140 @@
+//! The settings of the first message, under our names.
+
+use arrowyard_types::{Fact, Manifest};
+use serde_json::{Map, Value};
+
+use crate::value::span;
+
+enum As {
+    Flag,
+    Number,
+    Span,
+    Text,
+}
+use As::*;
+
+/// Where a setting stands on the wire (`*`: each row of a list), our name for it, and what it is.
+const NAMES: &[(&str, &str, As)] = &[
+    ("balancers", "routers", Number),
+    ("caps.cancel", "cancel", Flag),
+    ("caps.dial_timeout", "connect_timeout", Span),
+    ("caps.idle_close", "idle_close", Span),
+    ("caps.max_retry_after", "max_retry_after", Span),
+    ("caps.may_tell", "peers", Flag),
+    ("caps.open_cap", "max_open", Number),
+    ("caps.parallel_tries", "parallel_sends", Flag),
+    ("caps.probing", "probes", Flag),
+    ("caps.retry_after", "retry_after", Flag),
+    ("caps.send_cap", "max_sends", Number),
+    ("clients.marks_retry", "marks_retry", Flag),
+    ("discovery", "list", Text),
+    ("domain.catch_up_wait", "catch_up_wait", Span),
+    ("domain.list_role", "list_role", Text),
+    ("domain.oldest_data.*", "op_type.*.bound", Span),
+    ("domain.progress_told", "positions_in_answers", Flag),
+    ("domain.read_level.*", "op_type.*.read", Text),
+    ("domain.server_checks", "host_checks", Text),
+    ("domain.token_mode", "tokens", Text),
+    ("grades.*.credit", "op_type.*.value", Number),
+    ("grades.*.deadline", "op_type.*.op_timeout", Span),
+    ("grades.*.effect", "op_type.*.effect", Text),
+    ("grades.*.group", "op_type.*.scope", Text),
+    ("grades.*.late_worth", "op_type.*.late_value", Number),
+    ("grades.*.memory_span", "op_type.*.memory", Span),
+    ("grades.*.objective", "op_type.*.latency_target", Span),
+    ("granularity", "tick", Span),
+    ("index", "index", Number),
+    ("invariants.answer_slack", "answer_slack", Span),
+    ("invariants.ask_within", "ask_within", Span),
+    ("invariants.cold", "cold", Span),
+    ("invariants.cold_from", "cold_from", Number),
+    ("invariants.drain_grace", "drain_grace", Span),
+    ("invariants.fall", "fall", Span),
+    ("invariants.fall_multiple", "fall_multiple", Number),
+    ("invariants.removal_not_binding", "removal_not_binding", Flag),
+    ("my_zone", "zone", Number),
+    ("over_share_worth", "over_share_value", Number),
+    ("parties.*.quota_per_s", "tenant.*.quota", Number),
+    ("parties.*.share", "tenant.*.share", Number),
+    ("prices.cross_zone", "price.crossing", Number),
+    ("prices.late_fail", "price.late_error", Number),
+    ("prices.peer", "price.message", Number),
+    ("prices.probe", "price.probe", Number),
+    ("prices.waste", "price.waste", Number),
+    ("reporting.source", "reports", Text),
+    ("weights", "sizes", Text),
+];
+
+/// The wire's words for what a text setting may say, and ours.
+const WORDS: &[(&str, &str)] = &[
+    ("read_like", "retryable"),
+    ("idempotency_key", "tokened"),
+    ("non_idempotent", "non-retryable"),
+    ("loose", "any"),
+    ("recent", "bounded"),
+    ("own_writes", "session"),
+    ("latest", "fresh"),
+    ("update", "write"),
+    ("silent", "none"),
+    ("reject", "refuse"),
+    ("hold", "wait"),
+    ("client", "carried"),
+    ("router", "remembered"),
+    ("delayed", "late"),
+    ("initial", "start"),
+    ("pushed", "push"),
+    ("on_request", "ask"),
+    ("piggyback", "answers"),
+    ("pull", "probe"),
+];
+
+pub fn manifest(info: &Map<String, Value>) -> Result<Manifest, String> {
+    let mut manifest = Manifest::new();
+    for (path, name, kind) in NAMES {
+        let (mut found, mut rest) = (None, info);
+        let mut steps = path.split('.').peekable();
+        while let Some(step) = steps.next() {
+            let Some(value) = rest.get(step) else { break };
+            if steps.peek() == Some(&"*") {
+                let field = path.split_once("*.").map(|(_, field)| field);
+                let rows =
+                    value.as_array().ok_or_else(|| format!("PowerOn: params {step} is not an array"))?;
+                for (row, value) in rows.iter().enumerate() {
+                    let value = match field {
+                        Some(field) => value.get(field),
+                        None => Some(value),
+                    };
+                    put(&mut manifest, path, name.replace('*', &row.to_string()), kind, value)?;
+                }
+                break;
+            }
+            match value.as_object() {
+                Some(inner) => rest = inner,
+                None => found = Some(value),
+            }
+        }
+        put(&mut manifest, path, name.to_string(), kind, found)?;
+    }
+    Ok(manifest)
+}
+
+fn put(
+    manifest: &mut Manifest,
+    path: &str,
+    name: String,
+    kind: &As,
+    value: Option<&Value>,
+) -> Result<(), String> {
+    let Some(value) = value.filter(|value| !value.is_null()) else { return Ok(()) };
+    let fact = match kind {
+        Flag => value.as_bool().map(Fact::Flag),
+        Number => value.as_f64().map(Fact::Number),
+        Span => value.as_f64().map(|millis| Fact::Span(span(millis))),
+        Text => value.as_str().map(|word| {
+            let ours = WORDS.iter().find(|(wire, _)| *wire == word).map_or(word, |(_, ours)| ours);
+            Fact::Text(ours.to_string())
+        }),
+    };
+    manifest.insert(name, fact.ok_or_else(|| format!("PowerOn: params {path} has the wrong type"))?);
+    Ok(())
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,5 @@
+//! The decisions of arrowyard; see [`logic`].
+
+mod logic;
+
+pub use logic::Router;
