--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,7 +48,6 @@
 const PROBE_WAIT: f64 = 0.1;
 /// A send is looked at again at this share of its latency target, and an op held this long tells overload.
 const LOOK_AGAIN: f64 = 0.5;
-const OVERLOAD: f64 = 0.5;
 
 fn flag(from: &Manifest, name: &str) -> bool {
     matches!(from.get(name), Some(Fact::Flag(true)))
@@ -768,17 +767,6 @@
         if self.ops[place].held {
             return;
         }
-        // Danger: more comes in than can be served. When an op worth no less has been held long, the new one has
-        // no chance: it goes back early. A short stop of one group may send back an op that would have made it.
-        let rank = self.rank(&self.ops[place]);
-        let group = self.ops[place].ask.group;
-        let crowded = self.held.iter().map(|&held| &self.ops[held]).any(|held| {
-            let long = self.op_type(held).target * OVERLOAD;
-            held.ask.group == group && self.now - held.arrived > long && self.rank(held) >= rank
-        });
-        if crowded && self.op_type(&self.ops[place]).late_value == 0.0 {
-            return self.give_up(place, post);
-        }
         self.ops[place].held = true;
         self.held.push(place);
     }
@@ -1120,7 +1108,7 @@
         let mut held = std::mem::take(&mut self.held);
         held.sort_by(|&a, &b| {
             let (a, b) = (&self.ops[a], &self.ops[b]);
-            self.rank(b).total_cmp(&self.rank(a)).then(a.arrived.cmp(&b.arrived))
+            self.rank(b).total_cmp(&self.rank(a)).then(b.arrived.cmp(&a.arrived))
         });
         post.desk.extend(held.iter().map(|&place| DeskNote::Route(place)));
         self.held = held;
