--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,6 +44,8 @@
 const FURTHER_SAVED: f64 = 10.0;
 /// Probes that are not needed at once may cost this much, in points of the price list.
 const PROBE_SPEND: f64 = 0.005;
+/// A read whose latency target is this many times the least one is long.
+const LONG: f64 = 6.0;
 /// A read waits this share of its latency target for a probe that may open a replica to it.
 const PROBE_WAIT: f64 = 0.1;
 /// A send is looked at again at this share of its latency target, and an op held this long tells overload.
@@ -127,6 +129,8 @@
     role: Option<Role>,
     role_at: Point,
     position: Point,
+    /// How far its position was back when it was last told.
+    behind: Span,
     /// Weight of this router's unfinished sends, and of those that ended unanswered a while ago.
     load: f64,
     unfinished: u32,
@@ -232,6 +236,7 @@
             role: None,
             role_at: Point::DAWN,
             position: Point::DAWN,
+            behind: Span::ZERO,
             load: 0.0,
             unfinished: 0,
             limit: FIRST_LIMIT,
@@ -302,7 +307,7 @@
                 self.face.probe_after = now + self.berth.connect_timeout;
                 if outcome == Outcome::Acked {
                     self.hush(false);
-                    self.learn(word, word.position.unwrap_or(self.face.role_at));
+                    self.learn(now, word, word.position.unwrap_or(self.face.role_at));
                     // A copy far behind cannot be back within the bound before it has applied what it lacks.
                     let behind = now - self.face.position - self.berth.bound;
                     let gap =
@@ -413,7 +418,7 @@
     ) {
         self.heard_at = now;
         self.hush(false);
-        self.learn(word, now);
+        self.learn(now, word, now);
         if word.role == Some(Role::Primary) {
             self.face.position = self.face.position.max(sent);
         }
@@ -436,9 +441,10 @@
     }
 
     /// Newer word of the role overturns older, never the other way; a position never goes back.
-    fn learn(&mut self, word: Word, as_of: Point) {
+    fn learn(&mut self, now: Point, word: Word, as_of: Point) {
         if let Some(position) = word.position {
             self.face.position = self.face.position.max(position);
+            self.face.behind = now - self.face.position;
         }
         if word.role.is_some() && as_of > self.face.role_at {
             (self.face.role, self.face.role_at) = (word.role, as_of);
@@ -521,6 +527,7 @@
     asks_list: bool,
     ask_within: Span,
     connect_timeout: Span,
+    bound: Span,
     probe_share: f64,
     faces: Vec<Face>,
     groups: FxHashMap<GroupId, Group>,
@@ -578,6 +585,11 @@
             tenants.push((*share, 0.0));
         }
         let max_retry_after = span(from, "max_retry_after");
+        let bounds = op_types.iter().filter_map(|t| match t.need {
+            Need::Bounded(bound) => Some(bound),
+            _ => None,
+        });
+        let bound = bounds.min().unwrap_or(span(from, "connect_timeout"));
         Desk {
             now,
             rng: Rng::with_seed(seed),
@@ -596,6 +608,7 @@
             asks_list: text(from, "list") == "ask",
             ask_within: span(from, "ask_within"),
             connect_timeout: span(from, "connect_timeout"),
+            bound,
             probe_share: PROBE_SPEND / number(from, "price.probe", 0.0).max(PROBE_SPEND),
             faces: Vec::new(),
             groups: FxHashMap::default(),
@@ -940,6 +953,9 @@
         choice.probes = self.freshen(op, &replicas, sound.is_empty(), post);
         choice.among = sound.iter().copied().filter(|&host| self.face(host).admits()).collect();
         if !choice.among.is_empty() {
+            if kind.weight >= LONG {
+                self.keep_together(&mut choice.among);
+            }
             return choice;
         }
         let at_primary = |share: f64| primary.filter(|&h| self.face(h).admits() && self.face(h).fits(share));
@@ -968,6 +984,14 @@
         choice
     }
 
+    /// Danger: a long read holds up the log where it runs, so long reads spread over all replicas leave none fresh.
+    /// They conflict with bounded reads as a whole: they go where the copy is behind anyway, or else to the one
+    /// furthest behind, which every router sees alike. Harms when long reads alone need most of the replicas.
+    fn keep_together(&self, hosts: &mut Hosts) {
+        let far = hosts.iter().map(|&host| self.face(host).behind).max().unwrap_or(Span::ZERO).min(self.bound);
+        hosts.retain(|&mut host| self.face(host).behind >= far);
+    }
+
     /// Rule 5: a position is a lower bound learnt some time ago; it need not have moved since.
     fn qualifies(&self, op: &Op, host: HostId) -> bool {
         let position = self.face(host).position;
@@ -1136,16 +1160,12 @@
 impl Router {
     pub fn start(now: Point, seed: u64, from: &Manifest, actions: &mut Vec<Action>) -> Self {
         let desk = Desk::new(now, seed, from);
-        let bounds = desk.op_types.iter().filter_map(|t| match t.need {
-            Need::Bounded(bound) => Some(bound),
-            _ => None,
-        });
         let berth = Berth {
             cold: span(from, "cold").max(Span::from_millis(1)),
             cold_from: number(from, "cold_from", 1.0),
             fall: span(from, "fall").max(Span::from_millis(1)),
             connect_timeout: span(from, "connect_timeout"),
-            bound: bounds.min().unwrap_or(span(from, "connect_timeout")),
+            bound: desk.bound,
             longest_target: desk.op_types.iter().map(|t| t.target).max().unwrap_or(Span::from_millis(1)),
             removal_binds: !flag(from, "removal_not_binding"),
         };
