--- a/src/logic.rs
+++ b/src/logic.rs
@@ -153,17 +153,14 @@
 }
 
 impl Face {
-    fn admits(&self) -> bool {
-        let room = if self.ill { self.trial && self.unfinished == 0 } else { self.fits(1.0) };
-        self.open && !self.quiet && room && (self.warmth >= 1.0 || self.credit >= 0.0)
-    }
-
-    fn fits(&self, share: f64) -> bool {
-        f64::from(self.unfinished) < self.limit * share
+    /// Whether one more send fits in, whatever its health.
+    fn bears(&self, share: f64) -> bool {
+        let fits = f64::from(self.unfinished) < self.limit * share;
+        self.open && fits && (self.warmth >= 1.0 || self.credit >= 0.0)
     }
 
     fn sound(&self) -> bool {
-        self.open && !self.quiet && (!self.ill || self.trial)
+        self.open && if self.ill { self.trial && self.unfinished == 0 } else { !self.quiet }
     }
 }
 
@@ -370,7 +367,7 @@
 
     /// Wald's test of "as bad as the fleet" against "half way to always bad".
     fn judge(&mut self, now: Point, bad: bool, base: f64) {
-        let usual = base.clamp(TOLERATED, 0.4);
+        let usual = base.clamp(TOLERATED, 0.8);
         let sick = (1.0 + usual) / 2.0;
         let odds = if bad { sick / usual } else { (1.0 - sick) / (1.0 - usual) };
         let bound = ((1.0 - WRONG) / WRONG).ln();
@@ -430,7 +427,7 @@
                 }
                 if used > STRAINED {
                     self.cut(now, 0.9);
-                } else if used < EASY && !self.face.fits(0.5) {
+                } else if used < EASY && f64::from(self.face.unfinished) >= self.face.limit * 0.5 {
                     self.face.limit += 1.0 / self.face.limit.max(1.0);
                 }
             }
@@ -848,7 +845,8 @@
         let one = *one;
         let op = &self.ops[place];
         let kind = self.op_type(op);
-        let (used, weight, write) = ((took / kind.target).clamp(0.0, 10.0), kind.weight, kind.need == Need::Write);
+        let (used, weight, write) =
+            ((took / kind.target).clamp(0.0, 10.0), kind.weight, kind.need == Need::Write);
         let session = op.ask.session.filter(|_| write);
         let bad = match outcome {
             Outcome::Acked => used > 1.0,
@@ -931,13 +929,12 @@
         let tried = |host: HostId| op.tries.iter().any(|one| one.host == host);
         if matches!(kind.need, Need::Write | Need::Fresh) {
             if let Some(host) = primary {
-                let face = self.face(host);
-                let bears = face.warmth >= 1.0 || face.credit >= 0.0;
-                choice.among.extend(Some(host).filter(|_| face.fits(1.0) && bears));
+                choice.among.extend(Some(host).filter(|&host| self.face(host).bears(1.0)));
             } else if op.tries.len() * 2 < self.max_sends {
                 // None known: members in turn, the most advanced first; one known as replica counts as a miss.
                 let turn = group.members.iter().copied().filter(|&h| {
-                    self.face(h).role.is_none() && !tried(h) && self.face(h).admits() && !self.face(h).probing
+                    let face = self.face(h);
+                    face.role.is_none() && !tried(h) && face.sound() && face.bears(1.0) && !face.probing
                 });
                 choice.among.extend(turn.max_by_key(|&h| self.face(h).position));
             }
@@ -945,27 +942,31 @@
         }
         let open = |host: &HostId| Some(*host) != primary && self.face(*host).open;
         let replicas: Hosts = group.members.iter().copied().filter(open).collect();
-        let fit: Hosts = replicas.iter().copied().filter(|&host| self.qualifies(op, host)).collect();
-        let mut sound: Hosts = fit.iter().copied().filter(|&h| self.face(h).sound() && !tried(h)).collect();
-        if sound.is_empty() {
-            sound = fit.iter().copied().filter(|&host| self.face(host).sound()).collect();
+        // Danger: trouble that all share has every host judged ill. With most of them out, none is left out; harms
+        // when most replicas really are lost, until the list says so.
+        let most = replicas.iter().filter(|&&host| self.face(host).sound()).count() * 2 < replicas.len();
+        let sound = |host: HostId| most || self.face(host).sound();
+        let fit: Hosts =
+            replicas.iter().copied().filter(|&host| self.qualifies(op, host) && sound(host)).collect();
+        choice.probes = self.freshen(op, &replicas, fit.is_empty(), post);
+        choice.among = fit.iter().copied().filter(|&host| self.face(host).bears(1.0)).collect();
+        if choice.among.iter().any(|&host| !tried(host)) {
+            choice.among.retain(|&mut host| !tried(host));
         }
-        choice.probes = self.freshen(op, &replicas, sound.is_empty(), post);
-        choice.among = sound.iter().copied().filter(|&host| self.face(host).admits()).collect();
         if !choice.among.is_empty() {
             if kind.weight >= LONG {
                 self.keep_together(&mut choice.among);
             }
             return choice;
         }
-        let at_primary = |share: f64| primary.filter(|&h| self.face(h).admits() && self.face(h).fits(share));
-        if !sound.is_empty() {
+        let at_primary = |share: f64| primary.filter(|&host| self.face(host).bears(share));
+        if !fit.is_empty() {
             // Danger: replicas at their limit while the primary idles.
             choice.among.extend(at_primary(SPILL));
             return choice;
         }
         if self.host_checks && !op.missed {
-            let able = replicas.iter().copied().filter(|&h| self.face(h).sound() && self.face(h).admits());
+            let able = replicas.iter().copied().filter(|&h| sound(h) && self.face(h).bears(1.0));
             choice.among.extend(able.max_by_key(|&host| self.face(host).position));
         } else if !self.host_checks {
             let may_open = op.floor.is_none_or(|floor| floor <= self.now - self.report_age);
@@ -976,11 +977,6 @@
         if choice.among.is_empty() {
             choice.among.extend(at_primary(READS_AT_PRIMARY));
         }
-        if choice.among.is_empty() && primary.is_none() {
-            // No primary and no sound replica: an ill one is better than none.
-            let ill = |&h: &HostId| !tried(h) && self.face(h).fits(1.0) && self.face(h).warmth >= 1.0;
-            choice.among.extend(fit.iter().copied().find(ill));
-        }
         choice
     }
 
@@ -988,7 +984,8 @@
     /// They conflict with bounded reads as a whole: they go where the copy is behind anyway, or else to the one
     /// furthest behind, which every router sees alike. Harms when long reads alone need most of the replicas.
     fn keep_together(&self, hosts: &mut Hosts) {
-        let far = hosts.iter().map(|&host| self.face(host).behind).max().unwrap_or(Span::ZERO).min(self.bound);
+        let far =
+            hosts.iter().map(|&host| self.face(host).behind).max().unwrap_or(Span::ZERO).min(self.bound);
         hosts.retain(|&mut host| self.face(host).behind >= far);
     }
 
