--- a/crates/arrowyard-adapter/src/router.rs
+++ b/crates/arrowyard-adapter/src/router.rs
@@ -51,7 +51,7 @@
             }
         };
         let mut actions = Vec::new();
-        let router = Router::start(now, fields.whole(1)?, &manifest(info)?, &mut actions);
+        let router = Router::start(now, fields.whole(1)?, manifest(info)?, &mut actions);
         Ok(Instance { router, hosts: Hosts::default(), zero, actions })
     }
 
@@ -69,7 +69,7 @@
                 token_age: fields.number_or_none(7)?.map(span),
                 due: point(fields.number(8)?),
             }),
-            "AttemptEnd" => Note::SendEnded {
+            "AttemptEnd" => Note::SendEnded(Ended {
                 op: OpId(fields.whole(1)?),
                 send: SendNo(fields.small(2)?),
                 host: self.hosts.known(fields, 3)?,
@@ -77,13 +77,12 @@
                 took: span(fields.number_or_none(5)?.unwrap_or(0.0)),
                 finished: fields.truth(6)?,
                 word: self.word(fields, 7, 8)?,
-            },
+            }),
             "Hangup" => Note::HungUp { op: OpId(fields.whole(1)?) },
             "Bell" => Note::Rang { cookie: Cookie(fields.whole(1)?) },
             "Sampled" => Note::Probed {
                 host: self.hosts.known(fields, 1)?,
                 outcome: outcome(fields, 2)?,
-                took: span(fields.number_or_none(3)?.unwrap_or(0.0)),
                 word: self.word(fields, usize::MAX, 4)?,
             },
             "Mail" => Note::Told { from: PeerId(fields.small(1)?), bytes: fields.bytes(2)? },
--- a/crates/arrowyard-types/src/interface.rs
+++ b/crates/arrowyard-types/src/interface.rs
@@ -16,6 +16,32 @@
     Text(String),
 }
 
+/// Reading a manifest by name; what was not told is false, zero, empty or the given value.
+pub trait Facts {
+    fn flag(&self, name: &str) -> bool;
+    fn number_or(&self, name: &str, otherwise: f64) -> f64;
+    fn span(&self, name: &str) -> Span;
+    fn text(&self, name: &str) -> &str;
+}
+
+impl Facts for Manifest {
+    fn flag(&self, name: &str) -> bool {
+        self.get(name) == Some(&Fact::Flag(true))
+    }
+
+    fn number_or(&self, name: &str, otherwise: f64) -> f64 {
+        if let Some(Fact::Number(number)) = self.get(name) { *number } else { otherwise }
+    }
+
+    fn span(&self, name: &str) -> Span {
+        if let Some(Fact::Span(span)) = self.get(name) { *span } else { Span::ZERO }
+    }
+
+    fn text(&self, name: &str) -> &str {
+        if let Some(Fact::Text(text)) = self.get(name) { text } else { "" }
+    }
+}
+
 /// The role of a database host within its group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -106,40 +132,31 @@
     pub due: Point,
 }
 
+/// The end of a send.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ended {
+    pub op: OpId,
+    pub send: SendNo,
+    pub host: HostId,
+    pub outcome: Outcome,
+    /// How long ago it was sent.
+    pub took: Span,
+    /// Whether the op is over, by this outcome or before it.
+    pub finished: bool,
+    pub word: Word,
+}
+
 /// What reaches a router.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Note {
-    Listed {
-        form: ListForm,
-        entries: Vec<Entry>,
-    },
+    Listed { form: ListForm, entries: Vec<Entry> },
     ListFailed,
     Asked(Ask),
-    SendEnded {
-        op: OpId,
-        send: SendNo,
-        host: HostId,
-        outcome: Outcome,
-        took: Span,
-        finished: bool,
-        word: Word,
-    },
-    HungUp {
-        op: OpId,
-    },
-    Rang {
-        cookie: Cookie,
-    },
-    Probed {
-        host: HostId,
-        outcome: Outcome,
-        took: Span,
-        word: Word,
-    },
-    Told {
-        from: PeerId,
-        bytes: Vec<u8>,
-    },
+    SendEnded(Ended),
+    HungUp { op: OpId },
+    Rang { cookie: Cookie },
+    Probed { host: HostId, outcome: Outcome, word: Word },
+    Told { from: PeerId, bytes: Vec<u8> },
 }
 
 /// What a router wants done; in this order.
--- a/crates/arrowyard-types/src/lib.rs
+++ b/crates/arrowyard-types/src/lib.rs
@@ -1,16 +1,18 @@
 //! What callers and the decision module share: ids, time, and the interface (notes in, actions out).
 
 mod interface;
+mod op_type;
 mod time;
 
 pub use interface::*;
+pub use op_type::*;
 pub use time::{Point, Span};
 
 /// Declares a type of id of its own.
 macro_rules! id {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub $inner);
     )*};
 }
--- a/crates/arrowyard-types/src/time.rs
+++ b/crates/arrowyard-types/src/time.rs
@@ -21,6 +21,12 @@
     }
 }
 
+impl Default for Point {
+    fn default() -> Self {
+        Point::DAWN
+    }
+}
+
 impl Span {
     pub const ZERO: Span = Span(0);
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -2,14 +2,14 @@
 //!
 //! A caller makes one [`Router`] with [`Router::start`], hands it each note with the time at which it came
 //! ([`Router::take`]), and carries out the actions that come back, in order. The interface (notes in, actions
-//! out, ids, points and spans) is the crate `arrowyard-types`; `docs/design.md` says which rules of the design
-//! page are kept, changed, and when each departure acts.
+//! out, ids, points and spans) is the crate `arrowyard-types`; `docs/design.md` says what of the design page is
+//! kept, what is changed, and when each departure acts.
 //!
-//! Inside, every host is an actor with an inbox, and the desk is the one actor that holds the ops. Hosts show
-//! their face to the desk, the desk tells hosts what was sent to them; `Post` carries all of it, and the one
-//! loop in `Router::take` empties it. The desk works on only when every host has dealt with its inbox, so each
-//! choice sees the choice before it.
+//! Inside, every host is an actor with an inbox, and the desk is the actor that holds the ops. Hosts show their
+//! face to the desk, the desk tells hosts what was sent to them; `Post` carries it all and the one loop in
+//! `Router::take` empties it. The desk goes on only when no host has mail, so each choice sees the one before.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 
 use arrowyard_types::*;
@@ -18,110 +18,55 @@
 use slab::Slab;
 use smallvec::SmallVec;
 
-/// The load window's f: a replica is in the window when its load times this is at most the least load.
+/// The window's f: a replica is in the load window when its load times this is at most the least load.
 const WINDOW: f64 = 0.1;
-/// Hosts whose load comes within this share of the lightest one's tie with it.
+/// Hosts whose weighed load is within this share of the lightest one's tie with it.
 const TIE: f64 = 0.05;
 /// A send that crosses sites weighs this much more.
 const CROSSING: f64 = 1.2;
-/// Wald's bounds: the chance of judging a host wrongly, either way.
+/// An op type whose latency target is this many times the least one reads long.
+const LONG: f64 = 6.0;
+/// Wald's test: the chance of judging wrongly, and the share of bad outcomes that any host is allowed.
 const WRONG: f64 = 0.002;
-/// The share of bad outcomes that every host is allowed, whatever the fleet shows.
 const TOLERATED: f64 = 0.02;
-/// An ill host rests this many connect time-outs before its first trial, and at most 16 times that.
+/// An ill host rests this many connect time-outs before its first trial, and at most so many times that.
 const REST: f64 = 2.0;
-/// Sends that a router lets be unfinished at a host it knows nothing of, and at any host.
+const LONGEST_REST: f64 = 16.0;
+/// How much of the past the smoothed figures forget with each outcome: of one host, and of all.
+const FORGET: f64 = 0.1;
+const FORGET_ALL: f64 = 0.02;
+/// Sends that may be unfinished at a host that is not known yet, and at any host.
 const FIRST_LIMIT: f64 = 16.0;
 const LEAST_LIMIT: f64 = 2.0;
 /// An answer within the first share of its latency target lets the limit grow, one beyond the second cuts it.
 const EASY: f64 = 0.5;
 const STRAINED: f64 = 0.9;
-/// Reads may fill the primary up to the first share of its limit, and spill over to it up to the second.
+/// Reads may fill the primary to the first share of its limit, and spill over to it to the second.
 const READS_AT_PRIMARY: f64 = 0.75;
 const SPILL: f64 = 0.5;
-/// Further sends that ops may draw on, per op that comes in, and the most that is saved up.
+/// Further sends beside one that takes long: so many per op that comes in, and so many saved up.
 const FURTHER: f64 = 0.1;
-const FURTHER_SAVED: f64 = 10.0;
-/// Probes that are not needed at once may cost this much, in points of the price list.
+const SAVED: f64 = 10.0;
+/// What probes that are not needed at once may cost, in points of the price list.
 const PROBE_SPEND: f64 = 0.005;
-/// A read whose latency target is this many times the least one is long.
-const LONG: f64 = 6.0;
 /// A read waits this share of its latency target for a probe that may open a replica to it.
 const PROBE_WAIT: f64 = 0.1;
-/// A send is looked at again at this share of its latency target, and an op held this long tells overload.
+/// A position is asked for again after this share of the least bound; a missing primary, and cuts of a limit,
+/// after these shares of the connect time-out. What is known of a host fades in so many connect time-outs.
+const PROBE_GAP: f64 = 0.125;
+const POLL: f64 = 0.4;
+const CUT_GAP: f64 = 0.5;
+const FADES: f64 = 4.0;
+/// A tenant is over its share when its part of the traffic is this much over.
+const OVER_SHARE: f64 = 1.2;
+/// Sessions whose last commit is kept.
+const SESSIONS: usize = 65_536;
+/// A send is looked at again at this share of its latency target.
 const LOOK_AGAIN: f64 = 0.5;
 
-fn flag(from: &Manifest, name: &str) -> bool {
-    matches!(from.get(name), Some(Fact::Flag(true)))
-}
-
-fn number(from: &Manifest, name: &str, otherwise: f64) -> f64 {
-    if let Some(Fact::Number(number)) = from.get(name) { *number } else { otherwise }
-}
-
-fn span(from: &Manifest, name: &str) -> Span {
-    if let Some(Fact::Span(span)) = from.get(name) { *span } else { Span::ZERO }
-}
-
-fn text<'a>(from: &'a Manifest, name: &str) -> &'a str {
-    if let Some(Fact::Text(text)) = from.get(name) { text } else { "" }
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Effect {
-    Retryable,
-    /// Repeats are dropped by hosts of the scope for as long as they remember.
-    Tokened {
-        memory: Span,
-    },
-    NonRetryable,
-}
-
-/// How fresh the data must be that an op sees.
-#[derive(Clone, Copy, PartialEq)]
-enum Need {
-    Any,
-    Bounded(Span),
-    Session,
-    Fresh,
-    Write,
-}
-
-struct OpType {
-    target: Span,
-    value: f64,
-    late_value: f64,
-    effect: Effect,
-    /// Whether a tokened op that may have run may go to any host (all), to its zone, or to its group.
-    scope: Scope,
-    need: Need,
-    weight: f64,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Scope {
-    All,
-    Zone,
-    Group,
-}
-
-/// What an actor of a host needs to know of the rules and the clock.
-#[derive(Clone, Copy)]
-struct Berth {
-    cold: Span,
-    cold_from: f64,
-    fall: Span,
-    connect_timeout: Span,
-    /// The least bound of any op type; positions are asked for in step with it.
-    bound: Span,
-    longest_target: Span,
-    removal_binds: bool,
-}
-
 /// What the desk sees of a host.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct Face {
-    group: GroupId,
     zone: ZoneId,
     size: f64,
     open: bool,
@@ -129,7 +74,7 @@
     role: Option<Role>,
     role_at: Point,
     position: Point,
-    /// How far its position was back when it was last told.
+    /// How far back its position was when it was last told.
     behind: Span,
     /// Weight of this router's unfinished sends, and of those that ended unanswered a while ago.
     load: f64,
@@ -149,11 +94,10 @@
     quiet: bool,
     probing: bool,
     probed_at: Point,
-    probe_after: Point,
 }
 
 impl Face {
-    /// Whether one more send fits in, whatever its health.
+    /// Whether one more send fits in, whatever the health.
     fn bears(&self, share: f64) -> bool {
         let fits = f64::from(self.unfinished) < self.limit * share;
         self.open && fits && (self.warmth >= 1.0 || self.credit >= 0.0)
@@ -164,19 +108,37 @@
     }
 }
 
-/// What reaches a host's inbox.
 enum HostNote {
     Listed(Entry),
     Dropped,
-    Took { weight: f64 },
-    Overdue { sent: Point, base: f64 },
-    Ended { outcome: Outcome, weight: f64, sent: Point, used: f64, judged: bool, base: f64, word: Word },
+    /// A send of this weight went out.
+    Took(f64),
+    /// The send of then has gone unanswered beyond its latency target.
+    Overdue(Point, Usual),
+    Ended(Ended, Closed, Usual),
     Probe,
-    Probed { outcome: Outcome, word: Word },
-    Pulse { passed: Span, peer_rate: f64, pace: f64 },
+    Probed(Option<Word>),
+    Pulse(Span, Usual),
+}
+
+/// What the desk adds to the end of a send.
+struct Closed {
+    weight: f64,
+    /// The share of the latency target that it took.
+    used: f64,
+    sent: Point,
+    /// It was judged already, as overdue.
+    judged: bool,
+}
+
+/// What is usual in the fleet: the share of bad outcomes, the pace, and the weight sent to a warm host a second.
+#[derive(Clone, Copy, Default)]
+struct Usual {
+    bad: f64,
+    pace: f64,
+    rate: f64,
 }
 
-/// What reaches the desk.
 enum DeskNote {
     Outside(Note),
     Route(usize),
@@ -204,13 +166,12 @@
     }
 }
 
+#[derive(Default)]
 struct Host {
-    id: HostId,
-    berth: Berth,
     face: Face,
+    known: bool,
     started: Option<Point>,
     draining: bool,
-    known: bool,
     live: f64,
     kept: f64,
     sent: f64,
@@ -223,160 +184,105 @@
 }
 
 impl Host {
-    fn new(id: HostId, berth: Berth) -> Self {
-        let face = Face {
-            group: GroupId(0),
-            zone: ZoneId(0),
-            size: 1.0,
-            open: false,
-            listed_primary: false,
-            role: None,
-            role_at: Point::DAWN,
-            position: Point::DAWN,
-            behind: Span::ZERO,
-            load: 0.0,
-            unfinished: 0,
-            limit: FIRST_LIMIT,
-            pace: 0.2,
-            rate: 0.0,
-            warmth: 1.0,
-            credit: 0.0,
-            ill: false,
-            trial: false,
-            quiet: false,
-            probing: false,
-            probed_at: Point::DAWN,
-            probe_after: Point::DAWN,
-        };
-        Host {
-            id,
-            berth,
-            face,
-            started: None,
-            draining: false,
-            known: false,
-            live: 0.0,
-            kept: 0.0,
-            sent: 0.0,
-            evidence: 0.0,
-            rest: REST,
-            rest_until: Point::DAWN,
-            mute: 0,
-            heard_at: Point::DAWN,
-            cut_at: Point::DAWN,
-        }
+    fn new() -> Self {
+        let face = Face { limit: FIRST_LIMIT, pace: EASY * EASY, warmth: 1.0, size: 1.0, ..Face::default() };
+        Host { face, rest: REST, ..Host::default() }
     }
 
-    fn take(&mut self, now: Point, note: HostNote, post: &mut Post) {
+    fn take(&mut self, id: HostId, now: Point, note: HostNote, charter: &Manifest, post: &mut Post) {
         match note {
-            HostNote::Listed(entry) => self.listed(now, entry),
-            HostNote::Dropped => self.face.open = !self.berth.removal_binds && !self.draining,
-            HostNote::Took { weight } => {
+            HostNote::Listed(entry) => self.listed(entry, charter),
+            HostNote::Dropped => self.face.open &= charter.flag("removal_not_binding"),
+            HostNote::Took(weight) => {
                 self.face.unfinished += 1;
                 self.live += weight;
                 self.sent += weight;
                 self.face.credit -= weight;
             }
-            HostNote::Overdue { sent, base } => self.unanswered(now, sent, base),
-            HostNote::Ended { outcome, weight, sent, used, judged, base, word } => {
+            HostNote::Overdue(sent, usual) => self.unanswered(now, sent, usual, charter),
+            HostNote::Ended(end, closed, usual) => {
                 self.face.unfinished -= 1;
-                self.live -= weight;
-                if outcome.is_answer() {
+                self.live -= closed.weight;
+                if end.outcome.is_answer() {
                     self.kept *= 0.5;
-                    self.answered(now, sent, outcome, used, base, judged, word);
-                } else if outcome != Outcome::Moot {
-                    // Danger: a host that hangs or fails looks light when its time-outs clear its entries. They
-                    // go on weighing for a while. It may cost a host that only lost a few sends some reads.
-                    self.kept += weight;
-                    if outcome != Outcome::Cancelled && !judged {
-                        self.unanswered(now, sent, base);
+                    self.answered(now, end, closed, usual, charter);
+                } else if end.outcome != Outcome::Moot {
+                    // Danger: a host that hangs looks light when its time-outs clear its entries, and draws
+                    // more. They weigh on for a while; a host that only lost a few sends loses some reads.
+                    self.kept += closed.weight;
+                    if end.outcome != Outcome::Cancelled && !closed.judged {
+                        self.unanswered(now, closed.sent, usual, charter);
                     }
                 }
             }
             HostNote::Probe => {
-                self.face.probing = true;
-                self.face.probed_at = now;
-                self.face.credit -= f64::EPSILON;
-                post.actions.push(Action::Probe { host: self.id });
+                (self.face.probing, self.face.probed_at) = (true, now);
+                post.actions.push(Action::Probe { host: id });
             }
-            HostNote::Probed { outcome, word } => {
+            HostNote::Probed(word) => {
                 self.face.probing = false;
-                self.face.probe_after = now + self.berth.connect_timeout;
-                if outcome == Outcome::Acked {
+                if let Some(word) = word {
                     self.hush(false);
-                    self.learn(now, word, word.position.unwrap_or(self.face.role_at));
-                    // A copy far behind cannot be back within the bound before it has applied what it lacks.
-                    let behind = now - self.face.position - self.berth.bound;
-                    let gap =
-                        (behind * 0.5).clamp(self.berth.bound * 0.125, self.berth.connect_timeout * 4.0);
-                    self.face.probe_after = now + gap;
+                    self.learn(now, word, word.position.unwrap_or_default());
                 }
             }
-            HostNote::Pulse { passed, peer_rate, pace } => self.pulse(now, passed, peer_rate, pace),
+            HostNote::Pulse(passed, usual) => self.pulse(now, passed, usual, charter),
         }
         self.face.load = (self.live + self.kept).max(0.0);
-        post.faces.push_back((self.id, self.face));
+        post.faces.push_back((id, self.face));
     }
 
-    fn listed(&mut self, now: Point, entry: Entry) {
-        let face = &mut self.face;
-        (face.group, face.zone, face.size) = (entry.group, entry.zone, entry.size.max(0.01));
-        face.listed_primary = entry.primary;
-        face.open = entry.availability == Availability::Ready;
-        match entry.availability {
-            Availability::Draining => self.draining = true,
-            Availability::Gone => face.open = !self.berth.removal_binds && !self.draining,
-            Availability::Ready => self.draining = false,
-        }
+    fn listed(&mut self, entry: Entry, charter: &Manifest) {
         if self.known && entry.started != self.started {
             // It started again: its past says nothing of its health or of what it bears, and whatever the list
             // still calls it, it comes back as a replica.
-            face.role = Some(Role::Replica);
-            (face.ill, face.trial, face.limit, face.credit) = (false, false, FIRST_LIMIT, 0.0);
-            (self.evidence, self.rest, self.kept) = (0.0, REST, 0.0);
-            self.hush(false);
+            let Face { zone, size, position, role_at, unfinished, rate, .. } = self.face;
+            let fresh = Host::new().face;
+            let role = Some(Role::Replica);
+            self.face = Face { zone, size, position, role, role_at, unfinished, rate, ..fresh };
+            (self.evidence, self.rest, self.kept, self.mute) = (0.0, REST, 0.0, 0);
         }
-        self.known = true;
-        self.started = entry.started;
-        self.warm(now);
-    }
-
-    fn warm(&mut self, now: Point) {
-        let age = self.started.map_or(self.berth.cold, |started| now - started);
-        let part = (age / self.berth.cold).clamp(0.0, 1.0);
-        let from = self.berth.cold_from;
-        self.face.warmth = if age >= self.berth.cold { 1.0 } else { from + (1.0 - from) * part };
+        (self.known, self.started) = (true, entry.started);
+        let face = &mut self.face;
+        (face.zone, face.size, face.listed_primary) = (entry.zone, entry.size.max(0.01), entry.primary);
+        self.draining = match entry.availability {
+            Availability::Draining => true,
+            Availability::Gone => self.draining || !charter.flag("removal_not_binding"),
+            Availability::Ready => false,
+        };
+        face.open = !self.draining;
     }
 
-    fn pulse(&mut self, now: Point, passed: Span, peer_rate: f64, pace: f64) {
-        let face = &mut self.face;
-        let part = (passed / self.berth.fall).min(1.0);
-        face.rate += (self.sent / passed.as_secs_f64().max(1e-6) - face.rate) * part;
+    fn pulse(&mut self, now: Point, passed: Span, usual: Usual, charter: &Manifest) {
+        let (face, fall, cold) = (&mut self.face, charter.span("fall"), charter.span("cold"));
+        face.rate += (self.sent / passed.as_secs_f64().max(1e-6) - face.rate) * (passed / fall).min(1.0);
         self.sent = 0.0;
-        // Danger: all routers together push a cold host over. Each sends it at most the present share of what
-        // it sends to a warm host of that size, which together is at most what the cold host can do.
-        let allowed = face.warmth * peer_rate * face.size;
-        let saved = allowed * self.berth.fall.as_secs_f64() * 0.1;
+        let age = self.started.map_or(cold, |started| now - started);
+        let from = charter.number_or("cold_from", 1.0);
+        face.warmth = if age < cold { from + (1.0 - from) * (age / cold).max(0.0) } else { 1.0 };
+        // Danger: all routers together push a cold host over. Each sends it at most the present share of what it
+        // sends to a warm host of that size; together that is at most what the cold host can do.
+        let allowed = face.warmth * usual.rate * face.size;
+        let saved = allowed * fall.as_secs_f64() * 0.1;
         face.credit = (face.credit + allowed * passed.as_secs_f64()).min(saved);
-        self.kept *= 1.0 - (passed / self.berth.longest_target).min(1.0);
-        // Without answers of its own a host drifts back to what the others show.
-        face.pace += (pace - face.pace) * (passed / (self.berth.longest_target * 4.0)).min(1.0);
+        // Entries kept, and a pace without answers of its own, fade towards what the others show.
+        let fades = charter.span("connect_timeout") * FADES;
+        self.kept *= 1.0 - (passed / fades).min(1.0);
+        face.pace += (usual.pace - face.pace) * (passed / (fades * 4.0)).min(1.0);
         face.trial = face.ill && now >= self.rest_until;
-        self.warm(now);
     }
 
-    /// Wald's test of "as bad as the fleet" against "half way to always bad".
-    fn judge(&mut self, now: Point, bad: bool, base: f64) {
-        let usual = base.clamp(TOLERATED, 0.8);
+    /// Wald's sequential test of "as bad as usual in the fleet" against "half way from there to always bad".
+    fn judge(&mut self, now: Point, bad: bool, usual: Usual, charter: &Manifest) {
+        let usual = usual.bad.clamp(TOLERATED, 0.8);
         let sick = (1.0 + usual) / 2.0;
         let odds = if bad { sick / usual } else { (1.0 - sick) / (1.0 - usual) };
         let bound = ((1.0 - WRONG) / WRONG).ln();
         self.evidence = (self.evidence + odds.ln()).clamp(0.0, bound);
         if bad && self.evidence >= bound {
-            self.face.ill = true;
-            self.rest_until = now + self.berth.connect_timeout * self.rest;
-            self.rest = (self.rest * 2.0).min(REST * 16.0);
-            self.face.trial = false;
+            (self.face.ill, self.face.trial) = (true, false);
+            self.rest_until = now + charter.span("connect_timeout") * self.rest;
+            self.rest = (self.rest * 2.0).min(REST * LONGEST_REST);
         } else if self.face.ill && self.evidence <= bound * 0.5 {
             (self.face.ill, self.face.trial, self.rest) = (false, false, REST);
         }
@@ -387,52 +293,43 @@
         self.face.quiet = self.mute >= 2;
     }
 
-    fn cut(&mut self, now: Point, factor: f64) {
+    fn cut(&mut self, now: Point, factor: f64, charter: &Manifest) {
         if now >= self.cut_at {
             self.face.limit = (self.face.limit * factor).max(LEAST_LIMIT);
-            self.cut_at = now + self.berth.bound * 0.25;
+            self.cut_at = now + charter.span("connect_timeout") * CUT_GAP;
         }
     }
 
-    fn unanswered(&mut self, now: Point, sent: Point, base: f64) {
-        self.judge(now, true, base);
-        self.cut(now, 0.8);
+    fn unanswered(&mut self, now: Point, sent: Point, usual: Usual, charter: &Manifest) {
+        self.judge(now, true, usual, charter);
+        self.cut(now, 0.8, charter);
         if self.heard_at <= sent {
             self.hush(true);
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn answered(
-        &mut self,
-        now: Point,
-        sent: Point,
-        outcome: Outcome,
-        used: f64,
-        base: f64,
-        judged: bool,
-        word: Word,
-    ) {
+    fn answered(&mut self, now: Point, end: Ended, closed: Closed, usual: Usual, charter: &Manifest) {
+        let used = closed.used;
         self.heard_at = now;
         self.hush(false);
-        self.learn(now, word, now);
-        if word.role == Some(Role::Primary) {
-            self.face.position = self.face.position.max(sent);
+        self.learn(now, end.word, now);
+        if end.word.role == Some(Role::Primary) {
+            self.face.position = self.face.position.max(closed.sent);
         }
-        match outcome {
+        match end.outcome {
             Outcome::Acked => {
-                self.face.pace += (used - self.face.pace) * 0.1;
-                if !judged {
-                    self.judge(now, used > 1.0, base);
+                self.face.pace += (used - self.face.pace) * FORGET;
+                if !closed.judged {
+                    self.judge(now, used > 1.0, usual, charter);
                 }
                 if used > STRAINED {
-                    self.cut(now, 0.9);
+                    self.cut(now, 0.9, charter);
                 } else if used < EASY && f64::from(self.face.unfinished) >= self.face.limit * 0.5 {
-                    self.face.limit += 1.0 / self.face.limit.max(1.0);
+                    self.face.limit += 1.0 / self.face.limit;
                 }
             }
-            Outcome::Errored => self.judge(now, true, base),
-            Outcome::Full => self.cut(now, 0.7),
+            Outcome::Errored => self.judge(now, true, usual, charter),
+            Outcome::Full => self.cut(now, 0.7, charter),
             _ => {}
         }
     }
@@ -477,13 +374,22 @@
 }
 
 impl Op {
+    fn out(&self) -> impl Iterator<Item = (SendNo, &Try)> {
+        let all = self.tries.iter().enumerate().map(|(number, one)| (SendNo(number as u32), one));
+        all.filter(|(_, one)| one.fate == Fate::Out)
+    }
+
     fn is_out(&self) -> bool {
-        self.tries.iter().any(|t| t.fate == Fate::Out)
+        self.out().next().is_some()
     }
 
     /// The first send that may have run.
     fn may_have_run(&self) -> Option<&Try> {
-        self.tries.iter().find(|t| t.fate != Fate::Never)
+        self.tries.iter().find(|one| one.fate != Fate::Never)
+    }
+
+    fn tried(&self, host: HostId) -> bool {
+        self.tries.iter().any(|one| one.host == host)
     }
 }
 
@@ -493,139 +399,66 @@
     /// When the first op came and all members were asked who they are.
     asked_at: Option<Point>,
     /// Some op waits for a primary.
-    wanted: bool,
+    wanted: Cell<bool>,
 }
 
 type Hosts = SmallVec<[HostId; 16]>;
 
-/// Where an op may go now (nowhere: it waits), and what finding out has cost.
 #[derive(Default)]
-struct Choice {
-    among: Hosts,
-    probes: f64,
-    wants_primary: bool,
-}
-
 struct Desk {
-    now: Point,
-    rng: Rng,
+    charter: Manifest,
     op_types: Vec<OpType>,
-    tenants: Vec<(f64, f64)>,
-    over_share_value: f64,
-    tick: Span,
-    zone: ZoneId,
-    max_sends: usize,
-    parallel: bool,
-    cancel: bool,
-    probes: bool,
-    host_checks: bool,
-    carried: bool,
-    retry_after: Option<Span>,
-    asks_list: bool,
-    ask_within: Span,
-    connect_timeout: Span,
+    /// The least bound of any op type.
     bound: Span,
-    probe_share: f64,
+    least_target: Span,
+    now: Point,
+    rng: Rng,
+    /// By tenant: its part of the latest traffic.
+    tenants: Vec<f64>,
     faces: Vec<Face>,
     groups: FxHashMap<GroupId, Group>,
     ops: Slab<Op>,
     places: FxHashMap<OpId, usize>,
     held: Vec<usize>,
-    /// Commits of sessions' writes: of late, and before; older ones are below the floor.
-    commits: [FxHashMap<SessionId, Point>; 2],
+    /// Commits of sessions' writes; those that were dropped are no newer than the floor.
+    commits: FxHashMap<SessionId, Point>,
     commits_floor: Option<Point>,
-    commits_turn: Point,
     ask_list_at: Option<Point>,
     pulsed_at: Point,
     further: f64,
-    probe_credit: f64,
-    fleet_pace: f64,
-    fleet_bad: f64,
-    peer_rate: f64,
+    probe_credit: Cell<f64>,
+    usual: Usual,
+    /// The least age of late at which reports arrive.
     report_age: Span,
 }
 
 impl Desk {
-    fn new(now: Point, seed: u64, from: &Manifest) -> Self {
-        let mut op_types = Vec::new();
-        while from.contains_key(&format!("op_type.{}.latency_target", op_types.len())) {
-            let key = |field: &str| format!("op_type.{}.{field}", op_types.len());
-            let word = |field: &str| text(from, &key(field));
-            op_types.push(OpType {
-                target: span(from, &key("latency_target")).max(Span::from_millis(1)),
-                value: number(from, &key("value"), 1.0),
-                late_value: number(from, &key("late_value"), 0.0),
-                effect: match word("effect") {
-                    "retryable" => Effect::Retryable,
-                    "tokened" => Effect::Tokened { memory: span(from, &key("memory")) },
-                    _ => Effect::NonRetryable,
-                },
-                scope: match word("scope") {
-                    "all" => Scope::All,
-                    "zone" => Scope::Zone,
-                    _ => Scope::Group,
-                },
-                need: match word("read") {
-                    "any" => Need::Any,
-                    "bounded" => Need::Bounded(span(from, &key("bound"))),
-                    "session" => Need::Session,
-                    "fresh" => Need::Fresh,
-                    _ => Need::Write,
-                },
-                weight: 1.0,
-            });
-        }
-        let least = op_types.iter().map(|t| t.target).min().unwrap_or(Span::from_millis(1));
-        op_types.iter_mut().for_each(|t| t.weight = (t.target / least).max(1.0));
-        let mut tenants = Vec::new();
-        while let Some(Fact::Number(share)) = from.get(&format!("tenant.{}.share", tenants.len())) {
-            tenants.push((*share, 0.0));
-        }
-        let max_retry_after = span(from, "max_retry_after");
-        let bounds = op_types.iter().filter_map(|t| match t.need {
-            Need::Bounded(bound) => Some(bound),
-            _ => None,
-        });
-        let bound = bounds.min().unwrap_or(span(from, "connect_timeout"));
+    fn new(now: Point, seed: u64, charter: Manifest) -> Self {
+        let op_types = OpType::rows(&charter);
+        let bounds =
+            op_types.iter().filter_map(|t| if let Need::Bounded(b) = t.need { Some(b) } else { None });
+        let bound = bounds.min().unwrap_or(charter.span("connect_timeout"));
+        let tenants =
+            (0..).take_while(|row| charter.contains_key(&format!("tenant.{row}.share"))).map(|_| 0.0);
         Desk {
+            bound,
+            least_target: op_types.iter().map(|t| t.latency_target).min().unwrap_or_default(),
+            tenants: tenants.collect(),
             now,
+            pulsed_at: now,
             rng: Rng::with_seed(seed),
+            further: SAVED,
+            usual: Usual { pace: EASY * EASY, ..Usual::default() },
             op_types,
-            tenants,
-            over_share_value: number(from, "over_share_value", 1.0),
-            tick: span(from, "tick").max(Span::from_millis(1)),
-            zone: ZoneId(number(from, "zone", 0.0) as u32),
-            max_sends: number(from, "max_sends", 1.0) as usize,
-            parallel: flag(from, "parallel_sends"),
-            cancel: flag(from, "cancel"),
-            probes: flag(from, "probes") && text(from, "reports") != "none",
-            host_checks: text(from, "host_checks") != "none",
-            carried: text(from, "tokens") == "carried",
-            retry_after: flag(from, "retry_after").then_some(max_retry_after),
-            asks_list: text(from, "list") == "ask",
-            ask_within: span(from, "ask_within"),
-            connect_timeout: span(from, "connect_timeout"),
-            bound,
-            probe_share: PROBE_SPEND / number(from, "price.probe", 0.0).max(PROBE_SPEND),
-            faces: Vec::new(),
-            groups: FxHashMap::default(),
-            ops: Slab::new(),
-            places: FxHashMap::default(),
-            held: Vec::new(),
-            commits: Default::default(),
-            commits_floor: None,
-            commits_turn: now,
-            ask_list_at: None,
-            pulsed_at: now,
-            further: FURTHER_SAVED,
-            probe_credit: 0.0,
-            fleet_pace: 0.2,
-            fleet_bad: 0.0,
-            peer_rate: 0.0,
-            report_age: Span::ZERO,
+            charter,
+            ..Desk::default()
         }
     }
 
+    fn span(&self, name: &str) -> Span {
+        self.charter.span(name)
+    }
+
     fn face(&self, host: HostId) -> &Face {
         &self.faces[host.0 as usize]
     }
@@ -634,32 +467,39 @@
         &self.op_types[op.ask.op_type.0 as usize]
     }
 
+    /// What one send of the op adds to a host's load.
+    fn weight(&self, op: &Op) -> f64 {
+        self.op_type(op).latency_target / self.least_target
+    }
+
+    fn hosts(&self) -> impl Iterator<Item = HostId> + use<> {
+        (0..self.faces.len() as u32).map(HostId)
+    }
+
     fn take(&mut self, note: DeskNote, post: &mut Post) {
         match note {
             DeskNote::Route(place) => self.route(place, post),
             DeskNote::Again(place) => self.again(place, post),
             DeskNote::Outside(Note::Listed { form, entries }) => self.listed(form, entries, post),
             DeskNote::Outside(Note::ListFailed) => {
-                let wait = self.ask_within * (0.1 + 0.2 * self.rng.f64());
+                let wait = self.span("ask_within") * (0.1 + 0.2 * self.rng.f64());
                 self.ask_list_at = Some(self.now + wait);
             }
             DeskNote::Outside(Note::Asked(ask)) => self.asked(ask, post),
-            DeskNote::Outside(Note::SendEnded { op, send, outcome, took, finished, word, .. }) => {
-                self.send_ended(op, send, outcome, took, finished, word, post);
-            }
+            DeskNote::Outside(Note::SendEnded(end)) => self.ended(end, post),
             DeskNote::Outside(Note::HungUp { op }) => {
                 if let Some(&place) = self.places.get(&op) {
                     self.finish(place, post);
                 }
             }
             DeskNote::Outside(Note::Rang { .. }) => self.pulse(post),
-            DeskNote::Outside(Note::Probed { host, outcome, word, .. }) => {
-                if let (Outcome::Acked, Some(position)) = (outcome, word.position) {
-                    let age = self.now - position;
-                    self.report_age =
-                        if self.report_age == Span::ZERO { age } else { age.min(self.report_age * 1.02) };
+            DeskNote::Outside(Note::Probed { host, outcome, word }) => {
+                let word = Some(word).filter(|_| outcome == Outcome::Acked);
+                if let Some(position) = word.and_then(|word| word.position) {
+                    let (age, known) = (self.now - position, self.report_age);
+                    self.report_age = if known == Span::ZERO { age } else { age.min(known * 1.02) };
                 }
-                post.tell(host, HostNote::Probed { outcome, word });
+                post.tell(host, HostNote::Probed(word));
             }
             DeskNote::Outside(Note::Told { .. }) => {}
         }
@@ -667,13 +507,8 @@
 
     fn listed(&mut self, form: ListForm, entries: Vec<Entry>, post: &mut Post) {
         self.ask_list_at = None;
-        if form != ListForm::Changes {
-            for host in (0..self.faces.len() as u32).map(HostId) {
-                if !entries.iter().any(|entry| entry.host == host) {
-                    post.tell(host, HostNote::Dropped);
-                }
-            }
-        }
+        let missing = |host: &HostId| form != ListForm::Changes && !entries.iter().any(|e| e.host == *host);
+        self.hosts().filter(missing).for_each(|host| post.tell(host, HostNote::Dropped));
         for entry in entries {
             self.groups.values_mut().for_each(|group| group.members.retain(|&host| host != entry.host));
             let members = &mut self.groups.entry(entry.group).or_default().members;
@@ -684,32 +519,22 @@
     }
 
     fn asked(&mut self, ask: Ask, post: &mut Post) {
-        self.further = (self.further + FURTHER).min(FURTHER_SAVED);
-        self.probe_credit = (self.probe_credit + self.probe_share).min(FURTHER_SAVED);
-        if let Some(tenant) = ask.tenant {
-            for (row, (_, used)) in self.tenants.iter_mut().enumerate() {
-                *used = *used * 0.99 + f64::from(row == tenant.0 as usize);
-            }
-        }
-        let floor = match (self.op_types[ask.op_type.0 as usize].need, ask.token_age) {
-            (Need::Session, Some(age)) if self.carried => (age > Span::ZERO).then(|| self.now - age),
-            (Need::Session, None) if self.carried => Some(self.now),
-            (Need::Session, _) => ask.session.and_then(|session| {
-                let [late, before] = &self.commits;
-                late.get(&session).or_else(|| before.get(&session)).copied().max(self.commits_floor)
-            }),
-            _ => None,
-        };
-        let op = Op {
-            ask,
-            arrived: self.now,
-            floor,
-            tries: SmallVec::new(),
-            held: false,
-            looked: false,
-            missed: false,
-            over: false,
+        self.further = (self.further + FURTHER).min(SAVED);
+        let price = self.charter.number_or("price.probe", 0.0).max(PROBE_SPEND);
+        self.probe_credit.set((self.probe_credit.get() + PROBE_SPEND / price).min(SAVED));
+        for (row, used) in self.tenants.iter_mut().enumerate() {
+            *used = *used * 0.99 + f64::from(ask.tenant.is_some_and(|tenant| tenant.0 as usize == row));
+        }
+        let floor = if self.op_types[ask.op_type.0 as usize].need != Need::Session {
+            None
+        } else if self.charter.text("tokens") == "carried" {
+            let age = ask.token_age.unwrap_or_default();
+            (age > Span::ZERO || ask.token_age.is_none()).then(|| self.now - age)
+        } else {
+            ask.session.and_then(|session| self.commits.get(&session).copied()).max(self.commits_floor)
         };
+        let (arrived, tries) = (self.now, SmallVec::new());
+        let op = Op { ask, arrived, floor, tries, held: false, looked: false, missed: false, over: false };
         let place = self.ops.insert(op);
         self.places.insert(ask.op, place);
         post.desk.push_back(DeskNote::Route(place));
@@ -717,43 +542,41 @@
 
     /// Until when an answer is worth anything, and is sure to come before the client's time is up.
     fn pays_until(&self, op: &Op) -> Point {
-        let kind = self.op_type(op);
-        let due = op.ask.due - self.tick;
-        if kind.late_value > 0.0 { due } else { due.min(op.arrived + kind.target - self.tick * 2.0) }
+        let (kind, due) = (self.op_type(op), op.ask.due - self.span("tick"));
+        if kind.late_value > 0.0 {
+            due
+        } else {
+            due.min(op.arrived + kind.latency_target - self.span("tick") * 2.0)
+        }
     }
 
     /// Rule 2: whether the op may go out again, to this host if one is named.
     fn may_send(&self, op: &Op, host: Option<HostId>) -> bool {
-        if op.tries.len() >= self.max_sends || (!self.parallel && op.is_out()) {
+        let most = self.charter.number_or("max_sends", 1.0) as usize;
+        if op.tries.len() >= most || op.is_out() && !self.charter.flag("parallel_sends") {
             return false;
         }
-        let kind = self.op_type(op);
-        match (kind.effect, op.may_have_run()) {
+        match (self.op_type(op).effect, op.may_have_run()) {
             (Effect::Retryable, _) | (_, None) => true,
-            (Effect::Tokened { memory }, Some(first)) => {
-                let zone_of = |host: HostId| self.face(host).zone;
-                let there =
-                    kind.scope != Scope::Zone || host.is_none_or(|h| zone_of(h) == zone_of(first.host));
-                there && self.now + self.tick < first.sent + memory
+            (Effect::Tokened { memory, scope }, Some(first)) => {
+                let near = |host: HostId| self.face(host).zone == self.face(first.host).zone;
+                let there = scope != Scope::Zone || host.is_none_or(near);
+                there && self.now + self.span("tick") < first.sent + memory
             }
             (Effect::NonRetryable, Some(_)) => false,
         }
     }
 
     fn route(&mut self, place: usize, post: &mut Post) {
-        let Some(op) = self.ops.get(place) else { return };
-        if op.over || op.is_out() {
-            return;
-        }
+        let Some(op) = self.ops.get(place).filter(|op| !op.over && !op.is_out()) else { return };
         // Nothing is held once waiting cannot pay any more: the answer goes out at once.
-        let ends = self.pays_until(op);
-        let expected = if op.held { self.op_type(op).target * self.fleet_pace } else { Span::ZERO };
-        if self.now + expected >= ends || !self.may_send(op, None) {
-            return self.give_up(place, post);
-        }
-        match self.choose(place, post) {
-            Some(host) => self.send(place, host, post),
-            None => self.hold(place, post),
+        let needs = if op.held { self.op_type(op).latency_target * self.usual.pace } else { Span::ZERO };
+        if self.now + needs >= self.pays_until(op) || !self.may_send(op, None) {
+            self.give_up(place, post);
+        } else if let Some(host) = self.choose(place, post) {
+            self.send(place, host, post);
+        } else if !std::mem::replace(&mut self.ops[place].held, true) {
+            self.held.push(place);
         }
     }
 
@@ -762,132 +585,110 @@
         if op.over || !self.may_send(op, Some(host)) || !self.face(host).open {
             return;
         }
-        let (weight, until) = (self.op_type(op).weight, self.pays_until(op));
+        let (weight, until) = (self.weight(op), self.pays_until(op));
+        self.release(place);
         let op = &mut self.ops[place];
         op.tries.push(Try { host, sent: self.now, fate: Fate::Out, overdue: false });
-        let id = op.ask.op;
-        if std::mem::take(&mut op.held) {
-            self.held.retain(|&held| held != place);
-        }
-        post.actions.push(Action::Send { op: id, host, until });
-        post.tell(host, HostNote::Took { weight });
+        post.actions.push(Action::Send { op: op.ask.op, host, until });
+        post.tell(host, HostNote::Took(weight));
     }
 
-    fn hold(&mut self, place: usize, post: &mut Post) {
-        if self.ops[place].held {
-            return;
+    fn release(&mut self, place: usize) {
+        if std::mem::take(&mut self.ops[place].held) {
+            self.held.retain(|&held| held != place);
         }
-        self.ops[place].held = true;
-        self.held.push(place);
     }
 
-    /// What an op is worth for the work it asks.
+    /// What an op is worth for the work it asks. What a tenant asks beyond its share goes last.
     fn rank(&self, op: &Op) -> f64 {
         let kind = self.op_type(op);
-        let all: f64 = self.tenants.iter().map(|(_, used)| used).sum();
-        let over = op
-            .ask
-            .tenant
-            .and_then(|t| self.tenants.get(t.0 as usize))
-            .is_some_and(|(s, u)| *u > all * s * 1.2);
-        let late = if self.now > op.arrived + kind.target { kind.late_value } else { 1.0 };
-        kind.value / kind.weight * late * if over { self.over_share_value } else { 1.0 }
+        let over = op.ask.tenant.is_some_and(|TenantId(row)| {
+            let share = self.charter.number_or(&format!("tenant.{row}.share"), 1.0) * OVER_SHARE;
+            self.tenants
+                .get(row as usize)
+                .is_some_and(|used| *used > share * self.tenants.iter().sum::<f64>())
+        });
+        let late = if self.now > op.arrived + kind.latency_target { kind.late_value } else { 1.0 };
+        kind.value / self.weight(op)
+            * late
+            * if over { self.charter.number_or("over_share_value", 1.0) } else { 1.0 }
     }
 
     fn give_up(&mut self, place: usize, post: &mut Post) {
         let op = &self.ops[place];
-        let kind = self.op_type(op);
-        let harmless = kind.effect == Effect::Retryable
-            || op.may_have_run().is_none()
-            || (kind.effect != Effect::NonRetryable && kind.scope == Scope::All);
-        let id = op.ask.op;
+        let harmless = match self.op_type(op).effect {
+            Effect::Retryable | Effect::Tokened { scope: Scope::All, .. } => true,
+            _ => op.may_have_run().is_none(),
+        };
+        let advice = self.charter.flag("retry_after").then(|| self.span("max_retry_after"));
         post.actions.push(if harmless {
-            Action::BusyReply { op: id, retry_after: self.retry_after }
+            Action::BusyReply { op: op.ask.op, retry_after: advice }
         } else {
-            Action::ErrorReply { op: id }
+            Action::ErrorReply { op: op.ask.op }
         });
         self.finish(place, post);
     }
 
     /// The op has its final answer; its place is free once all its sends have ended.
     fn finish(&mut self, place: usize, post: &mut Post) {
+        self.release(place);
         let op = &mut self.ops[place];
         let first = !std::mem::replace(&mut op.over, true);
-        if std::mem::take(&mut op.held) {
-            self.held.retain(|&held| held != place);
-        }
         if !op.is_out() {
-            let id = op.ask.op;
-            self.ops.remove(place);
-            self.places.remove(&id);
-        } else if self.cancel && first {
-            for (send, _) in op.tries.iter().enumerate().filter(|(_, one)| one.fate == Fate::Out) {
-                post.actions.push(Action::Cancel { op: op.ask.op, send: SendNo(send as u32) });
-            }
+            let op = self.ops.remove(place);
+            self.places.remove(&op.ask.op);
+        } else if first && self.charter.flag("cancel") {
+            post.actions.extend(op.out().map(|(send, _)| Action::Cancel { op: op.ask.op, send }));
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn send_ended(
-        &mut self,
-        id: OpId,
-        send: SendNo,
-        outcome: Outcome,
-        took: Span,
-        finished: bool,
-        word: Word,
-        post: &mut Post,
-    ) {
-        let Some(&place) = self.places.get(&id) else { return };
-        let now = self.now;
-        let Some(one) = self.ops[place].tries.get_mut(send.0 as usize) else { return };
-        one.fate = if outcome.never_ran() { Fate::Never } else { Fate::Maybe };
-        let one = *one;
-        let op = &self.ops[place];
-        let kind = self.op_type(op);
-        let (used, weight, write) =
-            ((took / kind.target).clamp(0.0, 10.0), kind.weight, kind.need == Need::Write);
-        let session = op.ask.session.filter(|_| write);
-        let bad = match outcome {
-            Outcome::Acked => used > 1.0,
-            Outcome::Errored | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => true,
-            _ => false,
-        };
-        let base = self.fleet_bad;
-        if !one.overdue {
-            self.fleet_bad += (f64::from(bad) - self.fleet_bad) * 0.02;
-        }
-        if outcome == Outcome::Acked {
-            self.fleet_pace += (used - self.fleet_pace) * 0.02;
-            if let Some(session) = session {
-                let commit = word.position.unwrap_or(now);
-                let known = self.commits[0].entry(session).or_insert(commit);
-                *known = commit.max(*known);
+    fn ended(&mut self, end: Ended, post: &mut Post) {
+        let Some(&place) = self.places.get(&end.op) else { return };
+        let op = &mut self.ops[place];
+        let Some(one) = op.tries.get_mut(end.send.0 as usize) else { return };
+        one.fate = if end.outcome.never_ran() { Fate::Never } else { Fate::Maybe };
+        let (host, sent, judged) = (one.host, one.sent, one.overdue);
+        let kind = &self.op_types[op.ask.op_type.0 as usize];
+        let used = (end.took / kind.latency_target).clamp(0.0, 10.0);
+        let (usual, weight) = (self.usual, kind.latency_target / self.least_target);
+        if !judged {
+            let fell = matches!(end.outcome, Outcome::Errored | Outcome::TimedOut)
+                || matches!(end.outcome, Outcome::ConnectFailed | Outcome::Reset);
+            let bad = fell || end.outcome == Outcome::Acked && used > 1.0;
+            self.usual.bad += (f64::from(bad) - usual.bad) * FORGET_ALL;
+        }
+        if end.outcome == Outcome::Acked {
+            self.usual.pace += (used - self.usual.pace) * FORGET_ALL;
+            if let Some(session) = op.ask.session.filter(|_| kind.need == Need::Write) {
+                if self.commits.len() >= SESSIONS {
+                    self.commits_floor = self.commits.drain().map(|(_, commit)| commit).max();
+                }
+                let known = self.commits.entry(session).or_default();
+                *known = end.word.position.unwrap_or(self.now).max(*known);
             }
         }
-        let judged = one.overdue;
-        post.tell(one.host, HostNote::Ended { outcome, weight, sent: one.sent, used, judged, base, word });
-        let op = &mut self.ops[place];
-        op.missed |= outcome == Outcome::Miss;
-        if op.over || finished {
+        op.missed |= end.outcome == Outcome::Miss;
+        if op.over || end.finished {
             self.finish(place, post);
         } else if !op.is_out() {
             post.desk.push_back(DeskNote::Route(place));
         }
+        post.tell(host, HostNote::Ended(end, Closed { weight, used, sent, judged }, usual));
     }
 
     /// The member that is known first-hand to be primary, by the newest word; else the one the list names.
     fn primary(&self, group: &Group) -> Option<HostId> {
-        let standing = || group.members.iter().copied().filter(|&h| self.face(h).open && !self.face(h).quiet);
-        let told = standing().filter(|&h| self.face(h).role == Some(Role::Primary));
-        told.max_by_key(|&h| self.face(h).role_at)
-            .or_else(|| standing().find(|&h| self.face(h).role.is_none() && self.face(h).listed_primary))
+        let standing = |host: &HostId| self.face(*host).open && !self.face(*host).quiet;
+        let members = || group.members.iter().copied().filter(standing);
+        let told = members().filter(|&host| self.face(host).role == Some(Role::Primary));
+        let named = |host: &HostId| self.face(*host).role.is_none() && self.face(*host).listed_primary;
+        told.max_by_key(|&host| self.face(host).role_at).or_else(|| members().find(named))
     }
 
-    fn probe(&self, host: HostId, post: &mut Post) {
-        if self.probes && !self.face(host).probing {
-            post.tell(host, HostNote::Probe);
-        }
+    fn probe(&self, hosts: &[HostId], post: &mut Post) {
+        let allowed = self.charter.flag("probes") && self.charter.text("reports") != "none";
+        let able = |host: &&HostId| allowed && self.face(**host).open && !self.face(**host).probing;
+        hosts.iter().filter(able).for_each(|&host| post.tell(host, HostNote::Probe));
     }
 
     /// The host for the next send of this op; none while it should wait.
@@ -897,96 +698,77 @@
         if group.asked_at.is_none() {
             // A fresh router knows only an old list: the members say who is primary and how far they are.
             group.asked_at = Some(self.now);
-            let open = self.groups[&id].members.iter().filter(|&&host| self.face(host).open);
-            open.for_each(|&host| self.probe(host, post));
-            if self.probes {
-                return None;
-            }
+            self.probe(&self.groups[&id].members, post);
         }
-        let choice = self.candidates(place, post);
-        self.probe_credit -= choice.probes;
-        if let Some(group) = self.groups.get_mut(&id) {
-            group.wanted |= choice.wants_primary;
-        }
-        if choice.among.is_empty() { None } else { Some(self.lightest(&choice.among, place)) }
+        let among = self.candidates(place, post);
+        if among.is_empty() { None } else { Some(self.lightest(&among, place)) }
     }
 
-    fn candidates(&self, place: usize, post: &mut Post) -> Choice {
+    /// Where an op may go now; nowhere: it waits.
+    fn candidates(&self, place: usize, post: &mut Post) -> Hosts {
         let op = &self.ops[place];
         let (kind, group) = (self.op_type(op), &self.groups[&op.ask.group]);
         let primary = self.primary(group);
-        let mut choice = Choice { wants_primary: primary.is_none(), ..Choice::default() };
+        let mut among = Hosts::new();
+        group.wanted.set(group.wanted.get() || primary.is_none());
+        let asking = |hosts: &[HostId]| hosts.iter().any(|&host| self.face(host).probing);
+        let just_asked = group.asked_at == Some(self.now);
         let named = primary.is_some_and(|host| self.face(host).role.is_some());
-        let asking = |hosts: &[HostId]| {
-            hosts.iter().any(|&h| self.face(h).probing || self.face(h).probed_at == self.now)
-        };
-        if !named
-            && group.asked_at.is_some_and(|at| self.now - at < self.connect_timeout)
-            && asking(&group.members)
-        {
-            return choice;
+        let fresh = group.asked_at.is_some_and(|at| self.now - at < self.span("connect_timeout"));
+        if !named && fresh && (just_asked && self.charter.flag("probes") || asking(&group.members)) {
+            return among;
         }
-        let tried = |host: HostId| op.tries.iter().any(|one| one.host == host);
         if matches!(kind.need, Need::Write | Need::Fresh) {
-            if let Some(host) = primary {
-                choice.among.extend(Some(host).filter(|&host| self.face(host).bears(1.0)));
-            } else if op.tries.len() * 2 < self.max_sends {
+            if primary.is_some() {
+                among.extend(primary.filter(|&host| self.face(host).bears(1.0)));
+            } else if (op.tries.len() as f64) < self.charter.number_or("max_sends", 1.0) * 0.5 {
                 // None known: members in turn, the most advanced first; one known as replica counts as a miss.
-                let turn = group.members.iter().copied().filter(|&h| {
-                    let face = self.face(h);
-                    face.role.is_none() && !tried(h) && face.sound() && face.bears(1.0) && !face.probing
-                });
-                choice.among.extend(turn.max_by_key(|&h| self.face(h).position));
+                let unknown =
+                    |face: &Face| face.role.is_none() && !face.probing && face.sound() && face.bears(1.0);
+                let turn = group.members.iter().copied().filter(|&h| !op.tried(h) && unknown(self.face(h)));
+                among.extend(turn.max_by_key(|&host| self.face(host).position));
             }
-            return choice;
+            return among;
         }
+        let checks = self.charter.text("host_checks") != "none";
         let open = |host: &HostId| Some(*host) != primary && self.face(*host).open;
         let replicas: Hosts = group.members.iter().copied().filter(open).collect();
         // Danger: trouble that all share has every host judged ill. With most of them out, none is left out; harms
         // when most replicas really are lost, until the list says so.
         let most = replicas.iter().filter(|&&host| self.face(host).sound()).count() * 2 < replicas.len();
-        let sound = |host: HostId| most || self.face(host).sound();
-        let fit: Hosts =
-            replicas.iter().copied().filter(|&host| self.qualifies(op, host) && sound(host)).collect();
-        choice.probes = self.freshen(op, &replicas, fit.is_empty(), post);
-        choice.among = fit.iter().copied().filter(|&host| self.face(host).bears(1.0)).collect();
-        if choice.among.iter().any(|&host| !tried(host)) {
-            choice.among.retain(|&mut host| !tried(host));
-        }
-        if !choice.among.is_empty() {
-            if kind.weight >= LONG {
-                self.keep_together(&mut choice.among);
-            }
-            return choice;
+        let sound = |host: &HostId| most || self.face(*host).sound();
+        let fit: Hosts = replicas.iter().copied().filter(|h| self.qualifies(op, *h) && sound(h)).collect();
+        let asked = self.freshen(op, &replicas, fit.is_empty(), post);
+        among = fit.iter().copied().filter(|&host| self.face(host).bears(1.0)).collect();
+        if among.iter().any(|&host| !op.tried(host)) {
+            among.retain(|&mut host| !op.tried(host));
         }
         let at_primary = |share: f64| primary.filter(|&host| self.face(host).bears(share));
-        if !fit.is_empty() {
-            // Danger: replicas at their limit while the primary idles.
-            choice.among.extend(at_primary(SPILL));
-            return choice;
-        }
-        if self.host_checks && !op.missed {
-            let able = replicas.iter().copied().filter(|&h| sound(h) && self.face(h).bears(1.0));
-            choice.among.extend(able.max_by_key(|&host| self.face(host).position));
-        } else if !self.host_checks {
-            let may_open = op.floor.is_none_or(|floor| floor <= self.now - self.report_age);
-            if may_open && asking(&replicas) && self.now - op.arrived < kind.target * PROBE_WAIT {
-                return choice;
+        if !among.is_empty() {
+            if self.weight(op) >= LONG {
+                self.keep_together(&mut among);
             }
+        } else if !fit.is_empty() {
+            // Danger: replicas at their limit while the primary idles.
+            among.extend(at_primary(SPILL));
+        } else if checks && !op.missed && replicas.iter().any(|h| sound(h) && self.face(*h).bears(1.0)) {
+            let able = replicas.iter().copied().filter(|h| sound(h) && self.face(*h).bears(1.0));
+            among.extend(able.max_by_key(|&host| self.face(host).position));
+        } else {
+            let opens = op.floor.is_none_or(|floor| floor <= self.now - self.report_age);
+            let soon = asking(&replicas) || asked;
+            let waits = !checks && self.now - op.arrived < kind.latency_target * PROBE_WAIT;
+            among.extend(at_primary(READS_AT_PRIMARY).filter(|_| !(opens && soon && waits)));
         }
-        if choice.among.is_empty() {
-            choice.among.extend(at_primary(READS_AT_PRIMARY));
-        }
-        choice
+        among
     }
 
     /// Danger: a long read holds up the log where it runs, so long reads spread over all replicas leave none fresh.
     /// They conflict with bounded reads as a whole: they go where the copy is behind anyway, or else to the one
     /// furthest behind, which every router sees alike. Harms when long reads alone need most of the replicas.
     fn keep_together(&self, hosts: &mut Hosts) {
-        let far =
-            hosts.iter().map(|&host| self.face(host).behind).max().unwrap_or(Span::ZERO).min(self.bound);
-        hosts.retain(|&mut host| self.face(host).behind >= far);
+        let furthest = hosts.iter().map(|&host| self.face(host).behind).max().unwrap_or_default();
+        hosts.retain(|&mut host| self.face(host).behind >= furthest.min(self.bound));
     }
 
     /// Rule 5: a position is a lower bound learnt some time ago; it need not have moved since.
@@ -1001,27 +783,28 @@
     }
 
     /// Asks replicas for their position: two at once when none qualifies, else one that will soon lapse.
-    fn freshen(&self, op: &Op, replicas: &[HostId], none: bool, post: &mut Post) -> f64 {
+    fn freshen(&self, op: &Op, replicas: &[HostId], none: bool, post: &mut Post) -> bool {
         let lapses = match self.op_type(op).need {
-            Need::Bounded(bound) => self.now - bound * 0.5,
+            Need::Bounded(bound) if none || self.probe_credit.get() >= 1.0 => self.now - bound * 0.5,
             Need::Session if none => self.now,
-            _ => return 0.0,
+            _ => return false,
         };
-        if !self.probes || !none && self.probe_credit < 1.0 {
-            return 0.0;
-        }
-        let mut due: Hosts = replicas.iter().copied().collect();
-        due.retain(|&mut host| {
-            let face = self.face(host);
-            face.sound() && !face.probing && face.position < lapses && self.now >= face.probe_after
-        });
+        let due = |host: &HostId| {
+            let face = self.face(*host);
+            // A copy far behind cannot be back within the bound before it has applied what it lacks.
+            let gap = ((face.behind - self.bound) * 0.5).min(self.span("connect_timeout") * FADES);
+            let rested = self.now - face.probed_at >= gap.max(self.bound * PROBE_GAP);
+            face.sound() && !face.probing && face.position < lapses && rested
+        };
+        let mut due: Hosts = replicas.iter().copied().filter(due).collect();
         due.sort_by_key(|&host| self.face(host).position);
         if none {
             due.reverse();
         }
         due.truncate(if none { 2 } else { 1 });
-        due.iter().for_each(|&host| self.probe(host, post));
-        due.len() as f64
+        self.probe(&due, post);
+        self.probe_credit.set(self.probe_credit.get() - due.len() as f64);
+        !due.is_empty()
     }
 
     /// Dynamic MPF: the load window, then the session's host, then the lightest, ties at random.
@@ -1031,53 +814,43 @@
         let window: Hosts = hosts.iter().copied().filter(|&host| load(host) * WINDOW <= least).collect();
         let op = &self.ops[place];
         if window.len() > 1 && op.ask.session.is_some() {
-            let holds = |&host: &HostId| {
-                let same = |(_, other): &(usize, &Op)| other.ask.session == op.ask.session && !other.over;
-                let there = |one: &Try| one.host == host && one.fate == Fate::Out;
-                self.ops.iter().filter(same).any(|(_, other)| other.tries.iter().any(there))
-            };
+            let others = || self.ops.iter().filter(|(_, o)| o.ask.session == op.ask.session && !o.over);
+            let holds =
+                |host: &HostId| others().any(|(_, other)| other.out().any(|(_, one)| one.host == *host));
             let holders = window.iter().copied().filter(holds);
             if let Some(host) = holders.max_by(|&a, &b| load(a).total_cmp(&load(b))) {
                 return host;
             }
         }
-        let weight = self.op_type(op).weight;
-        let cost = |host: HostId| {
+        let weight = self.weight(op);
+        let home = ZoneId(self.charter.number_or("zone", 0.0) as u32);
+        let weigh = |host: HostId| {
             let face = self.face(host);
-            let crossing = if face.zone == self.zone { 1.0 } else { CROSSING };
+            let crossing = if face.zone == home { 1.0 } else { CROSSING };
             (face.load + weight) / (face.size * face.warmth) * face.pace.max(0.02) * crossing
         };
-        let lowest = window.iter().map(|&host| cost(host)).fold(f64::INFINITY, f64::min);
-        let ties: Hosts = window.iter().copied().filter(|&host| cost(host) <= lowest * (1.0 + TIE)).collect();
+        let lowest = window.iter().map(|&host| weigh(host)).fold(f64::INFINITY, f64::min);
+        let ties: Hosts =
+            window.iter().copied().filter(|&host| weigh(host) <= lowest * (1.0 + TIE)).collect();
         ties[self.rng.usize(..ties.len())]
     }
 
     /// Danger: a send sits at a host that hangs or is slow. Where two sends may be out, another goes out beside
     /// it; else it is called off. Draws on what is saved for further sends, so slowness of all brings no storm.
     fn again(&mut self, place: usize, post: &mut Post) {
-        let Some(op) = self.ops.get(place) else { return };
-        let Some((number, one)) = op.tries.iter().enumerate().rfind(|(_, one)| one.fate == Fate::Out) else {
-            return;
-        };
-        let (lost, host) = (!self.face(one.host).sound(), one.host);
-        let kind = self.op_type(op);
-        if self.further < 1.0
-            || !lost && kind.effect != Effect::Retryable
-            || kind.effect == Effect::NonRetryable
-        {
+        let Some(op) = self.ops.get(place).filter(|op| !op.over) else { return };
+        let Some((send, &Try { host, .. })) = op.out().last() else { return };
+        let (lost, id, effect) = (!self.face(host).sound(), op.ask.op, self.op_type(op).effect);
+        if self.further < 1.0 || effect == Effect::NonRetryable || effect != Effect::Retryable && !lost {
             return;
         }
-        if !self.parallel {
-            if lost && self.cancel {
+        if !self.charter.flag("parallel_sends") {
+            if lost && self.charter.flag("cancel") {
                 self.further -= 1.0;
                 self.ops[place].looked = true;
-                let op = self.ops[place].ask.op;
-                post.actions.push(Action::Cancel { op, send: SendNo(number as u32) });
+                post.actions.push(Action::Cancel { op: id, send });
             }
-            return;
-        }
-        if let Some(other) = self.choose(place, post)
-            && other != host
+        } else if let Some(other) = self.choose(place, post).filter(|&other| other != host)
             && self.may_send(&self.ops[place], Some(other))
         {
             self.further -= 1.0;
@@ -1087,45 +860,34 @@
     }
 
     fn pulse(&mut self, post: &mut Post) {
-        let now = self.now;
-        let passed = now - self.pulsed_at;
+        let (now, passed) = (self.now, self.now - self.pulsed_at);
         self.pulsed_at = now;
-        post.actions.push(Action::Ring { after: self.tick, cookie: Cookie(0) });
-        let warm = self.faces.iter().filter(|face| face.open && face.warmth >= 1.0 && face.sound());
+        post.actions.push(Action::Ring { after: self.span("tick"), cookie: Cookie(0) });
+        let warm = self.faces.iter().filter(|face| face.warmth >= 1.0 && face.sound());
         let (sum, count) =
             warm.fold((0.0, 0.0), |(sum, count), face| (sum + face.rate / face.size, count + 1.0));
-        self.peer_rate = if count > 0.0 { sum / count } else { self.peer_rate };
-        for host in (0..self.faces.len() as u32).map(HostId) {
-            let (peer_rate, pace) = (self.peer_rate, self.fleet_pace);
-            post.tell(host, HostNote::Pulse { passed, peer_rate, pace });
-        }
+        self.usual.rate = if count > 0.0 { sum / count } else { self.usual.rate };
+        self.hosts().for_each(|host| post.tell(host, HostNote::Pulse(passed, self.usual)));
         for (place, op) in &mut self.ops {
-            let target = self.op_types[op.ask.op_type.0 as usize].target;
-            for one in op.tries.iter_mut().filter(|one| one.fate == Fate::Out && !one.overdue) {
-                if now - one.sent > target {
-                    one.overdue = true;
-                    post.tell(one.host, HostNote::Overdue { sent: one.sent, base: self.fleet_bad });
-                    self.fleet_bad += (1.0 - self.fleet_bad) * 0.02;
+            let target = self.op_types[op.ask.op_type.0 as usize].latency_target;
+            let mut lost = false;
+            for one in op.tries.iter_mut().filter(|one| one.fate == Fate::Out) {
+                lost |= !self.faces[one.host.0 as usize].sound() || now - one.sent > target * LOOK_AGAIN;
+                if now - one.sent > target && !std::mem::replace(&mut one.overdue, true) {
+                    post.tell(one.host, HostNote::Overdue(one.sent, self.usual));
+                    self.usual.bad += (1.0 - self.usual.bad) * FORGET_ALL;
                 }
             }
-            let lost =
-                |one: &Try| !self.faces[one.host.0 as usize].sound() || now - one.sent > target * LOOK_AGAIN;
-            if !op.over && !op.looked && op.tries.iter().any(|one| one.fate == Fate::Out && lost(one)) {
+            if lost && !op.over && !op.looked {
                 post.desk.push_back(DeskNote::Again(place));
             }
         }
-        let poll = self.connect_timeout * 0.4;
-        for group in self.groups.values_mut() {
-            if !std::mem::take(&mut group.wanted) {
-                continue;
-            }
-            for &host in &group.members {
-                let face = &self.faces[host.0 as usize];
-                if self.probes && face.open && !face.probing && now - face.probed_at >= poll {
-                    post.tell(host, HostNote::Probe);
-                }
-            }
+        let poll = self.span("connect_timeout") * POLL;
+        for group in self.groups.values().filter(|group| group.wanted.replace(false)) {
+            let due = |host: &HostId| now - self.face(*host).probed_at >= poll;
+            self.probe(&group.members.iter().copied().filter(due).collect::<Hosts>(), post);
         }
+        // Overload: within a rank the newest go first, since the oldest have the least time left.
         let mut held = std::mem::take(&mut self.held);
         held.sort_by(|&a, &b| {
             let (a, b) = (&self.ops[a], &self.ops[b]);
@@ -1133,16 +895,11 @@
         });
         post.desk.extend(held.iter().map(|&place| DeskNote::Route(place)));
         self.held = held;
+        let ask_within = self.span("ask_within");
         if self.ask_list_at.is_some_and(|at| now >= at) {
-            self.ask_list_at = Some(now + self.ask_within);
+            self.ask_list_at = Some(now + ask_within);
             post.actions.push(Action::Subscribe { on: true });
         }
-        if now - self.commits_turn > self.ask_within.max(Span::from_millis(10_000)) {
-            self.commits_turn = now;
-            self.commits.swap(0, 1);
-            self.commits_floor = self.commits[0].values().copied().max().max(self.commits_floor);
-            self.commits[0].clear();
-        }
     }
 }
 
@@ -1150,43 +907,33 @@
 pub struct Router {
     desk: Desk,
     hosts: Vec<Host>,
-    berth: Berth,
     post: Post,
 }
 
 impl Router {
-    pub fn start(now: Point, seed: u64, from: &Manifest, actions: &mut Vec<Action>) -> Self {
-        let desk = Desk::new(now, seed, from);
-        let berth = Berth {
-            cold: span(from, "cold").max(Span::from_millis(1)),
-            cold_from: number(from, "cold_from", 1.0),
-            fall: span(from, "fall").max(Span::from_millis(1)),
-            connect_timeout: span(from, "connect_timeout"),
-            bound: desk.bound,
-            longest_target: desk.op_types.iter().map(|t| t.target).max().unwrap_or(Span::from_millis(1)),
-            removal_binds: !flag(from, "removal_not_binding"),
-        };
-        if desk.asks_list {
+    pub fn start(now: Point, seed: u64, charter: Manifest, actions: &mut Vec<Action>) -> Self {
+        let desk = Desk::new(now, seed, charter);
+        if desk.charter.text("list") == "ask" {
             actions.push(Action::Subscribe { on: true });
         }
-        actions.push(Action::Ring { after: desk.tick, cookie: Cookie(0) });
-        Router { desk, hosts: Vec::new(), berth, post: Post::default() }
+        actions.push(Action::Ring { after: desk.span("tick"), cookie: Cookie(0) });
+        Router { desk, hosts: Vec::new(), post: Post::default() }
     }
 
     pub fn take(&mut self, now: Point, note: Note, actions: &mut Vec<Action>) {
-        let Router { desk, hosts, berth, post } = self;
+        let Router { desk, hosts, post } = self;
         desk.now = now;
         let mut next = Some(DeskNote::Outside(note));
         while let Some(note) = next {
             desk.take(note, post);
             while let Some(id) = post.ready.pop_front() {
-                while hosts.len() <= id.0 as usize {
-                    let host = Host::new(HostId(hosts.len() as u32), *berth);
-                    desk.faces.push(host.face);
-                    hosts.push(host);
+                let place = id.0 as usize;
+                while hosts.len() <= place {
+                    hosts.push(Host::new());
+                    desk.faces.push(hosts[hosts.len() - 1].face);
                 }
-                if let Some(note) = post.inboxes[id.0 as usize].pop_front() {
-                    hosts[id.0 as usize].take(now, note, post);
+                if let Some(note) = post.inboxes[place].pop_front() {
+                    hosts[place].take(id, now, note, &desk.charter, post);
                 }
             }
             for (id, face) in post.faces.drain(..) {
