--- a/crates/arrowyard-types/src/interface.rs
+++ b/crates/arrowyard-types/src/interface.rs
@@ -117,7 +117,7 @@
 }
 
 /// A new op, as a client asked for it.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Ask {
     pub op: OpId,
     pub op_type: OpTypeId,
--- /dev/null
+++ b/tests/helpers/mod.rs
@@ -0,0 +1,208 @@
+//! A plain world for the tests: a charter, one router, and the sends, probes and alarms that are under way.
+
+use arrowyard::Router;
+use arrowyard_types::*;
+
+pub const TARGET: i64 = 100;
+pub const TIMEOUT: i64 = 400;
+pub const BOUND: i64 = 300;
+pub const MEMORY: i64 = 250;
+
+/// Op types of the test charter, by row.
+pub const ANY: u32 = 0;
+pub const BOUNDED: u32 = 1;
+pub const SESSION: u32 = 2;
+pub const FRESH: u32 = 3;
+pub const TOKENED: u32 = 4;
+pub const NON_RETRYABLE: u32 = 5;
+
+pub fn ms(millis: i64) -> Span {
+    Span::from_millis(millis)
+}
+
+pub fn charter(parallel: bool, carried: bool, checks: bool) -> Manifest {
+    let mut charter = Manifest::new();
+    let mut put = |name: &str, fact: Fact| charter.insert(name.to_string(), fact);
+    let rows = [
+        ("any", "retryable"),
+        ("bounded", "retryable"),
+        ("session", "retryable"),
+        ("fresh", "retryable"),
+        ("write", "tokened"),
+        ("write", "non-retryable"),
+    ];
+    for (row, (read, effect)) in rows.iter().enumerate() {
+        put(&format!("op_type.{row}.latency_target"), Fact::Span(ms(TARGET)));
+        put(&format!("op_type.{row}.op_timeout"), Fact::Span(ms(TIMEOUT)));
+        put(&format!("op_type.{row}.read"), Fact::Text(read.to_string()));
+        put(&format!("op_type.{row}.effect"), Fact::Text(effect.to_string()));
+        put(&format!("op_type.{row}.scope"), Fact::Text("group".to_string()));
+        put(&format!("op_type.{row}.late_value"), Fact::Number(if *read == "write" { 0.5 } else { 0.0 }));
+        put(&format!("op_type.{row}.memory"), Fact::Span(ms(MEMORY)));
+        put(&format!("op_type.{row}.bound"), Fact::Span(ms(BOUND)));
+    }
+    put("parallel_sends", Fact::Flag(parallel));
+    put("cancel", Fact::Flag(true));
+    put("probes", Fact::Flag(true));
+    put("retry_after", Fact::Flag(true));
+    put("max_sends", Fact::Number(6.0));
+    put("cold_from", Fact::Number(0.25));
+    put("fall_multiple", Fact::Number(2.0));
+    let spans =
+        [("tick", 5), ("connect_timeout", 250), ("max_retry_after", 500), ("cold", 8000), ("fall", 1500)];
+    for (name, span) in spans {
+        put(name, Fact::Span(ms(span)));
+    }
+    put("reports", Fact::Text("probe".to_string()));
+    put("tokens", Fact::Text(if carried { "carried" } else { "remembered" }.to_string()));
+    put("host_checks", Fact::Text(if checks { "wait" } else { "none" }.to_string()));
+    charter
+}
+
+pub fn entry(host: u32, availability: Availability, primary: bool, started: Option<Point>) -> Entry {
+    let group = GroupId(i64::from(host / 4));
+    Entry { host: HostId(host), availability, group, zone: ZoneId(0), size: 1.0, primary, started }
+}
+
+/// A send that is under way.
+#[derive(Clone, Copy, Debug)]
+pub struct Sent {
+    pub op: OpId,
+    pub no: SendNo,
+    pub host: HostId,
+    pub at: Point,
+    pub until: Point,
+}
+
+pub struct World {
+    pub now: Point,
+    pub router: Router,
+    pub sends: Vec<Sent>,
+    pub probes: Vec<HostId>,
+    rings: Vec<(Point, Cookie)>,
+    numbers: Vec<(OpId, u32)>,
+    /// All that came out and went in, in order, for whoever checks it.
+    pub trace: Vec<(Point, Result<Action, Note>)>,
+}
+
+impl World {
+    pub fn new(charter: Manifest) -> Self {
+        let now = Point::from_micros(1_000_000_000);
+        let mut actions = Vec::new();
+        let router = Router::start(now, 7, charter, &mut actions);
+        let (sends, probes, rings, numbers, trace) = Default::default();
+        let mut world = World { now, router, sends, probes, rings, numbers, trace };
+        actions.into_iter().for_each(|action| world.carry_out(action));
+        world
+    }
+
+    /// A world with one group of four whose first member is known first-hand to be primary, all fresh.
+    pub fn settled(charter: Manifest) -> Self {
+        let mut world = World::new(charter);
+        world.list((0..4).map(|host| entry(host, Availability::Ready, host == 0, None)).collect());
+        let first = world.ask(1, ANY, None);
+        world.answer_probes(0);
+        world.wait(5);
+        world.end_all(Outcome::Acked);
+        assert!(world.answered(first));
+        world.trace.clear();
+        world
+    }
+
+    pub fn list(&mut self, entries: Vec<Entry>) {
+        self.feed(Note::Listed { form: ListForm::Changes, entries });
+    }
+
+    pub fn feed(&mut self, note: Note) {
+        let mut actions = Vec::new();
+        self.trace.push((self.now, Err(note.clone())));
+        self.router.take(self.now, note, &mut actions);
+        actions.into_iter().for_each(|action| self.carry_out(action));
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { op, host, until } => {
+                let number = match self.numbers.iter_mut().find(|(known, _)| *known == op) {
+                    Some((_, number)) => {
+                        *number += 1;
+                        *number
+                    }
+                    None => {
+                        self.numbers.push((op, 0));
+                        0
+                    }
+                };
+                self.sends.push(Sent { op, no: SendNo(number), host, at: self.now, until });
+            }
+            Action::Probe { host } => self.probes.push(host),
+            Action::Ring { after, cookie } => self.rings.push((self.now + after, cookie)),
+            _ => {}
+        }
+        self.trace.push((self.now, Ok(action)));
+    }
+
+    /// Lets time pass, with alarms and the time-outs of sends.
+    pub fn wait(&mut self, millis: i64) {
+        for _ in 0..millis {
+            self.now = self.now + ms(1);
+            while let Some(place) = self.rings.iter().position(|(at, _)| *at <= self.now) {
+                let (_, cookie) = self.rings.swap_remove(place);
+                self.feed(Note::Rang { cookie });
+            }
+            while let Some(place) = self.sends.iter().position(|sent| sent.until <= self.now) {
+                self.end(place, Outcome::TimedOut, Word::default());
+            }
+        }
+    }
+
+    pub fn ask(&mut self, op: u64, op_type: u32, session: Option<u64>) -> OpId {
+        let due = self.now + ms(TIMEOUT);
+        let (op, session) = (OpId(op), session.map(SessionId));
+        let ask = Ask { op, op_type: OpTypeId(op_type), session, due, ..Ask::default() };
+        self.feed(Note::Asked(ask));
+        op
+    }
+
+    pub fn end(&mut self, place: usize, outcome: Outcome, word: Word) {
+        let Sent { op, no, host, at, .. } = self.sends.remove(place);
+        let acked = self.trace.iter().any(|(_, event)| {
+            matches!(event, Err(Note::SendEnded(end)) if end.op == op && end.outcome == Outcome::Acked)
+        });
+        let finished = outcome == Outcome::Acked || acked || self.answered(op);
+        let took = self.now - at;
+        self.feed(Note::SendEnded(Ended { op, send: no, host, outcome, took, finished, word }));
+    }
+
+    pub fn end_all(&mut self, outcome: Outcome) {
+        while !self.sends.is_empty() {
+            self.end(0, outcome, Word::default());
+        }
+    }
+
+    /// Every probed host answers; the given one is primary, and all copies are up to date.
+    pub fn answer_probes(&mut self, primary: u32) {
+        for host in std::mem::take(&mut self.probes) {
+            let role = if host.0 == primary { Role::Primary } else { Role::Replica };
+            let word = Word { role: Some(role), position: Some(self.now), ..Word::default() };
+            self.feed(Note::Probed { host, outcome: Outcome::Acked, word });
+        }
+    }
+
+    /// Whether the op has its final answer.
+    pub fn answered(&self, op: OpId) -> bool {
+        self.trace.iter().any(|(_, event)| match event {
+            Ok(Action::BusyReply { op: id, .. } | Action::ErrorReply { op: id }) => *id == op,
+            Err(Note::SendEnded(end)) => end.op == op && end.outcome == Outcome::Acked,
+            _ => false,
+        })
+    }
+
+    pub fn hosts_of(&self, op: OpId) -> Vec<u32> {
+        let sends = self.trace.iter().filter_map(|(_, event)| match event {
+            Ok(Action::Send { op: id, host, .. }) if *id == op => Some(host.0),
+            _ => None,
+        });
+        sends.collect()
+    }
+}
--- /dev/null
+++ b/tests/mechanism.rs
@@ -0,0 +1,206 @@
+//! The mechanism of the design page, step by step, and a test for each failure found.
+
+mod helpers;
+
+use arrowyard_types::*;
+use helpers::*;
+
+fn replica(host: u32) -> bool {
+    host != 0
+}
+
+#[test]
+fn reads_go_to_replicas_and_writes_to_the_primary() {
+    let mut world = World::settled(charter(true, false, false));
+    for op in 10..40 {
+        let (read, write) = (world.ask(op, ANY, None), world.ask(op + 100, TOKENED, Some(1)));
+        assert!(world.hosts_of(read).into_iter().all(replica));
+        assert_eq!(world.hosts_of(write), [0]);
+        world.end_all(Outcome::Acked);
+    }
+}
+
+#[test]
+fn the_lightest_replica_wins_and_ties_fall_at_random() {
+    let mut world = World::settled(charter(true, false, false));
+    let mut firsts = Vec::new();
+    for round in 0..30 {
+        let hosts: Vec<u32> = (0..3)
+            .flat_map(|n| [world.ask(10 + round * 3 + n, ANY, None)])
+            .map(|op| world.hosts_of(op)[0])
+            .collect();
+        let mut sorted = hosts.clone();
+        sorted.sort_unstable();
+        assert_eq!(sorted, [1, 2, 3], "with a least load of zero the window holds the idle replicas only");
+        firsts.push(hosts[0]);
+        world.end_all(Outcome::Acked);
+    }
+    assert!((1..=3).all(|host| firsts.contains(&host)));
+}
+
+#[test]
+fn overlapping_reads_of_a_session_share_a_replica() {
+    let mut world = World::settled(charter(true, false, false));
+    // Every replica holds one read, so that all are in the window.
+    (10..13).for_each(|op| drop(world.ask(op, ANY, None)));
+    let first = world.ask(20, SESSION, Some(5));
+    for op in 21..25 {
+        let next = world.ask(op, SESSION, Some(5));
+        assert_eq!(world.hosts_of(next), world.hosts_of(first));
+    }
+}
+
+#[test]
+fn a_bounded_read_needs_a_position_within_the_bound() {
+    let mut world = World::settled(charter(true, false, false));
+    world.wait(BOUND + 1);
+    let op = world.ask(10, BOUNDED, None);
+    assert!(world.hosts_of(op).is_empty() && !world.probes.is_empty(), "it waits for the probes it caused");
+    world.answer_probes(0);
+    world.wait(10);
+    assert!(world.hosts_of(op).into_iter().all(replica) && !world.hosts_of(op).is_empty());
+}
+
+#[test]
+fn a_session_read_follows_its_write_to_the_primary() {
+    let mut world = World::settled(charter(true, false, false));
+    world.wait(20);
+    world.ask(10, TOKENED, Some(9));
+    let word = Word { role: Some(Role::Primary), position: Some(world.now), ..Word::default() };
+    world.end(0, Outcome::Acked, word);
+    let op = world.ask(11, SESSION, Some(9));
+    world.wait(15);
+    assert_eq!(world.hosts_of(op), [0], "no replica is known to have the write");
+    let other = world.ask(12, SESSION, Some(8));
+    assert!(world.hosts_of(other).into_iter().all(replica), "a session without writes reads anywhere");
+}
+
+#[test]
+fn a_missed_write_leads_to_the_new_primary() {
+    let mut world = World::settled(charter(true, false, false));
+    world.wait(20);
+    let op = world.ask(10, NON_RETRYABLE, Some(1));
+    world.end(0, Outcome::Miss, Word { role: Some(Role::Replica), ..Word::default() });
+    world.wait(10);
+    assert_eq!(world.hosts_of(op), [0], "held until a primary is named");
+    world.wait(120);
+    world.answer_probes(2);
+    world.wait(10);
+    assert_eq!(world.hosts_of(op), [0, 2]);
+}
+
+#[test]
+fn old_word_of_the_role_does_not_overturn_newer() {
+    let mut world = World::settled(charter(true, false, false));
+    world.wait(100);
+    world.ask(10, TOKENED, Some(1));
+    world.end(0, Outcome::Miss, Word { role: Some(Role::Replica), ..Word::default() });
+    let old = Word { role: Some(Role::Primary), position: Some(world.now - ms(50)), ..Word::default() };
+    world.feed(Note::Probed { host: HostId(0), outcome: Outcome::Acked, word: old });
+    let op = world.ask(11, TOKENED, Some(1));
+    assert!(world.hosts_of(op).is_empty());
+}
+
+#[test]
+fn a_hung_replica_does_not_look_light() {
+    let mut world = World::settled(charter(true, false, false));
+    // Host 1 never answers; the others do at once.
+    let mut sent = 0;
+    for op in 0..200 {
+        let op = world.ask(10 + op, ANY, None);
+        sent += u32::from(world.hosts_of(op) == [1]);
+        while let Some(place) = world.sends.iter().position(|send| send.host.0 != 1) {
+            world.end(place, Outcome::Acked, Word::default());
+        }
+        world.wait(10);
+    }
+    assert!(sent < 20, "{sent} of 200 reads went to a host that never answers");
+}
+
+#[test]
+fn a_replica_that_errors_fast_loses_its_share_and_wins_it_back() {
+    let mut world = World::settled(charter(true, false, false));
+    let mut share = |errors: bool, first: u64| {
+        let mut sent = 0;
+        for op in first..first + 150 {
+            let op = world.ask(op, ANY, None);
+            sent += u32::from(world.hosts_of(op).contains(&1));
+            while !world.sends.is_empty() {
+                let fails = errors && world.sends[0].host.0 == 1;
+                world.end(0, if fails { Outcome::Errored } else { Outcome::Acked }, Word::default());
+            }
+            world.wait(10);
+        }
+        sent
+    };
+    assert!(share(true, 10) < 15);
+    share(false, 1000);
+    assert!(share(false, 2000) > 25);
+}
+
+#[test]
+fn trouble_that_all_replicas_share_leaves_none_out() {
+    let mut world = World::settled(charter(true, false, false));
+    for op in 10..40 {
+        world.ask(op, ANY, None);
+    }
+    world.wait(1000);
+    let op = world.ask(100, ANY, None);
+    assert!(!world.hosts_of(op).is_empty(), "all replicas were judged ill and none was used");
+}
+
+#[test]
+fn long_reads_go_where_the_copy_is_behind() {
+    let mut long = charter(true, false, false);
+    long.insert("op_type.0.latency_target".to_string(), Fact::Span(ms(TARGET * 10)));
+    let mut world = World::settled(long);
+    let word =
+        Word { role: Some(Role::Replica), position: Some(world.now - ms(2 * BOUND)), ..Word::default() };
+    world.wait(3 * BOUND);
+    world.feed(Note::Probed { host: HostId(3), outcome: Outcome::Acked, word });
+    for op in 10..13 {
+        let op = world.ask(op, ANY, None);
+        assert_eq!(world.hosts_of(op), [3]);
+    }
+}
+
+#[test]
+fn a_cold_replica_gets_its_share_of_what_warm_ones_get() {
+    let mut world = World::settled(charter(true, false, false));
+    let mut sent = [0u32; 4];
+    for op in 10..1010 {
+        if op == 500 {
+            world.list(vec![entry(1, Availability::Ready, false, Some(world.now))]);
+            sent = [0; 4];
+        }
+        let op = world.ask(op, ANY, None);
+        sent[world.hosts_of(op)[0] as usize] += 1;
+        world.wait(3);
+        world.end_all(Outcome::Acked);
+    }
+    assert!(sent[1] > 0 && f64::from(sent[1]) < 0.5 * f64::from(sent[2]), "{sent:?}");
+}
+
+#[test]
+fn a_draining_host_gets_nothing_more() {
+    let mut world = World::settled(charter(true, false, false));
+    world
+        .list(vec![entry(2, Availability::Draining, false, None), entry(3, Availability::Gone, false, None)]);
+    for op in 10..20 {
+        let op = world.ask(op, ANY, None);
+        assert_eq!(world.hosts_of(op), [1]);
+    }
+}
+
+#[test]
+fn a_late_outcome_does_not_hit_a_reused_place() {
+    let mut world = World::settled(charter(true, false, false));
+    let old = world.ask(10, ANY, None);
+    world.feed(Note::HungUp { op: old });
+    let new = world.ask(11, ANY, None);
+    world.end(0, Outcome::TimedOut, Word::default());
+    assert!(!world.answered(new));
+    world.feed(Note::HungUp { op: old });
+    world.end(0, Outcome::Acked, Word::default());
+    assert!(world.answered(new) && world.sends.is_empty());
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,292 @@
+//! A slow, plain model of the five rules beside the module, on generated inputs. It shares nothing with the
+//! module: it reads the trace of notes and actions and says of each action whether the rules allow it.
+
+mod helpers;
+
+use std::collections::BTreeMap;
+
+use arrowyard_types::*;
+use helpers::*;
+use proptest::prelude::*;
+
+#[derive(Clone, Debug)]
+struct Known {
+    ask: Ask,
+    came: Point,
+    must_see: Option<Point>,
+    sends: Vec<(Point, HostId, Option<Outcome>)>,
+    over: bool,
+}
+
+/// What the rules let a router do, from the trace alone.
+struct Model {
+    parallel: bool,
+    carried: bool,
+    checks: bool,
+    ops: BTreeMap<u64, Known>,
+    ready: BTreeMap<u32, bool>,
+    told: BTreeMap<u32, Point>,
+    /// By host: since when it passes for primary (or not), and whether it does.
+    primary: BTreeMap<u32, (Point, bool)>,
+    commits: BTreeMap<u64, Point>,
+}
+
+impl Model {
+    fn note(&mut self, now: Point, note: &Note) {
+        match note {
+            Note::Listed { entries, .. } => {
+                for entry in entries {
+                    self.ready.insert(entry.host.0, entry.availability == Availability::Ready);
+                    let known = self.primary.entry(entry.host.0).or_insert((Point::DAWN, false));
+                    known.1 |= known.0 == Point::DAWN && entry.primary;
+                }
+            }
+            Note::Asked(ask) => {
+                let must_see = match ask.op_type.0 {
+                    SESSION if self.carried => Some(now - ask.token_age.unwrap_or(Span::ZERO)),
+                    SESSION => ask.session.and_then(|session| self.commits.get(&session.0).copied()),
+                    _ => None,
+                };
+                let known = Known { ask: *ask, came: now, must_see, sends: Vec::new(), over: false };
+                self.ops.insert(ask.op.0, known);
+            }
+            Note::SendEnded(end) => {
+                let op = self.ops.get_mut(&end.op.0).expect("an op that was asked");
+                let (at, _, fate) = &mut op.sends[end.send.0 as usize];
+                let at = *at;
+                assert!(fate.replace(end.outcome).is_none(), "a send ends once");
+                op.over |= end.finished;
+                if end.outcome == Outcome::Acked
+                    && let (TOKENED | NON_RETRYABLE, Some(session)) = (op.ask.op_type.0, op.ask.session)
+                {
+                    let commit = end.word.position.unwrap_or(now);
+                    let newest = self.commits.entry(session.0).or_insert(commit);
+                    *newest = commit.max(*newest);
+                }
+                if let Some(role) = end.word.role {
+                    self.primary.insert(end.host.0, (now, role == Role::Primary));
+                    if role == Role::Primary {
+                        self.tell(end.host, at);
+                    }
+                }
+                end.word.position.into_iter().for_each(|position| self.tell(end.host, position));
+            }
+            Note::HungUp { op } => self.ops.get_mut(&op.0).expect("an op that was asked").over = true,
+            Note::Probed { host, outcome: Outcome::Acked, word } => {
+                if let (Some(position), Some(role)) = (word.position, word.role) {
+                    let (since, passes) = self.primary.entry(host.0).or_insert((Point::DAWN, false));
+                    if position > *since {
+                        (*since, *passes) = (position, role == Role::Primary);
+                    }
+                    self.tell(*host, position);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn tell(&mut self, host: HostId, position: Point) {
+        let told = self.told.entry(host.0).or_insert(position);
+        *told = position.max(*told);
+    }
+
+    fn action(&mut self, now: Point, action: &Action) {
+        match action {
+            Action::Send { op, host, until } => {
+                let known = &self.ops[&op.0];
+                assert!(!known.over, "rule 1: a send for an op that is over");
+                assert!(
+                    now < known.ask.due && *until < known.ask.due,
+                    "rule 1: a send without time for an answer"
+                );
+                assert_eq!(
+                    self.ready.get(&host.0),
+                    Some(&true),
+                    "rule 3: a send to a host that is not ready"
+                );
+                assert!(self.may_repeat(known, now), "rule 2: a send that may run an op twice");
+                assert!(self.fresh_enough(known, *host, now), "rule 5: a read that may be stale");
+                self.ops.get_mut(&op.0).expect("known").sends.push((now, *host, None));
+            }
+            Action::BusyReply { op, .. } => {
+                let known = self.ops.get_mut(&op.0).expect("an op that was asked");
+                assert!(!known.over, "rule 1: two final answers");
+                assert!(Self::harmless(known), "rule 2: a busy reply for what may have run");
+                known.over = true;
+            }
+            Action::ErrorReply { op } => {
+                let known = self.ops.get_mut(&op.0).expect("an op that was asked");
+                assert!(!known.over, "rule 1: two final answers");
+                assert!(!Self::harmless(known), "an error reply where a busy reply was allowed");
+                known.over = true;
+            }
+            Action::Cancel { op, send } => assert!(self.ops[&op.0].sends.len() > send.0 as usize),
+            _ => {}
+        }
+    }
+
+    fn may_have_run(known: &Known) -> Option<Point> {
+        let proof = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot, Outcome::Miss];
+        let open = known.sends.iter().find(|(_, _, end)| end.is_none_or(|end| !proof.contains(&end)));
+        open.map(|(at, _, _)| *at)
+    }
+
+    fn harmless(known: &Known) -> bool {
+        known.ask.op_type.0 < TOKENED || Self::may_have_run(known).is_none()
+    }
+
+    fn may_repeat(&self, known: &Known, now: Point) -> bool {
+        let out = known.sends.iter().any(|(_, _, end)| end.is_none());
+        let in_time = match (known.ask.op_type.0, Self::may_have_run(known)) {
+            (_, None) | (..TOKENED, _) => true,
+            (TOKENED, Some(first)) => now - first < ms(MEMORY),
+            _ => false,
+        };
+        in_time && (self.parallel || !out) && known.sends.len() < 6
+    }
+
+    fn fresh_enough(&self, known: &Known, host: HostId, now: Point) -> bool {
+        let position = self.told.get(&host.0).copied().unwrap_or(Point::DAWN);
+        let passes = self.primary.get(&host.0).is_some_and(|(_, passes)| *passes);
+        passes
+            || match known.ask.op_type.0 {
+                BOUNDED => self.checks || position >= now - ms(BOUND),
+                SESSION => self.checks || known.must_see.is_none_or(|floor| position >= floor),
+                FRESH => false,
+                _ => true,
+            }
+    }
+
+    fn late(&self, now: Point) -> Option<&Known> {
+        self.ops.values().find(|known| !known.over && now > known.ask.due && now > known.came)
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Wait(i64),
+    Ask { op_type: u32, group: u32, session: u64, age: i64, due: i64 },
+    End { place: usize, outcome: usize, primary: bool, behind: i64 },
+    Report { place: usize, ok: bool, primary: bool, behind: i64 },
+    List { host: u32, availability: usize, primary: bool, cold: bool },
+    HangUp { place: usize },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let flag = any::<bool>;
+    prop_oneof![
+        4 => (1i64..60).prop_map(Step::Wait),
+        6 => (0u32..6, 0u32..2, 0u64..3, 0i64..400, 20i64..600)
+            .prop_map(|(op_type, group, session, age, due)| Step::Ask { op_type, group, session, age, due }),
+        5 => (0usize..50, 0usize..9, flag(), 0i64..700)
+            .prop_map(|(place, outcome, primary, behind)| Step::End { place, outcome, primary, behind }),
+        4 => (0usize..50, flag(), flag(), 0i64..700)
+            .prop_map(|(place, ok, primary, behind)| Step::Report { place, ok, primary, behind }),
+        1 => (0u32..8, 0usize..3, flag(), flag())
+            .prop_map(|(host, availability, primary, cold)| Step::List { host, availability, primary, cold }),
+        1 => (0usize..50).prop_map(|place| Step::HangUp { place }),
+    ]
+}
+
+const OUTCOMES: [Outcome; 9] = [
+    Outcome::Acked,
+    Outcome::Errored,
+    Outcome::Full,
+    Outcome::TimedOut,
+    Outcome::ConnectFailed,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::Moot,
+    Outcome::Miss,
+];
+
+fn play(world: &mut World, steps: Vec<Step>, carried: bool) {
+    let mut asked = Vec::new();
+    for (number, step) in steps.into_iter().enumerate() {
+        let role = |primary: bool| Some(if primary { Role::Primary } else { Role::Replica });
+        match step {
+            Step::Wait(millis) => world.wait(millis),
+            Step::Ask { op_type, group, session, age, due } => {
+                let op = OpId(1000 + number as u64);
+                let session = (op_type == SESSION || op_type >= TOKENED).then_some(SessionId(session));
+                let token_age = (carried && op_type == SESSION).then(|| ms(age));
+                let (group, due) = (GroupId(i64::from(group)), world.now + ms(due));
+                let ask =
+                    Ask { op, op_type: OpTypeId(op_type), group, session, token_age, due, ..Ask::default() };
+                world.feed(Note::Asked(ask));
+                asked.push(op);
+            }
+            Step::End { place, outcome, primary, behind } if !world.sends.is_empty() => {
+                let place = place % world.sends.len();
+                let outcome = OUTCOMES[outcome];
+                let word =
+                    Word { role: role(primary), position: Some(world.now - ms(behind)), ..Word::default() };
+                world.end(place, outcome, if outcome.is_answer() { word } else { Word::default() });
+            }
+            Step::Report { place, ok, primary, behind } if !world.probes.is_empty() => {
+                let host = world.probes.swap_remove(place % world.probes.len());
+                let word =
+                    Word { role: role(primary), position: Some(world.now - ms(behind)), ..Word::default() };
+                let (outcome, word) =
+                    if ok { (Outcome::Acked, word) } else { (Outcome::ConnectFailed, Word::default()) };
+                world.feed(Note::Probed { host, outcome, word });
+            }
+            Step::List { host, availability, primary, cold } => {
+                let availability =
+                    [Availability::Ready, Availability::Draining, Availability::Gone][availability];
+                world.list(vec![entry(host, availability, primary, cold.then_some(world.now))]);
+            }
+            Step::HangUp { place } if !asked.is_empty() => {
+                let op = asked[place % asked.len()];
+                if !world.answered(op) {
+                    world.feed(Note::HungUp { op });
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn check(steps: Vec<Step>, parallel: bool, carried: bool, checks: bool) {
+    let mut world = World::new(charter(parallel, carried, checks));
+    world.list((0..8).map(|host| entry(host, Availability::Ready, host % 4 == 0, None)).collect());
+    play(&mut world, steps, carried);
+    world.wait(700);
+    let mut model = Model {
+        parallel,
+        carried,
+        checks,
+        ops: BTreeMap::new(),
+        ready: BTreeMap::new(),
+        told: BTreeMap::new(),
+        primary: BTreeMap::new(),
+        commits: BTreeMap::new(),
+    };
+    for (now, event) in &world.trace {
+        match event {
+            Err(note) => model.note(*now, note),
+            Ok(action) => model.action(*now, action),
+        }
+        assert!(model.late(*now).is_none(), "rule 1: no final answer in time: {:?}", model.late(*now));
+    }
+    assert!(model.late(world.now).is_none(), "rule 1: an op without a final answer");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_201),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn module_and_model_agree(
+        steps in prop::collection::vec(step(), 1..150),
+        parallel in any::<bool>(),
+        carried in any::<bool>(),
+        checks in any::<bool>(),
+    ) {
+        check(steps, parallel, carried, checks);
+    }
+}
