--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,11 +44,9 @@
 /// Reads may fill the primary to the first share of its limit, and spill over to it to the second.
 const READS_AT_PRIMARY: f64 = 0.75;
 const SPILL: f64 = 0.5;
-/// Further sends beside one that takes long: so many per op that comes in, and so many saved up.
-const FURTHER: f64 = 0.1;
-const SAVED: f64 = 10.0;
 /// What probes that are not needed at once may cost, in points of the price list.
 const PROBE_SPEND: f64 = 0.005;
+const PROBES_SAVED: f64 = 10.0;
 /// A read waits this share of its latency target for a probe that may open a replica to it.
 const PROBE_WAIT: f64 = 0.1;
 /// A position is asked for again after this share of the least bound; a missing primary, and cuts of a limit,
@@ -61,8 +59,6 @@
 const OVER_SHARE: f64 = 1.2;
 /// Sessions whose last commit is kept.
 const SESSIONS: usize = 65_536;
-/// A send is looked at again at this share of its latency target.
-const LOOK_AGAIN: f64 = 0.5;
 
 /// What the desk sees of a host.
 #[derive(Clone, Copy, Default)]
@@ -114,7 +110,7 @@
     /// A send of this weight went out.
     Took(f64),
     /// The send of then has gone unanswered beyond its latency target.
-    Overdue(Point, Usual),
+    Overdue(Point),
     Ended(Ended, Closed, Usual),
     Probe,
     Probed(Option<Word>),
@@ -127,8 +123,6 @@
     /// The share of the latency target that it took.
     used: f64,
     sent: Point,
-    /// It was judged already, as overdue.
-    judged: bool,
 }
 
 /// What is usual in the fleet: the share of bad outcomes, the pace, and the weight sent to a warm host a second.
@@ -142,8 +136,6 @@
 enum DeskNote {
     Outside(Note),
     Route(usize),
-    /// A send of the op takes long: see whether another one helps.
-    Again(usize),
 }
 
 #[derive(Default)]
@@ -199,7 +191,7 @@
                 self.sent += weight;
                 self.face.credit -= weight;
             }
-            HostNote::Overdue(sent, usual) => self.unanswered(now, sent, usual, charter),
+            HostNote::Overdue(sent) => self.hush(self.heard_at <= sent),
             HostNote::Ended(end, closed, usual) => {
                 self.face.unfinished -= 1;
                 self.live -= closed.weight;
@@ -210,7 +202,7 @@
                     // Danger: a host that hangs looks light when its time-outs clear its entries, and draws
                     // more. They weigh on for a while; a host that only lost a few sends loses some reads.
                     self.kept += closed.weight;
-                    if end.outcome != Outcome::Cancelled && !closed.judged {
+                    if end.outcome != Outcome::Cancelled {
                         self.unanswered(now, closed.sent, usual, charter);
                     }
                 }
@@ -319,9 +311,7 @@
         match end.outcome {
             Outcome::Acked => {
                 self.face.pace += (used - self.face.pace) * FORGET;
-                if !closed.judged {
-                    self.judge(now, used > 1.0, usual, charter);
-                }
+                self.judge(now, used > 1.0, usual, charter);
                 if used > STRAINED {
                     self.cut(now, 0.9, charter);
                 } else if used < EASY && f64::from(self.face.unfinished) >= self.face.limit * 0.5 {
@@ -368,7 +358,6 @@
     floor: Option<Point>,
     tries: SmallVec<[Try; 4]>,
     held: bool,
-    looked: bool,
     missed: bool,
     over: bool,
 }
@@ -425,11 +414,8 @@
     commits_floor: Option<Point>,
     ask_list_at: Option<Point>,
     pulsed_at: Point,
-    further: f64,
     probe_credit: Cell<f64>,
     usual: Usual,
-    /// The least age of late at which reports arrive.
-    report_age: Span,
 }
 
 impl Desk {
@@ -447,7 +433,6 @@
             now,
             pulsed_at: now,
             rng: Rng::with_seed(seed),
-            further: SAVED,
             usual: Usual { pace: EASY * EASY, ..Usual::default() },
             op_types,
             charter,
@@ -479,7 +464,6 @@
     fn take(&mut self, note: DeskNote, post: &mut Post) {
         match note {
             DeskNote::Route(place) => self.route(place, post),
-            DeskNote::Again(place) => self.again(place, post),
             DeskNote::Outside(Note::Listed { form, entries }) => self.listed(form, entries, post),
             DeskNote::Outside(Note::ListFailed) => {
                 let wait = self.span("ask_within") * (0.1 + 0.2 * self.rng.f64());
@@ -495,10 +479,6 @@
             DeskNote::Outside(Note::Rang { .. }) => self.pulse(post),
             DeskNote::Outside(Note::Probed { host, outcome, word }) => {
                 let word = Some(word).filter(|_| outcome == Outcome::Acked);
-                if let Some(position) = word.and_then(|word| word.position) {
-                    let (age, known) = (self.now - position, self.report_age);
-                    self.report_age = if known == Span::ZERO { age } else { age.min(known * 1.02) };
-                }
                 post.tell(host, HostNote::Probed(word));
             }
             DeskNote::Outside(Note::Told { .. }) => {}
@@ -519,9 +499,8 @@
     }
 
     fn asked(&mut self, ask: Ask, post: &mut Post) {
-        self.further = (self.further + FURTHER).min(SAVED);
         let price = self.charter.number_or("price.probe", 0.0).max(PROBE_SPEND);
-        self.probe_credit.set((self.probe_credit.get() + PROBE_SPEND / price).min(SAVED));
+        self.probe_credit.set((self.probe_credit.get() + PROBE_SPEND / price).min(PROBES_SAVED));
         for (row, used) in self.tenants.iter_mut().enumerate() {
             *used = *used * 0.99 + f64::from(ask.tenant.is_some_and(|tenant| tenant.0 as usize == row));
         }
@@ -534,7 +513,7 @@
             ask.session.and_then(|session| self.commits.get(&session).copied()).max(self.commits_floor)
         };
         let (arrived, tries) = (self.now, SmallVec::new());
-        let op = Op { ask, arrived, floor, tries, held: false, looked: false, missed: false, over: false };
+        let op = Op { ask, arrived, floor, tries, held: false, missed: false, over: false };
         let place = self.ops.insert(op);
         self.places.insert(ask.op, place);
         post.desk.push_back(DeskNote::Route(place));
@@ -647,16 +626,14 @@
         let op = &mut self.ops[place];
         let Some(one) = op.tries.get_mut(end.send.0 as usize) else { return };
         one.fate = if end.outcome.never_ran() { Fate::Never } else { Fate::Maybe };
-        let (host, sent, judged) = (one.host, one.sent, one.overdue);
+        let (host, sent) = (one.host, one.sent);
         let kind = &self.op_types[op.ask.op_type.0 as usize];
         let used = (end.took / kind.latency_target).clamp(0.0, 10.0);
         let (usual, weight) = (self.usual, kind.latency_target / self.least_target);
-        if !judged {
-            let fell = matches!(end.outcome, Outcome::Errored | Outcome::TimedOut)
-                || matches!(end.outcome, Outcome::ConnectFailed | Outcome::Reset);
-            let bad = fell || end.outcome == Outcome::Acked && used > 1.0;
-            self.usual.bad += (f64::from(bad) - usual.bad) * FORGET_ALL;
-        }
+        let fell = matches!(end.outcome, Outcome::Errored | Outcome::TimedOut)
+            || matches!(end.outcome, Outcome::ConnectFailed | Outcome::Reset);
+        let bad = fell || end.outcome == Outcome::Acked && used > 1.0;
+        self.usual.bad += (f64::from(bad) - usual.bad) * FORGET_ALL;
         if end.outcome == Outcome::Acked {
             self.usual.pace += (used - self.usual.pace) * FORGET_ALL;
             if let Some(session) = op.ask.session.filter(|_| kind.need == Need::Write) {
@@ -673,7 +650,7 @@
         } else if !op.is_out() {
             post.desk.push_back(DeskNote::Route(place));
         }
-        post.tell(host, HostNote::Ended(end, Closed { weight, used, sent, judged }, usual));
+        post.tell(host, HostNote::Ended(end, Closed { weight, used, sent }, usual));
     }
 
     /// The member that is known first-hand to be primary, by the newest word; else the one the list names.
@@ -755,10 +732,9 @@
             let able = replicas.iter().copied().filter(|h| sound(h) && self.face(*h).bears(1.0));
             among.extend(able.max_by_key(|&host| self.face(host).position));
         } else {
-            let opens = op.floor.is_none_or(|floor| floor <= self.now - self.report_age);
             let soon = asking(&replicas) || asked;
             let waits = !checks && self.now - op.arrived < kind.latency_target * PROBE_WAIT;
-            among.extend(at_primary(READS_AT_PRIMARY).filter(|_| !(opens && soon && waits)));
+            among.extend(at_primary(READS_AT_PRIMARY).filter(|_| !(soon && waits)));
         }
         among
     }
@@ -835,30 +811,6 @@
         ties[self.rng.usize(..ties.len())]
     }
 
-    /// Danger: a send sits at a host that hangs or is slow. Where two sends may be out, another goes out beside
-    /// it; else it is called off. Draws on what is saved for further sends, so slowness of all brings no storm.
-    fn again(&mut self, place: usize, post: &mut Post) {
-        let Some(op) = self.ops.get(place).filter(|op| !op.over) else { return };
-        let Some((send, &Try { host, .. })) = op.out().last() else { return };
-        let (lost, id, effect) = (!self.face(host).sound(), op.ask.op, self.op_type(op).effect);
-        if self.further < 1.0 || effect == Effect::NonRetryable || effect != Effect::Retryable && !lost {
-            return;
-        }
-        if !self.charter.flag("parallel_sends") {
-            if lost && self.charter.flag("cancel") {
-                self.further -= 1.0;
-                self.ops[place].looked = true;
-                post.actions.push(Action::Cancel { op: id, send });
-            }
-        } else if let Some(other) = self.choose(place, post).filter(|&other| other != host)
-            && self.may_send(&self.ops[place], Some(other))
-        {
-            self.further -= 1.0;
-            self.ops[place].looked = true;
-            self.send(place, other, post);
-        }
-    }
-
     fn pulse(&mut self, post: &mut Post) {
         let (now, passed) = (self.now, self.now - self.pulsed_at);
         self.pulsed_at = now;
@@ -868,19 +820,13 @@
             warm.fold((0.0, 0.0), |(sum, count), face| (sum + face.rate / face.size, count + 1.0));
         self.usual.rate = if count > 0.0 { sum / count } else { self.usual.rate };
         self.hosts().for_each(|host| post.tell(host, HostNote::Pulse(passed, self.usual)));
-        for (place, op) in &mut self.ops {
+        for (_, op) in &mut self.ops {
             let target = self.op_types[op.ask.op_type.0 as usize].latency_target;
-            let mut lost = false;
             for one in op.tries.iter_mut().filter(|one| one.fate == Fate::Out) {
-                lost |= !self.faces[one.host.0 as usize].sound() || now - one.sent > target * LOOK_AGAIN;
                 if now - one.sent > target && !std::mem::replace(&mut one.overdue, true) {
-                    post.tell(one.host, HostNote::Overdue(one.sent, self.usual));
-                    self.usual.bad += (1.0 - self.usual.bad) * FORGET_ALL;
+                    post.tell(one.host, HostNote::Overdue(one.sent));
                 }
             }
-            if lost && !op.over && !op.looked {
-                post.desk.push_back(DeskNote::Again(place));
-            }
         }
         let poll = self.span("connect_timeout") * POLL;
         for group in self.groups.values().filter(|group| group.wanted.replace(false)) {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -25,11 +25,9 @@
     let mut world = World::settled(charter(true, false, false));
     let mut firsts = Vec::new();
     for round in 0..30 {
-        let hosts: Vec<u32> = (0..3)
-            .flat_map(|n| [world.ask(10 + round * 3 + n, ANY, None)])
-            .map(|op| world.hosts_of(op)[0])
-            .collect();
-        let mut sorted = hosts.clone();
+        let ops = [0, 1, 2].map(|n| world.ask(10 + round * 3 + n, ANY, None));
+        let hosts = ops.map(|op| world.hosts_of(op)[0]);
+        let mut sorted = hosts;
         sorted.sort_unstable();
         assert_eq!(sorted, [1, 2, 3], "with a least load of zero the window holds the idle replicas only");
         firsts.push(hosts[0]);
