--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,10 +20,8 @@
 
 /// The window's f: a replica is in the load window when its load times this is at most the least load.
 const WINDOW: f64 = 0.1;
-/// Hosts whose weighed load is within this share of the lightest one's tie with it.
-const TIE: f64 = 0.05;
-/// A send that crosses sites weighs this much more.
-const CROSSING: f64 = 1.2;
+/// A send that crosses sites counts as so many of the least weight more.
+const CROSSING: f64 = 0.5;
 /// An op type whose latency target is this many times the least one reads long.
 const LONG: f64 = 6.0;
 /// Wald's test: the chance of judging wrongly, and the share of bad outcomes that any host is allowed.
@@ -32,9 +30,8 @@
 /// An ill host rests this many connect time-outs before its first trial, and at most so many times that.
 const REST: f64 = 2.0;
 const LONGEST_REST: f64 = 16.0;
-/// How much of the past the smoothed figures forget with each outcome: of one host, and of all.
-const FORGET: f64 = 0.1;
-const FORGET_ALL: f64 = 0.02;
+/// How much of the past the figures of the fleet forget with each outcome.
+const FORGET: f64 = 0.02;
 /// Sends that may be unfinished at a host that is not known yet, and at any host.
 const FIRST_LIMIT: f64 = 16.0;
 const LEAST_LIMIT: f64 = 2.0;
@@ -76,8 +73,6 @@
     load: f64,
     unfinished: u32,
     limit: f64,
-    /// Smoothed share of the latency target that answers take.
-    pace: f64,
     /// Weight sent a second, smoothed over the span of the cold rule.
     rate: f64,
     /// The share of its capacity that it surely has; 1 when warm.
@@ -177,7 +172,7 @@
 
 impl Host {
     fn new() -> Self {
-        let face = Face { limit: FIRST_LIMIT, pace: EASY * EASY, warmth: 1.0, size: 1.0, ..Face::default() };
+        let face = Face { limit: FIRST_LIMIT, warmth: 1.0, size: 1.0, ..Face::default() };
         Host { face, rest: REST, ..Host::default() }
     }
 
@@ -257,10 +252,8 @@
         let allowed = face.warmth * usual.rate * face.size;
         let saved = allowed * fall.as_secs_f64() * 0.1;
         face.credit = (face.credit + allowed * passed.as_secs_f64()).min(saved);
-        // Entries kept, and a pace without answers of its own, fade towards what the others show.
         let fades = charter.span("connect_timeout") * FADES;
         self.kept *= 1.0 - (passed / fades).min(1.0);
-        face.pace += (usual.pace - face.pace) * (passed / (fades * 4.0)).min(1.0);
         face.trial = face.ill && now >= self.rest_until;
     }
 
@@ -310,7 +303,6 @@
         }
         match end.outcome {
             Outcome::Acked => {
-                self.face.pace += (used - self.face.pace) * FORGET;
                 self.judge(now, used > 1.0, usual, charter);
                 if used > STRAINED {
                     self.cut(now, 0.9, charter);
@@ -633,9 +625,9 @@
         let fell = matches!(end.outcome, Outcome::Errored | Outcome::TimedOut)
             || matches!(end.outcome, Outcome::ConnectFailed | Outcome::Reset);
         let bad = fell || end.outcome == Outcome::Acked && used > 1.0;
-        self.usual.bad += (f64::from(bad) - usual.bad) * FORGET_ALL;
+        self.usual.bad += (f64::from(bad) - usual.bad) * FORGET;
         if end.outcome == Outcome::Acked {
-            self.usual.pace += (used - self.usual.pace) * FORGET_ALL;
+            self.usual.pace += (used - self.usual.pace) * FORGET;
             if let Some(session) = op.ask.session.filter(|_| kind.need == Need::Write) {
                 if self.commits.len() >= SESSIONS {
                     self.commits_floor = self.commits.drain().map(|(_, commit)| commit).max();
@@ -785,7 +777,11 @@
 
     /// Dynamic MPF: the load window, then the session's host, then the lightest, ties at random.
     fn lightest(&mut self, hosts: &[HostId], place: usize) -> HostId {
-        let load = |host: HostId| self.face(host).load / self.face(host).size;
+        let home = ZoneId(self.charter.number_or("zone", 0.0) as u32);
+        let load = |host: HostId| {
+            let face = self.face(host);
+            (face.load + if face.zone == home { 0.0 } else { CROSSING }) / (face.size * face.warmth)
+        };
         let least = hosts.iter().map(|&host| load(host)).fold(f64::INFINITY, f64::min);
         let window: Hosts = hosts.iter().copied().filter(|&host| load(host) * WINDOW <= least).collect();
         let op = &self.ops[place];
@@ -798,16 +794,8 @@
                 return host;
             }
         }
-        let weight = self.weight(op);
-        let home = ZoneId(self.charter.number_or("zone", 0.0) as u32);
-        let weigh = |host: HostId| {
-            let face = self.face(host);
-            let crossing = if face.zone == home { 1.0 } else { CROSSING };
-            (face.load + weight) / (face.size * face.warmth) * face.pace.max(0.02) * crossing
-        };
-        let lowest = window.iter().map(|&host| weigh(host)).fold(f64::INFINITY, f64::min);
-        let ties: Hosts =
-            window.iter().copied().filter(|&host| weigh(host) <= lowest * (1.0 + TIE)).collect();
+        let lightest = window.iter().map(|&host| load(host)).fold(f64::INFINITY, f64::min);
+        let ties: Hosts = window.iter().copied().filter(|&host| load(host) <= lightest).collect();
         ties[self.rng.usize(..ties.len())]
     }
 
