--- /dev/null
+++ b/src/sends.rs
@@ -0,0 +1,63 @@
+//! The sends of one op: where and when, and what is proven of each.
+
+use arrowyard_types::{HostId, Outcome, Point, SendNo};
+use smallvec::SmallVec;
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Fate {
+    Out,
+    /// It provably never ran.
+    Never,
+    /// It ran, or may have run, or may run still.
+    Maybe,
+}
+
+#[derive(Clone, Copy)]
+pub struct Sent {
+    pub host: HostId,
+    pub at: Point,
+    pub fate: Fate,
+    /// It went unanswered beyond its latency target.
+    pub overdue: bool,
+}
+
+#[derive(Default)]
+pub struct Sends(SmallVec<[Sent; 4]>);
+
+impl Sends {
+    pub fn begin(&mut self, host: HostId, at: Point) {
+        self.0.push(Sent { host, at, fate: Fate::Out, overdue: false });
+    }
+
+    pub fn end(&mut self, number: SendNo, outcome: Outcome) -> Option<Sent> {
+        let one = self.0.get_mut(number.0 as usize)?;
+        one.fate = if outcome.never_ran() { Fate::Never } else { Fate::Maybe };
+        Some(*one)
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn out(&self) -> impl Iterator<Item = (SendNo, &Sent)> {
+        let all = self.0.iter().enumerate().map(|(number, one)| (SendNo(number as u32), one));
+        all.filter(|(_, one)| one.fate == Fate::Out)
+    }
+
+    pub fn out_mut(&mut self) -> impl Iterator<Item = &mut Sent> {
+        self.0.iter_mut().filter(|one| one.fate == Fate::Out)
+    }
+
+    pub fn is_out(&self) -> bool {
+        self.out().next().is_some()
+    }
+
+    /// The first one that may have run, or may run still.
+    pub fn may_have_run(&self) -> Option<&Sent> {
+        self.0.iter().find(|one| one.fate != Fate::Never)
+    }
+
+    pub fn tried(&self, host: HostId) -> bool {
+        self.0.iter().any(|one| one.host == host)
+    }
+}
