--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,6 +18,9 @@
 use slab::Slab;
 use smallvec::SmallVec;
 
+use crate::post::Inboxes;
+use crate::sends::Sends;
+
 /// The window's f: a replica is in the load window when its load times this is at most the least load.
 const WINDOW: f64 = 0.1;
 /// A send that crosses sites counts as so many of the least weight more.
@@ -26,21 +29,18 @@
 const LONG: f64 = 6.0;
 /// Wald's test: the chance of judging wrongly, and the share of bad outcomes that any host is allowed.
 const WRONG: f64 = 0.002;
-const TOLERATED: f64 = 0.02;
+const TOLERATED: f64 = 0.1;
 /// An ill host rests this many connect time-outs before its first trial, and at most so many times that.
 const REST: f64 = 2.0;
 const LONGEST_REST: f64 = 16.0;
-/// How much of the past the figures of the fleet forget with each outcome.
-const FORGET: f64 = 0.02;
 /// Sends that may be unfinished at a host that is not known yet, and at any host.
 const FIRST_LIMIT: f64 = 16.0;
 const LEAST_LIMIT: f64 = 2.0;
 /// An answer within the first share of its latency target lets the limit grow, one beyond the second cuts it.
 const EASY: f64 = 0.5;
 const STRAINED: f64 = 0.9;
-/// Reads may fill the primary to the first share of its limit, and spill over to it to the second.
+/// Reads may fill the primary to this share of its limit.
 const READS_AT_PRIMARY: f64 = 0.75;
-const SPILL: f64 = 0.5;
 /// What probes that are not needed at once may cost, in points of the price list.
 const PROBE_SPEND: f64 = 0.005;
 const PROBES_SAVED: f64 = 10.0;
@@ -106,26 +106,12 @@
     Took(f64),
     /// The send of then has gone unanswered beyond its latency target.
     Overdue(Point),
-    Ended(Ended, Closed, Usual),
+    /// With the weight of the send, and the share of the latency target that it took.
+    Ended(Ended, f64, f64),
     Probe,
     Probed(Option<Word>),
-    Pulse(Span, Usual),
-}
-
-/// What the desk adds to the end of a send.
-struct Closed {
-    weight: f64,
-    /// The share of the latency target that it took.
-    used: f64,
-    sent: Point,
-}
-
-/// What is usual in the fleet: the share of bad outcomes, the pace, and the weight sent to a warm host a second.
-#[derive(Clone, Copy, Default)]
-struct Usual {
-    bad: f64,
-    pace: f64,
-    rate: f64,
+    /// So much time has passed, and a warm host gets so much weight a second.
+    Pulse(Span, f64),
 }
 
 enum DeskNote {
@@ -135,24 +121,12 @@
 
 #[derive(Default)]
 struct Post {
-    inboxes: Vec<VecDeque<HostNote>>,
-    ready: VecDeque<HostId>,
+    hosts: Inboxes<HostNote>,
     faces: VecDeque<(HostId, Face)>,
     desk: VecDeque<DeskNote>,
     actions: Vec<Action>,
 }
 
-impl Post {
-    fn tell(&mut self, host: HostId, note: HostNote) {
-        let place = host.0 as usize;
-        if self.inboxes.len() <= place {
-            self.inboxes.resize_with(place + 1, VecDeque::new);
-        }
-        self.inboxes[place].push_back(note);
-        self.ready.push_back(host);
-    }
-}
-
 #[derive(Default)]
 struct Host {
     face: Face,
@@ -187,18 +161,18 @@
                 self.face.credit -= weight;
             }
             HostNote::Overdue(sent) => self.hush(self.heard_at <= sent),
-            HostNote::Ended(end, closed, usual) => {
+            HostNote::Ended(end, weight, used) => {
                 self.face.unfinished -= 1;
-                self.live -= closed.weight;
+                self.live -= weight;
                 if end.outcome.is_answer() {
                     self.kept *= 0.5;
-                    self.answered(now, end, closed, usual, charter);
+                    self.answered(now, end, used, charter);
                 } else if end.outcome != Outcome::Moot {
                     // Danger: a host that hangs looks light when its time-outs clear its entries, and draws
                     // more. They weigh on for a while; a host that only lost a few sends loses some reads.
-                    self.kept += closed.weight;
+                    self.kept += weight;
                     if end.outcome != Outcome::Cancelled {
-                        self.unanswered(now, closed.sent, usual, charter);
+                        self.unanswered(now, now - end.took, charter);
                     }
                 }
             }
@@ -213,7 +187,7 @@
                     self.learn(now, word, word.position.unwrap_or_default());
                 }
             }
-            HostNote::Pulse(passed, usual) => self.pulse(now, passed, usual, charter),
+            HostNote::Pulse(passed, peers) => self.pulse(now, passed, peers, charter),
         }
         self.face.load = (self.live + self.kept).max(0.0);
         post.faces.push_back((id, self.face));
@@ -240,7 +214,7 @@
         face.open = !self.draining;
     }
 
-    fn pulse(&mut self, now: Point, passed: Span, usual: Usual, charter: &Manifest) {
+    fn pulse(&mut self, now: Point, passed: Span, peers: f64, charter: &Manifest) {
         let (face, fall, cold) = (&mut self.face, charter.span("fall"), charter.span("cold"));
         face.rate += (self.sent / passed.as_secs_f64().max(1e-6) - face.rate) * (passed / fall).min(1.0);
         self.sent = 0.0;
@@ -249,7 +223,7 @@
         face.warmth = if age < cold { from + (1.0 - from) * (age / cold).max(0.0) } else { 1.0 };
         // Danger: all routers together push a cold host over. Each sends it at most the present share of what it
         // sends to a warm host of that size; together that is at most what the cold host can do.
-        let allowed = face.warmth * usual.rate * face.size;
+        let allowed = face.warmth * peers * face.size;
         let saved = allowed * fall.as_secs_f64() * 0.1;
         face.credit = (face.credit + allowed * passed.as_secs_f64()).min(saved);
         let fades = charter.span("connect_timeout") * FADES;
@@ -257,11 +231,10 @@
         face.trial = face.ill && now >= self.rest_until;
     }
 
-    /// Wald's sequential test of "as bad as usual in the fleet" against "half way from there to always bad".
-    fn judge(&mut self, now: Point, bad: bool, usual: Usual, charter: &Manifest) {
-        let usual = usual.bad.clamp(TOLERATED, 0.8);
-        let sick = (1.0 + usual) / 2.0;
-        let odds = if bad { sick / usual } else { (1.0 - sick) / (1.0 - usual) };
+    /// Wald's sequential test of "as bad as tolerated" against "half way from there to always bad".
+    fn judge(&mut self, now: Point, bad: bool, charter: &Manifest) {
+        let sick = (1.0 + TOLERATED) / 2.0;
+        let odds = if bad { sick / TOLERATED } else { (1.0 - sick) / (1.0 - TOLERATED) };
         let bound = ((1.0 - WRONG) / WRONG).ln();
         self.evidence = (self.evidence + odds.ln()).clamp(0.0, bound);
         if bad && self.evidence >= bound {
@@ -285,32 +258,31 @@
         }
     }
 
-    fn unanswered(&mut self, now: Point, sent: Point, usual: Usual, charter: &Manifest) {
-        self.judge(now, true, usual, charter);
+    fn unanswered(&mut self, now: Point, sent: Point, charter: &Manifest) {
+        self.judge(now, true, charter);
         self.cut(now, 0.8, charter);
         if self.heard_at <= sent {
             self.hush(true);
         }
     }
 
-    fn answered(&mut self, now: Point, end: Ended, closed: Closed, usual: Usual, charter: &Manifest) {
-        let used = closed.used;
+    fn answered(&mut self, now: Point, end: Ended, used: f64, charter: &Manifest) {
         self.heard_at = now;
         self.hush(false);
         self.learn(now, end.word, now);
         if end.word.role == Some(Role::Primary) {
-            self.face.position = self.face.position.max(closed.sent);
+            self.face.position = self.face.position.max(now - end.took);
         }
         match end.outcome {
             Outcome::Acked => {
-                self.judge(now, used > 1.0, usual, charter);
+                self.judge(now, used > 1.0, charter);
                 if used > STRAINED {
                     self.cut(now, 0.9, charter);
                 } else if used < EASY && f64::from(self.face.unfinished) >= self.face.limit * 0.5 {
                     self.face.limit += 1.0 / self.face.limit;
                 }
             }
-            Outcome::Errored => self.judge(now, true, usual, charter),
+            Outcome::Errored => self.judge(now, true, charter),
             Outcome::Full => self.cut(now, 0.7, charter),
             _ => {}
         }
@@ -328,52 +300,17 @@
     }
 }
 
-#[derive(Clone, Copy, PartialEq)]
-enum Fate {
-    Out,
-    Never,
-    Maybe,
-}
-
-#[derive(Clone, Copy)]
-struct Try {
-    host: HostId,
-    sent: Point,
-    fate: Fate,
-    overdue: bool,
-}
-
 struct Op {
     ask: Ask,
     arrived: Point,
     /// What a session read must see.
     floor: Option<Point>,
-    tries: SmallVec<[Try; 4]>,
+    sends: Sends,
     held: bool,
     missed: bool,
     over: bool,
 }
 
-impl Op {
-    fn out(&self) -> impl Iterator<Item = (SendNo, &Try)> {
-        let all = self.tries.iter().enumerate().map(|(number, one)| (SendNo(number as u32), one));
-        all.filter(|(_, one)| one.fate == Fate::Out)
-    }
-
-    fn is_out(&self) -> bool {
-        self.out().next().is_some()
-    }
-
-    /// The first send that may have run.
-    fn may_have_run(&self) -> Option<&Try> {
-        self.tries.iter().find(|one| one.fate != Fate::Never)
-    }
-
-    fn tried(&self, host: HostId) -> bool {
-        self.tries.iter().any(|one| one.host == host)
-    }
-}
-
 #[derive(Default)]
 struct Group {
     members: Vec<HostId>,
@@ -407,7 +344,8 @@
     ask_list_at: Option<Point>,
     pulsed_at: Point,
     probe_credit: Cell<f64>,
-    usual: Usual,
+    /// Weight that a warm host gets a second, by its size.
+    peers: f64,
 }
 
 impl Desk {
@@ -425,7 +363,6 @@
             now,
             pulsed_at: now,
             rng: Rng::with_seed(seed),
-            usual: Usual { pace: EASY * EASY, ..Usual::default() },
             op_types,
             charter,
             ..Desk::default()
@@ -471,7 +408,7 @@
             DeskNote::Outside(Note::Rang { .. }) => self.pulse(post),
             DeskNote::Outside(Note::Probed { host, outcome, word }) => {
                 let word = Some(word).filter(|_| outcome == Outcome::Acked);
-                post.tell(host, HostNote::Probed(word));
+                post.hosts.put(host, HostNote::Probed(word));
             }
             DeskNote::Outside(Note::Told { .. }) => {}
         }
@@ -480,13 +417,13 @@
     fn listed(&mut self, form: ListForm, entries: Vec<Entry>, post: &mut Post) {
         self.ask_list_at = None;
         let missing = |host: &HostId| form != ListForm::Changes && !entries.iter().any(|e| e.host == *host);
-        self.hosts().filter(missing).for_each(|host| post.tell(host, HostNote::Dropped));
+        self.hosts().filter(missing).for_each(|host| post.hosts.put(host, HostNote::Dropped));
         for entry in entries {
             self.groups.values_mut().for_each(|group| group.members.retain(|&host| host != entry.host));
             let members = &mut self.groups.entry(entry.group).or_default().members;
             members.push(entry.host);
             members.sort_unstable();
-            post.tell(entry.host, HostNote::Listed(entry));
+            post.hosts.put(entry.host, HostNote::Listed(entry));
         }
     }
 
@@ -504,8 +441,8 @@
         } else {
             ask.session.and_then(|session| self.commits.get(&session).copied()).max(self.commits_floor)
         };
-        let (arrived, tries) = (self.now, SmallVec::new());
-        let op = Op { ask, arrived, floor, tries, held: false, missed: false, over: false };
+        let (arrived, sends) = (self.now, Sends::default());
+        let op = Op { ask, arrived, floor, sends, held: false, missed: false, over: false };
         let place = self.ops.insert(op);
         self.places.insert(ask.op, place);
         post.desk.push_back(DeskNote::Route(place));
@@ -524,25 +461,24 @@
     /// Rule 2: whether the op may go out again, to this host if one is named.
     fn may_send(&self, op: &Op, host: Option<HostId>) -> bool {
         let most = self.charter.number_or("max_sends", 1.0) as usize;
-        if op.tries.len() >= most || op.is_out() && !self.charter.flag("parallel_sends") {
+        if op.sends.len() >= most || op.sends.is_out() && !self.charter.flag("parallel_sends") {
             return false;
         }
-        match (self.op_type(op).effect, op.may_have_run()) {
+        match (self.op_type(op).effect, op.sends.may_have_run()) {
             (Effect::Retryable, _) | (_, None) => true,
             (Effect::Tokened { memory, scope }, Some(first)) => {
                 let near = |host: HostId| self.face(host).zone == self.face(first.host).zone;
                 let there = scope != Scope::Zone || host.is_none_or(near);
-                there && self.now + self.span("tick") < first.sent + memory
+                there && self.now + self.span("tick") < first.at + memory
             }
             (Effect::NonRetryable, Some(_)) => false,
         }
     }
 
     fn route(&mut self, place: usize, post: &mut Post) {
-        let Some(op) = self.ops.get(place).filter(|op| !op.over && !op.is_out()) else { return };
+        let Some(op) = self.ops.get(place).filter(|op| !op.over && !op.sends.is_out()) else { return };
         // Nothing is held once waiting cannot pay any more: the answer goes out at once.
-        let needs = if op.held { self.op_type(op).latency_target * self.usual.pace } else { Span::ZERO };
-        if self.now + needs >= self.pays_until(op) || !self.may_send(op, None) {
+        if self.now >= self.pays_until(op) || !self.may_send(op, None) {
             self.give_up(place, post);
         } else if let Some(host) = self.choose(place, post) {
             self.send(place, host, post);
@@ -559,9 +495,9 @@
         let (weight, until) = (self.weight(op), self.pays_until(op));
         self.release(place);
         let op = &mut self.ops[place];
-        op.tries.push(Try { host, sent: self.now, fate: Fate::Out, overdue: false });
+        op.sends.begin(host, self.now);
         post.actions.push(Action::Send { op: op.ask.op, host, until });
-        post.tell(host, HostNote::Took(weight));
+        post.hosts.put(host, HostNote::Took(weight));
     }
 
     fn release(&mut self, place: usize) {
@@ -589,7 +525,7 @@
         let op = &self.ops[place];
         let harmless = match self.op_type(op).effect {
             Effect::Retryable | Effect::Tokened { scope: Scope::All, .. } => true,
-            _ => op.may_have_run().is_none(),
+            _ => op.sends.may_have_run().is_none(),
         };
         let advice = self.charter.flag("retry_after").then(|| self.span("max_retry_after"));
         post.actions.push(if harmless {
@@ -605,29 +541,22 @@
         self.release(place);
         let op = &mut self.ops[place];
         let first = !std::mem::replace(&mut op.over, true);
-        if !op.is_out() {
+        if !op.sends.is_out() {
             let op = self.ops.remove(place);
             self.places.remove(&op.ask.op);
         } else if first && self.charter.flag("cancel") {
-            post.actions.extend(op.out().map(|(send, _)| Action::Cancel { op: op.ask.op, send }));
+            post.actions.extend(op.sends.out().map(|(send, _)| Action::Cancel { op: op.ask.op, send }));
         }
     }
 
     fn ended(&mut self, end: Ended, post: &mut Post) {
         let Some(&place) = self.places.get(&end.op) else { return };
         let op = &mut self.ops[place];
-        let Some(one) = op.tries.get_mut(end.send.0 as usize) else { return };
-        one.fate = if end.outcome.never_ran() { Fate::Never } else { Fate::Maybe };
-        let (host, sent) = (one.host, one.sent);
+        let Some(one) = op.sends.end(end.send, end.outcome) else { return };
         let kind = &self.op_types[op.ask.op_type.0 as usize];
         let used = (end.took / kind.latency_target).clamp(0.0, 10.0);
-        let (usual, weight) = (self.usual, kind.latency_target / self.least_target);
-        let fell = matches!(end.outcome, Outcome::Errored | Outcome::TimedOut)
-            || matches!(end.outcome, Outcome::ConnectFailed | Outcome::Reset);
-        let bad = fell || end.outcome == Outcome::Acked && used > 1.0;
-        self.usual.bad += (f64::from(bad) - usual.bad) * FORGET;
+        let weight = kind.latency_target / self.least_target;
         if end.outcome == Outcome::Acked {
-            self.usual.pace += (used - self.usual.pace) * FORGET;
             if let Some(session) = op.ask.session.filter(|_| kind.need == Need::Write) {
                 if self.commits.len() >= SESSIONS {
                     self.commits_floor = self.commits.drain().map(|(_, commit)| commit).max();
@@ -639,10 +568,10 @@
         op.missed |= end.outcome == Outcome::Miss;
         if op.over || end.finished {
             self.finish(place, post);
-        } else if !op.is_out() {
+        } else if !op.sends.is_out() {
             post.desk.push_back(DeskNote::Route(place));
         }
-        post.tell(host, HostNote::Ended(end, Closed { weight, used, sent }, usual));
+        post.hosts.put(one.host, HostNote::Ended(end, weight, used));
     }
 
     /// The member that is known first-hand to be primary, by the newest word; else the one the list names.
@@ -657,7 +586,7 @@
     fn probe(&self, hosts: &[HostId], post: &mut Post) {
         let allowed = self.charter.flag("probes") && self.charter.text("reports") != "none";
         let able = |host: &&HostId| allowed && self.face(**host).open && !self.face(**host).probing;
-        hosts.iter().filter(able).for_each(|&host| post.tell(host, HostNote::Probe));
+        hosts.iter().filter(able).for_each(|&host| post.hosts.put(host, HostNote::Probe));
     }
 
     /// The host for the next send of this op; none while it should wait.
@@ -690,11 +619,12 @@
         if matches!(kind.need, Need::Write | Need::Fresh) {
             if primary.is_some() {
                 among.extend(primary.filter(|&host| self.face(host).bears(1.0)));
-            } else if (op.tries.len() as f64) < self.charter.number_or("max_sends", 1.0) * 0.5 {
+            } else if (op.sends.len() as f64) < self.charter.number_or("max_sends", 1.0) * 0.5 {
                 // None known: members in turn, the most advanced first; one known as replica counts as a miss.
                 let unknown =
                     |face: &Face| face.role.is_none() && !face.probing && face.sound() && face.bears(1.0);
-                let turn = group.members.iter().copied().filter(|&h| !op.tried(h) && unknown(self.face(h)));
+                let turn =
+                    group.members.iter().copied().filter(|&h| !op.sends.tried(h) && unknown(self.face(h)));
                 among.extend(turn.max_by_key(|&host| self.face(host).position));
             }
             return among;
@@ -709,24 +639,24 @@
         let fit: Hosts = replicas.iter().copied().filter(|h| self.qualifies(op, *h) && sound(h)).collect();
         let asked = self.freshen(op, &replicas, fit.is_empty(), post);
         among = fit.iter().copied().filter(|&host| self.face(host).bears(1.0)).collect();
-        if among.iter().any(|&host| !op.tried(host)) {
-            among.retain(|&mut host| !op.tried(host));
+        if among.iter().any(|&host| !op.sends.tried(host)) {
+            among.retain(|&mut host| !op.sends.tried(host));
         }
-        let at_primary = |share: f64| primary.filter(|&host| self.face(host).bears(share));
+        let at_primary = primary.filter(|&host| self.face(host).bears(READS_AT_PRIMARY));
         if !among.is_empty() {
             if self.weight(op) >= LONG {
                 self.keep_together(&mut among);
             }
         } else if !fit.is_empty() {
             // Danger: replicas at their limit while the primary idles.
-            among.extend(at_primary(SPILL));
+            among.extend(at_primary);
         } else if checks && !op.missed && replicas.iter().any(|h| sound(h) && self.face(*h).bears(1.0)) {
             let able = replicas.iter().copied().filter(|h| sound(h) && self.face(*h).bears(1.0));
             among.extend(able.max_by_key(|&host| self.face(host).position));
         } else {
             let soon = asking(&replicas) || asked;
             let waits = !checks && self.now - op.arrived < kind.latency_target * PROBE_WAIT;
-            among.extend(at_primary(READS_AT_PRIMARY).filter(|_| !(soon && waits)));
+            among.extend(at_primary.filter(|_| !(soon && waits)));
         }
         among
     }
@@ -787,8 +717,9 @@
         let op = &self.ops[place];
         if window.len() > 1 && op.ask.session.is_some() {
             let others = || self.ops.iter().filter(|(_, o)| o.ask.session == op.ask.session && !o.over);
-            let holds =
-                |host: &HostId| others().any(|(_, other)| other.out().any(|(_, one)| one.host == *host));
+            let holds = |host: &HostId| {
+                others().any(|(_, other)| other.sends.out().any(|(_, one)| one.host == *host))
+            };
             let holders = window.iter().copied().filter(holds);
             if let Some(host) = holders.max_by(|&a, &b| load(a).total_cmp(&load(b))) {
                 return host;
@@ -806,13 +737,13 @@
         let warm = self.faces.iter().filter(|face| face.warmth >= 1.0 && face.sound());
         let (sum, count) =
             warm.fold((0.0, 0.0), |(sum, count), face| (sum + face.rate / face.size, count + 1.0));
-        self.usual.rate = if count > 0.0 { sum / count } else { self.usual.rate };
-        self.hosts().for_each(|host| post.tell(host, HostNote::Pulse(passed, self.usual)));
+        self.peers = if count > 0.0 { sum / count } else { self.peers };
+        self.hosts().for_each(|host| post.hosts.put(host, HostNote::Pulse(passed, self.peers)));
         for (_, op) in &mut self.ops {
             let target = self.op_types[op.ask.op_type.0 as usize].latency_target;
-            for one in op.tries.iter_mut().filter(|one| one.fate == Fate::Out) {
-                if now - one.sent > target && !std::mem::replace(&mut one.overdue, true) {
-                    post.tell(one.host, HostNote::Overdue(one.sent));
+            for one in op.sends.out_mut() {
+                if now - one.at > target && !std::mem::replace(&mut one.overdue, true) {
+                    post.hosts.put(one.host, HostNote::Overdue(one.at));
                 }
             }
         }
@@ -860,15 +791,13 @@
         let mut next = Some(DeskNote::Outside(note));
         while let Some(note) = next {
             desk.take(note, post);
-            while let Some(id) = post.ready.pop_front() {
+            while let Some((id, note)) = post.hosts.take() {
                 let place = id.0 as usize;
                 while hosts.len() <= place {
                     hosts.push(Host::new());
-                    desk.faces.push(hosts[hosts.len() - 1].face);
-                }
-                if let Some(note) = post.inboxes[place].pop_front() {
-                    hosts[place].take(id, now, note, &desk.charter, post);
+                    desk.faces.push(Face::default());
                 }
+                hosts[place].take(id, now, note, &desk.charter, post);
             }
             for (id, face) in post.faces.drain(..) {
                 desk.faces[id.0 as usize] = face;
