Later answer of one instant counts for the role; fixed rest for ill hosts

The model found a fresh read sent to a host that had just answered as a replica in the same instant.

--- a/crates/arrowyard-types/src/op_type.rs
+++ b/crates/arrowyard-types/src/op_type.rs
@@ -30,6 +30,12 @@
     Write,
 }
 
+impl Need {
+    pub fn bound(self) -> Option<Span> {
+        if let Need::Bounded(bound) = self { Some(bound) } else { None }
+    }
+}
+
 /// One row of the op types, as the manifest tells it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OpType {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,13 +1,11 @@
 //! The decisions of arrowyard, all of them.
 //!
 //! A caller makes one [`Router`] with [`Router::start`], hands it each note with the time at which it came
-//! ([`Router::take`]), and carries out the actions that come back, in order. The interface (notes in, actions
-//! out, ids, points and spans) is the crate `arrowyard-types`; `docs/design.md` says what of the design page is
-//! kept, what is changed, and when each departure acts.
+//! ([`Router::take`]), and carries out the actions that come back, in order. The interface is the crate
+//! `arrowyard-types`; `docs/design.md` says what of the design page is kept, changed, and when.
 //!
-//! Inside, every host is an actor with an inbox, and the desk is the actor that holds the ops. Hosts show their
-//! face to the desk, the desk tells hosts what was sent to them; `Post` carries it all and the one loop in
-//! `Router::take` empties it. The desk goes on only when no host has mail, so each choice sees the one before.
+//! Every host is an actor with an inbox; the desk is the actor that holds the ops. Hosts show it their face, it
+//! tells them what was sent to them. The one loop in `Router::take` empties all inboxes, the hosts' first.
 
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -30,9 +28,8 @@
 /// Wald's test: the chance of judging wrongly, and the share of bad outcomes that any host is allowed.
 const WRONG: f64 = 0.002;
 const TOLERATED: f64 = 0.1;
-/// An ill host rests this many connect time-outs before its first trial, and at most so many times that.
-const REST: f64 = 2.0;
-const LONGEST_REST: f64 = 16.0;
+/// An ill host rests this many connect time-outs before a trial.
+const REST: f64 = 8.0;
 /// Sends that may be unfinished at a host that is not known yet, and at any host.
 const FIRST_LIMIT: f64 = 16.0;
 const LEAST_LIMIT: f64 = 2.0;
@@ -46,11 +43,11 @@
 const PROBES_SAVED: f64 = 10.0;
 /// A read waits this share of its latency target for a probe that may open a replica to it.
 const PROBE_WAIT: f64 = 0.1;
-/// A position is asked for again after this share of the least bound; a missing primary, and cuts of a limit,
-/// after these shares of the connect time-out. What is known of a host fades in so many connect time-outs.
+/// A position is asked for again after this share of the least bound.
 const PROBE_GAP: f64 = 0.125;
-const POLL: f64 = 0.4;
-const CUT_GAP: f64 = 0.5;
+/// A missing primary is looked for, and a limit is cut, once in this share of the connect time-out.
+const STEP: f64 = 0.4;
+/// Entries kept of unanswered sends fade in so many connect time-outs.
 const FADES: f64 = 4.0;
 /// A tenant is over its share when its part of the traffic is this much over.
 const OVER_SHARE: f64 = 1.2;
@@ -137,7 +134,6 @@
     kept: f64,
     sent: f64,
     evidence: f64,
-    rest: f64,
     rest_until: Point,
     mute: u32,
     heard_at: Point,
@@ -147,7 +143,7 @@
 impl Host {
     fn new() -> Self {
         let face = Face { limit: FIRST_LIMIT, warmth: 1.0, size: 1.0, ..Face::default() };
-        Host { face, rest: REST, ..Host::default() }
+        Host { face, ..Host::default() }
     }
 
     fn take(&mut self, id: HostId, now: Point, note: HostNote, charter: &Manifest, post: &mut Post) {
@@ -184,7 +180,7 @@
                 self.face.probing = false;
                 if let Some(word) = word {
                     self.hush(false);
-                    self.learn(now, word, word.position.unwrap_or_default());
+                    self.learn(now, word, word.position.unwrap_or_default() - Span::from_micros(1));
                 }
             }
             HostNote::Pulse(passed, peers) => self.pulse(now, passed, peers, charter),
@@ -201,7 +197,7 @@
             let fresh = Host::new().face;
             let role = Some(Role::Replica);
             self.face = Face { zone, size, position, role, role_at, unfinished, rate, ..fresh };
-            (self.evidence, self.rest, self.kept, self.mute) = (0.0, REST, 0.0, 0);
+            (self.evidence, self.kept, self.mute) = (0.0, 0.0, 0);
         }
         (self.known, self.started) = (true, entry.started);
         let face = &mut self.face;
@@ -239,10 +235,9 @@
         self.evidence = (self.evidence + odds.ln()).clamp(0.0, bound);
         if bad && self.evidence >= bound {
             (self.face.ill, self.face.trial) = (true, false);
-            self.rest_until = now + charter.span("connect_timeout") * self.rest;
-            self.rest = (self.rest * 2.0).min(REST * LONGEST_REST);
+            self.rest_until = now + charter.span("connect_timeout") * REST;
         } else if self.face.ill && self.evidence <= bound * 0.5 {
-            (self.face.ill, self.face.trial, self.rest) = (false, false, REST);
+            (self.face.ill, self.face.trial) = (false, false);
         }
     }
 
@@ -254,7 +249,7 @@
     fn cut(&mut self, now: Point, factor: f64, charter: &Manifest) {
         if now >= self.cut_at {
             self.face.limit = (self.face.limit * factor).max(LEAST_LIMIT);
-            self.cut_at = now + charter.span("connect_timeout") * CUT_GAP;
+            self.cut_at = now + charter.span("connect_timeout") * STEP;
         }
     }
 
@@ -288,13 +283,14 @@
         }
     }
 
-    /// Newer word of the role overturns older, never the other way; a position never goes back.
+    /// Newer word of the role overturns older, never the other way; a position never goes back. Danger: of two
+    /// answers of one instant the later counts, else a host that just ceased to be primary gets fresh reads.
     fn learn(&mut self, now: Point, word: Word, as_of: Point) {
         if let Some(position) = word.position {
             self.face.position = self.face.position.max(position);
             self.face.behind = now - self.face.position;
         }
-        if word.role.is_some() && as_of > self.face.role_at {
+        if word.role.is_some() && as_of >= self.face.role_at {
             (self.face.role, self.face.role_at) = (word.role, as_of);
         }
     }
@@ -306,7 +302,6 @@
     /// What a session read must see.
     floor: Option<Point>,
     sends: Sends,
-    held: bool,
     missed: bool,
     over: bool,
 }
@@ -331,8 +326,8 @@
     least_target: Span,
     now: Point,
     rng: Rng,
-    /// By tenant: its part of the latest traffic.
-    tenants: Vec<f64>,
+    /// By tenant: its share, and its part of the latest traffic.
+    tenants: Vec<(f64, f64)>,
     faces: Vec<Face>,
     groups: FxHashMap<GroupId, Group>,
     ops: Slab<Op>,
@@ -351,15 +346,12 @@
 impl Desk {
     fn new(now: Point, seed: u64, charter: Manifest) -> Self {
         let op_types = OpType::rows(&charter);
-        let bounds =
-            op_types.iter().filter_map(|t| if let Need::Bounded(b) = t.need { Some(b) } else { None });
-        let bound = bounds.min().unwrap_or(charter.span("connect_timeout"));
-        let tenants =
-            (0..).take_while(|row| charter.contains_key(&format!("tenant.{row}.share"))).map(|_| 0.0);
+        let bounds = op_types.iter().filter_map(|t| t.need.bound());
+        let share = |row: usize| charter.number_or(&format!("tenant.{row}.share"), 0.0);
         Desk {
-            bound,
+            bound: bounds.min().unwrap_or(charter.span("connect_timeout")),
             least_target: op_types.iter().map(|t| t.latency_target).min().unwrap_or_default(),
-            tenants: tenants.collect(),
+            tenants: (0..).map(|row| (share(row), 0.0)).take_while(|(share, _)| *share > 0.0).collect(),
             now,
             pulsed_at: now,
             rng: Rng::with_seed(seed),
@@ -430,7 +422,7 @@
     fn asked(&mut self, ask: Ask, post: &mut Post) {
         let price = self.charter.number_or("price.probe", 0.0).max(PROBE_SPEND);
         self.probe_credit.set((self.probe_credit.get() + PROBE_SPEND / price).min(PROBES_SAVED));
-        for (row, used) in self.tenants.iter_mut().enumerate() {
+        for (row, (_, used)) in self.tenants.iter_mut().enumerate() {
             *used = *used * 0.99 + f64::from(ask.tenant.is_some_and(|tenant| tenant.0 as usize == row));
         }
         let floor = if self.op_types[ask.op_type.0 as usize].need != Need::Session {
@@ -442,7 +434,7 @@
             ask.session.and_then(|session| self.commits.get(&session).copied()).max(self.commits_floor)
         };
         let (arrived, sends) = (self.now, Sends::default());
-        let op = Op { ask, arrived, floor, sends, held: false, missed: false, over: false };
+        let op = Op { ask, arrived, floor, sends, missed: false, over: false };
         let place = self.ops.insert(op);
         self.places.insert(ask.op, place);
         post.desk.push_back(DeskNote::Route(place));
@@ -450,12 +442,9 @@
 
     /// Until when an answer is worth anything, and is sure to come before the client's time is up.
     fn pays_until(&self, op: &Op) -> Point {
-        let (kind, due) = (self.op_type(op), op.ask.due - self.span("tick"));
-        if kind.late_value > 0.0 {
-            due
-        } else {
-            due.min(op.arrived + kind.latency_target - self.span("tick") * 2.0)
-        }
+        let (kind, tick) = (self.op_type(op), self.span("tick"));
+        let target = op.arrived + kind.latency_target - tick * 2.0;
+        if kind.late_value > 0.0 { op.ask.due - tick } else { target.min(op.ask.due - tick) }
     }
 
     /// Rule 2: whether the op may go out again, to this host if one is named.
@@ -482,7 +471,7 @@
             self.give_up(place, post);
         } else if let Some(host) = self.choose(place, post) {
             self.send(place, host, post);
-        } else if !std::mem::replace(&mut self.ops[place].held, true) {
+        } else if !self.held.contains(&place) {
             self.held.push(place);
         }
     }
@@ -493,32 +482,22 @@
             return;
         }
         let (weight, until) = (self.weight(op), self.pays_until(op));
-        self.release(place);
+        self.held.retain(|&held| held != place);
         let op = &mut self.ops[place];
         op.sends.begin(host, self.now);
         post.actions.push(Action::Send { op: op.ask.op, host, until });
         post.hosts.put(host, HostNote::Took(weight));
     }
 
-    fn release(&mut self, place: usize) {
-        if std::mem::take(&mut self.ops[place].held) {
-            self.held.retain(|&held| held != place);
-        }
-    }
-
     /// What an op is worth for the work it asks. What a tenant asks beyond its share goes last.
     fn rank(&self, op: &Op) -> f64 {
         let kind = self.op_type(op);
-        let over = op.ask.tenant.is_some_and(|TenantId(row)| {
-            let share = self.charter.number_or(&format!("tenant.{row}.share"), 1.0) * OVER_SHARE;
-            self.tenants
-                .get(row as usize)
-                .is_some_and(|used| *used > share * self.tenants.iter().sum::<f64>())
-        });
+        let row = op.ask.tenant.and_then(|tenant| self.tenants.get(tenant.0 as usize));
+        let all: f64 = self.tenants.iter().map(|(_, used)| used).sum();
+        let over = row.is_some_and(|(share, used)| *used > all * share * OVER_SHARE);
         let late = if self.now > op.arrived + kind.latency_target { kind.late_value } else { 1.0 };
-        kind.value / self.weight(op)
-            * late
-            * if over { self.charter.number_or("over_share_value", 1.0) } else { 1.0 }
+        let part = if over { self.charter.number_or("over_share_value", 1.0) } else { 1.0 };
+        kind.value / self.weight(op) * late * part
     }
 
     fn give_up(&mut self, place: usize, post: &mut Post) {
@@ -538,7 +517,7 @@
 
     /// The op has its final answer; its place is free once all its sends have ended.
     fn finish(&mut self, place: usize, post: &mut Post) {
-        self.release(place);
+        self.held.retain(|&held| held != place);
         let op = &mut self.ops[place];
         let first = !std::mem::replace(&mut op.over, true);
         if !op.sends.is_out() {
@@ -556,14 +535,13 @@
         let kind = &self.op_types[op.ask.op_type.0 as usize];
         let used = (end.took / kind.latency_target).clamp(0.0, 10.0);
         let weight = kind.latency_target / self.least_target;
-        if end.outcome == Outcome::Acked {
-            if let Some(session) = op.ask.session.filter(|_| kind.need == Need::Write) {
-                if self.commits.len() >= SESSIONS {
-                    self.commits_floor = self.commits.drain().map(|(_, commit)| commit).max();
-                }
-                let known = self.commits.entry(session).or_default();
-                *known = end.word.position.unwrap_or(self.now).max(*known);
+        let wrote = end.outcome == Outcome::Acked && kind.need == Need::Write;
+        if let Some(session) = op.ask.session.filter(|_| wrote) {
+            if self.commits.len() >= SESSIONS {
+                self.commits_floor = self.commits.drain().map(|(_, commit)| commit).max();
             }
+            let known = self.commits.entry(session).or_default();
+            *known = end.word.position.unwrap_or(self.now).max(*known);
         }
         op.missed |= end.outcome == Outcome::Miss;
         if op.over || end.finished {
@@ -725,8 +703,7 @@
                 return host;
             }
         }
-        let lightest = window.iter().map(|&host| load(host)).fold(f64::INFINITY, f64::min);
-        let ties: Hosts = window.iter().copied().filter(|&host| load(host) <= lightest).collect();
+        let ties: Hosts = window.iter().copied().filter(|&host| load(host) <= least).collect();
         ties[self.rng.usize(..ties.len())]
     }
 
@@ -747,7 +724,7 @@
                 }
             }
         }
-        let poll = self.span("connect_timeout") * POLL;
+        let poll = self.span("connect_timeout") * STEP;
         for group in self.groups.values().filter(|group| group.wanted.replace(false)) {
             let due = |host: &HostId| now - self.face(*host).probed_at >= poll;
             self.probe(&group.members.iter().copied().filter(due).collect::<Hosts>(), post);
