--- a/src/logic.rs
+++ b/src/logic.rs
@@ -585,6 +585,7 @@
         let op = &self.ops[place];
         let (kind, group) = (self.op_type(op), &self.groups[&op.ask.group]);
         let primary = self.primary(group);
+        let checks = self.charter.text("host_checks") != "none";
         let mut among = Hosts::new();
         group.wanted.set(group.wanted.get() || primary.is_none());
         let asking = |hosts: &[HostId]| hosts.iter().any(|&host| self.face(host).probing);
@@ -597,8 +598,11 @@
         if matches!(kind.need, Need::Write | Need::Fresh) {
             if primary.is_some() {
                 among.extend(primary.filter(|&host| self.face(host).bears(1.0)));
-            } else if (op.sends.len() as f64) < self.charter.number_or("max_sends", 1.0) * 0.5 {
+            } else if (kind.need == Need::Write || checks)
+                && (op.sends.len() as f64) < self.charter.number_or("max_sends", 1.0) * 0.5
+            {
                 // None known: members in turn, the most advanced first; one known as replica counts as a miss.
+                // Danger: a fresh read answered by a replica that does not check reads.
                 let unknown =
                     |face: &Face| face.role.is_none() && !face.probing && face.sound() && face.bears(1.0);
                 let turn =
@@ -607,7 +611,6 @@
             }
             return among;
         }
-        let checks = self.charter.text("host_checks") != "none";
         let open = |host: &HostId| Some(*host) != primary && self.face(*host).open;
         let replicas: Hosts = group.members.iter().copied().filter(open).collect();
         // Danger: trouble that all share has every host judged ill. With most of them out, none is left out; harms
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -1,4 +1,5 @@
 //! A plain world for the tests: a charter, one router, and the sends, probes and alarms that are under way.
+#![allow(dead_code)] // each test file uses its part
 
 use arrowyard::Router;
 use arrowyard_types::*;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -133,6 +133,7 @@
     };
     assert!(share(true, 10) < 15);
     share(false, 1000);
+    share(false, 1500);
     assert!(share(false, 2000) > 25);
 }
 
@@ -202,3 +203,29 @@
     world.end(0, Outcome::Acked, Word::default());
     assert!(world.answered(new) && world.sends.is_empty());
 }
+
+#[test]
+fn a_fresh_read_is_not_tried_on_members_of_unknown_role() {
+    let mut world = World::new(charter(true, false, false));
+    world.list((0..4).map(|host| entry(host, Availability::Ready, false, None)).collect());
+    let (read, write) = (world.ask(10, FRESH, None), world.ask(11, TOKENED, Some(1)));
+    for host in std::mem::take(&mut world.probes) {
+        world.feed(Note::Probed { host, outcome: Outcome::ConnectFailed, word: Word::default() });
+    }
+    world.wait(10);
+    assert!(world.hosts_of(read).is_empty(), "a replica that does not check reads would answer it");
+    assert_eq!(world.hosts_of(write).len(), 1, "a write is turned away untouched by all but the primary");
+}
+
+#[test]
+fn of_two_answers_of_one_instant_the_later_tells_the_role() {
+    let mut world = World::settled(charter(true, false, false));
+    world.wait(20);
+    world.ask(10, FRESH, None);
+    world.ask(11, FRESH, None);
+    for role in [Role::Primary, Role::Replica] {
+        world.end(0, Outcome::Acked, Word { role: Some(role), ..Word::default() });
+    }
+    let op = world.ask(12, FRESH, None);
+    assert!(world.hosts_of(op).is_empty());
+}
