--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,8 +41,6 @@
 /// What probes that are not needed at once may cost, in points of the price list.
 const PROBE_SPEND: f64 = 0.005;
 const PROBES_SAVED: f64 = 10.0;
-/// A read waits this share of its latency target for a probe that may open a replica to it.
-const PROBE_WAIT: f64 = 0.1;
 /// A position is asked for again after this share of the least bound.
 const PROBE_GAP: f64 = 0.125;
 /// A missing primary is looked for, and a limit is cut, once in this share of the connect time-out.
@@ -54,6 +52,10 @@
 /// Sessions whose last commit is kept.
 const SESSIONS: usize = 65_536;
 
+/// What alarms are for: none names a place that could be reused.
+const PULSE: Cookie = Cookie(0);
+const ASK_LIST: Cookie = Cookie(1);
+
 /// What the desk sees of a host.
 #[derive(Clone, Copy, Default)]
 struct Face {
@@ -64,13 +66,11 @@
     role: Option<Role>,
     role_at: Point,
     position: Point,
-    /// How far back its position was when it was last told.
     behind: Span,
     /// Weight of this router's unfinished sends, and of those that ended unanswered a while ago.
     load: f64,
     unfinished: u32,
     limit: f64,
-    /// Weight sent a second, smoothed over the span of the cold rule.
     rate: f64,
     /// The share of its capacity that it surely has; 1 when warm.
     warmth: f64,
@@ -78,7 +78,6 @@
     ill: bool,
     /// Ill, but rested: it may have one send to show itself.
     trial: bool,
-    /// Sends to it end without any answer.
     quiet: bool,
     probing: bool,
     probed_at: Point,
@@ -101,9 +100,7 @@
     Dropped,
     /// A send of this weight went out.
     Took(f64),
-    /// The send of then has gone unanswered beyond its latency target.
-    Overdue(Point),
-    /// With the weight of the send, and the share of the latency target that it took.
+    /// With its weight, and the share of the latency target that it took.
     Ended(Ended, f64, f64),
     Probe,
     Probed(Option<Word>),
@@ -111,16 +108,12 @@
     Pulse(Span, f64),
 }
 
-enum DeskNote {
-    Outside(Note),
-    Route(usize),
-}
-
 #[derive(Default)]
 struct Post {
     hosts: Inboxes<HostNote>,
     faces: VecDeque<(HostId, Face)>,
-    desk: VecDeque<DeskNote>,
+    /// Places of ops that look for a host.
+    ops: VecDeque<usize>,
     actions: Vec<Action>,
 }
 
@@ -156,7 +149,6 @@
                 self.sent += weight;
                 self.face.credit -= weight;
             }
-            HostNote::Overdue(sent) => self.hush(self.heard_at <= sent),
             HostNote::Ended(end, weight, used) => {
                 self.face.unfinished -= 1;
                 self.live -= weight;
@@ -168,7 +160,9 @@
                     // more. They weigh on for a while; a host that only lost a few sends loses some reads.
                     self.kept += weight;
                     if end.outcome != Outcome::Cancelled {
-                        self.unanswered(now, now - end.took, charter);
+                        self.judge(now, true, charter);
+                        self.cut(now, 0.8, charter);
+                        self.hush(self.heard_at <= now - end.took);
                     }
                 }
             }
@@ -253,14 +247,6 @@
         }
     }
 
-    fn unanswered(&mut self, now: Point, sent: Point, charter: &Manifest) {
-        self.judge(now, true, charter);
-        self.cut(now, 0.8, charter);
-        if self.heard_at <= sent {
-            self.hush(true);
-        }
-    }
-
     fn answered(&mut self, now: Point, end: Ended, used: f64, charter: &Manifest) {
         self.heard_at = now;
         self.hush(false);
@@ -302,7 +288,6 @@
     /// What a session read must see.
     floor: Option<Point>,
     sends: Sends,
-    missed: bool,
     over: bool,
 }
 
@@ -336,7 +321,6 @@
     /// Commits of sessions' writes; those that were dropped are no newer than the floor.
     commits: FxHashMap<SessionId, Point>,
     commits_floor: Option<Point>,
-    ask_list_at: Option<Point>,
     pulsed_at: Point,
     probe_credit: Cell<f64>,
     /// Weight that a warm host gets a second, by its size.
@@ -382,32 +366,31 @@
         (0..self.faces.len() as u32).map(HostId)
     }
 
-    fn take(&mut self, note: DeskNote, post: &mut Post) {
+    fn take(&mut self, note: Note, post: &mut Post) {
         match note {
-            DeskNote::Route(place) => self.route(place, post),
-            DeskNote::Outside(Note::Listed { form, entries }) => self.listed(form, entries, post),
-            DeskNote::Outside(Note::ListFailed) => {
+            Note::Listed { form, entries } => self.listed(form, entries, post),
+            Note::ListFailed => {
                 let wait = self.span("ask_within") * (0.1 + 0.2 * self.rng.f64());
-                self.ask_list_at = Some(self.now + wait);
+                post.actions.push(Action::Ring { after: wait, cookie: ASK_LIST });
             }
-            DeskNote::Outside(Note::Asked(ask)) => self.asked(ask, post),
-            DeskNote::Outside(Note::SendEnded(end)) => self.ended(end, post),
-            DeskNote::Outside(Note::HungUp { op }) => {
+            Note::Asked(ask) => self.asked(ask, post),
+            Note::SendEnded(end) => self.ended(end, post),
+            Note::HungUp { op } => {
                 if let Some(&place) = self.places.get(&op) {
                     self.finish(place, post);
                 }
             }
-            DeskNote::Outside(Note::Rang { .. }) => self.pulse(post),
-            DeskNote::Outside(Note::Probed { host, outcome, word }) => {
+            Note::Rang { cookie: ASK_LIST } => post.actions.push(Action::Subscribe { on: true }),
+            Note::Rang { .. } => self.pulse(post),
+            Note::Probed { host, outcome, word } => {
                 let word = Some(word).filter(|_| outcome == Outcome::Acked);
                 post.hosts.put(host, HostNote::Probed(word));
             }
-            DeskNote::Outside(Note::Told { .. }) => {}
+            Note::Told { .. } => {}
         }
     }
 
     fn listed(&mut self, form: ListForm, entries: Vec<Entry>, post: &mut Post) {
-        self.ask_list_at = None;
         let missing = |host: &HostId| form != ListForm::Changes && !entries.iter().any(|e| e.host == *host);
         self.hosts().filter(missing).for_each(|host| post.hosts.put(host, HostNote::Dropped));
         for entry in entries {
@@ -434,10 +417,10 @@
             ask.session.and_then(|session| self.commits.get(&session).copied()).max(self.commits_floor)
         };
         let (arrived, sends) = (self.now, Sends::default());
-        let op = Op { ask, arrived, floor, sends, missed: false, over: false };
+        let op = Op { ask, arrived, floor, sends, over: false };
         let place = self.ops.insert(op);
         self.places.insert(ask.op, place);
-        post.desk.push_back(DeskNote::Route(place));
+        post.ops.push_back(place);
     }
 
     /// Until when an answer is worth anything, and is sure to come before the client's time is up.
@@ -533,8 +516,7 @@
         let op = &mut self.ops[place];
         let Some(one) = op.sends.end(end.send, end.outcome) else { return };
         let kind = &self.op_types[op.ask.op_type.0 as usize];
-        let used = (end.took / kind.latency_target).clamp(0.0, 10.0);
-        let weight = kind.latency_target / self.least_target;
+        let (used, weight) = (end.took / kind.latency_target, kind.latency_target / self.least_target);
         let wrote = end.outcome == Outcome::Acked && kind.need == Need::Write;
         if let Some(session) = op.ask.session.filter(|_| wrote) {
             if self.commits.len() >= SESSIONS {
@@ -543,11 +525,10 @@
             let known = self.commits.entry(session).or_default();
             *known = end.word.position.unwrap_or(self.now).max(*known);
         }
-        op.missed |= end.outcome == Outcome::Miss;
         if op.over || end.finished {
             self.finish(place, post);
         } else if !op.sends.is_out() {
-            post.desk.push_back(DeskNote::Route(place));
+            post.ops.push_back(place);
         }
         post.hosts.put(one.host, HostNote::Ended(end, weight, used));
     }
@@ -575,6 +556,9 @@
             // A fresh router knows only an old list: the members say who is primary and how far they are.
             group.asked_at = Some(self.now);
             self.probe(&self.groups[&id].members, post);
+            if self.charter.flag("probes") {
+                return None;
+            }
         }
         let among = self.candidates(place, post);
         if among.is_empty() { None } else { Some(self.lightest(&among, place)) }
@@ -588,11 +572,9 @@
         let checks = self.charter.text("host_checks") != "none";
         let mut among = Hosts::new();
         group.wanted.set(group.wanted.get() || primary.is_none());
-        let asking = |hosts: &[HostId]| hosts.iter().any(|&host| self.face(host).probing);
-        let just_asked = group.asked_at == Some(self.now);
         let named = primary.is_some_and(|host| self.face(host).role.is_some());
         let fresh = group.asked_at.is_some_and(|at| self.now - at < self.span("connect_timeout"));
-        if !named && fresh && (just_asked && self.charter.flag("probes") || asking(&group.members)) {
+        if !named && fresh && group.members.iter().any(|&host| self.face(host).probing) {
             return among;
         }
         if matches!(kind.need, Need::Write | Need::Fresh) {
@@ -618,38 +600,28 @@
         let most = replicas.iter().filter(|&&host| self.face(host).sound()).count() * 2 < replicas.len();
         let sound = |host: &HostId| most || self.face(*host).sound();
         let fit: Hosts = replicas.iter().copied().filter(|h| self.qualifies(op, *h) && sound(h)).collect();
-        let asked = self.freshen(op, &replicas, fit.is_empty(), post);
+        self.freshen(op, &replicas, fit.is_empty(), post);
         among = fit.iter().copied().filter(|&host| self.face(host).bears(1.0)).collect();
         if among.iter().any(|&host| !op.sends.tried(host)) {
             among.retain(|&mut host| !op.sends.tried(host));
         }
-        let at_primary = primary.filter(|&host| self.face(host).bears(READS_AT_PRIMARY));
-        if !among.is_empty() {
-            if self.weight(op) >= LONG {
-                self.keep_together(&mut among);
-            }
-        } else if !fit.is_empty() {
-            // Danger: replicas at their limit while the primary idles.
-            among.extend(at_primary);
-        } else if checks && !op.missed && replicas.iter().any(|h| sound(h) && self.face(*h).bears(1.0)) {
+        if among.is_empty() {
+            // Replicas at their limit while the primary idles, or none that qualifies: where hosts check reads, the
+            // most advanced one has the first word.
             let able = replicas.iter().copied().filter(|h| sound(h) && self.face(*h).bears(1.0));
-            among.extend(able.max_by_key(|&host| self.face(host).position));
-        } else {
-            let soon = asking(&replicas) || asked;
-            let waits = !checks && self.now - op.arrived < kind.latency_target * PROBE_WAIT;
-            among.extend(at_primary.filter(|_| !(soon && waits)));
+            let ahead = able.max_by_key(|&host| self.face(host).position);
+            let ahead = ahead.filter(|_| checks && fit.is_empty() && op.sends.len() == 0);
+            among.extend(ahead.or(primary.filter(|&host| self.face(host).bears(READS_AT_PRIMARY))));
+        } else if self.weight(op) >= LONG {
+            // Danger: a long read holds up the log where it runs, so long reads spread over all replicas leave none
+            // fresh. They go where the copy is behind anyway, or to the one furthest behind, which every router
+            // sees alike. Harms when long reads alone need most of the replicas.
+            let furthest = among.iter().map(|&host| self.face(host).behind).max().unwrap_or_default();
+            among.retain(|&mut host| self.face(host).behind >= furthest.min(self.bound));
         }
         among
     }
 
-    /// Danger: a long read holds up the log where it runs, so long reads spread over all replicas leave none fresh.
-    /// They conflict with bounded reads as a whole: they go where the copy is behind anyway, or else to the one
-    /// furthest behind, which every router sees alike. Harms when long reads alone need most of the replicas.
-    fn keep_together(&self, hosts: &mut Hosts) {
-        let furthest = hosts.iter().map(|&host| self.face(host).behind).max().unwrap_or_default();
-        hosts.retain(|&mut host| self.face(host).behind >= furthest.min(self.bound));
-    }
-
     /// Rule 5: a position is a lower bound learnt some time ago; it need not have moved since.
     fn qualifies(&self, op: &Op, host: HostId) -> bool {
         let position = self.face(host).position;
@@ -662,11 +634,11 @@
     }
 
     /// Asks replicas for their position: two at once when none qualifies, else one that will soon lapse.
-    fn freshen(&self, op: &Op, replicas: &[HostId], none: bool, post: &mut Post) -> bool {
+    fn freshen(&self, op: &Op, replicas: &[HostId], none: bool, post: &mut Post) {
         let lapses = match self.op_type(op).need {
             Need::Bounded(bound) if none || self.probe_credit.get() >= 1.0 => self.now - bound * 0.5,
             Need::Session if none => self.now,
-            _ => return false,
+            _ => return,
         };
         let due = |host: &HostId| {
             let face = self.face(*host);
@@ -683,7 +655,6 @@
         due.truncate(if none { 2 } else { 1 });
         self.probe(&due, post);
         self.probe_credit.set(self.probe_credit.get() - due.len() as f64);
-        !due.is_empty()
     }
 
     /// Dynamic MPF: the load window, then the session's host, then the lightest, ties at random.
@@ -713,20 +684,12 @@
     fn pulse(&mut self, post: &mut Post) {
         let (now, passed) = (self.now, self.now - self.pulsed_at);
         self.pulsed_at = now;
-        post.actions.push(Action::Ring { after: self.span("tick"), cookie: Cookie(0) });
+        post.actions.push(Action::Ring { after: self.span("tick"), cookie: PULSE });
         let warm = self.faces.iter().filter(|face| face.warmth >= 1.0 && face.sound());
         let (sum, count) =
             warm.fold((0.0, 0.0), |(sum, count), face| (sum + face.rate / face.size, count + 1.0));
         self.peers = if count > 0.0 { sum / count } else { self.peers };
         self.hosts().for_each(|host| post.hosts.put(host, HostNote::Pulse(passed, self.peers)));
-        for (_, op) in &mut self.ops {
-            let target = self.op_types[op.ask.op_type.0 as usize].latency_target;
-            for one in op.sends.out_mut() {
-                if now - one.at > target && !std::mem::replace(&mut one.overdue, true) {
-                    post.hosts.put(one.host, HostNote::Overdue(one.at));
-                }
-            }
-        }
         let poll = self.span("connect_timeout") * STEP;
         for group in self.groups.values().filter(|group| group.wanted.replace(false)) {
             let due = |host: &HostId| now - self.face(*host).probed_at >= poll;
@@ -738,13 +701,8 @@
             let (a, b) = (&self.ops[a], &self.ops[b]);
             self.rank(b).total_cmp(&self.rank(a)).then(b.arrived.cmp(&a.arrived))
         });
-        post.desk.extend(held.iter().map(|&place| DeskNote::Route(place)));
+        post.ops.extend(&held);
         self.held = held;
-        let ask_within = self.span("ask_within");
-        if self.ask_list_at.is_some_and(|at| now >= at) {
-            self.ask_list_at = Some(now + ask_within);
-            post.actions.push(Action::Subscribe { on: true });
-        }
     }
 }
 
@@ -761,16 +719,15 @@
         if desk.charter.text("list") == "ask" {
             actions.push(Action::Subscribe { on: true });
         }
-        actions.push(Action::Ring { after: desk.span("tick"), cookie: Cookie(0) });
+        actions.push(Action::Ring { after: desk.span("tick"), cookie: PULSE });
         Router { desk, hosts: Vec::new(), post: Post::default() }
     }
 
     pub fn take(&mut self, now: Point, note: Note, actions: &mut Vec<Action>) {
         let Router { desk, hosts, post } = self;
         desk.now = now;
-        let mut next = Some(DeskNote::Outside(note));
-        while let Some(note) = next {
-            desk.take(note, post);
+        desk.take(note, post);
+        loop {
             while let Some((id, note)) = post.hosts.take() {
                 let place = id.0 as usize;
                 while hosts.len() <= place {
@@ -779,10 +736,9 @@
                 }
                 hosts[place].take(id, now, note, &desk.charter, post);
             }
-            for (id, face) in post.faces.drain(..) {
-                desk.faces[id.0 as usize] = face;
-            }
-            next = post.desk.pop_front();
+            post.faces.drain(..).for_each(|(id, face)| desk.faces[id.0 as usize] = face);
+            let Some(place) = post.ops.pop_front() else { break };
+            desk.route(place, post);
         }
         actions.append(&mut post.actions);
     }
--- a/src/sends.rs
+++ b/src/sends.rs
@@ -17,8 +17,6 @@
     pub host: HostId,
     pub at: Point,
     pub fate: Fate,
-    /// It went unanswered beyond its latency target.
-    pub overdue: bool,
 }
 
 #[derive(Default)]
@@ -26,7 +24,7 @@
 
 impl Sends {
     pub fn begin(&mut self, host: HostId, at: Point) {
-        self.0.push(Sent { host, at, fate: Fate::Out, overdue: false });
+        self.0.push(Sent { host, at, fate: Fate::Out });
     }
 
     pub fn end(&mut self, number: SendNo, outcome: Outcome) -> Option<Sent> {
@@ -44,10 +42,6 @@
         all.filter(|(_, one)| one.fate == Fate::Out)
     }
 
-    pub fn out_mut(&mut self) -> impl Iterator<Item = &mut Sent> {
-        self.0.iter_mut().filter(|one| one.fate == Fate::Out)
-    }
-
     pub fn is_out(&self) -> bool {
         self.out().next().is_some()
     }
