--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,11 +4,10 @@
 //! ([`Router::take`]), and carries out the actions that come back, in order. The interface is the crate
 //! `arrowyard-types`; `docs/design.md` says what of the design page is kept, changed, and when.
 //!
-//! Every host is an actor with an inbox; the desk is the actor that holds the ops. Hosts show it their face, it
-//! tells them what was sent to them. The one loop in `Router::take` empties all inboxes, the hosts' first.
+//! Every host is an actor with an inbox; the desk is the actor that holds the ops. Hosts show it their face,
+//! it tells them what was sent to them. The one loop in `Router::take` empties all inboxes, the hosts' first.
 
-use std::cell::Cell;
-use std::collections::VecDeque;
+use std::{cell::Cell, collections::VecDeque};
 
 use arrowyard_types::*;
 use fastrand::Rng;
@@ -28,11 +27,13 @@
 /// Wald's test: the chance of judging wrongly, and the share of bad outcomes that any host is allowed.
 const WRONG: f64 = 0.002;
 const TOLERATED: f64 = 0.1;
-/// An ill host rests this many connect time-outs before a trial.
+/// An ill host rests this many connect time-outs before a trial, and entries kept of unanswered sends fade in them.
 const REST: f64 = 8.0;
 /// Sends that may be unfinished at a host that is not known yet, and at any host.
 const FIRST_LIMIT: f64 = 16.0;
 const LEAST_LIMIT: f64 = 2.0;
+/// Weight that a cold host has to earn before its first send.
+const FIRST_COLD: f64 = 2.0;
 /// An answer within the first share of its latency target lets the limit grow, one beyond the second cuts it.
 const EASY: f64 = 0.5;
 const STRAINED: f64 = 0.9;
@@ -45,10 +46,6 @@
 const PROBE_GAP: f64 = 0.125;
 /// A missing primary is looked for, and a limit is cut, once in this share of the connect time-out.
 const STEP: f64 = 0.4;
-/// Entries kept of unanswered sends fade in so many connect time-outs.
-const FADES: f64 = 4.0;
-/// A tenant is over its share when its part of the traffic is this much over.
-const OVER_SHARE: f64 = 1.2;
 /// Sessions whose last commit is kept.
 const SESSIONS: usize = 65_536;
 
@@ -185,12 +182,11 @@
 
     fn listed(&mut self, entry: Entry, charter: &Manifest) {
         if self.known && entry.started != self.started {
-            // It started again: its past says nothing of its health or of what it bears, and whatever the list
-            // still calls it, it comes back as a replica.
+            // It started again: its past says nothing of its health, and whatever the list still calls it, it
+            // comes back as a replica.
             let Face { zone, size, position, role_at, unfinished, rate, .. } = self.face;
-            let fresh = Host::new().face;
-            let role = Some(Role::Replica);
-            self.face = Face { zone, size, position, role, role_at, unfinished, rate, ..fresh };
+            let fresh = Face { role: Some(Role::Replica), ..Host::new().face };
+            self.face = Face { zone, size, position, role_at, unfinished, rate, ..fresh };
             (self.evidence, self.kept, self.mute) = (0.0, 0.0, 0);
         }
         (self.known, self.started) = (true, entry.started);
@@ -202,6 +198,10 @@
             Availability::Ready => false,
         };
         face.open = !self.draining;
+        if entry.started.is_some() && face.warmth >= 1.0 {
+            // Till the next pulse tells how warm it is. The first send has to be earned, too.
+            (face.warmth, face.credit) = (charter.number_or("cold_from", 1.0), -FIRST_COLD);
+        }
     }
 
     fn pulse(&mut self, now: Point, passed: Span, peers: f64, charter: &Manifest) {
@@ -211,12 +211,12 @@
         let age = self.started.map_or(cold, |started| now - started);
         let from = charter.number_or("cold_from", 1.0);
         face.warmth = if age < cold { from + (1.0 - from) * (age / cold).max(0.0) } else { 1.0 };
-        // Danger: all routers together push a cold host over. Each sends it at most the present share of what it
-        // sends to a warm host of that size; together that is at most what the cold host can do.
+        // Danger: all routers together push a cold host over. Each sends it at most the present share of what
+        // it sends to a warm host of that size; together that is at most what the cold host can do.
         let allowed = face.warmth * peers * face.size;
         let saved = allowed * fall.as_secs_f64() * 0.1;
         face.credit = (face.credit + allowed * passed.as_secs_f64()).min(saved);
-        let fades = charter.span("connect_timeout") * FADES;
+        let fades = charter.span("connect_timeout") * REST;
         self.kept *= 1.0 - (passed / fades).min(1.0);
         face.trial = face.ill && now >= self.rest_until;
     }
@@ -477,7 +477,7 @@
         let kind = self.op_type(op);
         let row = op.ask.tenant.and_then(|tenant| self.tenants.get(tenant.0 as usize));
         let all: f64 = self.tenants.iter().map(|(_, used)| used).sum();
-        let over = row.is_some_and(|(share, used)| *used > all * share * OVER_SHARE);
+        let over = row.is_some_and(|(share, used)| *used > all * share);
         let late = if self.now > op.arrived + kind.latency_target { kind.late_value } else { 1.0 };
         let part = if over { self.charter.number_or("over_share_value", 1.0) } else { 1.0 };
         kind.value / self.weight(op) * late * part
@@ -583,7 +583,7 @@
             } else if (kind.need == Need::Write || checks)
                 && (op.sends.len() as f64) < self.charter.number_or("max_sends", 1.0) * 0.5
             {
-                // None known: members in turn, the most advanced first; one known as replica counts as a miss.
+                // None known: members in turn, the most advanced first; a known replica counts as a miss.
                 // Danger: a fresh read answered by a replica that does not check reads.
                 let unknown =
                     |face: &Face| face.role.is_none() && !face.probing && face.sound() && face.bears(1.0);
@@ -595,8 +595,8 @@
         }
         let open = |host: &HostId| Some(*host) != primary && self.face(*host).open;
         let replicas: Hosts = group.members.iter().copied().filter(open).collect();
-        // Danger: trouble that all share has every host judged ill. With most of them out, none is left out; harms
-        // when most replicas really are lost, until the list says so.
+        // Danger: trouble that all share has every host judged ill. With most of them out, none is left out;
+        // harms when most replicas really are lost, until the list says so.
         let most = replicas.iter().filter(|&&host| self.face(host).sound()).count() * 2 < replicas.len();
         let sound = |host: &HostId| most || self.face(*host).sound();
         let fit: Hosts = replicas.iter().copied().filter(|h| self.qualifies(op, *h) && sound(h)).collect();
@@ -606,16 +606,16 @@
             among.retain(|&mut host| !op.sends.tried(host));
         }
         if among.is_empty() {
-            // Replicas at their limit while the primary idles, or none that qualifies: where hosts check reads, the
-            // most advanced one has the first word.
+            // Replicas are at their limit while the primary idles, or none qualifies: then, where hosts check
+            // reads, the most advanced one has the first word.
             let able = replicas.iter().copied().filter(|h| sound(h) && self.face(*h).bears(1.0));
             let ahead = able.max_by_key(|&host| self.face(host).position);
             let ahead = ahead.filter(|_| checks && fit.is_empty() && op.sends.len() == 0);
             among.extend(ahead.or(primary.filter(|&host| self.face(host).bears(READS_AT_PRIMARY))));
         } else if self.weight(op) >= LONG {
-            // Danger: a long read holds up the log where it runs, so long reads spread over all replicas leave none
-            // fresh. They go where the copy is behind anyway, or to the one furthest behind, which every router
-            // sees alike. Harms when long reads alone need most of the replicas.
+            // Danger: a long read holds up the log where it runs, so long reads spread over all replicas leave
+            // none fresh. They go where the copy is behind anyway, or to the one furthest behind, which every
+            // router sees alike. Harms when long reads alone need most of the replicas.
             let furthest = among.iter().map(|&host| self.face(host).behind).max().unwrap_or_default();
             among.retain(|&mut host| self.face(host).behind >= furthest.min(self.bound));
         }
@@ -643,7 +643,7 @@
         let due = |host: &HostId| {
             let face = self.face(*host);
             // A copy far behind cannot be back within the bound before it has applied what it lacks.
-            let gap = ((face.behind - self.bound) * 0.5).min(self.span("connect_timeout") * FADES);
+            let gap = ((face.behind - self.bound) * 0.5).min(self.span("connect_timeout") * REST);
             let rested = self.now - face.probed_at >= gap.max(self.bound * PROBE_GAP);
             face.sound() && !face.probing && face.position < lapses && rested
         };
