--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,14 +20,12 @@
 
 /// The window's f: a replica is in the load window when its load times this is at most the least load.
 const WINDOW: f64 = 0.1;
-/// A send that crosses sites counts as so many of the least weight more.
-const CROSSING: f64 = 0.5;
 /// An op type whose latency target is this many times the least one reads long.
 const LONG: f64 = 6.0;
 /// Wald's test: the chance of judging wrongly, and the share of bad outcomes that any host is allowed.
 const WRONG: f64 = 0.002;
 const TOLERATED: f64 = 0.1;
-/// An ill host rests this many connect time-outs before a trial, and entries kept of unanswered sends fade in them.
+/// An ill host rests this many connect time-outs before a trial; entries of unanswered sends fade as long.
 const REST: f64 = 8.0;
 /// Sends that may be unfinished at a host that is not known yet, and at any host.
 const FIRST_LIMIT: f64 = 16.0;
@@ -73,7 +71,7 @@
     warmth: f64,
     credit: f64,
     ill: bool,
-    /// Ill, but rested: it may have one send to show itself.
+    /// Rested: it may have one send to show itself.
     trial: bool,
     quiet: bool,
     probing: bool,
@@ -192,11 +190,9 @@
         (self.known, self.started) = (true, entry.started);
         let face = &mut self.face;
         (face.zone, face.size, face.listed_primary) = (entry.zone, entry.size.max(0.01), entry.primary);
-        self.draining = match entry.availability {
-            Availability::Draining => true,
-            Availability::Gone => self.draining || !charter.flag("removal_not_binding"),
-            Availability::Ready => false,
-        };
+        let gone = entry.availability == Availability::Gone;
+        let binds = self.draining || !charter.flag("removal_not_binding");
+        self.draining = entry.availability == Availability::Draining || gone && binds;
         face.open = !self.draining;
         if entry.started.is_some() && face.warmth >= 1.0 {
             // Till the next pulse tells how warm it is. The first send has to be earned, too.
@@ -269,8 +265,8 @@
         }
     }
 
-    /// Newer word of the role overturns older, never the other way; a position never goes back. Danger: of two
-    /// answers of one instant the later counts, else a host that just ceased to be primary gets fresh reads.
+    /// Newer word of the role overturns older, never the other way. Danger: of two answers of one instant the
+    /// later counts, else a host that just ceased to be primary gets fresh reads.
     fn learn(&mut self, now: Point, word: Word, as_of: Point) {
         if let Some(position) = word.position {
             self.face.position = self.face.position.max(position);
@@ -383,8 +379,7 @@
             Note::Rang { cookie: ASK_LIST } => post.actions.push(Action::Subscribe { on: true }),
             Note::Rang { .. } => self.pulse(post),
             Note::Probed { host, outcome, word } => {
-                let word = Some(word).filter(|_| outcome == Outcome::Acked);
-                post.hosts.put(host, HostNote::Probed(word));
+                post.hosts.put(host, HostNote::Probed((outcome == Outcome::Acked).then_some(word)));
             }
             Note::Told { .. } => {}
         }
@@ -416,9 +411,8 @@
         } else {
             ask.session.and_then(|session| self.commits.get(&session).copied()).max(self.commits_floor)
         };
-        let (arrived, sends) = (self.now, Sends::default());
-        let op = Op { ask, arrived, floor, sends, over: false };
-        let place = self.ops.insert(op);
+        let place =
+            self.ops.insert(Op { ask, arrived: self.now, floor, sends: Sends::default(), over: false });
         self.places.insert(ask.op, place);
         post.ops.push_back(place);
     }
@@ -561,7 +555,7 @@
             }
         }
         let among = self.candidates(place, post);
-        if among.is_empty() { None } else { Some(self.lightest(&among, place)) }
+        (!among.is_empty()).then(|| self.lightest(&among, place))
     }
 
     /// Where an op may go now; nowhere: it waits.
@@ -570,6 +564,7 @@
         let (kind, group) = (self.op_type(op), &self.groups[&op.ask.group]);
         let primary = self.primary(group);
         let checks = self.charter.text("host_checks") != "none";
+        let half = self.charter.number_or("max_sends", 1.0) * 0.5;
         let mut among = Hosts::new();
         group.wanted.set(group.wanted.get() || primary.is_none());
         let named = primary.is_some_and(|host| self.face(host).role.is_some());
@@ -580,15 +575,12 @@
         if matches!(kind.need, Need::Write | Need::Fresh) {
             if primary.is_some() {
                 among.extend(primary.filter(|&host| self.face(host).bears(1.0)));
-            } else if (kind.need == Need::Write || checks)
-                && (op.sends.len() as f64) < self.charter.number_or("max_sends", 1.0) * 0.5
-            {
+            } else if (kind.need == Need::Write || checks) && (op.sends.len() as f64) < half {
                 // None known: members in turn, the most advanced first; a known replica counts as a miss.
                 // Danger: a fresh read answered by a replica that does not check reads.
-                let unknown =
-                    |face: &Face| face.role.is_none() && !face.probing && face.sound() && face.bears(1.0);
-                let turn =
-                    group.members.iter().copied().filter(|&h| !op.sends.tried(h) && unknown(self.face(h)));
+                let blank = |f: &Face| f.role.is_none() && !f.probing && f.sound() && f.bears(1.0);
+                let next = |host: &HostId| !op.sends.tried(*host) && blank(self.face(*host));
+                let turn = group.members.iter().copied().filter(next);
                 among.extend(turn.max_by_key(|&host| self.face(host).position));
             }
             return among;
@@ -613,9 +605,8 @@
             let ahead = ahead.filter(|_| checks && fit.is_empty() && op.sends.len() == 0);
             among.extend(ahead.or(primary.filter(|&host| self.face(host).bears(READS_AT_PRIMARY))));
         } else if self.weight(op) >= LONG {
-            // Danger: a long read holds up the log where it runs, so long reads spread over all replicas leave
-            // none fresh. They go where the copy is behind anyway, or to the one furthest behind, which every
-            // router sees alike. Harms when long reads alone need most of the replicas.
+            // Danger: long reads hold up the log where they run; spread out, they leave no replica fresh. So
+            // they go where the copy is furthest behind. Harms when they alone need most of the replicas.
             let furthest = among.iter().map(|&host| self.face(host).behind).max().unwrap_or_default();
             among.retain(|&mut host| self.face(host).behind >= furthest.min(self.bound));
         }
@@ -659,11 +650,7 @@
 
     /// Dynamic MPF: the load window, then the session's host, then the lightest, ties at random.
     fn lightest(&mut self, hosts: &[HostId], place: usize) -> HostId {
-        let home = ZoneId(self.charter.number_or("zone", 0.0) as u32);
-        let load = |host: HostId| {
-            let face = self.face(host);
-            (face.load + if face.zone == home { 0.0 } else { CROSSING }) / (face.size * face.warmth)
-        };
+        let load = |host: HostId| self.face(host).load / (self.face(host).size * self.face(host).warmth);
         let least = hosts.iter().map(|&host| load(host)).fold(f64::INFINITY, f64::min);
         let window: Hosts = hosts.iter().copied().filter(|&host| load(host) * WINDOW <= least).collect();
         let op = &self.ops[place];
