--- a/src/logic.rs
+++ b/src/logic.rs
@@ -592,7 +592,6 @@
         let most = replicas.iter().filter(|&&host| self.face(host).sound()).count() * 2 < replicas.len();
         let sound = |host: &HostId| most || self.face(*host).sound();
         let fit: Hosts = replicas.iter().copied().filter(|h| self.qualifies(op, *h) && sound(h)).collect();
-        self.freshen(op, &replicas, fit.is_empty(), post);
         among = fit.iter().copied().filter(|&host| self.face(host).bears(1.0)).collect();
         if among.iter().any(|&host| !op.sends.tried(host)) {
             among.retain(|&mut host| !op.sends.tried(host));
@@ -604,11 +603,15 @@
             let ahead = able.max_by_key(|&host| self.face(host).position);
             let ahead = ahead.filter(|_| checks && fit.is_empty() && op.sends.len() == 0);
             among.extend(ahead.or(primary.filter(|&host| self.face(host).bears(READS_AT_PRIMARY))));
+            // Danger: late reports open replicas for short whiles only; what is held asks them all for news.
+            self.freshen(op, &replicas, if among.is_empty() { usize::MAX } else { 2 }, post);
         } else if self.weight(op) >= LONG {
             // Danger: long reads hold up the log where they run; spread out, they leave no replica fresh. So
             // they go where the copy is furthest behind. Harms when they alone need most of the replicas.
             let furthest = among.iter().map(|&host| self.face(host).behind).max().unwrap_or_default();
             among.retain(|&mut host| self.face(host).behind >= furthest.min(self.bound));
+        } else if self.probe_credit.get() >= 1.0 {
+            self.freshen(op, &replicas, 1, post);
         }
         among
     }
@@ -624,11 +627,11 @@
         }
     }
 
-    /// Asks replicas for their position: two at once when none qualifies, else one that will soon lapse.
-    fn freshen(&self, op: &Op, replicas: &[HostId], none: bool, post: &mut Post) {
+    /// Asks so many replicas for their position: of one that will soon lapse, or of those most advanced.
+    fn freshen(&self, op: &Op, replicas: &[HostId], most: usize, post: &mut Post) {
         let lapses = match self.op_type(op).need {
-            Need::Bounded(bound) if none || self.probe_credit.get() >= 1.0 => self.now - bound * 0.5,
-            Need::Session if none => self.now,
+            Need::Bounded(bound) => self.now - bound * 0.5,
+            Need::Session if most > 1 => self.now,
             _ => return,
         };
         let due = |host: &HostId| {
@@ -640,10 +643,10 @@
         };
         let mut due: Hosts = replicas.iter().copied().filter(due).collect();
         due.sort_by_key(|&host| self.face(host).position);
-        if none {
+        if most > 1 {
             due.reverse();
         }
-        due.truncate(if none { 2 } else { 1 });
+        due.truncate(most);
         self.probe(&due, post);
         self.probe_credit.set(self.probe_credit.get() - due.len() as f64);
     }
