A tenant's share is counted on its sends, not on what it asks

A tenant over its share had all its ops ranked last, those inside the share too. Counted on sends it waits only until the others have caught up.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -307,7 +307,7 @@
     least_target: Span,
     now: Point,
     rng: Rng,
-    /// By tenant: its share, and its part of the latest traffic.
+    /// By tenant: its share, and its part of the latest sends.
     tenants: Vec<(f64, f64)>,
     faces: Vec<Face>,
     groups: FxHashMap<GroupId, Group>,
@@ -400,9 +400,6 @@
     fn asked(&mut self, ask: Ask, post: &mut Post) {
         let price = self.charter.number_or("price.probe", 0.0).max(PROBE_SPEND);
         self.probe_credit.set((self.probe_credit.get() + PROBE_SPEND / price).min(PROBES_SAVED));
-        for (row, (_, used)) in self.tenants.iter_mut().enumerate() {
-            *used = *used * 0.99 + f64::from(ask.tenant.is_some_and(|tenant| tenant.0 as usize == row));
-        }
         let floor = if self.op_types[ask.op_type.0 as usize].need != Need::Session {
             None
         } else if self.charter.text("tokens") == "carried" {
@@ -462,11 +459,14 @@
         self.held.retain(|&held| held != place);
         let op = &mut self.ops[place];
         op.sends.begin(host, self.now);
+        for (row, (_, used)) in self.tenants.iter_mut().enumerate() {
+            *used = *used * 0.99 + f64::from(op.ask.tenant.is_some_and(|tenant| tenant.0 as usize == row));
+        }
         post.actions.push(Action::Send { op: op.ask.op, host, until });
         post.hosts.put(host, HostNote::Took(weight));
     }
 
-    /// What an op is worth for the work it asks. What a tenant asks beyond its share goes last.
+    /// What an op is worth for the work it asks. A tenant that had more than its share of sends waits.
     fn rank(&self, op: &Op) -> f64 {
         let kind = self.op_type(op);
         let row = op.ask.tenant.and_then(|tenant| self.tenants.get(tenant.0 as usize));
