--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,13 +37,13 @@
 const STRAINED: f64 = 0.9;
 /// Reads may fill the primary to this share of its limit.
 const READS_AT_PRIMARY: f64 = 0.75;
-/// What probes that are not needed at once may cost, in points of the price list.
-const PROBE_SPEND: f64 = 0.005;
-const PROBES_SAVED: f64 = 10.0;
 /// A position is asked for again after this share of the least bound.
 const PROBE_GAP: f64 = 0.125;
 /// A missing primary is looked for, and a limit is cut, once in this share of the connect time-out.
 const STEP: f64 = 0.4;
+/// While most replicas are behind, the share of writes that are sent back grows by this in a connect time-out.
+const CATCH_UP: f64 = 0.25;
+const MOST_BACK: f64 = 0.9;
 /// Sessions whose last commit is kept.
 const SESSIONS: usize = 65_536;
 
@@ -294,6 +294,8 @@
     asked_at: Option<Point>,
     /// Some op waits for a primary.
     wanted: Cell<bool>,
+    /// The share of its writes that are sent back so that its replicas catch up.
+    held_back: f64,
 }
 
 type Hosts = SmallVec<[HostId; 16]>;
@@ -318,7 +320,6 @@
     commits: FxHashMap<SessionId, Point>,
     commits_floor: Option<Point>,
     pulsed_at: Point,
-    probe_credit: Cell<f64>,
     /// Weight that a warm host gets a second, by its size.
     peers: f64,
 }
@@ -398,8 +399,6 @@
     }
 
     fn asked(&mut self, ask: Ask, post: &mut Post) {
-        let price = self.charter.number_or("price.probe", 0.0).max(PROBE_SPEND);
-        self.probe_credit.set((self.probe_credit.get() + PROBE_SPEND / price).min(PROBES_SAVED));
         let floor = if self.op_types[ask.op_type.0 as usize].need != Need::Session {
             None
         } else if self.charter.text("tokens") == "carried" {
@@ -408,9 +407,14 @@
         } else {
             ask.session.and_then(|session| self.commits.get(&session).copied()).max(self.commits_floor)
         };
+        let writes = self.op_types[ask.op_type.0 as usize].need == Need::Write;
+        let held_back = self.groups.get(&ask.group).map_or(0.0, |group| group.held_back);
         let place =
             self.ops.insert(Op { ask, arrived: self.now, floor, sends: Sends::default(), over: false });
         self.places.insert(ask.op, place);
+        if writes && self.rng.f64() < held_back {
+            return self.give_up(place, post);
+        }
         post.ops.push_back(place);
     }
 
@@ -610,7 +614,7 @@
             // they go where the copy is furthest behind. Harms when they alone need most of the replicas.
             let furthest = among.iter().map(|&host| self.face(host).behind).max().unwrap_or_default();
             among.retain(|&mut host| self.face(host).behind >= furthest.min(self.bound));
-        } else if self.probe_credit.get() >= 1.0 {
+        } else if fit.len() < replicas.len() {
             self.freshen(op, &replicas, 1, post);
         }
         among
@@ -648,7 +652,6 @@
         }
         due.truncate(most);
         self.probe(&due, post);
-        self.probe_credit.set(self.probe_credit.get() - due.len() as f64);
     }
 
     /// Dynamic MPF: the load window, then the session's host, then the lightest, ties at random.
@@ -680,6 +683,18 @@
             warm.fold((0.0, 0.0), |(sum, count), face| (sum + face.rate / face.size, count + 1.0));
         self.peers = if count > 0.0 { sum / count } else { self.peers };
         self.hosts().for_each(|host| post.hosts.put(host, HostNote::Pulse(passed, self.peers)));
+        // Danger: writes come faster than replicas apply them, and bounded reads lose all replicas. Some writes are
+        // sent back until most replicas are within the bound; harms where late reports make them look behind. Not
+        // where long reads hold up the log.
+        let long = self.op_types.iter().any(|t| t.latency_target / self.least_target >= LONG);
+        let step = if long { 0.0 } else { passed / self.span("connect_timeout") * CATCH_UP };
+        for group in self.groups.values_mut() {
+            let faces = group.members.iter().map(|host| &self.faces[host.0 as usize]);
+            let replicas: SmallVec<[_; 16]> =
+                faces.filter(|f| f.open && f.role == Some(Role::Replica)).collect();
+            let late = replicas.iter().filter(|face| face.behind > self.bound).count() * 2 > replicas.len();
+            group.held_back = (group.held_back + if late { step } else { -step }).clamp(0.0, MOST_BACK);
+        }
         let poll = self.span("connect_timeout") * STEP;
         for group in self.groups.values().filter(|group| group.wanted.replace(false)) {
             let due = |host: &HostId| now - self.face(*host).probed_at >= poll;
