--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,9 +1,6 @@
-//! The decisions of arrowyard, all of them.
-//!
-//! A caller makes one [`Router`] with [`Router::start`], hands it each note with the time at which it came
-//! ([`Router::take`]), and carries out the actions that come back, in order. The interface is the crate
-//! `arrowyard-types`; `docs/design.md` says what of the design page is kept, changed, and when.
-//!
+//! The decisions of arrowyard, all of them. A caller makes a [`Router`] with [`Router::start`], hands it each
+//! note with the time when it came ([`Router::take`]), and carries out the actions that come back, in order.
+//! The interface is the crate `arrowyard-types`; `docs/design.md` says what of the design is kept or changed.
 //! Every host is an actor with an inbox; the desk is the actor that holds the ops. Hosts show it their face,
 //! it tells them what was sent to them. The one loop in `Router::take` empties all inboxes, the hosts' first.
 
@@ -30,8 +27,6 @@
 /// Sends that may be unfinished at a host that is not known yet, and at any host.
 const FIRST_LIMIT: f64 = 16.0;
 const LEAST_LIMIT: f64 = 2.0;
-/// Weight that a cold host has to earn before its first send.
-const FIRST_COLD: f64 = 2.0;
 /// An answer within the first share of its latency target lets the limit grow, one beyond the second cuts it.
 const EASY: f64 = 0.5;
 const STRAINED: f64 = 0.9;
@@ -41,7 +36,7 @@
 const PROBE_GAP: f64 = 0.125;
 /// A missing primary is looked for, and a limit is cut, once in this share of the connect time-out.
 const STEP: f64 = 0.4;
-/// While most replicas are behind, the share of writes that are sent back grows by this in a connect time-out.
+/// While most replicas are behind, the share of writes sent back grows by this in a connect time-out.
 const CATCH_UP: f64 = 0.25;
 const MOST_BACK: f64 = 0.9;
 /// Sessions whose last commit is kept.
@@ -71,7 +66,6 @@
     warmth: f64,
     credit: f64,
     ill: bool,
-    /// Rested: it may have one send to show itself.
     trial: bool,
     quiet: bool,
     probing: bool,
@@ -79,7 +73,6 @@
 }
 
 impl Face {
-    /// Whether one more send fits in, whatever the health.
     fn bears(&self, share: f64) -> bool {
         let fits = f64::from(self.unfinished) < self.limit * share;
         self.open && fits && (self.warmth >= 1.0 || self.credit >= 0.0)
@@ -93,9 +86,9 @@
 enum HostNote {
     Listed(Entry),
     Dropped,
-    /// A send of this weight went out.
+    /// A send, by its weight.
     Took(f64),
-    /// With its weight, and the share of the latency target that it took.
+    /// With its weight, and the share of its latency target that it took.
     Ended(Ended, f64, f64),
     Probe,
     Probed(Option<Word>),
@@ -107,7 +100,6 @@
 struct Post {
     hosts: Inboxes<HostNote>,
     faces: VecDeque<(HostId, Face)>,
-    /// Places of ops that look for a host.
     ops: VecDeque<usize>,
     actions: Vec<Action>,
 }
@@ -196,7 +188,7 @@
         face.open = !self.draining;
         if entry.started.is_some() && face.warmth >= 1.0 {
             // Till the next pulse tells how warm it is. The first send has to be earned, too.
-            (face.warmth, face.credit) = (charter.number_or("cold_from", 1.0), -FIRST_COLD);
+            (face.warmth, face.credit) = (charter.number_or("cold_from", 1.0), -LEAST_LIMIT);
         }
     }
 
@@ -304,7 +296,6 @@
 struct Desk {
     charter: Manifest,
     op_types: Vec<OpType>,
-    /// The least bound of any op type.
     bound: Span,
     least_target: Span,
     now: Point,
@@ -342,10 +333,6 @@
         }
     }
 
-    fn span(&self, name: &str) -> Span {
-        self.charter.span(name)
-    }
-
     fn face(&self, host: HostId) -> &Face {
         &self.faces[host.0 as usize]
     }
@@ -359,15 +346,11 @@
         self.op_type(op).latency_target / self.least_target
     }
 
-    fn hosts(&self) -> impl Iterator<Item = HostId> + use<> {
-        (0..self.faces.len() as u32).map(HostId)
-    }
-
     fn take(&mut self, note: Note, post: &mut Post) {
         match note {
             Note::Listed { form, entries } => self.listed(form, entries, post),
             Note::ListFailed => {
-                let wait = self.span("ask_within") * (0.1 + 0.2 * self.rng.f64());
+                let wait = self.charter.span("ask_within") * (0.1 + 0.2 * self.rng.f64());
                 post.actions.push(Action::Ring { after: wait, cookie: ASK_LIST });
             }
             Note::Asked(ask) => self.asked(ask, post),
@@ -388,7 +371,8 @@
 
     fn listed(&mut self, form: ListForm, entries: Vec<Entry>, post: &mut Post) {
         let missing = |host: &HostId| form != ListForm::Changes && !entries.iter().any(|e| e.host == *host);
-        self.hosts().filter(missing).for_each(|host| post.hosts.put(host, HostNote::Dropped));
+        let all = (0..self.faces.len() as u32).map(HostId);
+        all.filter(missing).for_each(|host| post.hosts.put(host, HostNote::Dropped));
         for entry in entries {
             self.groups.values_mut().for_each(|group| group.members.retain(|&host| host != entry.host));
             let members = &mut self.groups.entry(entry.group).or_default().members;
@@ -409,8 +393,8 @@
         };
         let writes = self.op_types[ask.op_type.0 as usize].need == Need::Write;
         let held_back = self.groups.get(&ask.group).map_or(0.0, |group| group.held_back);
-        let place =
-            self.ops.insert(Op { ask, arrived: self.now, floor, sends: Sends::default(), over: false });
+        let arrived = self.now;
+        let place = self.ops.insert(Op { ask, arrived, floor, sends: Sends::default(), over: false });
         self.places.insert(ask.op, place);
         if writes && self.rng.f64() < held_back {
             return self.give_up(place, post);
@@ -420,7 +404,7 @@
 
     /// Until when an answer is worth anything, and is sure to come before the client's time is up.
     fn pays_until(&self, op: &Op) -> Point {
-        let (kind, tick) = (self.op_type(op), self.span("tick"));
+        let (kind, tick) = (self.op_type(op), self.charter.span("tick"));
         let target = op.arrived + kind.latency_target - tick * 2.0;
         if kind.late_value > 0.0 { op.ask.due - tick } else { target.min(op.ask.due - tick) }
     }
@@ -434,17 +418,16 @@
         match (self.op_type(op).effect, op.sends.may_have_run()) {
             (Effect::Retryable, _) | (_, None) => true,
             (Effect::Tokened { memory, scope }, Some(first)) => {
-                let near = |host: HostId| self.face(host).zone == self.face(first.host).zone;
-                let there = scope != Scope::Zone || host.is_none_or(near);
-                there && self.now + self.span("tick") < first.at + memory
+                let far = host.is_some_and(|h| self.face(h).zone != self.face(first.host).zone);
+                !(far && scope == Scope::Zone) && self.now + self.charter.span("tick") < first.at + memory
             }
             (Effect::NonRetryable, Some(_)) => false,
         }
     }
 
+    /// Sends the op on, holds it, or answers at once when waiting cannot pay any more.
     fn route(&mut self, place: usize, post: &mut Post) {
         let Some(op) = self.ops.get(place).filter(|op| !op.over && !op.sends.is_out()) else { return };
-        // Nothing is held once waiting cannot pay any more: the answer goes out at once.
         if self.now >= self.pays_until(op) || !self.may_send(op, None) {
             self.give_up(place, post);
         } else if let Some(host) = self.choose(place, post) {
@@ -487,11 +470,11 @@
             Effect::Retryable | Effect::Tokened { scope: Scope::All, .. } => true,
             _ => op.sends.may_have_run().is_none(),
         };
-        let advice = self.charter.flag("retry_after").then(|| self.span("max_retry_after"));
-        post.actions.push(if harmless {
-            Action::BusyReply { op: op.ask.op, retry_after: advice }
-        } else {
-            Action::ErrorReply { op: op.ask.op }
+        let op = op.ask.op;
+        let retry_after = self.charter.flag("retry_after").then(|| self.charter.span("max_retry_after"));
+        post.actions.push(match harmless {
+            true => Action::BusyReply { op, retry_after },
+            false => Action::ErrorReply { op },
         });
         self.finish(place, post);
     }
@@ -572,7 +555,7 @@
         let mut among = Hosts::new();
         group.wanted.set(group.wanted.get() || primary.is_none());
         let named = primary.is_some_and(|host| self.face(host).role.is_some());
-        let fresh = group.asked_at.is_some_and(|at| self.now - at < self.span("connect_timeout"));
+        let fresh = group.asked_at.is_some_and(|at| self.now - at < self.charter.span("connect_timeout"));
         if !named && fresh && group.members.iter().any(|&host| self.face(host).probing) {
             return among;
         }
@@ -591,8 +574,7 @@
         }
         let open = |host: &HostId| Some(*host) != primary && self.face(*host).open;
         let replicas: Hosts = group.members.iter().copied().filter(open).collect();
-        // Danger: trouble that all share has every host judged ill. With most of them out, none is left out;
-        // harms when most replicas really are lost, until the list says so.
+        // Danger: trouble that all share has every host judged ill. Harms when most replicas really are lost.
         let most = replicas.iter().filter(|&&host| self.face(host).sound()).count() * 2 < replicas.len();
         let sound = |host: &HostId| most || self.face(*host).sound();
         let fit: Hosts = replicas.iter().copied().filter(|h| self.qualifies(op, *h) && sound(h)).collect();
@@ -641,7 +623,7 @@
         let due = |host: &HostId| {
             let face = self.face(*host);
             // A copy far behind cannot be back within the bound before it has applied what it lacks.
-            let gap = ((face.behind - self.bound) * 0.5).min(self.span("connect_timeout") * REST);
+            let gap = ((face.behind - self.bound) * 0.5).min(self.charter.span("connect_timeout") * REST);
             let rested = self.now - face.probed_at >= gap.max(self.bound * PROBE_GAP);
             face.sound() && !face.probing && face.position < lapses && rested
         };
@@ -677,35 +659,33 @@
     fn pulse(&mut self, post: &mut Post) {
         let (now, passed) = (self.now, self.now - self.pulsed_at);
         self.pulsed_at = now;
-        post.actions.push(Action::Ring { after: self.span("tick"), cookie: PULSE });
+        post.actions.push(Action::Ring { after: self.charter.span("tick"), cookie: PULSE });
         let warm = self.faces.iter().filter(|face| face.warmth >= 1.0 && face.sound());
-        let (sum, count) =
-            warm.fold((0.0, 0.0), |(sum, count), face| (sum + face.rate / face.size, count + 1.0));
-        self.peers = if count > 0.0 { sum / count } else { self.peers };
-        self.hosts().for_each(|host| post.hosts.put(host, HostNote::Pulse(passed, self.peers)));
-        // Danger: writes come faster than replicas apply them, and bounded reads lose all replicas. Some writes are
-        // sent back until most replicas are within the bound; harms where late reports make them look behind. Not
-        // where long reads hold up the log.
+        let rates: SmallVec<[f64; 16]> = warm.map(|face| face.rate / face.size).collect();
+        self.peers =
+            if rates.is_empty() { self.peers } else { rates.iter().sum::<f64>() / rates.len() as f64 };
+        let all = (0..self.faces.len() as u32).map(HostId);
+        all.for_each(|host| post.hosts.put(host, HostNote::Pulse(passed, self.peers)));
+        // Danger: writes come faster than replicas apply them, and bounded reads lose all. Some are sent back
+        // till most are within the bound, but where long reads hold up the log. Harms when reports come late.
         let long = self.op_types.iter().any(|t| t.latency_target / self.least_target >= LONG);
-        let step = if long { 0.0 } else { passed / self.span("connect_timeout") * CATCH_UP };
+        let step = if long { 0.0 } else { passed / self.charter.span("connect_timeout") * CATCH_UP };
         for group in self.groups.values_mut() {
             let faces = group.members.iter().map(|host| &self.faces[host.0 as usize]);
-            let replicas: SmallVec<[_; 16]> =
-                faces.filter(|f| f.open && f.role == Some(Role::Replica)).collect();
-            let late = replicas.iter().filter(|face| face.behind > self.bound).count() * 2 > replicas.len();
-            group.held_back = (group.held_back + if late { step } else { -step }).clamp(0.0, MOST_BACK);
+            let replicas = faces.filter(|f| f.open && f.role == Some(Role::Replica)).map(|f| f.behind);
+            let (all, far) = (replicas.clone().count(), replicas.filter(|&b| b > self.bound).count());
+            group.held_back += if far * 2 > all { step } else { -step };
+            group.held_back = group.held_back.clamp(0.0, MOST_BACK);
         }
-        let poll = self.span("connect_timeout") * STEP;
+        let poll = self.charter.span("connect_timeout") * STEP;
         for group in self.groups.values().filter(|group| group.wanted.replace(false)) {
             let due = |host: &HostId| now - self.face(*host).probed_at >= poll;
             self.probe(&group.members.iter().copied().filter(due).collect::<Hosts>(), post);
         }
         // Overload: within a rank the newest go first, since the oldest have the least time left.
         let mut held = std::mem::take(&mut self.held);
-        held.sort_by(|&a, &b| {
-            let (a, b) = (&self.ops[a], &self.ops[b]);
-            self.rank(b).total_cmp(&self.rank(a)).then(b.arrived.cmp(&a.arrived))
-        });
+        let key = |place: &usize| (self.rank(&self.ops[*place]), self.ops[*place].arrived);
+        held.sort_by(|a, b| key(b).partial_cmp(&key(a)).expect("ranks are numbers"));
         post.ops.extend(&held);
         self.held = held;
     }
@@ -724,7 +704,7 @@
         if desk.charter.text("list") == "ask" {
             actions.push(Action::Subscribe { on: true });
         }
-        actions.push(Action::Ring { after: desk.span("tick"), cookie: PULSE });
+        actions.push(Action::Ring { after: desk.charter.span("tick"), cookie: PULSE });
         Router { desk, hosts: Vec::new(), post: Post::default() }
     }
 
@@ -735,9 +715,9 @@
         loop {
             while let Some((id, note)) = post.hosts.take() {
                 let place = id.0 as usize;
-                while hosts.len() <= place {
-                    hosts.push(Host::new());
-                    desk.faces.push(Face::default());
+                if hosts.len() <= place {
+                    hosts.resize_with(place + 1, Host::new);
+                    desk.faces.resize(place + 1, Face::default());
                 }
                 hosts[place].take(id, now, note, &desk.charter, post);
             }
