--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,7 +26,7 @@
 const REST: f64 = 8.0;
 /// Sends that may be unfinished at a host that is not known yet, and at any host.
 const FIRST_LIMIT: f64 = 16.0;
-const LEAST_LIMIT: f64 = 2.0;
+const LEAST_LIMIT: f64 = 1.0;
 /// An answer within the first share of its latency target lets the limit grow, one beyond the second cuts it.
 const EASY: f64 = 0.5;
 const STRAINED: f64 = 0.9;
@@ -188,7 +188,7 @@
         face.open = !self.draining;
         if entry.started.is_some() && face.warmth >= 1.0 {
             // Till the next pulse tells how warm it is. The first send has to be earned, too.
-            (face.warmth, face.credit) = (charter.number_or("cold_from", 1.0), -LEAST_LIMIT);
+            (face.warmth, face.credit) = (charter.number_or("cold_from", 1.0), -LEAST_LIMIT * 2.0);
         }
     }
 
