--- a/src/logic.rs
+++ b/src/logic.rs
@@ -595,7 +595,7 @@
             // Danger: long reads hold up the log where they run; spread out, they leave no replica fresh. So
             // they go where the copy is furthest behind. Harms when they alone need most of the replicas.
             let furthest = among.iter().map(|&host| self.face(host).behind).max().unwrap_or_default();
-            among.retain(|&mut host| self.face(host).behind >= furthest.min(self.bound));
+            among.retain(|&mut host| self.face(host).behind >= furthest);
         } else if fit.len() < replicas.len() {
             self.freshen(op, &replicas, 1, post);
         }
