Illness is ignored only of hosts that answer

Harms when slowness of all is so bad that no host answers in time: then single trials find the way back.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -576,7 +576,7 @@
         let replicas: Hosts = group.members.iter().copied().filter(open).collect();
         // Danger: trouble that all share has every host judged ill. Harms when most replicas really are lost.
         let most = replicas.iter().filter(|&&host| self.face(host).sound()).count() * 2 < replicas.len();
-        let sound = |host: &HostId| most || self.face(*host).sound();
+        let sound = |host: &HostId| self.face(*host).sound() || most && !self.face(*host).quiet;
         let fit: Hosts = replicas.iter().copied().filter(|h| self.qualifies(op, *h) && sound(h)).collect();
         among = fit.iter().copied().filter(|&host| self.face(host).bears(1.0)).collect();
         if among.iter().any(|&host| !op.sends.tried(host)) {
