--- a/crates/arrowyard-adapter/src/batch.rs
+++ b/crates/arrowyard-adapter/src/batch.rs
@@ -85,3 +85,13 @@
         Ok(self.seats.len() - 1)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn an_op_of_an_unknown_type_is_malformed() {
+        let line = br#"{"t":1,"arrivals":[["PowerOn","r",5,{}],["Request","r",7,0,null,0,0,null,null,9]]}"#;
+        let told = super::Process::default().play(line, &mut String::new());
+        assert_eq!(told, Err("Request: value 3 is not a place in grades".to_string()));
+    }
+}
--- a/crates/arrowyard-adapter/src/router.rs
+++ b/crates/arrowyard-adapter/src/router.rs
@@ -38,6 +38,8 @@
     router: Router,
     hosts: Hosts,
     zero: Point,
+    /// How many op types the settings named.
+    op_types: usize,
     actions: Vec<Action>,
 }
 
@@ -50,15 +52,19 @@
                 point(zero.as_f64().ok_or("PowerOn: params domain.origin_time has the wrong type")?)
             }
         };
+        let op_types = info.get("grades").and_then(Value::as_array).map_or(0, Vec::len);
         let mut actions = Vec::new();
         let router = Router::start(now, fields.whole(1)?, manifest(info)?, &mut actions);
-        Ok(Instance { router, hosts: Hosts::default(), zero, actions })
+        Ok(Instance { router, hosts: Hosts::default(), zero, op_types, actions })
     }
 
     /// Turns one event into a note; nothing for events that ask nothing of the module.
     pub fn note(&mut self, fields: Fields, pools: &[Option<Vec<Value>>]) -> Result<Option<Note>, String> {
         let note = match fields.name {
             "Topology" => self.listed(fields, pools)?,
+            "Request" if fields.small(2)? as usize >= self.op_types => {
+                return Err(fields.wrong(2, "a place in grades"));
+            }
             "Request" => Note::Asked(Ask {
                 op: OpId(fields.whole(1)?),
                 op_type: OpTypeId(fields.small(2)?),
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -16,7 +16,6 @@
 pub const TOKENED: u32 = 4;
 pub const NON_RETRYABLE: u32 = 5;
 
-/// Stands in the trace where the router started again.
 pub const RESTARTED: Note = Note::Rang { cookie: Cookie(u64::MAX) };
 
 pub fn ms(millis: i64) -> Span {
@@ -77,7 +76,6 @@
     pub probes: Vec<HostId>,
     rings: Vec<(Point, Cookie)>,
     numbers: Vec<OpId>,
-    /// All that came out and went in, in order, for whoever checks it.
     pub trace: Vec<(Point, Result<Action, Note>)>,
 }
 
@@ -92,7 +90,6 @@
         world
     }
 
-    /// The router is killed and starts again with an old list; what it held is gone.
     pub fn restart(&mut self, charter: Manifest, entries: Vec<Entry>) {
         let (trace, now) = (std::mem::take(&mut self.trace), self.now);
         *self = World { trace, now, ..World::new(charter) };
@@ -139,7 +136,6 @@
         self.trace.push((self.now, Ok(action)));
     }
 
-    /// Lets time pass, with alarms and the time-outs of sends.
     pub fn wait(&mut self, millis: i64) {
         for _ in 0..millis {
             self.now = self.now + ms(1);
@@ -180,7 +176,6 @@
         }
     }
 
-    /// Whether the op has its final answer.
     pub fn answered(&self, op: OpId) -> bool {
         self.trace.iter().any(|(_, event)| match event {
             Ok(Action::BusyReply { op: id, .. } | Action::ErrorReply { op: id }) => *id == op,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -9,7 +9,6 @@
 use helpers::*;
 use proptest::prelude::*;
 
-#[derive(Debug)]
 struct Known {
     ask: Ask,
     must_see: Option<Point>,
@@ -17,7 +16,6 @@
     over: bool,
 }
 
-/// What the rules let a router do, from the trace alone.
 #[derive(Default)]
 struct Model {
     parallel: bool,
@@ -26,7 +24,6 @@
     ops: BTreeMap<u64, Known>,
     ready: BTreeMap<u32, bool>,
     told: BTreeMap<u32, Point>,
-    /// By host: since when it passes for primary (or not), and whether it does.
     primary: BTreeMap<u32, (Point, bool)>,
     commits: BTreeMap<u64, Point>,
     started: BTreeMap<u32, Point>,
