A send ruled out by its host is held, not dropped; dead check and twins removed

Cause: send() had a guard of its own beside route()'s, and an op whose tokened repeat was allowed only in another zone was then neither held nor answered: rule 1. The guard now stands in route(), which holds the op until waiting cannot pay. The model's charter has two zones and zone scope now; it failed on the old module ("no final answer in time") and passes.

Also: the check for two sends at once in may_send() could not be reached since second copies went (route() lets no second send out); the weight of an op type was worked out in three places, now in weight(); one look-up in asked() instead of two.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -341,9 +341,9 @@
         &self.op_types[op.ask.op_type.0 as usize]
     }
 
-    /// What one send of the op adds to a host's load.
-    fn weight(&self, op: &Op) -> f64 {
-        self.op_type(op).latency_target / self.least_target
+    /// What one send of the op type adds to a host's load.
+    fn weight(&self, kind: &OpType) -> f64 {
+        kind.latency_target / self.least_target
     }
 
     fn take(&mut self, note: Note, post: &mut Post) {
@@ -383,7 +383,8 @@
     }
 
     fn asked(&mut self, ask: Ask, post: &mut Post) {
-        let floor = if self.op_types[ask.op_type.0 as usize].need != Need::Session {
+        let need = self.op_types[ask.op_type.0 as usize].need;
+        let floor = if need != Need::Session {
             None
         } else if self.charter.text("tokens") == "carried" {
             let age = ask.token_age.unwrap_or_default();
@@ -391,12 +392,11 @@
         } else {
             ask.session.and_then(|session| self.commits.get(&session).copied()).max(self.commits_floor)
         };
-        let writes = self.op_types[ask.op_type.0 as usize].need == Need::Write;
         let held_back = self.groups.get(&ask.group).map_or(0.0, |group| group.held_back);
         let arrived = self.now;
         let place = self.ops.insert(Op { ask, arrived, floor, sends: Sends::default(), over: false });
         self.places.insert(ask.op, place);
-        if writes && self.rng.f64() < held_back {
+        if need == Need::Write && self.rng.f64() < held_back {
             return self.give_up(place, post);
         }
         post.ops.push_back(place);
@@ -412,7 +412,7 @@
     /// Rule 2: whether the op may go out again, to this host if one is named.
     fn may_send(&self, op: &Op, host: Option<HostId>) -> bool {
         let most = self.charter.number_or("max_sends", 1.0) as usize;
-        if op.sends.len() >= most || op.sends.is_out() && !self.charter.flag("parallel_sends") {
+        if op.sends.len() >= most {
             return false;
         }
         match (self.op_type(op).effect, op.sends.may_have_run()) {
@@ -425,12 +425,14 @@
         }
     }
 
-    /// Sends the op on, holds it, or answers at once when waiting cannot pay any more.
+    /// Sends the op on, holds it, or answers at once when waiting cannot pay. Never two sends at once.
     fn route(&mut self, place: usize, post: &mut Post) {
         let Some(op) = self.ops.get(place).filter(|op| !op.over && !op.sends.is_out()) else { return };
         if self.now >= self.pays_until(op) || !self.may_send(op, None) {
             self.give_up(place, post);
-        } else if let Some(host) = self.choose(place, post) {
+        } else if let Some(host) = self.choose(place, post)
+            && self.may_send(&self.ops[place], Some(host))
+        {
             self.send(place, host, post);
         } else if !self.held.contains(&place) {
             self.held.push(place);
@@ -439,10 +441,7 @@
 
     fn send(&mut self, place: usize, host: HostId, post: &mut Post) {
         let op = &self.ops[place];
-        if op.over || !self.may_send(op, Some(host)) || !self.face(host).open {
-            return;
-        }
-        let (weight, until) = (self.weight(op), self.pays_until(op));
+        let (weight, until) = (self.weight(self.op_type(op)), self.pays_until(op));
         self.held.retain(|&held| held != place);
         let op = &mut self.ops[place];
         op.sends.begin(host, self.now);
@@ -461,7 +460,7 @@
         let over = row.is_some_and(|(share, used)| *used > all * share);
         let late = if self.now > op.arrived + kind.latency_target { kind.late_value } else { 1.0 };
         let part = if over { self.charter.number_or("over_share_value", 1.0) } else { 1.0 };
-        kind.value / self.weight(op) * late * part
+        kind.value / self.weight(kind) * late * part
     }
 
     fn give_up(&mut self, place: usize, post: &mut Post) {
@@ -494,12 +493,12 @@
 
     fn ended(&mut self, end: Ended, post: &mut Post) {
         let Some(&place) = self.places.get(&end.op) else { return };
+        let kind = self.op_type(&self.ops[place]);
+        let (used, weight, writes) =
+            (end.took / kind.latency_target, self.weight(kind), kind.need == Need::Write);
         let op = &mut self.ops[place];
         let Some(one) = op.sends.end(end.send, end.outcome) else { return };
-        let kind = &self.op_types[op.ask.op_type.0 as usize];
-        let (used, weight) = (end.took / kind.latency_target, kind.latency_target / self.least_target);
-        let wrote = end.outcome == Outcome::Acked && kind.need == Need::Write;
-        if let Some(session) = op.ask.session.filter(|_| wrote) {
+        if let Some(session) = op.ask.session.filter(|_| writes && end.outcome == Outcome::Acked) {
             if self.commits.len() >= SESSIONS {
                 self.commits_floor = self.commits.drain().map(|(_, commit)| commit).max();
             }
@@ -591,7 +590,7 @@
             among.extend(ahead.or(primary.filter(|&host| self.face(host).bears(READS_AT_PRIMARY))));
             // Danger: late reports open replicas for short whiles only; what is held asks them all for news.
             self.freshen(op, &replicas, if among.is_empty() { usize::MAX } else { 2 }, post);
-        } else if self.weight(op) >= LONG {
+        } else if self.weight(kind) >= LONG {
             // Danger: long reads hold up the log where they run; spread out, they leave no replica fresh. So
             // they go where the copy is furthest behind. Harms when they alone need most of the replicas.
             let furthest = among.iter().map(|&host| self.face(host).behind).max().unwrap_or_default();
@@ -668,7 +667,7 @@
         all.for_each(|host| post.hosts.put(host, HostNote::Pulse(passed, self.peers)));
         // Danger: writes come faster than replicas apply them, and bounded reads lose all. Some are sent back
         // till most are within the bound, but where long reads hold up the log. Harms when reports come late.
-        let long = self.op_types.iter().any(|t| t.latency_target / self.least_target >= LONG);
+        let long = self.op_types.iter().any(|kind| self.weight(kind) >= LONG);
         let step = if long { 0.0 } else { passed / self.charter.span("connect_timeout") * CATCH_UP };
         for group in self.groups.values_mut() {
             let faces = group.members.iter().map(|host| &self.faces[host.0 as usize]);
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -32,7 +32,7 @@
         put(&format!("op_type.{row}.op_timeout"), Fact::Span(ms(TIMEOUT)));
         put(&format!("op_type.{row}.read"), Fact::Text(read.to_string()));
         put(&format!("op_type.{row}.effect"), Fact::Text(effect.to_string()));
-        put(&format!("op_type.{row}.scope"), Fact::Text("group".to_string()));
+        put(&format!("op_type.{row}.scope"), Fact::Text("zone".to_string()));
         put(&format!("op_type.{row}.late_value"), Fact::Number(if *read == "write" { 0.5 } else { 0.0 }));
         put(&format!("op_type.{row}.memory"), Fact::Span(ms(MEMORY)));
         put(&format!("op_type.{row}.bound"), Fact::Span(ms(BOUND)));
@@ -57,7 +57,7 @@
 
 pub fn entry(host: u32, availability: Availability, primary: bool, started: Option<Point>) -> Entry {
     let group = GroupId(i64::from(host / 4));
-    Entry { host: HostId(host), availability, group, zone: ZoneId(0), size: 1.0, primary, started }
+    Entry { host: HostId(host), availability, group, zone: ZoneId(host % 2), size: 1.0, primary, started }
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -114,7 +114,7 @@
                     Some(&true),
                     "rule 3: a send to a host that is not ready"
                 );
-                assert!(self.may_repeat(known, now), "rule 2: a send that may run an op twice");
+                assert!(self.may_repeat(known, *host, now), "rule 2: a send that may run an op twice");
                 assert!(self.fresh_enough(known, *host, now), "rule 5: a read that may be stale");
                 self.sends.push((now, host.0));
                 assert!(self.within_cold_budget(host.0, now), "rule 4: more than a cold host can bear");
@@ -150,21 +150,21 @@
         sent(host, 1500) <= 1.0 + 2.0 * (0.25 + 0.75 * (age / ms(8000))) * busiest
     }
 
-    fn may_have_run(known: &Known) -> Option<Point> {
+    fn may_have_run(known: &Known) -> Option<(Point, HostId)> {
         let proof = [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot, Outcome::Miss];
         let open = known.sends.iter().find(|(_, _, end)| end.is_none_or(|end| !proof.contains(&end)));
-        open.map(|(at, _, _)| *at)
+        open.map(|(at, host, _)| (*at, *host))
     }
 
     fn harmless(known: &Known) -> bool {
         known.ask.op_type.0 < TOKENED || Self::may_have_run(known).is_none()
     }
 
-    fn may_repeat(&self, known: &Known, now: Point) -> bool {
+    fn may_repeat(&self, known: &Known, host: HostId, now: Point) -> bool {
         let out = known.sends.iter().any(|(_, _, end)| end.is_none());
         let in_time = match (known.ask.op_type.0, Self::may_have_run(known)) {
             (_, None) | (..TOKENED, _) => true,
-            (TOKENED, Some(first)) => now - first < ms(MEMORY),
+            (TOKENED, Some((first, there))) => now - first < ms(MEMORY) && there.0 % 2 == host.0 % 2,
             _ => false,
         };
         in_time && (self.parallel || !out) && known.sends.len() < 6
