--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,6 +45,7 @@
 /// What alarms are for: none names a place that could be reused.
 const PULSE: Cookie = Cookie(0);
 const ASK_LIST: Cookie = Cookie(1);
+const TRY_HELD: Cookie = Cookie(2);
 
 /// What the desk sees of a host.
 #[derive(Clone, Copy, Default)]
@@ -307,6 +308,8 @@
     ops: Slab<Op>,
     places: FxHashMap<OpId, usize>,
     held: Vec<usize>,
+    /// An alarm is set to try the held ops again.
+    trying: bool,
     /// Commits of sessions' writes; those that were dropped are no newer than the floor.
     commits: FxHashMap<SessionId, Point>,
     commits_floor: Option<Point>,
@@ -361,9 +364,14 @@
                 }
             }
             Note::Rang { cookie: ASK_LIST } => post.actions.push(Action::Subscribe { on: true }),
+            Note::Rang { cookie: TRY_HELD } => {
+                self.trying = false;
+                self.try_held(post);
+            }
             Note::Rang { .. } => self.pulse(post),
             Note::Probed { host, outcome, word } => {
                 post.hosts.put(host, HostNote::Probed((outcome == Outcome::Acked).then_some(word)));
+                self.try_held(post);
             }
             Note::Told { .. } => {}
         }
@@ -436,6 +444,9 @@
             self.send(place, host, post);
         } else if !self.held.contains(&place) {
             self.held.push(place);
+            if !std::mem::replace(&mut self.trying, true) {
+                post.actions.push(Action::Ring { after: self.charter.span("tick"), cookie: TRY_HELD });
+            }
         }
     }
 
@@ -658,7 +669,8 @@
     fn pulse(&mut self, post: &mut Post) {
         let (now, passed) = (self.now, self.now - self.pulsed_at);
         self.pulsed_at = now;
-        post.actions.push(Action::Ring { after: self.charter.span("tick"), cookie: PULSE });
+        let poll = self.charter.span("connect_timeout") * STEP;
+        post.actions.push(Action::Ring { after: poll, cookie: PULSE });
         let warm = self.faces.iter().filter(|face| face.warmth >= 1.0 && face.sound());
         let rates: SmallVec<[f64; 16]> = warm.map(|face| face.rate / face.size).collect();
         self.peers =
@@ -676,17 +688,22 @@
             group.held_back += if far * 2 > all { step } else { -step };
             group.held_back = group.held_back.clamp(0.0, MOST_BACK);
         }
-        let poll = self.charter.span("connect_timeout") * STEP;
         for group in self.groups.values().filter(|group| group.wanted.replace(false)) {
             let due = |host: &HostId| now - self.face(*host).probed_at >= poll;
             self.probe(&group.members.iter().copied().filter(due).collect::<Hosts>(), post);
         }
+    }
+
+    fn try_held(&mut self, post: &mut Post) {
         // Overload: within a rank the newest go first, since the oldest have the least time left.
         let mut held = std::mem::take(&mut self.held);
         let key = |place: &usize| (self.rank(&self.ops[*place]), self.ops[*place].arrived);
         held.sort_by(|a, b| key(b).partial_cmp(&key(a)).expect("ranks are numbers"));
         post.ops.extend(&held);
         self.held = held;
+        if !self.held.is_empty() && !std::mem::replace(&mut self.trying, true) {
+            post.actions.push(Action::Ring { after: self.charter.span("tick"), cookie: TRY_HELD });
+        }
     }
 }
 
@@ -699,11 +716,12 @@
 
 impl Router {
     pub fn start(now: Point, seed: u64, charter: Manifest, actions: &mut Vec<Action>) -> Self {
-        let desk = Desk::new(now, seed, charter);
+        let mut desk = Desk::new(now, seed, charter);
         if desk.charter.text("list") == "ask" {
             actions.push(Action::Subscribe { on: true });
         }
-        actions.push(Action::Ring { after: desk.charter.span("tick"), cookie: PULSE });
+        let first = desk.charter.span("connect_timeout") * (STEP * desk.rng.f64());
+        actions.push(Action::Ring { after: first, cookie: PULSE });
         Router { desk, hosts: Vec::new(), post: Post::default() }
     }
 
