Cold hosts start in a random debt up to the heaviest send

Cause: a fixed debt of two sends is never worked off by a router with few ops, so cold hosts stayed unused. Covers every kind of restart; the sum over routers still stays at the warm host's share times warmth. Harms when few heavy routers draw small debts at once.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -85,7 +85,8 @@
 }
 
 enum HostNote {
-    Listed(Entry),
+    /// With the debt that it starts with if it is cold.
+    Listed(Entry, f64),
     Dropped,
     /// A send, by its weight.
     Took(f64),
@@ -129,7 +130,7 @@
 
     fn take(&mut self, id: HostId, now: Point, note: HostNote, charter: &Manifest, post: &mut Post) {
         match note {
-            HostNote::Listed(entry) => self.listed(entry, charter),
+            HostNote::Listed(entry, debt) => self.listed(entry, debt, charter),
             HostNote::Dropped => self.face.open &= charter.flag("removal_not_binding"),
             HostNote::Took(weight) => {
                 self.face.unfinished += 1;
@@ -171,7 +172,7 @@
         post.faces.push_back((id, self.face));
     }
 
-    fn listed(&mut self, entry: Entry, charter: &Manifest) {
+    fn listed(&mut self, entry: Entry, debt: f64, charter: &Manifest) {
         if self.known && entry.started != self.started {
             // It started again: its past says nothing of its health, and whatever the list still calls it, it
             // comes back as a replica.
@@ -188,8 +189,9 @@
         self.draining = entry.availability == Availability::Draining || gone && binds;
         face.open = !self.draining;
         if entry.started.is_some() && face.warmth >= 1.0 {
-            // Till the next pulse tells how warm it is. The first send has to be earned, too.
-            (face.warmth, face.credit) = (charter.number_or("cold_from", 1.0), -LEAST_LIMIT * 2.0);
+            // Till the next pulse tells how warm it is. The first send has to be earned, too: from a debt drawn
+            // up to the heaviest send, so that many small routers together start at their share, not at none.
+            (face.warmth, face.credit) = (charter.number_or("cold_from", 1.0), -debt);
         }
     }
 
@@ -386,7 +388,9 @@
             let members = &mut self.groups.entry(entry.group).or_default().members;
             members.push(entry.host);
             members.sort_unstable();
-            post.hosts.put(entry.host, HostNote::Listed(entry));
+            let heaviest = self.op_types.iter().map(|kind| self.weight(kind)).fold(1.0, f64::max);
+            let debt = heaviest * self.rng.f64();
+            post.hosts.put(entry.host, HostNote::Listed(entry, debt));
         }
     }
 
