Reads without a qualifying replica wait a moment for one replica's position

Replicas are now asked one at a time, the read waits up to a tenth of the least latency target for each. Covers lag, silent probes, large fleets; harms where probes are slow.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,6 +32,8 @@
 const STRAINED: f64 = 0.9;
 /// Reads may fill the primary to this share of its limit.
 const READS_AT_PRIMARY: f64 = 0.75;
+/// How long a read waits for one replica's position, as a share of the least latency target.
+const PATIENCE: f64 = 0.1;
 /// A position is asked for again after this share of the least bound.
 const PROBE_GAP: f64 = 0.125;
 /// A missing primary is looked for, and a limit is cut, once in this share of the connect time-out.
@@ -71,6 +73,8 @@
     quiet: bool,
     probing: bool,
     probed_at: Point,
+    /// Probes without answer since the last one with.
+    lost: u32,
 }
 
 impl Face {
@@ -161,6 +165,7 @@
             }
             HostNote::Probed(word) => {
                 self.face.probing = false;
+                self.face.lost = if word.is_some() { 0 } else { self.face.lost + 1 };
                 if let Some(word) = word {
                     self.hush(false);
                     self.learn(now, word, word.position.unwrap_or_default() - Span::from_micros(1));
@@ -603,15 +608,18 @@
             let ahead = able.max_by_key(|&host| self.face(host).position);
             let ahead = ahead.filter(|_| checks && fit.is_empty() && op.sends.len() == 0);
             among.extend(ahead.or(primary.filter(|&host| self.face(host).bears(READS_AT_PRIMARY))));
-            // Danger: late reports open replicas for short whiles only; what is held asks them all for news.
-            self.freshen(op, &replicas, if among.is_empty() { usize::MAX } else { 2 }, post);
+            // Danger: a router with few ops knows no position that is still within the bound, and sends all to
+            // the primary. So the replicas are asked in turn, and the read waits a moment for their word.
+            if fit.is_empty() && self.ask(op, &replicas, post) {
+                return Hosts::new();
+            }
         } else if self.weight(kind) >= LONG {
             // Danger: long reads hold up the log where they run; spread out, they leave no replica fresh. So
             // they go where the copy is furthest behind. Harms when they alone need most of the replicas.
             let furthest = among.iter().map(|&host| self.face(host).behind).max().unwrap_or_default();
             among.retain(|&mut host| self.face(host).behind >= furthest);
-        } else if fit.len() < replicas.len() {
-            self.freshen(op, &replicas, 1, post);
+        } else if fit.len() < replicas.len() && among.iter().all(|&host| self.face(host).unfinished > 0) {
+            self.ask(op, &replicas, post);
         }
         among
     }
@@ -627,27 +635,30 @@
         }
     }
 
-    /// Asks so many replicas for their position: of one that will soon lapse, or of those most advanced.
-    fn freshen(&self, op: &Op, replicas: &[HostId], most: usize, post: &mut Post) {
-        let lapses = match self.op_type(op).need {
-            Need::Bounded(bound) => self.now - bound * 0.5,
-            Need::Session if most > 1 => self.now,
-            _ => return,
-        };
+    /// Asks one more replica for its position; whether the read should wait for what comes back.
+    fn ask(&self, op: &Op, replicas: &[HostId], post: &mut Post) -> bool {
+        if !matches!(self.op_type(op).need, Need::Bounded(_) | Need::Session) {
+            return false;
+        }
+        let patience = self.least_target * PATIENCE;
+        let awaited =
+            |host: &HostId| self.face(*host).probing && self.now - self.face(*host).probed_at < patience;
+        if replicas.iter().any(awaited) {
+            return true;
+        }
         let due = |host: &HostId| {
             let face = self.face(*host);
             // A copy far behind cannot be back within the bound before it has applied what it lacks.
             let gap = ((face.behind - self.bound) * 0.5).min(self.charter.span("connect_timeout") * REST);
             let rested = self.now - face.probed_at >= gap.max(self.bound * PROBE_GAP);
-            face.sound() && !face.probing && face.position < lapses && rested
+            face.sound() && face.bears(1.0) && !face.probing && face.probed_at < op.arrived && rested
         };
-        let mut due: Hosts = replicas.iter().copied().filter(due).collect();
-        due.sort_by_key(|&host| self.face(host).position);
-        if most > 1 {
-            due.reverse();
-        }
-        due.truncate(most);
-        self.probe(&due, post);
+        let due = replicas.iter().copied().filter(due);
+        let next = due.min_by_key(|&host| {
+            (self.face(host).lost, self.face(host).unfinished, self.face(host).probed_at)
+        });
+        self.probe(next.as_slice(), post);
+        next.is_some() && self.charter.flag("probes")
     }
 
     /// Dynamic MPF: the load window, then the session's host, then the lightest, ties at random.
