--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,6 +36,8 @@
 const PATIENCE: f64 = 0.1;
 /// A position is asked for again after this share of the least bound.
 const PROBE_GAP: f64 = 0.125;
+/// A cold host gets at most this part of the multiple of its capacity that would push it over.
+const OF_MULTIPLE: f64 = 0.7;
 /// A missing primary is looked for, and a limit is cut, once in this share of the connect time-out.
 const STEP: f64 = 0.4;
 /// While most replicas are behind, the share of writes sent back grows by this in a connect time-out.
@@ -118,7 +120,7 @@
     draining: bool,
     live: f64,
     kept: f64,
-    sent: f64,
+    done: f64,
     evidence: f64,
     rest_until: Point,
     mute: u32,
@@ -139,7 +141,6 @@
             HostNote::Took(weight) => {
                 self.face.unfinished += 1;
                 self.live += weight;
-                self.sent += weight;
                 self.face.credit -= weight;
             }
             HostNote::Ended(end, weight, used) => {
@@ -147,7 +148,7 @@
                 self.live -= weight;
                 if end.outcome.is_answer() {
                     self.kept *= 0.5;
-                    self.answered(now, end, used, charter);
+                    self.answered(now, end, weight, used, charter);
                 } else if end.outcome != Outcome::Moot {
                     // Danger: a host that hangs looks light when its time-outs clear its entries, and draws
                     // more. They weigh on for a while; a host that only lost a few sends loses some reads.
@@ -195,21 +196,22 @@
         face.open = !self.draining;
         if entry.started.is_some() && face.warmth >= 1.0 {
             // Till the next pulse tells how warm it is. The first send has to be earned, too: from a debt drawn
-            // up to the heaviest send, so that many small routers together start at their share, not at none.
+            // up to a mean send, so that many small routers together start at their share, not at none.
             (face.warmth, face.credit) = (charter.number_or("cold_from", 1.0), -debt);
         }
     }
 
     fn pulse(&mut self, now: Point, passed: Span, peers: f64, charter: &Manifest) {
         let (face, fall, cold) = (&mut self.face, charter.span("fall"), charter.span("cold"));
-        face.rate += (self.sent / passed.as_secs_f64().max(1e-6) - face.rate) * (passed / fall).min(1.0);
-        self.sent = 0.0;
+        face.rate += (self.done / passed.as_secs_f64().max(1e-6) - face.rate) * (passed / fall).min(1.0);
+        self.done = 0.0;
         let age = self.started.map_or(cold, |started| now - started);
         let from = charter.number_or("cold_from", 1.0);
         face.warmth = if age < cold { from + (1.0 - from) * (age / cold).max(0.0) } else { 1.0 };
-        // Danger: all routers together push a cold host over. Each sends it at most the present share of what
-        // it sends to a warm host of that size; together that is at most what the cold host can do.
-        let allowed = face.warmth * peers * face.size;
+        // Danger: all routers together push a cold host over. What warm hosts acked they can surely do, and a
+        // cold one its share of that; each router sends it a safe part of the multiple that it bears.
+        let safe = (charter.number_or("fall_multiple", 1.0) * OF_MULTIPLE).max(1.0);
+        let allowed = safe * face.warmth * peers * face.size;
         let saved = allowed * fall.as_secs_f64() * 0.1;
         face.credit = (face.credit + allowed * passed.as_secs_f64()).min(saved);
         let fades = charter.span("connect_timeout") * REST;
@@ -243,7 +245,7 @@
         }
     }
 
-    fn answered(&mut self, now: Point, end: Ended, used: f64, charter: &Manifest) {
+    fn answered(&mut self, now: Point, end: Ended, weight: f64, used: f64, charter: &Manifest) {
         self.heard_at = now;
         self.hush(false);
         self.learn(now, end.word, now);
@@ -252,6 +254,7 @@
         }
         match end.outcome {
             Outcome::Acked => {
+                self.done += weight;
                 self.judge(now, used > 1.0, charter);
                 if used > STRAINED {
                     self.cut(now, 0.9, charter);
@@ -393,8 +396,8 @@
             let members = &mut self.groups.entry(entry.group).or_default().members;
             members.push(entry.host);
             members.sort_unstable();
-            let heaviest = self.op_types.iter().map(|kind| self.weight(kind)).fold(1.0, f64::max);
-            let debt = heaviest * self.rng.f64();
+            let weights = self.op_types.iter().map(|kind| self.weight(kind));
+            let debt = weights.sum::<f64>() / self.op_types.len() as f64 * self.rng.f64();
             post.hosts.put(entry.host, HostNote::Listed(entry, debt));
         }
     }
