Limits under one space sends out where routers are many

A limit under one allows one send out for that share of the time. First and least limits are a total over the told number of routers. Covers any overload or hang of a host; harms heavy routers where most carry little.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,9 +24,9 @@
 const TOLERATED: f64 = 0.1;
 /// An ill host rests this many connect time-outs before a trial; entries of unanswered sends fade as long.
 const REST: f64 = 8.0;
-/// Sends that may be unfinished at a host that is not known yet, and at any host.
-const FIRST_LIMIT: f64 = 16.0;
-const LEAST_LIMIT: f64 = 1.0;
+/// Sends of all routers together that may be unfinished at a host that is not known yet, and at any host.
+const FIRST_LIMIT: f64 = 64.0;
+const LEAST_LIMIT: f64 = 8.0;
 /// An answer within the first share of its latency target lets the limit grow, one beyond the second cuts it.
 const EASY: f64 = 0.5;
 const STRAINED: f64 = 0.9;
@@ -75,13 +75,18 @@
     quiet: bool,
     probing: bool,
     probed_at: Point,
+    sent_at: Point,
     /// Probes without answer since the last one with.
     lost: u32,
 }
 
 impl Face {
-    fn bears(&self, share: f64) -> bool {
-        let fits = f64::from(self.unfinished) < self.limit * share;
+    /// Whether it has room for one more send. Danger: of many routers even one send each is too many; a limit
+    /// under one spaces sends out, so that one is out for that share of the time.
+    fn bears(&self, share: f64, now: Point, pace: Span) -> bool {
+        let room = self.limit * share;
+        let spaced = self.unfinished == 0 && now - self.sent_at >= pace * (1.0 / room);
+        let fits = if room < 1.0 { spaced } else { f64::from(self.unfinished) < room };
         self.open && fits && (self.warmth >= 1.0 || self.credit >= 0.0)
     }
 
@@ -129,8 +134,9 @@
 }
 
 impl Host {
-    fn new() -> Self {
-        let face = Face { limit: FIRST_LIMIT, warmth: 1.0, size: 1.0, ..Face::default() };
+    fn new(charter: &Manifest) -> Self {
+        let limit = (FIRST_LIMIT / charter.number_or("routers", 1.0)).clamp(1.0, 16.0);
+        let face = Face { limit, warmth: 1.0, size: 1.0, ..Face::default() };
         Host { face, ..Host::default() }
     }
 
@@ -141,6 +147,7 @@
             HostNote::Took(weight) => {
                 self.face.unfinished += 1;
                 self.live += weight;
+                self.face.sent_at = now;
                 self.face.credit -= weight;
             }
             HostNote::Ended(end, weight, used) => {
@@ -183,7 +190,7 @@
             // It started again: its past says nothing of its health, and whatever the list still calls it, it
             // comes back as a replica.
             let Face { zone, size, position, role_at, unfinished, rate, .. } = self.face;
-            let fresh = Face { role: Some(Role::Replica), ..Host::new().face };
+            let fresh = Face { role: Some(Role::Replica), ..Host::new(charter).face };
             self.face = Face { zone, size, position, role_at, unfinished, rate, ..fresh };
             (self.evidence, self.kept, self.mute) = (0.0, 0.0, 0);
         }
@@ -240,7 +247,10 @@
 
     fn cut(&mut self, now: Point, factor: f64, charter: &Manifest) {
         if now >= self.cut_at {
-            self.face.limit = (self.face.limit * factor).max(LEAST_LIMIT);
+            // A router with less than one send out hears of few outcomes, and each counts for more.
+            let factor = if self.face.limit > 1.0 { factor } else { factor * factor * factor };
+            let least = (LEAST_LIMIT / charter.number_or("routers", 1.0)).min(1.0);
+            self.face.limit = (self.face.limit * factor).max(least);
             self.cut_at = now + charter.span("connect_timeout") * STEP;
         }
     }
@@ -258,8 +268,8 @@
                 self.judge(now, used > 1.0, charter);
                 if used > STRAINED {
                     self.cut(now, 0.9, charter);
-                } else if used < EASY && f64::from(self.face.unfinished) >= self.face.limit * 0.5 {
-                    self.face.limit += 1.0 / self.face.limit;
+                } else if used < EASY && f64::from(self.face.unfinished + 1) >= self.face.limit * 0.5 {
+                    self.face.limit += self.face.limit.min(1.0 / self.face.limit);
                 }
             }
             Outcome::Errored => self.judge(now, true, charter),
@@ -350,6 +360,10 @@
         &self.faces[host.0 as usize]
     }
 
+    fn bears(&self, host: HostId, share: f64) -> bool {
+        self.face(host).bears(share, self.now, self.least_target)
+    }
+
     fn op_type(&self, op: &Op) -> &OpType {
         &self.op_types[op.ask.op_type.0 as usize]
     }
@@ -583,12 +597,13 @@
         }
         if matches!(kind.need, Need::Write | Need::Fresh) {
             if primary.is_some() {
-                among.extend(primary.filter(|&host| self.face(host).bears(1.0)));
+                among.extend(primary.filter(|&host| self.bears(host, 1.0)));
             } else if (kind.need == Need::Write || checks) && (op.sends.len() as f64) < half {
                 // None known: members in turn, the most advanced first; a known replica counts as a miss.
                 // Danger: a fresh read answered by a replica that does not check reads.
-                let blank = |f: &Face| f.role.is_none() && !f.probing && f.sound() && f.bears(1.0);
-                let next = |host: &HostId| !op.sends.tried(*host) && blank(self.face(*host));
+                let blank = |f: &Face| f.role.is_none() && !f.probing && f.sound();
+                let able = |host: HostId| blank(self.face(host)) && self.bears(host, 1.0);
+                let next = |host: &HostId| !op.sends.tried(*host) && able(*host);
                 let turn = group.members.iter().copied().filter(next);
                 among.extend(turn.max_by_key(|&host| self.face(host).position));
             }
@@ -600,17 +615,17 @@
         let most = replicas.iter().filter(|&&host| self.face(host).sound()).count() * 2 < replicas.len();
         let sound = |host: &HostId| self.face(*host).sound() || most && !self.face(*host).quiet;
         let fit: Hosts = replicas.iter().copied().filter(|h| self.qualifies(op, *h) && sound(h)).collect();
-        among = fit.iter().copied().filter(|&host| self.face(host).bears(1.0)).collect();
+        among = fit.iter().copied().filter(|&host| self.bears(host, 1.0)).collect();
         if among.iter().any(|&host| !op.sends.tried(host)) {
             among.retain(|&mut host| !op.sends.tried(host));
         }
         if among.is_empty() {
             // Replicas are at their limit while the primary idles, or none qualifies: then, where hosts check
             // reads, the most advanced one has the first word.
-            let able = replicas.iter().copied().filter(|h| sound(h) && self.face(*h).bears(1.0));
+            let able = replicas.iter().copied().filter(|h| sound(h) && self.bears(*h, 1.0));
             let ahead = able.max_by_key(|&host| self.face(host).position);
             let ahead = ahead.filter(|_| checks && fit.is_empty() && op.sends.len() == 0);
-            among.extend(ahead.or(primary.filter(|&host| self.face(host).bears(READS_AT_PRIMARY))));
+            among.extend(ahead.or(primary.filter(|&host| self.bears(host, READS_AT_PRIMARY))));
             // Danger: a router with few ops knows no position that is still within the bound, and sends all to
             // the primary. So the replicas are asked in turn, and the read waits a moment for their word.
             if fit.is_empty() && self.ask(op, &replicas, post) {
@@ -654,7 +669,7 @@
             // A copy far behind cannot be back within the bound before it has applied what it lacks.
             let gap = ((face.behind - self.bound) * 0.5).min(self.charter.span("connect_timeout") * REST);
             let rested = self.now - face.probed_at >= gap.max(self.bound * PROBE_GAP);
-            face.sound() && face.bears(1.0) && !face.probing && face.probed_at < op.arrived && rested
+            face.sound() && self.bears(*host, 1.0) && !face.probing && face.probed_at < op.arrived && rested
         };
         let due = replicas.iter().copied().filter(due);
         let next = due.min_by_key(|&host| {
@@ -751,7 +766,7 @@
             while let Some((id, note)) = post.hosts.take() {
                 let place = id.0 as usize;
                 if hosts.len() <= place {
-                    hosts.resize_with(place + 1, Host::new);
+                    hosts.resize_with(place + 1, || Host::new(&desk.charter));
                     desk.faces.resize(place + 1, Face::default());
                 }
                 hosts[place].take(id, now, note, &desk.charter, post);
