--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,6 +34,8 @@
 const READS_AT_PRIMARY: f64 = 0.75;
 /// How long a read waits for one replica's position, as a share of the least latency target.
 const PATIENCE: f64 = 0.1;
+/// Reads asked of a group are at most this many times those that were lately acked in time.
+const BACKED: f64 = 2.0;
 /// A position is asked for again after this share of the least bound.
 const PROBE_GAP: f64 = 0.125;
 /// A cold host gets at most this part of the multiple of its capacity that would push it over.
@@ -309,6 +311,9 @@
     wanted: Cell<bool>,
     /// The share of its writes that are sent back so that its replicas catch up.
     held_back: f64,
+    /// Reads asked for of late, and those that were acked within their latency target.
+    reads: f64,
+    good: f64,
 }
 
 type Hosts = SmallVec<[HostId; 16]>;
@@ -426,11 +431,18 @@
         } else {
             ask.session.and_then(|session| self.commits.get(&session).copied()).max(self.commits_floor)
         };
-        let held_back = self.groups.get(&ask.group).map_or(0.0, |group| group.held_back);
+        let reads = f64::from(need != Need::Write);
+        let back = self.groups.get_mut(&ask.group).map_or(0.0, |group| {
+            group.reads += reads;
+            // Danger: a jam that feeds itself, as hosts work on sends that nobody waits for any more. A router
+            // asks its group for a multiple of what comes back in time, no more. Harms where reads fail alone.
+            let vain = (group.reads - BACKED * group.good) / (group.reads + 1.0);
+            if need == Need::Write { group.held_back } else { vain }
+        });
         let arrived = self.now;
         let place = self.ops.insert(Op { ask, arrived, floor, sends: Sends::default(), over: false });
         self.places.insert(ask.op, place);
-        if need == Need::Write && self.rng.f64() < held_back {
+        if self.rng.f64() < back {
             return self.give_up(place, post);
         }
         post.ops.push_back(place);
@@ -533,6 +545,11 @@
         let kind = self.op_type(&self.ops[place]);
         let (used, weight, writes) =
             (end.took / kind.latency_target, self.weight(kind), kind.need == Need::Write);
+        let group = self.ops[place].ask.group;
+        if let Some(group) = self.groups.get_mut(&group).filter(|_| !writes && end.outcome == Outcome::Acked)
+        {
+            group.good += f64::from(used <= 1.0);
+        }
         let op = &mut self.ops[place];
         let Some(one) = op.sends.end(end.send, end.outcome) else { return };
         if let Some(session) = op.ask.session.filter(|_| writes && end.outcome == Outcome::Acked) {
@@ -714,7 +731,9 @@
         // till most are within the bound, but where long reads hold up the log. Harms when reports come late.
         let long = self.op_types.iter().any(|kind| self.weight(kind) >= LONG);
         let step = if long { 0.0 } else { passed / self.charter.span("connect_timeout") * CATCH_UP };
+        let fades = 1.0 - (passed / (self.charter.span("connect_timeout") * REST * 2.0)).min(1.0);
         for group in self.groups.values_mut() {
+            (group.reads, group.good) = (group.reads * fades, group.good * fades);
             let faces = group.members.iter().map(|host| &self.faces[host.0 as usize]);
             let replicas = faces.filter(|f| f.open && f.role == Some(Role::Replica)).map(|f| f.behind);
             let (all, far) = (replicas.clone().count(), replicas.filter(|&b| b > self.bound).count());
