--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,7 +4,8 @@
 //! Every host is an actor with an inbox; the desk is the actor that holds the ops. Hosts show it their face,
 //! it tells them what was sent to them. The one loop in `Router::take` empties all inboxes, the hosts' first.
 
-use std::{cell::Cell, collections::VecDeque};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 
 use arrowyard_types::*;
 use fastrand::Rng;
@@ -325,7 +326,7 @@
     bound: Span,
     least_target: Span,
     now: Point,
-    rng: Rng,
+    rng: RefCell<Rng>,
     /// By tenant: its share, and its part of the latest sends.
     tenants: Vec<(f64, f64)>,
     faces: Vec<Face>,
@@ -354,7 +355,7 @@
             tenants: (0..).map(|row| (share(row), 0.0)).take_while(|(share, _)| *share > 0.0).collect(),
             now,
             pulsed_at: now,
-            rng: Rng::with_seed(seed),
+            rng: RefCell::new(Rng::with_seed(seed)),
             op_types,
             charter,
             ..Desk::default()
@@ -382,7 +383,7 @@
         match note {
             Note::Listed { form, entries } => self.listed(form, entries, post),
             Note::ListFailed => {
-                let wait = self.charter.span("ask_within") * (0.1 + 0.2 * self.rng.f64());
+                let wait = self.charter.span("ask_within") * (0.1 + 0.2 * self.rng.borrow_mut().f64());
                 post.actions.push(Action::Ring { after: wait, cookie: ASK_LIST });
             }
             Note::Asked(ask) => self.asked(ask, post),
@@ -416,7 +417,7 @@
             members.push(entry.host);
             members.sort_unstable();
             let weights = self.op_types.iter().map(|kind| self.weight(kind));
-            let debt = weights.sum::<f64>() / self.op_types.len() as f64 * self.rng.f64();
+            let debt = weights.sum::<f64>() / self.op_types.len() as f64 * self.rng.borrow_mut().f64();
             post.hosts.put(entry.host, HostNote::Listed(entry, debt));
         }
     }
@@ -436,13 +437,13 @@
             group.reads += reads;
             // Danger: a jam that feeds itself, as hosts work on sends that nobody waits for any more. A router
             // asks its group for a multiple of what comes back in time, no more. Harms where reads fail alone.
-            let vain = (group.reads - BACKED * group.good) / (group.reads + 1.0);
+            let vain = (group.reads - BACKED * (group.good + BACKED)) / (group.reads + 1.0);
             if need == Need::Write { group.held_back } else { vain }
         });
         let arrived = self.now;
         let place = self.ops.insert(Op { ask, arrived, floor, sends: Sends::default(), over: false });
         self.places.insert(ask.op, place);
-        if self.rng.f64() < back {
+        if self.rng.borrow_mut().f64() < back {
             return self.give_up(place, post);
         }
         post.ops.push_back(place);
@@ -688,10 +689,12 @@
             let rested = self.now - face.probed_at >= gap.max(self.bound * PROBE_GAP);
             face.sound() && self.bears(*host, 1.0) && !face.probing && face.probed_at < op.arrived && rested
         };
-        let due = replicas.iter().copied().filter(due);
-        let next = due.min_by_key(|&host| {
-            (self.face(host).lost, self.face(host).unfinished, self.face(host).probed_at)
-        });
+        // Danger: routers that all ask the same one first send it all their reads. So ties fall at random.
+        let due: Hosts = replicas.iter().copied().filter(due).collect();
+        let key = |host: HostId| (self.face(host).lost, self.face(host).unfinished);
+        let least = due.iter().map(|&host| key(host)).min();
+        let ties: Hosts = due.into_iter().filter(|&host| Some(key(host)) == least).collect();
+        let next = self.rng.borrow_mut().choice(ties);
         self.probe(next.as_slice(), post);
         next.is_some() && self.charter.flag("probes")
     }
@@ -713,7 +716,7 @@
             }
         }
         let ties: Hosts = window.iter().copied().filter(|&host| load(host) <= least).collect();
-        ties[self.rng.usize(..ties.len())]
+        ties[self.rng.borrow_mut().usize(..ties.len())]
     }
 
     fn pulse(&mut self, post: &mut Post) {
@@ -768,11 +771,11 @@
 
 impl Router {
     pub fn start(now: Point, seed: u64, charter: Manifest, actions: &mut Vec<Action>) -> Self {
-        let mut desk = Desk::new(now, seed, charter);
+        let desk = Desk::new(now, seed, charter);
         if desk.charter.text("list") == "ask" {
             actions.push(Action::Subscribe { on: true });
         }
-        let first = desk.charter.span("connect_timeout") * (STEP * desk.rng.f64());
+        let first = desk.charter.span("connect_timeout") * (STEP * desk.rng.borrow_mut().f64());
         actions.push(Action::Ring { after: first, cookie: PULSE });
         Router { desk, hosts: Vec::new(), post: Post::default() }
     }
