--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,6 +37,8 @@
 const PATIENCE: f64 = 0.1;
 /// Reads asked of a group are at most this many times those that were lately acked in time.
 const BACKED: f64 = 2.0;
+/// A host whose cores are all busy counts as holding this many sends for its size.
+const BUSY: f64 = 8.0;
 /// A position is asked for again after this share of the least bound.
 const PROBE_GAP: f64 = 0.125;
 /// A cold host gets at most this part of the multiple of its capacity that would push it over.
@@ -68,6 +70,9 @@
     /// Weight of this router's unfinished sends, and of those that ended unanswered a while ago.
     load: f64,
     unfinished: u32,
+    /// What its last report said of the load that all routers lay on it, over its size.
+    told: Option<f64>,
+    told_at: Point,
     limit: f64,
     rate: f64,
     /// The share of its capacity that it surely has; 1 when warm.
@@ -288,6 +293,11 @@
             self.face.position = self.face.position.max(position);
             self.face.behind = now - self.face.position;
         }
+        if word.util.is_some() || word.queue.is_some() {
+            let busy = word.util.unwrap_or_default() * BUSY;
+            self.face.told = Some(busy + word.queue.unwrap_or_default() / self.face.size);
+            self.face.told_at = now;
+        }
         if word.role.is_some() && as_of >= self.face.role_at {
             (self.face.role, self.face.role_at) = (word.role, as_of);
         }
@@ -701,7 +711,20 @@
 
     /// Dynamic MPF: the load window, then the session's host, then the lightest, ties at random.
     fn lightest(&mut self, hosts: &[HostId], place: usize) -> HostId {
-        let load = |host: HostId| self.face(host).load / (self.face(host).size * self.face(host).warmth);
+        // Danger: of many routers each sees next to nothing of the load. What hosts report of it stands in for
+        // the others' entries; old word fades to the mean. Harms when reports are wrong.
+        let told: Hosts = hosts.iter().copied().filter(|&host| self.face(host).told.is_some()).collect();
+        let sum: f64 = told.iter().filter_map(|&host| self.face(host).told).sum();
+        let mean = sum / (told.len() as f64).max(1.0);
+        let fades = self.charter.span("connect_timeout") * REST;
+        let others = |face: &Face| {
+            let trust = (1.0 - (self.now - face.told_at) / fades).max(0.0);
+            mean + face.told.map_or(0.0, |told| (told - mean) * trust)
+        };
+        let load = |host: HostId| {
+            let face = self.face(host);
+            (face.load / face.size + others(face)) / face.warmth
+        };
         let least = hosts.iter().map(|&host| load(host)).fold(f64::INFINITY, f64::min);
         let window: Hosts = hosts.iter().copied().filter(|&host| load(host) * WINDOW <= least).collect();
         let op = &self.ops[place];
