--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,10 +35,8 @@
 const READS_AT_PRIMARY: f64 = 0.75;
 /// How long a read waits for one replica's position, as a share of the least latency target.
 const PATIENCE: f64 = 0.1;
-/// Reads asked of a group are at most this many times those that were lately acked in time.
-const BACKED: f64 = 2.0;
-/// A host whose cores are all busy counts as holding this many sends for its size.
-const BUSY: f64 = 8.0;
+/// A group is sent at most this many times the share of reads that it lately acked in time.
+const BACKED: f64 = 1.5;
 /// A position is asked for again after this share of the least bound.
 const PROBE_GAP: f64 = 0.125;
 /// A cold host gets at most this part of the multiple of its capacity that would push it over.
@@ -70,9 +68,6 @@
     /// Weight of this router's unfinished sends, and of those that ended unanswered a while ago.
     load: f64,
     unfinished: u32,
-    /// What its last report said of the load that all routers lay on it, over its size.
-    told: Option<f64>,
-    told_at: Point,
     limit: f64,
     rate: f64,
     /// The share of its capacity that it surely has; 1 when warm.
@@ -293,11 +288,6 @@
             self.face.position = self.face.position.max(position);
             self.face.behind = now - self.face.position;
         }
-        if word.util.is_some() || word.queue.is_some() {
-            let busy = word.util.unwrap_or_default() * BUSY;
-            self.face.told = Some(busy + word.queue.unwrap_or_default() / self.face.size);
-            self.face.told_at = now;
-        }
         if word.role.is_some() && as_of >= self.face.role_at {
             (self.face.role, self.face.role_at) = (word.role, as_of);
         }
@@ -322,8 +312,8 @@
     wanted: Cell<bool>,
     /// The share of its writes that are sent back so that its replicas catch up.
     held_back: f64,
-    /// Reads asked for of late, and those that were acked within their latency target.
-    reads: f64,
+    /// Sends of reads that ended of late, and those that were acked within their latency target.
+    ended: f64,
     good: f64,
 }
 
@@ -442,13 +432,11 @@
         } else {
             ask.session.and_then(|session| self.commits.get(&session).copied()).max(self.commits_floor)
         };
-        let reads = f64::from(need != Need::Write);
-        let back = self.groups.get_mut(&ask.group).map_or(0.0, |group| {
-            group.reads += reads;
-            // Danger: a jam that feeds itself, as hosts work on sends that nobody waits for any more. A router
-            // asks its group for a multiple of what comes back in time, no more. Harms where reads fail alone.
-            let vain = (group.reads - BACKED * (group.good + BACKED)) / (group.reads + 1.0);
-            if need == Need::Write { group.held_back } else { vain }
+        // Danger: a jam that feeds itself, as hosts work on sends that nobody waits for any more. What a router
+        // sends to a group falls with the share that is acked in time. Harms where reads fail for other reasons.
+        let back = self.groups.get(&ask.group).map_or(0.0, |group| match need {
+            Need::Write => group.held_back,
+            _ => (1.0 - BACKED * (group.good + 1.0) / (group.ended + 1.0)).min(MOST_BACK),
         });
         let arrived = self.now;
         let place = self.ops.insert(Op { ask, arrived, floor, sends: Sends::default(), over: false });
@@ -557,9 +545,10 @@
         let (used, weight, writes) =
             (end.took / kind.latency_target, self.weight(kind), kind.need == Need::Write);
         let group = self.ops[place].ask.group;
-        if let Some(group) = self.groups.get_mut(&group).filter(|_| !writes && end.outcome == Outcome::Acked)
-        {
-            group.good += f64::from(used <= 1.0);
+        let tells = matches!(end.outcome, Outcome::Acked | Outcome::TimedOut | Outcome::Full);
+        if let Some(group) = self.groups.get_mut(&group).filter(|_| tells && !writes) {
+            group.ended += 1.0;
+            group.good += f64::from(end.outcome == Outcome::Acked && used <= 1.0);
         }
         let op = &mut self.ops[place];
         let Some(one) = op.sends.end(end.send, end.outcome) else { return };
@@ -711,20 +700,7 @@
 
     /// Dynamic MPF: the load window, then the session's host, then the lightest, ties at random.
     fn lightest(&mut self, hosts: &[HostId], place: usize) -> HostId {
-        // Danger: of many routers each sees next to nothing of the load. What hosts report of it stands in for
-        // the others' entries; old word fades to the mean. Harms when reports are wrong.
-        let told: Hosts = hosts.iter().copied().filter(|&host| self.face(host).told.is_some()).collect();
-        let sum: f64 = told.iter().filter_map(|&host| self.face(host).told).sum();
-        let mean = sum / (told.len() as f64).max(1.0);
-        let fades = self.charter.span("connect_timeout") * REST;
-        let others = |face: &Face| {
-            let trust = (1.0 - (self.now - face.told_at) / fades).max(0.0);
-            mean + face.told.map_or(0.0, |told| (told - mean) * trust)
-        };
-        let load = |host: HostId| {
-            let face = self.face(host);
-            (face.load / face.size + others(face)) / face.warmth
-        };
+        let load = |host: HostId| self.face(host).load / (self.face(host).size * self.face(host).warmth);
         let least = hosts.iter().map(|&host| load(host)).fold(f64::INFINITY, f64::min);
         let window: Hosts = hosts.iter().copied().filter(|&host| load(host) * WINDOW <= least).collect();
         let op = &self.ops[place];
@@ -757,9 +733,9 @@
         // till most are within the bound, but where long reads hold up the log. Harms when reports come late.
         let long = self.op_types.iter().any(|kind| self.weight(kind) >= LONG);
         let step = if long { 0.0 } else { passed / self.charter.span("connect_timeout") * CATCH_UP };
-        let fades = 1.0 - (passed / (self.charter.span("connect_timeout") * REST * 2.0)).min(1.0);
+        let fades = 1.0 - (passed / (self.charter.span("connect_timeout") * REST)).min(1.0);
         for group in self.groups.values_mut() {
-            (group.reads, group.good) = (group.reads * fades, group.good * fades);
+            (group.ended, group.good) = (group.ended * fades, group.good * fades);
             let faces = group.members.iter().map(|host| &self.faces[host.0 as usize]);
             let replicas = faces.filter(|f| f.open && f.role == Some(Role::Replica)).map(|f| f.behind);
             let (all, far) = (replicas.clone().count(), replicas.filter(|&b| b > self.bound).count());
