--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,6 @@
 //! it tells them what was sent to them. The one loop in `Router::take` empties all inboxes, the hosts' first.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 
 use arrowyard_types::*;
 use fastrand::Rng;
@@ -13,8 +12,8 @@
 use slab::Slab;
 use smallvec::SmallVec;
 
-use crate::post::Inboxes;
-use crate::sends::Sends;
+use crate::post::{Face, HostNote, Post};
+use crate::sends::{Commits, Sends};
 
 /// The window's f: a replica is in the load window when its load times this is at most the least load.
 const WINDOW: f64 = 0.1;
@@ -54,35 +53,6 @@
 const ASK_LIST: Cookie = Cookie(1);
 const TRY_HELD: Cookie = Cookie(2);
 
-/// What the desk sees of a host.
-#[derive(Clone, Copy, Default)]
-struct Face {
-    zone: ZoneId,
-    size: f64,
-    open: bool,
-    listed_primary: bool,
-    role: Option<Role>,
-    role_at: Point,
-    position: Point,
-    behind: Span,
-    /// Weight of this router's unfinished sends, and of those that ended unanswered a while ago.
-    load: f64,
-    unfinished: u32,
-    limit: f64,
-    rate: f64,
-    /// The share of its capacity that it surely has; 1 when warm.
-    warmth: f64,
-    credit: f64,
-    ill: bool,
-    trial: bool,
-    quiet: bool,
-    probing: bool,
-    probed_at: Point,
-    sent_at: Point,
-    /// Probes without answer since the last one with.
-    lost: u32,
-}
-
 impl Face {
     /// Whether it has room for one more send. Danger: of many routers even one send each is too many; a limit
     /// under one spaces sends out, so that one is out for that share of the time.
@@ -98,28 +68,6 @@
     }
 }
 
-enum HostNote {
-    /// With the debt that it starts with if it is cold.
-    Listed(Entry, f64),
-    Dropped,
-    /// A send, by its weight.
-    Took(f64),
-    /// With its weight, and the share of its latency target that it took.
-    Ended(Ended, f64, f64),
-    Probe,
-    Probed(Option<Word>),
-    /// So much time has passed, and a warm host gets so much weight a second.
-    Pulse(Span, f64),
-}
-
-#[derive(Default)]
-struct Post {
-    hosts: Inboxes<HostNote>,
-    faces: VecDeque<(HostId, Face)>,
-    ops: VecDeque<usize>,
-    actions: Vec<Action>,
-}
-
 #[derive(Default)]
 struct Host {
     face: Face,
@@ -336,9 +284,7 @@
     held: Vec<usize>,
     /// An alarm is set to try the held ops again.
     trying: bool,
-    /// Commits of sessions' writes; those that were dropped are no newer than the floor.
-    commits: FxHashMap<SessionId, Point>,
-    commits_floor: Option<Point>,
+    commits: Commits,
     pulsed_at: Point,
     /// Weight that a warm host gets a second, by its size.
     peers: f64,
@@ -430,7 +376,7 @@
             let age = ask.token_age.unwrap_or_default();
             (age > Span::ZERO || ask.token_age.is_none()).then(|| self.now - age)
         } else {
-            ask.session.and_then(|session| self.commits.get(&session).copied()).max(self.commits_floor)
+            self.commits.last(ask.session)
         };
         // Danger: a jam that feeds itself, as hosts work on sends that nobody waits for any more. What a router
         // sends to a group falls with the share that is acked in time. Harms where reads fail for other reasons.
@@ -481,9 +427,7 @@
             self.send(place, host, post);
         } else if !self.held.contains(&place) {
             self.held.push(place);
-            if !std::mem::replace(&mut self.trying, true) {
-                post.actions.push(Action::Ring { after: self.charter.span("tick"), cookie: TRY_HELD });
-            }
+            self.try_soon(post);
         }
     }
 
@@ -553,11 +497,7 @@
         let op = &mut self.ops[place];
         let Some(one) = op.sends.end(end.send, end.outcome) else { return };
         if let Some(session) = op.ask.session.filter(|_| writes && end.outcome == Outcome::Acked) {
-            if self.commits.len() >= SESSIONS {
-                self.commits_floor = self.commits.drain().map(|(_, commit)| commit).max();
-            }
-            let known = self.commits.entry(session).or_default();
-            *known = end.word.position.unwrap_or(self.now).max(*known);
+            self.commits.keep(session, end.word.position.unwrap_or(self.now), SESSIONS);
         }
         if op.over || end.finished {
             self.finish(place, post);
@@ -755,6 +695,10 @@
         held.sort_by(|a, b| key(b).partial_cmp(&key(a)).expect("ranks are numbers"));
         post.ops.extend(&held);
         self.held = held;
+        self.try_soon(post);
+    }
+
+    fn try_soon(&mut self, post: &mut Post) {
         if !self.held.is_empty() && !std::mem::replace(&mut self.trying, true) {
             post.actions.push(Action::Ring { after: self.charter.span("tick"), cookie: TRY_HELD });
         }
--- a/src/sends.rs
+++ b/src/sends.rs
@@ -1,6 +1,7 @@
-//! The sends of one op: where and when, and what is proven of each.
+//! The sends of one op: where and when, and what is proven of each; and the commits of sessions' writes.
 
-use arrowyard_types::{HostId, Outcome, Point, SendNo};
+use arrowyard_types::{HostId, Outcome, Point, SendNo, SessionId};
+use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
 #[derive(Clone, Copy, PartialEq)]
@@ -55,3 +56,24 @@
         self.0.iter().any(|one| one.host == host)
     }
 }
+
+/// The last commit of each session; those that were dropped are no newer than the floor.
+#[derive(Default)]
+pub struct Commits {
+    of: FxHashMap<SessionId, Point>,
+    floor: Option<Point>,
+}
+
+impl Commits {
+    pub fn keep(&mut self, session: SessionId, commit: Point, most: usize) {
+        if self.of.len() >= most {
+            self.floor = self.of.drain().map(|(_, commit)| commit).max().max(self.floor);
+        }
+        let known = self.of.entry(session).or_default();
+        *known = commit.max(*known);
+    }
+
+    pub fn last(&self, session: Option<SessionId>) -> Option<Point> {
+        session.and_then(|session| self.of.get(&session).copied()).max(self.floor)
+    }
+}
