--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,7 +42,8 @@
 const OF_MULTIPLE: f64 = 0.7;
 /// A missing primary is looked for, and a limit is cut, once in this share of the connect time-out.
 const STEP: f64 = 0.4;
-/// The share of reads that is given back, at most.
+/// While most replicas are behind, the share of writes sent back grows by this in a connect time-out.
+const CATCH_UP: f64 = 0.25;
 const MOST_BACK: f64 = 0.9;
 /// Sessions whose last commit is kept.
 const SESSIONS: usize = 65_536;
@@ -257,6 +258,8 @@
     asked_at: Option<Point>,
     /// Some op waits for a primary.
     wanted: Cell<bool>,
+    /// The share of its writes that are sent back so that its replicas catch up.
+    held_back: f64,
     /// Sends of reads that ended of late, and those that were acked within their latency target.
     ended: f64,
     good: f64,
@@ -378,7 +381,7 @@
         // Danger: a jam that feeds itself, as hosts work on sends that nobody waits for any more. What a router
         // sends to a group falls with the share that is acked in time. Harms where reads fail for other reasons.
         let back = self.groups.get(&ask.group).map_or(0.0, |group| match need {
-            Need::Write => 0.0,
+            Need::Write => group.held_back,
             _ => (1.0 - BACKED * (group.good + 1.0) / (group.ended + 1.0)).min(MOST_BACK),
         });
         let arrived = self.now;
@@ -666,9 +669,18 @@
             if rates.is_empty() { self.peers } else { rates.iter().sum::<f64>() / rates.len() as f64 };
         let all = (0..self.faces.len() as u32).map(HostId);
         all.for_each(|host| post.hosts.put(host, HostNote::Pulse(passed, self.peers)));
+        // Danger: writes come faster than replicas apply them, and bounded reads lose all. Some are sent back
+        // till most are within the bound, but where long reads hold up the log. Harms when reports come late.
+        let long = self.op_types.iter().any(|kind| self.weight(kind) >= LONG);
+        let step = if long { 0.0 } else { passed / self.charter.span("connect_timeout") * CATCH_UP };
         let fades = 1.0 - (passed / (self.charter.span("connect_timeout") * REST)).min(1.0);
         for group in self.groups.values_mut() {
             (group.ended, group.good) = (group.ended * fades, group.good * fades);
+            let faces = group.members.iter().map(|host| &self.faces[host.0 as usize]);
+            let replicas = faces.filter(|f| f.open && f.role == Some(Role::Replica)).map(|f| f.behind);
+            let (all, far) = (replicas.clone().count(), replicas.filter(|&b| b > self.bound).count());
+            group.held_back += if far * 2 > all { step } else { -step };
+            group.held_back = group.held_back.clamp(0.0, MOST_BACK);
         }
         for group in self.groups.values().filter(|group| group.wanted.replace(false)) {
             let due = |host: &HostId| now - self.face(*host).probed_at >= poll;
