Opening a connection weighs 0.2 of a send; ties fall at random by size

Cause: routers with few ops see every host idle; equal odds overload small hosts, and each send opens a connection. Covers slow or refused connections and unlike hosts; harms where sizes are wrong.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,6 +36,8 @@
 const PATIENCE: f64 = 0.1;
 /// A group is sent at most this many times the share of reads that it lately acked in time.
 const BACKED: f64 = 1.5;
+/// What opening a connection weighs, beside a send of the least latency target.
+const OPENING: f64 = 0.2;
 /// A position is asked for again after this share of the least bound.
 const PROBE_GAP: f64 = 0.125;
 /// A cold host gets at most this part of the multiple of its capacity that would push it over.
@@ -97,6 +99,14 @@
             HostNote::Dropped => self.face.open &= charter.flag("removal_not_binding"),
             HostNote::Took(weight) => {
                 self.face.unfinished += 1;
+                // One that was not used for the time after which idle ones are closed is gone.
+                let kept = if now - self.face.sent_at < charter.span("idle_close") {
+                    self.face.connections
+                } else {
+                    0
+                };
+                let needed = (f64::from(self.face.unfinished) / charter.number_or("streams", 1.0)).ceil();
+                self.face.connections = kept.max(needed as u32);
                 self.live += weight;
                 self.face.sent_at = now;
                 self.face.credit -= weight;
@@ -104,6 +114,9 @@
             HostNote::Ended(end, weight, used) => {
                 self.face.unfinished -= 1;
                 self.live -= weight;
+                if end.outcome == Outcome::ConnectFailed {
+                    self.face.connections = 0;
+                }
                 if end.outcome.is_answer() {
                     self.kept *= 0.5;
                     self.answered(now, end, weight, used, charter);
@@ -316,6 +329,14 @@
         self.face(host).bears(share, self.now, self.least_target)
     }
 
+    /// Whether a connection to it has room, as far as one can tell.
+    fn connected(&self, host: HostId) -> bool {
+        let face = self.face(host);
+        let room =
+            f64::from(face.unfinished) < f64::from(face.connections) * self.charter.number_or("streams", 1.0);
+        room && self.now - face.sent_at < self.charter.span("idle_close")
+    }
+
     fn op_type(&self, op: &Op) -> &OpType {
         &self.op_types[op.ask.op_type.0 as usize]
     }
@@ -630,17 +651,21 @@
         };
         // Danger: routers that all ask the same one first send it all their reads. So ties fall at random.
         let due: Hosts = replicas.iter().copied().filter(due).collect();
-        let key = |host: HostId| (self.face(host).lost, self.face(host).unfinished);
+        let key = |host: HostId| (self.face(host).lost, !self.connected(host), self.face(host).unfinished);
         let least = due.iter().map(|&host| key(host)).min();
         let ties: Hosts = due.into_iter().filter(|&host| Some(key(host)) == least).collect();
-        let next = self.rng.borrow_mut().choice(ties);
+        let next = (!ties.is_empty()).then(|| self.draw(&ties));
         self.probe(next.as_slice(), post);
         next.is_some() && self.charter.flag("probes")
     }
 
     /// Dynamic MPF: the load window, then the session's host, then the lightest, ties at random.
     fn lightest(&mut self, hosts: &[HostId], place: usize) -> HostId {
-        let load = |host: HostId| self.face(host).load / (self.face(host).size * self.face(host).warmth);
+        let load = |host: HostId| {
+            let face = self.face(host);
+            let opening = if self.connected(host) { 0.0 } else { OPENING };
+            face.load / (face.size * face.warmth) + opening
+        };
         let least = hosts.iter().map(|&host| load(host)).fold(f64::INFINITY, f64::min);
         let window: Hosts = hosts.iter().copied().filter(|&host| load(host) * WINDOW <= least).collect();
         let op = &self.ops[place];
@@ -655,7 +680,18 @@
             }
         }
         let ties: Hosts = window.iter().copied().filter(|&host| load(host) <= least).collect();
-        ties[self.rng.borrow_mut().usize(..ties.len())]
+        self.draw(&ties)
+    }
+
+    /// One at random. Danger: routers with few ops see all hosts idle, and equal odds overload the small ones.
+    fn draw(&self, hosts: &[HostId]) -> HostId {
+        let share = |host: HostId| self.face(host).size * self.face(host).warmth;
+        let mut left = self.rng.borrow_mut().f64() * hosts.iter().map(|&host| share(host)).sum::<f64>();
+        let hit = hosts.iter().copied().find(|&host| {
+            left -= share(host);
+            left < 0.0
+        });
+        hit.unwrap_or(hosts[0])
     }
 
     fn pulse(&mut self, post: &mut Post) {
--- a/src/post.rs
+++ b/src/post.rs
@@ -46,6 +46,8 @@
     /// Weight of this router's unfinished sends, and of those that ended unanswered a while ago.
     pub load: f64,
     pub unfinished: u32,
+    /// Connections that this router should have to it.
+    pub connections: u32,
     pub limit: f64,
     pub rate: f64,
     /// The share of its capacity that it surely has; 1 when warm.
