--- a/src/logic.rs
+++ b/src/logic.rs
@@ -603,7 +603,10 @@
             let able = replicas.iter().copied().filter(|h| sound(h) && self.bears(*h, 1.0));
             let ahead = able.max_by_key(|&host| self.face(host).position);
             let ahead = ahead.filter(|_| checks && fit.is_empty() && op.sends.len() == 0);
-            among.extend(ahead.or(primary.filter(|&host| self.bears(host, READS_AT_PRIMARY))));
+            // Where many routers share it, it has room for reads that a replica could serve only while it is quick.
+            let spare = |host: HostId| fit.is_empty() || self.face(host).limit * READS_AT_PRIMARY >= 1.0;
+            let primary = primary.filter(|&host| spare(host) && self.bears(host, READS_AT_PRIMARY));
+            among.extend(ahead.or(primary));
             // Danger: a router with few ops knows no position that is still within the bound, and sends all to
             // the primary. So the replicas are asked in turn, and the read waits a moment for their word.
             if fit.is_empty() && self.ask(op, &replicas, post) {
