--- a/src/logic.rs
+++ b/src/logic.rs
@@ -513,7 +513,9 @@
         let tells = matches!(end.outcome, Outcome::Acked | Outcome::TimedOut | Outcome::Full);
         if let Some(group) = self.groups.get_mut(&group).filter(|_| tells && !writes) {
             group.ended += 1.0;
-            group.good += f64::from(end.outcome == Outcome::Acked && used <= 1.0);
+            // A slow answer counts in part: it warns of a queue before that queue costs answers.
+            let acked = end.outcome == Outcome::Acked;
+            group.good += if acked { ((1.0 - used) / (1.0 - EASY)).clamp(0.0, 1.0) } else { 0.0 };
         }
         let op = &mut self.ops[place];
         let Some(one) = op.sends.end(end.send, end.outcome) else { return };
@@ -603,10 +605,7 @@
             let able = replicas.iter().copied().filter(|h| sound(h) && self.bears(*h, 1.0));
             let ahead = able.max_by_key(|&host| self.face(host).position);
             let ahead = ahead.filter(|_| checks && fit.is_empty() && op.sends.len() == 0);
-            // Where many routers share it, it has room for reads that a replica could serve only while it is quick.
-            let spare = |host: HostId| fit.is_empty() || self.face(host).limit * READS_AT_PRIMARY >= 1.0;
-            let primary = primary.filter(|&host| spare(host) && self.bears(host, READS_AT_PRIMARY));
-            among.extend(ahead.or(primary));
+            among.extend(ahead.or(primary.filter(|&host| self.bears(host, READS_AT_PRIMARY))));
             // Danger: a router with few ops knows no position that is still within the bound, and sends all to
             // the primary. So the replicas are asked in turn, and the read waits a moment for their word.
             if fit.is_empty() && self.ask(op, &replicas, post) {
