--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,7 +40,7 @@
 const OPENING: f64 = 0.2;
 /// A host whose report says that its cores are busy to this share gets no reads for so many connect time-outs,
 /// unless a newer report says otherwise.
-const SATURATED: f64 = 0.97;
+const SATURATED: f64 = 0.8;
 const BUSY: f64 = 2.0;
 /// A position is asked for again after this share of the least bound.
 const PROBE_GAP: f64 = 0.125;
