--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,10 +38,6 @@
 const BACKED: f64 = 1.5;
 /// What opening a connection weighs, beside a send of the least latency target.
 const OPENING: f64 = 0.2;
-/// A host whose report says that its cores are busy to this share gets no reads for so many connect time-outs,
-/// unless a newer report says otherwise.
-const SATURATED: f64 = 0.8;
-const BUSY: f64 = 2.0;
 /// A position is asked for again after this share of the least bound.
 const PROBE_GAP: f64 = 0.125;
 /// A cold host gets at most this part of the multiple of its capacity that would push it over.
@@ -144,7 +140,7 @@
                 self.face.lost = if word.is_some() { 0 } else { self.face.lost + 1 };
                 if let Some(word) = word {
                     self.hush(false);
-                    self.learn(now, word, word.position.unwrap_or_default() - Span::from_micros(1), charter);
+                    self.learn(now, word, word.position.unwrap_or_default() - Span::from_micros(1));
                 }
             }
             HostNote::Pulse(passed, peers) => self.pulse(now, passed, peers, charter),
@@ -226,7 +222,7 @@
     fn answered(&mut self, now: Point, end: Ended, weight: f64, used: f64, charter: &Manifest) {
         self.heard_at = now;
         self.hush(false);
-        self.learn(now, end.word, now, charter);
+        self.learn(now, end.word, now);
         if end.word.role == Some(Role::Primary) {
             self.face.position = self.face.position.max(now - end.took);
         }
@@ -248,16 +244,11 @@
 
     /// Newer word of the role overturns older, never the other way. Danger: of two answers of one instant the
     /// later counts, else a host that just ceased to be primary gets fresh reads.
-    fn learn(&mut self, now: Point, word: Word, as_of: Point, charter: &Manifest) {
+    fn learn(&mut self, now: Point, word: Word, as_of: Point) {
         if let Some(position) = word.position {
             self.face.position = self.face.position.max(position);
             self.face.behind = now - self.face.position;
         }
-        // Danger: many routers, each with few ops, keep a host's queue longer than its reads can wait.
-        if let Some(util) = word.util {
-            self.face.busy_until =
-                if util >= SATURATED { now + charter.span("connect_timeout") * BUSY } else { now };
-        }
         if word.role.is_some() && as_of >= self.face.role_at {
             (self.face.role, self.face.role_at) = (word.role, as_of);
         }
@@ -410,9 +401,15 @@
         };
         // Danger: a jam that feeds itself, as hosts work on sends that nobody waits for any more. What a router
         // sends to a group falls with the share that is acked in time. Harms where reads fail for other reasons.
+        // What a tenant asks beyond its share goes first, at the first signs.
+        let over = self.over_share(&ask);
         let back = self.groups.get(&ask.group).map_or(0.0, |group| match need {
             Need::Write => group.held_back,
-            _ => (1.0 - BACKED * (group.good + 1.0) / (group.ended + 1.0)).min(MOST_BACK),
+            _ => {
+                let good = (group.good + 1.0) / (group.ended + 1.0);
+                let back = if over { (1.0 - good) * BACKED } else { 1.0 - BACKED * good };
+                back.min(MOST_BACK)
+            }
         });
         let arrived = self.now;
         let place = self.ops.insert(Op { ask, arrived, floor, sends: Sends::default(), over: false });
@@ -474,12 +471,16 @@
         post.hosts.put(host, HostNote::Took(weight));
     }
 
+    fn over_share(&self, ask: &Ask) -> bool {
+        let row = ask.tenant.and_then(|tenant| self.tenants.get(tenant.0 as usize));
+        let all: f64 = self.tenants.iter().map(|(_, used)| used).sum();
+        row.is_some_and(|(share, used)| *used > all * share)
+    }
+
     /// What an op is worth for the work it asks. A tenant that had more than its share of sends waits.
     fn rank(&self, op: &Op) -> f64 {
         let kind = self.op_type(op);
-        let row = op.ask.tenant.and_then(|tenant| self.tenants.get(tenant.0 as usize));
-        let all: f64 = self.tenants.iter().map(|(_, used)| used).sum();
-        let over = row.is_some_and(|(share, used)| *used > all * share);
+        let over = self.over_share(&op.ask);
         let late = if self.now > op.arrived + kind.latency_target { kind.late_value } else { 1.0 };
         let part = if over { self.charter.number_or("over_share_value", 1.0) } else { 1.0 };
         kind.value / self.weight(kind) * late * part
@@ -602,9 +603,7 @@
         let replicas: Hosts = group.members.iter().copied().filter(open).collect();
         // Danger: trouble that all share has every host judged ill. Harms when most replicas really are lost.
         let most = replicas.iter().filter(|&&host| self.face(host).sound()).count() * 2 < replicas.len();
-        let able = |host: &HostId| self.face(*host).sound() || most && !self.face(*host).quiet;
-        let idle = |host: &HostId| self.face(*host).busy_until <= self.now;
-        let sound = |host: &HostId| able(host) && idle(host);
+        let sound = |host: &HostId| self.face(*host).sound() || most && !self.face(*host).quiet;
         let fit: Hosts = replicas.iter().copied().filter(|h| self.qualifies(op, *h) && sound(h)).collect();
         among = fit.iter().copied().filter(|&host| self.bears(host, 1.0)).collect();
         if among.iter().any(|&host| !op.sends.tried(host)) {
@@ -616,8 +615,7 @@
             let able = replicas.iter().copied().filter(|h| sound(h) && self.bears(*h, 1.0));
             let ahead = able.max_by_key(|&host| self.face(host).position);
             let ahead = ahead.filter(|_| checks && fit.is_empty() && op.sends.len() == 0);
-            let primary = primary.filter(|host| idle(host) && self.bears(*host, READS_AT_PRIMARY));
-            among.extend(ahead.or(primary));
+            among.extend(ahead.or(primary.filter(|&host| self.bears(host, READS_AT_PRIMARY))));
             // Danger: a router with few ops knows no position that is still within the bound, and sends all to
             // the primary. So the replicas are asked in turn, and the read waits a moment for their word.
             if fit.is_empty() && self.ask(op, &replicas, post) {
@@ -647,6 +645,9 @@
 
     /// Asks one more replica for its position; whether the read should wait for what comes back.
     fn ask(&self, op: &Op, replicas: &[HostId], post: &mut Post) -> bool {
+        if !matches!(self.op_type(op).need, Need::Bounded(_) | Need::Session) {
+            return false;
+        }
         let patience = self.least_target * PATIENCE;
         let awaited =
             |host: &HostId| self.face(*host).probing && self.now - self.face(*host).probed_at < patience;
--- a/src/post.rs
+++ b/src/post.rs
@@ -59,7 +59,6 @@
     pub probing: bool,
     pub probed_at: Point,
     pub sent_at: Point,
-    pub busy_until: Point,
     /// Probes without answer since the last one with.
     pub lost: u32,
 }
