--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,6 +34,8 @@
 const READS_AT_PRIMARY: f64 = 0.75;
 /// How long a read waits for one replica's position, as a share of the least latency target.
 const PATIENCE: f64 = 0.1;
+/// A tenant is over its share from this multiple of it on.
+const OVER: f64 = 1.1;
 /// A group is sent at most this many times the share of reads that it lately acked in time.
 const BACKED: f64 = 1.5;
 /// What opening a connection weighs, beside a send of the least latency target.
@@ -407,7 +409,7 @@
             Need::Write => group.held_back,
             _ => {
                 let good = (group.good + 1.0) / (group.ended + 1.0);
-                let back = if over { (1.0 - good) * BACKED } else { 1.0 - BACKED * good };
+                let back = 1.0 - if over { good } else { BACKED * good };
                 back.min(MOST_BACK)
             }
         });
@@ -474,7 +476,7 @@
     fn over_share(&self, ask: &Ask) -> bool {
         let row = ask.tenant.and_then(|tenant| self.tenants.get(tenant.0 as usize));
         let all: f64 = self.tenants.iter().map(|(_, used)| used).sum();
-        row.is_some_and(|(share, used)| *used > all * share)
+        row.is_some_and(|(share, used)| *used > all * share * OVER)
     }
 
     /// What an op is worth for the work it asks. A tenant that had more than its share of sends waits.
