Routers tell each other positions that a read had to ask for

Only where messages are allowed; nine bytes for each probe that a read waited for. Covers failing, slow and dear probes; harms where messages cost more than probes.

--- a/crates/arrowyard-adapter/src/router.rs
+++ b/crates/arrowyard-adapter/src/router.rs
@@ -125,6 +125,7 @@
             },
             group: GroupId(fields.number_or_none(2)?.unwrap_or(0.0) as i64),
             host: self.hosts.id(fields.text(3)?),
+            tag: tag(fields.text(3)?),
             primary: fields.number_or_none(4)? == Some(1.0),
             started: fields.number_or_none(5)?.filter(|&millis| millis > 0.0).map(point),
             size: fields.number_or_none(6)?.unwrap_or(1.0),
@@ -193,6 +194,11 @@
     }
 }
 
+/// The same for an address at all routers (FNV-1a).
+fn tag(address: &str) -> u32 {
+    address.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
 fn outcome(fields: Fields, place: usize) -> Result<Outcome, String> {
     Ok(match fields.whole(place)? {
         0 => Outcome::Acked,
--- a/crates/arrowyard-types/src/interface.rs
+++ b/crates/arrowyard-types/src/interface.rs
@@ -60,6 +60,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     pub host: HostId,
+    /// What all routers call it; a `HostId` is this router's own number.
+    pub tag: u32,
     pub availability: Availability,
     pub group: GroupId,
     pub zone: ZoneId,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,7 +12,7 @@
 use slab::Slab;
 use smallvec::SmallVec;
 
-use crate::post::{Face, HostNote, Post};
+use crate::post::{Face, HostNote, Post, news_from, news_of};
 use crate::sends::{Commits, Sends};
 
 /// The window's f: a replica is in the load window when its load times this is at most the least load.
@@ -86,6 +86,8 @@
     mute: u32,
     heard_at: Point,
     cut_at: Point,
+    /// What the probe under way brings is told to the other routers.
+    spread: bool,
 }
 
 impl Host {
@@ -133,8 +135,8 @@
                     }
                 }
             }
-            HostNote::Probe => {
-                (self.face.probing, self.face.probed_at) = (true, now);
+            HostNote::Probe(spread) => {
+                (self.face.probing, self.face.probed_at, self.spread) = (true, now, spread);
                 post.actions.push(Action::Probe { host: id });
             }
             HostNote::Probed(word) => {
@@ -142,9 +144,15 @@
                 self.face.lost = if word.is_some() { 0 } else { self.face.lost + 1 };
                 if let Some(word) = word {
                     self.hush(false);
+                    // Danger: probes fail, or cost too much where routers are many. What a read had to ask for,
+                    // the other routers need not ask again.
+                    if self.spread && word.position > Some(self.face.position) {
+                        post.actions.push(Action::Tell { to: None, bytes: news_of(self.face.tag, &word) });
+                    }
                     self.learn(now, word, word.position.unwrap_or_default() - Span::from_micros(1));
                 }
             }
+            HostNote::Told(word) => self.learn(now, word, word.position.unwrap_or_default()),
             HostNote::Pulse(passed, peers) => self.pulse(now, passed, peers, charter),
         }
         self.face.load = (self.live + self.kept).max(0.0);
@@ -155,14 +163,15 @@
         if self.known && entry.started != self.started {
             // It started again: its past says nothing of its health, and whatever the list still calls it, it
             // comes back as a replica.
-            let Face { zone, size, position, role_at, unfinished, rate, .. } = self.face;
+            let Face { zone, size, tag, position, role_at, unfinished, rate, .. } = self.face;
             let fresh = Face { role: Some(Role::Replica), ..Host::new(charter).face };
-            self.face = Face { zone, size, position, role_at, unfinished, rate, ..fresh };
+            self.face = Face { zone, size, tag, position, role_at, unfinished, rate, ..fresh };
             (self.evidence, self.kept, self.mute) = (0.0, 0.0, 0);
         }
         (self.known, self.started) = (true, entry.started);
         let face = &mut self.face;
-        (face.zone, face.size, face.listed_primary) = (entry.zone, entry.size.max(0.01), entry.primary);
+        (face.zone, face.size, face.tag, face.listed_primary) =
+            (entry.zone, entry.size.max(0.01), entry.tag, entry.primary);
         let gone = entry.availability == Availability::Gone;
         let binds = self.draining || !charter.flag("removal_not_binding");
         self.draining = entry.availability == Availability::Draining || gone && binds;
@@ -372,7 +381,14 @@
                 post.hosts.put(host, HostNote::Probed((outcome == Outcome::Acked).then_some(word)));
                 self.try_held(post);
             }
-            Note::Told { .. } => {}
+            Note::Told { bytes, .. } => {
+                let news = news_from(&bytes, self.now);
+                let all = (0..self.faces.len() as u32).map(HostId);
+                for host in all.filter(|&host| news.is_some_and(|(tag, _)| tag == self.face(host).tag)) {
+                    post.hosts.put(host, HostNote::Told(news.unwrap_or_default().1));
+                }
+                self.try_held(post);
+            }
         }
     }
 
@@ -551,10 +567,10 @@
         told.max_by_key(|&host| self.face(host).role_at).or_else(|| members().find(named))
     }
 
-    fn probe(&self, hosts: &[HostId], post: &mut Post) {
+    fn probe(&self, hosts: &[HostId], spread: bool, post: &mut Post) {
         let allowed = self.charter.flag("probes") && self.charter.text("reports") != "none";
         let able = |host: &&HostId| allowed && self.face(**host).open && !self.face(**host).probing;
-        hosts.iter().filter(able).for_each(|&host| post.hosts.put(host, HostNote::Probe));
+        hosts.iter().filter(able).for_each(|&host| post.hosts.put(host, HostNote::Probe(spread)));
     }
 
     /// The host for the next send of this op; none while it should wait.
@@ -564,7 +580,7 @@
         if group.asked_at.is_none() {
             // A fresh router knows only an old list: the members say who is primary and how far they are.
             group.asked_at = Some(self.now);
-            self.probe(&self.groups[&id].members, post);
+            self.probe(&self.groups[&id].members, false, post);
             if self.charter.flag("probes") {
                 return None;
             }
@@ -669,7 +685,7 @@
         let least = due.iter().map(|&host| key(host)).min();
         let ties: Hosts = due.into_iter().filter(|&host| Some(key(host)) == least).collect();
         let next = (!ties.is_empty()).then(|| self.draw(&ties));
-        self.probe(next.as_slice(), post);
+        self.probe(next.as_slice(), self.charter.flag("peers"), post);
         next.is_some() && self.charter.flag("probes")
     }
 
@@ -734,7 +750,7 @@
         }
         for group in self.groups.values().filter(|group| group.wanted.replace(false)) {
             let due = |host: &HostId| now - self.face(*host).probed_at >= poll;
-            self.probe(&group.members.iter().copied().filter(due).collect::<Hosts>(), post);
+            self.probe(&group.members.iter().copied().filter(due).collect::<Hosts>(), false, post);
         }
     }
 
--- a/src/post.rs
+++ b/src/post.rs
@@ -37,6 +37,8 @@
 pub struct Face {
     pub zone: ZoneId,
     pub size: f64,
+    /// What all routers call it.
+    pub tag: u32,
     pub open: bool,
     pub listed_primary: bool,
     pub role: Option<Role>,
@@ -71,8 +73,11 @@
     Took(f64),
     /// With its weight, and the share of its latency target that it took.
     Ended(Ended, f64, f64),
-    Probe,
+    /// Whether the other routers are told what it brings.
+    Probe(bool),
     Probed(Option<Word>),
+    /// What another router's probe brought.
+    Told(Word),
     /// So much time has passed, and a warm host gets so much weight a second.
     Pulse(Span, f64),
 }
@@ -84,3 +89,20 @@
     pub ops: VecDeque<usize>,
     pub actions: Vec<Action>,
 }
+
+/// What one router tells another of a host: its tag, its position in milliseconds, its role.
+pub fn news_of(tag: u32, word: &Word) -> Vec<u8> {
+    let millis = word.position.unwrap_or_default().micros().div_euclid(1000) as u32;
+    let role = word.role.map_or(0, |role| if role == Role::Primary { 1 } else { 2 });
+    [&tag.to_le_bytes()[..], &millis.to_le_bytes(), &[role]].concat()
+}
+
+/// Positions are not in the future, so that the lower bits are enough.
+pub fn news_from(bytes: &[u8], now: Point) -> Option<(u32, Word)> {
+    let number = |from: usize| Some(u32::from_le_bytes(bytes.get(from..from + 4)?.try_into().ok()?));
+    let age = (now.micros().div_euclid(1000) as u32).wrapping_sub(number(4)?);
+    let position =
+        Some(Point::from_micros(now.micros().div_euclid(1000) * 1000) - Span::from_millis(age.into()));
+    let role = [None, Some(Role::Primary), Some(Role::Replica)].get(usize::from(*bytes.get(8)?)).copied()?;
+    Some((number(0)?, Word { role, position, ..Word::default() }))
+}
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -57,7 +57,16 @@
 
 pub fn entry(host: u32, availability: Availability, primary: bool, started: Option<Point>) -> Entry {
     let group = GroupId(i64::from(host / 4));
-    Entry { host: HostId(host), availability, group, zone: ZoneId(host % 2), size: 1.0, primary, started }
+    Entry {
+        host: HostId(host),
+        tag: host,
+        availability,
+        group,
+        zone: ZoneId(host % 2),
+        size: 1.0,
+        primary,
+        started,
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
