--- a/src/logic.rs
+++ b/src/logic.rs
@@ -287,6 +287,9 @@
     /// Sends of reads that ended of late, and those that were acked within their latency target.
     ended: f64,
     good: f64,
+    /// Those acked, and the sum of the shares of their latency targets that they took.
+    acked: f64,
+    slow: f64,
 }
 
 type Hosts = SmallVec<[HostId; 16]>;
@@ -426,7 +429,8 @@
             _ => {
                 let good = (group.good + 1.0) / (group.ended + 1.0);
                 let back = 1.0 - if over { good } else { BACKED * good };
-                back.min(MOST_BACK)
+                let slow = (group.slow / (group.acked + 1.0) - EASY) / (1.0 - EASY);
+                back.max(slow).min(MOST_BACK)
             }
         });
         let arrived = self.now;
@@ -541,9 +545,10 @@
         let tells = matches!(end.outcome, Outcome::Acked | Outcome::TimedOut | Outcome::Full);
         if let Some(group) = self.groups.get_mut(&group).filter(|_| tells && !writes) {
             group.ended += 1.0;
-            // A slow answer counts in part: it warns of a queue before that queue costs answers.
-            let acked = end.outcome == Outcome::Acked;
-            group.good += if acked { ((1.0 - used) / (1.0 - EASY)).clamp(0.0, 1.0) } else { 0.0 };
+            // Slow answers warn of a queue before that queue costs answers.
+            let acked = f64::from(end.outcome == Outcome::Acked);
+            group.good += if used <= 1.0 { acked } else { 0.0 };
+            (group.acked, group.slow) = (group.acked + acked, group.slow + used.min(1.0) * acked);
         }
         let op = &mut self.ops[place];
         let Some(one) = op.sends.end(end.send, end.outcome) else { return };
@@ -742,6 +747,7 @@
         let fades = 1.0 - (passed / (self.charter.span("connect_timeout") * REST)).min(1.0);
         for group in self.groups.values_mut() {
             (group.ended, group.good) = (group.ended * fades, group.good * fades);
+            (group.acked, group.slow) = (group.acked * fades, group.slow * fades);
             let faces = group.members.iter().map(|host| &self.faces[host.0 as usize]);
             let replicas = faces.filter(|f| f.open && f.role == Some(Role::Replica)).map(|f| f.behind);
             let (all, far) = (replicas.clone().count(), replicas.filter(|&b| b > self.bound).count());
