--- a/src/logic.rs
+++ b/src/logic.rs
@@ -28,7 +28,7 @@
 const FIRST_LIMIT: f64 = 64.0;
 const LEAST_LIMIT: f64 = 8.0;
 /// An answer within the first share of its latency target lets the limit grow, one beyond the second cuts it.
-const EASY: f64 = 0.5;
+const EASY: f64 = 0.4;
 const STRAINED: f64 = 0.9;
 /// Reads may fill the primary to this share of its limit.
 const READS_AT_PRIMARY: f64 = 0.75;
@@ -429,7 +429,7 @@
             _ => {
                 let good = (group.good + 1.0) / (group.ended + 1.0);
                 let back = 1.0 - if over { good } else { BACKED * good };
-                let slow = (group.slow / (group.acked + 1.0) - EASY) / (1.0 - EASY);
+                let slow = group.slow / (group.acked + 1.0) / EASY - 1.0;
                 back.max(slow).min(MOST_BACK)
             }
         });
