Further sends of an op pause, twice as long each time

Covers errors, full replies, refused connections, misses; harms where the second untried host would have answered in the last moment.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -470,7 +470,8 @@
         let Some(op) = self.ops.get(place).filter(|op| !op.over && !op.sends.is_out()) else { return };
         if self.now >= self.pays_until(op) || !self.may_send(op, None) {
             self.give_up(place, post);
-        } else if let Some(host) = self.choose(place, post)
+        } else if self.rested(op)
+            && let Some(host) = self.choose(place, post)
             && self.may_send(&self.ops[place], Some(host))
         {
             self.send(place, host, post);
@@ -480,6 +481,12 @@
         }
     }
 
+    /// Danger: hosts that fail at once draw a storm of further sends. Each pause is twice the last.
+    fn rested(&self, op: &Op) -> bool {
+        let pause = self.least_target * PATIENCE * ((1 << op.sends.len().min(16)) as f64 * 0.5 - 1.0);
+        op.sends.last().is_none_or(|last| self.now >= last.at + pause)
+    }
+
     fn send(&mut self, place: usize, host: HostId, post: &mut Post) {
         let op = &self.ops[place];
         let (weight, until) = (self.weight(self.op_type(op)), self.pays_until(op));
--- a/src/sends.rs
+++ b/src/sends.rs
@@ -34,6 +34,10 @@
         Some(*one)
     }
 
+    pub fn last(&self) -> Option<&Sent> {
+        self.0.last()
+    }
+
     pub fn len(&self) -> usize {
         self.0.len()
     }
