--- a/crates/arrowyard-adapter/src/manifest.rs
+++ b/crates/arrowyard-adapter/src/manifest.rs
@@ -26,7 +26,6 @@
     ("caps.probing", "probes", Flag),
     ("caps.retry_after", "retry_after", Flag),
     ("caps.send_cap", "max_sends", Number),
-    ("caps.streams_per_conn", "streams", Number),
     ("clients.marks_retry", "marks_retry", Flag),
     ("discovery", "list", Text),
     ("domain.catch_up_wait", "catch_up_wait", Span),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,6 +36,8 @@
 const PATIENCE: f64 = 0.1;
 /// A tenant is over its share from this multiple of it on.
 const OVER: f64 = 1.1;
+/// A router tells news at most once in so many connect time-outs for each router.
+const TELL_GAP: f64 = 0.04;
 /// A group is sent at most this many times the share of reads that it lately acked in time.
 const BACKED: f64 = 1.5;
 /// What opening a connection weighs, beside a send of the least latency target.
@@ -84,10 +86,7 @@
     evidence: f64,
     rest_until: Point,
     mute: u32,
-    heard_at: Point,
     cut_at: Point,
-    /// What the probe under way brings is told to the other routers.
-    spread: bool,
 }
 
 impl Host {
@@ -103,14 +102,6 @@
             HostNote::Dropped => self.face.open &= charter.flag("removal_not_binding"),
             HostNote::Took(weight) => {
                 self.face.unfinished += 1;
-                // One that was not used for the time after which idle ones are closed is gone.
-                let kept = if now - self.face.sent_at < charter.span("idle_close") {
-                    self.face.connections
-                } else {
-                    0
-                };
-                let needed = (f64::from(self.face.unfinished) / charter.number_or("streams", 1.0)).ceil();
-                self.face.connections = kept.max(needed as u32);
                 self.live += weight;
                 self.face.sent_at = now;
                 self.face.credit -= weight;
@@ -118,9 +109,6 @@
             HostNote::Ended(end, weight, used) => {
                 self.face.unfinished -= 1;
                 self.live -= weight;
-                if end.outcome == Outcome::ConnectFailed {
-                    self.face.connections = 0;
-                }
                 if end.outcome.is_answer() {
                     self.kept *= 0.5;
                     self.answered(now, end, weight, used, charter);
@@ -131,12 +119,12 @@
                     if end.outcome != Outcome::Cancelled {
                         self.judge(now, true, charter);
                         self.cut(now, 0.8, charter);
-                        self.hush(self.heard_at <= now - end.took);
+                        self.hush(self.face.heard_at <= now - end.took);
                     }
                 }
             }
             HostNote::Probe(spread) => {
-                (self.face.probing, self.face.probed_at, self.spread) = (true, now, spread);
+                (self.face.probing, self.face.probed_at, self.face.spread) = (true, now, spread);
                 post.actions.push(Action::Probe { host: id });
             }
             HostNote::Probed(word) => {
@@ -144,11 +132,6 @@
                 self.face.lost = if word.is_some() { 0 } else { self.face.lost + 1 };
                 if let Some(word) = word {
                     self.hush(false);
-                    // Danger: probes fail, or cost too much where routers are many. What a read had to ask for,
-                    // the other routers need not ask again.
-                    if self.spread && word.position > Some(self.face.position) {
-                        post.actions.push(Action::Tell { to: None, bytes: news_of(self.face.tag, &word) });
-                    }
                     self.learn(now, word, word.position.unwrap_or_default() - Span::from_micros(1));
                 }
             }
@@ -231,7 +214,7 @@
     }
 
     fn answered(&mut self, now: Point, end: Ended, weight: f64, used: f64, charter: &Manifest) {
-        self.heard_at = now;
+        self.face.heard_at = now;
         self.hush(false);
         self.learn(now, end.word, now);
         if end.word.role == Some(Role::Primary) {
@@ -311,6 +294,7 @@
     held: Vec<usize>,
     /// An alarm is set to try the held ops again.
     trying: bool,
+    told_at: Point,
     commits: Commits,
     pulsed_at: Point,
     /// Weight that a warm host gets a second, by its size.
@@ -343,12 +327,10 @@
         self.face(host).bears(share, self.now, self.least_target)
     }
 
-    /// Whether a connection to it has room, as far as one can tell.
+    /// Whether a connection to it stands idle, as far as one can tell.
     fn connected(&self, host: HostId) -> bool {
         let face = self.face(host);
-        let room =
-            f64::from(face.unfinished) < f64::from(face.connections) * self.charter.number_or("streams", 1.0);
-        room && self.now - face.sent_at < self.charter.span("idle_close")
+        face.unfinished == 0 && self.now - face.heard_at < self.charter.span("idle_close")
     }
 
     fn op_type(&self, op: &Op) -> &OpType {
@@ -381,7 +363,9 @@
             }
             Note::Rang { .. } => self.pulse(post),
             Note::Probed { host, outcome, word } => {
-                post.hosts.put(host, HostNote::Probed((outcome == Outcome::Acked).then_some(word)));
+                let word = (outcome == Outcome::Acked).then_some(word);
+                word.into_iter().for_each(|word| self.tell(host, &word, post));
+                post.hosts.put(host, HostNote::Probed(word));
                 self.try_held(post);
             }
             Note::Told { bytes, .. } => {
@@ -395,6 +379,19 @@
         }
     }
 
+    /// Danger: probes fail, or cost too much where routers are many. What a read had to ask for, the others need
+    /// not ask again. A router tells so seldom that all together never flood each other.
+    fn tell(&mut self, host: HostId, word: &Word, post: &mut Post) {
+        let gap = self.charter.span("connect_timeout") * (TELL_GAP * self.charter.number_or("routers", 1.0));
+        if self.face(host).spread
+            && word.position > Some(self.face(host).position)
+            && self.now - self.told_at >= gap
+        {
+            self.told_at = self.now;
+            post.actions.push(Action::Tell { to: None, bytes: news_of(self.face(host).tag, word) });
+        }
+    }
+
     fn listed(&mut self, form: ListForm, entries: Vec<Entry>, post: &mut Post) {
         let missing = |host: &HostId| form != ListForm::Changes && !entries.iter().any(|e| e.host == *host);
         let all = (0..self.faces.len() as u32).map(HostId);
--- a/src/post.rs
+++ b/src/post.rs
@@ -48,8 +48,6 @@
     /// Weight of this router's unfinished sends, and of those that ended unanswered a while ago.
     pub load: f64,
     pub unfinished: u32,
-    /// Connections that this router should have to it.
-    pub connections: u32,
     pub limit: f64,
     pub rate: f64,
     /// The share of its capacity that it surely has; 1 when warm.
@@ -60,7 +58,10 @@
     pub quiet: bool,
     pub probing: bool,
     pub probed_at: Point,
+    /// The other routers are told what the probe under way brings.
+    pub spread: bool,
     pub sent_at: Point,
+    pub heard_at: Point,
     /// Probes without answer since the last one with.
     pub lost: u32,
 }
