--- a/src/logic.rs
+++ b/src/logic.rs
@@ -628,9 +628,7 @@
         }
         let open = |host: &HostId| Some(*host) != primary && self.face(*host).open;
         let replicas: Hosts = group.members.iter().copied().filter(open).collect();
-        // Danger: trouble that all share has every host judged ill. Harms when most replicas really are lost.
-        let most = replicas.iter().filter(|&&host| self.face(host).sound()).count() * 2 < replicas.len();
-        let sound = |host: &HostId| self.face(*host).sound() || most && !self.face(*host).quiet;
+        let sound = |host: &HostId| self.face(*host).sound();
         let fit: Hosts = replicas.iter().copied().filter(|h| self.qualifies(op, *h) && sound(h)).collect();
         among = fit.iter().copied().filter(|&host| self.bears(host, 1.0)).collect();
         if among.iter().any(|&host| !op.sends.tried(host)) {
@@ -648,11 +646,6 @@
             if fit.is_empty() && self.ask(op, &replicas, post) {
                 return Hosts::new();
             }
-        } else if self.weight(kind) >= LONG {
-            // Danger: long reads hold up the log where they run; spread out, they leave no replica fresh. So
-            // they go where the copy is furthest behind. Harms when they alone need most of the replicas.
-            let furthest = among.iter().map(|&host| self.face(host).behind).max().unwrap_or_default();
-            among.retain(|&mut host| self.face(host).behind >= furthest);
         } else if fit.len() < replicas.len() && among.iter().all(|&host| self.face(host).unfinished > 0) {
             self.ask(op, &replicas, post);
         }
