--- a/src/logic.rs
+++ b/src/logic.rs
@@ -70,7 +70,7 @@
     }
 
     fn sound(&self) -> bool {
-        self.open && if self.ill { self.trial && self.unfinished == 0 } else { !self.quiet }
+        self.open && (!self.ill || self.trial && self.unfinished == 0)
     }
 }
 
@@ -85,7 +85,6 @@
     done: f64,
     evidence: f64,
     rest_until: Point,
-    mute: u32,
     cut_at: Point,
 }
 
@@ -119,7 +118,6 @@
                     if end.outcome != Outcome::Cancelled {
                         self.judge(now, true, charter);
                         self.cut(now, 0.8, charter);
-                        self.hush(self.face.heard_at <= now - end.took);
                     }
                 }
             }
@@ -131,7 +129,6 @@
                 self.face.probing = false;
                 self.face.lost = if word.is_some() { 0 } else { self.face.lost + 1 };
                 if let Some(word) = word {
-                    self.hush(false);
                     self.learn(now, word, word.position.unwrap_or_default() - Span::from_micros(1));
                 }
             }
@@ -149,7 +146,7 @@
             let Face { zone, size, tag, position, role_at, unfinished, rate, .. } = self.face;
             let fresh = Face { role: Some(Role::Replica), ..Host::new(charter).face };
             self.face = Face { zone, size, tag, position, role_at, unfinished, rate, ..fresh };
-            (self.evidence, self.kept, self.mute) = (0.0, 0.0, 0);
+            (self.evidence, self.kept) = (0.0, 0.0);
         }
         (self.known, self.started) = (true, entry.started);
         let face = &mut self.face;
@@ -198,11 +195,6 @@
         }
     }
 
-    fn hush(&mut self, unanswered: bool) {
-        self.mute = if unanswered { self.mute + 1 } else { 0 };
-        self.face.quiet = self.mute >= 2;
-    }
-
     fn cut(&mut self, now: Point, factor: f64, charter: &Manifest) {
         if now >= self.cut_at {
             // A router with less than one send out hears of few outcomes, and each counts for more.
@@ -215,7 +207,6 @@
 
     fn answered(&mut self, now: Point, end: Ended, weight: f64, used: f64, charter: &Manifest) {
         self.face.heard_at = now;
-        self.hush(false);
         self.learn(now, end.word, now);
         if end.word.role == Some(Role::Primary) {
             self.face.position = self.face.position.max(now - end.took);
@@ -569,7 +560,7 @@
 
     /// The member that is known first-hand to be primary, by the newest word; else the one the list names.
     fn primary(&self, group: &Group) -> Option<HostId> {
-        let standing = |host: &HostId| self.face(*host).open && !self.face(*host).quiet;
+        let standing = |host: &HostId| self.face(*host).open && !self.face(*host).ill;
         let members = || group.members.iter().copied().filter(standing);
         let told = members().filter(|&host| self.face(host).role == Some(Role::Primary));
         let named = |host: &HostId| self.face(*host).role.is_none() && self.face(*host).listed_primary;
@@ -628,7 +619,9 @@
         }
         let open = |host: &HostId| Some(*host) != primary && self.face(*host).open;
         let replicas: Hosts = group.members.iter().copied().filter(open).collect();
-        let sound = |host: &HostId| self.face(*host).sound();
+        // Danger: trouble that all share has every host judged ill. Harms when most replicas really are lost.
+        let most = replicas.iter().filter(|&&host| self.face(host).sound()).count() * 2 < replicas.len();
+        let sound = |host: &HostId| self.face(*host).sound() || most;
         let fit: Hosts = replicas.iter().copied().filter(|h| self.qualifies(op, *h) && sound(h)).collect();
         among = fit.iter().copied().filter(|&host| self.bears(host, 1.0)).collect();
         if among.iter().any(|&host| !op.sends.tried(host)) {
@@ -646,6 +639,11 @@
             if fit.is_empty() && self.ask(op, &replicas, post) {
                 return Hosts::new();
             }
+        } else if self.weight(kind) >= LONG {
+            // Danger: long reads hold up the log where they run; spread out, they leave no replica fresh. So
+            // they go where the copy is furthest behind. Harms when they alone need most of the replicas.
+            let furthest = among.iter().map(|&host| self.face(host).behind).max().unwrap_or_default();
+            among.retain(|&mut host| self.face(host).behind >= furthest);
         } else if fit.len() < replicas.len() && among.iter().all(|&host| self.face(host).unfinished > 0) {
             self.ask(op, &replicas, post);
         }
--- a/src/post.rs
+++ b/src/post.rs
@@ -55,7 +55,6 @@
     pub credit: f64,
     pub ill: bool,
     pub trial: bool,
-    pub quiet: bool,
     pub probing: bool,
     pub probed_at: Point,
     /// The other routers are told what the probe under way brings.
