--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod logic;
 mod post;
+mod router;
 mod sends;
+mod state;
 
-pub use logic::Router;
+pub use router::Router;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,19 +1,19 @@
-//! The decisions of arrowyard, all of them. A caller makes a [`Router`] with [`Router::start`], hands it each
-//! note with the time when it came ([`Router::take`]), and carries out the actions that come back, in order.
+//! The decisions of arrowyard, all of them. A caller makes a `Router` with `Router::start`, hands it each
+//! note with the time when it came (`Router::take`), and carries out the actions that come back, in order.
 //! The interface is the crate `arrowyard-types`; `docs/design.md` says what of the design is kept or changed.
 //! Every host is an actor with an inbox; the desk is the actor that holds the ops. Hosts show it their face,
 //! it tells them what was sent to them. The one loop in `Router::take` empties all inboxes, the hosts' first.
+//! What they remember is laid out in `state.rs`.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 
 use arrowyard_types::*;
 use fastrand::Rng;
-use rustc_hash::FxHashMap;
-use slab::Slab;
 use smallvec::SmallVec;
 
-use crate::post::{Face, HostNote, Post, news_from, news_of};
-use crate::sends::{Commits, Sends};
+use crate::post::{HostNote, Post, news_from, news_of};
+use crate::sends::Sends;
+use crate::state::{Desk, Face, Group, Host, Op};
 
 /// The window's f: a replica is in the load window when its load times this is at most the least load.
 const WINDOW: f64 = 0.1;
@@ -70,32 +70,18 @@
     }
 
     fn sound(&self) -> bool {
-        self.open && (!self.ill || self.trial && self.unfinished == 0)
+        self.open && if self.ill { self.trial && self.unfinished == 0 } else { !self.quiet }
     }
 }
 
-#[derive(Default)]
-struct Host {
-    face: Face,
-    known: bool,
-    started: Option<Point>,
-    draining: bool,
-    live: f64,
-    kept: f64,
-    done: f64,
-    evidence: f64,
-    rest_until: Point,
-    cut_at: Point,
-}
-
 impl Host {
-    fn new(charter: &Manifest) -> Self {
+    pub fn new(charter: &Manifest) -> Self {
         let limit = (FIRST_LIMIT / charter.number_or("routers", 1.0)).clamp(1.0, 16.0);
         let face = Face { limit, warmth: 1.0, size: 1.0, ..Face::default() };
         Host { face, ..Host::default() }
     }
 
-    fn take(&mut self, id: HostId, now: Point, note: HostNote, charter: &Manifest, post: &mut Post) {
+    pub fn take(&mut self, id: HostId, now: Point, note: HostNote, charter: &Manifest, post: &mut Post) {
         match note {
             HostNote::Listed(entry, debt) => self.listed(entry, debt, charter),
             HostNote::Dropped => self.face.open &= charter.flag("removal_not_binding"),
@@ -118,6 +104,7 @@
                     if end.outcome != Outcome::Cancelled {
                         self.judge(now, true, charter);
                         self.cut(now, 0.8, charter);
+                        self.hush(self.face.heard_at <= now - end.took);
                     }
                 }
             }
@@ -129,6 +116,7 @@
                 self.face.probing = false;
                 self.face.lost = if word.is_some() { 0 } else { self.face.lost + 1 };
                 if let Some(word) = word {
+                    self.hush(false);
                     self.learn(now, word, word.position.unwrap_or_default() - Span::from_micros(1));
                 }
             }
@@ -146,7 +134,7 @@
             let Face { zone, size, tag, position, role_at, unfinished, rate, .. } = self.face;
             let fresh = Face { role: Some(Role::Replica), ..Host::new(charter).face };
             self.face = Face { zone, size, tag, position, role_at, unfinished, rate, ..fresh };
-            (self.evidence, self.kept) = (0.0, 0.0);
+            (self.evidence, self.kept, self.mute) = (0.0, 0.0, 0);
         }
         (self.known, self.started) = (true, entry.started);
         let face = &mut self.face;
@@ -195,6 +183,11 @@
         }
     }
 
+    fn hush(&mut self, unanswered: bool) {
+        self.mute = if unanswered { self.mute + 1 } else { 0 };
+        self.face.quiet = self.mute >= 2;
+    }
+
     fn cut(&mut self, now: Point, factor: f64, charter: &Manifest) {
         if now >= self.cut_at {
             // A router with less than one send out hears of few outcomes, and each counts for more.
@@ -207,6 +200,7 @@
 
     fn answered(&mut self, now: Point, end: Ended, weight: f64, used: f64, charter: &Manifest) {
         self.face.heard_at = now;
+        self.hush(false);
         self.learn(now, end.word, now);
         if end.word.role == Some(Role::Primary) {
             self.face.position = self.face.position.max(now - end.took);
@@ -240,70 +234,26 @@
     }
 }
 
-struct Op {
-    ask: Ask,
-    arrived: Point,
-    /// What a session read must see.
-    floor: Option<Point>,
-    sends: Sends,
-    over: bool,
-}
-
-#[derive(Default)]
-struct Group {
-    members: Vec<HostId>,
-    /// When the first op came and all members were asked who they are.
-    asked_at: Option<Point>,
-    /// Some op waits for a primary.
-    wanted: Cell<bool>,
-    /// The share of its writes that are sent back so that its replicas catch up.
-    held_back: f64,
-    /// Sends of reads that ended of late, and those that were acked within their latency target.
-    ended: f64,
-    good: f64,
-    /// Those acked, and the sum of the shares of their latency targets that they took.
-    acked: f64,
-    slow: f64,
-}
-
 type Hosts = SmallVec<[HostId; 16]>;
 
-#[derive(Default)]
-struct Desk {
-    charter: Manifest,
-    op_types: Vec<OpType>,
-    bound: Span,
-    least_target: Span,
-    now: Point,
-    rng: RefCell<Rng>,
-    /// By tenant: its share, and its part of the latest sends.
-    tenants: Vec<(f64, f64)>,
-    faces: Vec<Face>,
-    groups: FxHashMap<GroupId, Group>,
-    ops: Slab<Op>,
-    places: FxHashMap<OpId, usize>,
-    held: Vec<usize>,
-    /// An alarm is set to try the held ops again.
-    trying: bool,
-    told_at: Point,
-    commits: Commits,
-    pulsed_at: Point,
-    /// Weight that a warm host gets a second, by its size.
-    peers: f64,
-}
-
 impl Desk {
-    fn new(now: Point, seed: u64, charter: Manifest) -> Self {
+    pub fn new(now: Point, seed: u64, charter: Manifest, actions: &mut Vec<Action>) -> Self {
         let op_types = OpType::rows(&charter);
         let bounds = op_types.iter().filter_map(|t| t.need.bound());
         let share = |row: usize| charter.number_or(&format!("tenant.{row}.share"), 0.0);
+        let rng = RefCell::new(Rng::with_seed(seed));
+        if charter.text("list") == "ask" {
+            actions.push(Action::Subscribe { on: true });
+        }
+        let first = charter.span("connect_timeout") * (STEP * rng.borrow_mut().f64());
+        actions.push(Action::Ring { after: first, cookie: PULSE });
         Desk {
             bound: bounds.min().unwrap_or(charter.span("connect_timeout")),
             least_target: op_types.iter().map(|t| t.latency_target).min().unwrap_or_default(),
             tenants: (0..).map(|row| (share(row), 0.0)).take_while(|(share, _)| *share > 0.0).collect(),
             now,
             pulsed_at: now,
-            rng: RefCell::new(Rng::with_seed(seed)),
+            rng,
             op_types,
             charter,
             ..Desk::default()
@@ -333,7 +283,7 @@
         kind.latency_target / self.least_target
     }
 
-    fn take(&mut self, note: Note, post: &mut Post) {
+    pub fn take(&mut self, note: Note, post: &mut Post) {
         match note {
             Note::Listed { form, entries } => self.listed(form, entries, post),
             Note::ListFailed => {
@@ -454,7 +404,7 @@
     }
 
     /// Sends the op on, holds it, or answers at once when waiting cannot pay. Never two sends at once.
-    fn route(&mut self, place: usize, post: &mut Post) {
+    pub fn route(&mut self, place: usize, post: &mut Post) {
         let Some(op) = self.ops.get(place).filter(|op| !op.over && !op.sends.is_out()) else { return };
         if self.now >= self.pays_until(op) || !self.may_send(op, None) {
             self.give_up(place, post);
@@ -560,7 +510,7 @@
 
     /// The member that is known first-hand to be primary, by the newest word; else the one the list names.
     fn primary(&self, group: &Group) -> Option<HostId> {
-        let standing = |host: &HostId| self.face(*host).open && !self.face(*host).ill;
+        let standing = |host: &HostId| self.face(*host).open && !self.face(*host).quiet;
         let members = || group.members.iter().copied().filter(standing);
         let told = members().filter(|&host| self.face(host).role == Some(Role::Primary));
         let named = |host: &HostId| self.face(*host).role.is_none() && self.face(*host).listed_primary;
@@ -621,7 +571,7 @@
         let replicas: Hosts = group.members.iter().copied().filter(open).collect();
         // Danger: trouble that all share has every host judged ill. Harms when most replicas really are lost.
         let most = replicas.iter().filter(|&&host| self.face(host).sound()).count() * 2 < replicas.len();
-        let sound = |host: &HostId| self.face(*host).sound() || most;
+        let sound = |host: &HostId| self.face(*host).sound() || most && !self.face(*host).quiet;
         let fit: Hosts = replicas.iter().copied().filter(|h| self.qualifies(op, *h) && sound(h)).collect();
         among = fit.iter().copied().filter(|&host| self.bears(host, 1.0)).collect();
         if among.iter().any(|&host| !op.sends.tried(host)) {
@@ -771,42 +721,3 @@
         }
     }
 }
-
-/// One router: the desk, the hosts, and the post between them.
-pub struct Router {
-    desk: Desk,
-    hosts: Vec<Host>,
-    post: Post,
-}
-
-impl Router {
-    pub fn start(now: Point, seed: u64, charter: Manifest, actions: &mut Vec<Action>) -> Self {
-        let desk = Desk::new(now, seed, charter);
-        if desk.charter.text("list") == "ask" {
-            actions.push(Action::Subscribe { on: true });
-        }
-        let first = desk.charter.span("connect_timeout") * (STEP * desk.rng.borrow_mut().f64());
-        actions.push(Action::Ring { after: first, cookie: PULSE });
-        Router { desk, hosts: Vec::new(), post: Post::default() }
-    }
-
-    pub fn take(&mut self, now: Point, note: Note, actions: &mut Vec<Action>) {
-        let Router { desk, hosts, post } = self;
-        desk.now = now;
-        desk.take(note, post);
-        loop {
-            while let Some((id, note)) = post.hosts.take() {
-                let place = id.0 as usize;
-                if hosts.len() <= place {
-                    hosts.resize_with(place + 1, || Host::new(&desk.charter));
-                    desk.faces.resize(place + 1, Face::default());
-                }
-                hosts[place].take(id, now, note, &desk.charter, post);
-            }
-            post.faces.drain(..).for_each(|(id, face)| desk.faces[id.0 as usize] = face);
-            let Some(place) = post.ops.pop_front() else { break };
-            desk.route(place, post);
-        }
-        actions.append(&mut post.actions);
-    }
-}
--- a/src/post.rs
+++ b/src/post.rs
@@ -1,10 +1,12 @@
-//! What the parts tell each other: the notes to hosts, the face that a host shows the desk, and the inboxes of
-//! hosts, by host, emptied in the order in which notes were put in.
+//! What the parts tell each other: the notes to hosts, and their inboxes, by host, emptied in the order in which
+//! notes were put in; and the news that routers send each other.
 
 use std::collections::VecDeque;
 
 use arrowyard_types::*;
 
+use crate::state::Face;
+
 pub struct Inboxes<T> {
     boxes: Vec<VecDeque<T>>,
     order: VecDeque<HostId>,
@@ -32,39 +34,6 @@
     }
 }
 
-/// What the desk sees of a host.
-#[derive(Clone, Copy, Default)]
-pub struct Face {
-    pub zone: ZoneId,
-    pub size: f64,
-    /// What all routers call it.
-    pub tag: u32,
-    pub open: bool,
-    pub listed_primary: bool,
-    pub role: Option<Role>,
-    pub role_at: Point,
-    pub position: Point,
-    pub behind: Span,
-    /// Weight of this router's unfinished sends, and of those that ended unanswered a while ago.
-    pub load: f64,
-    pub unfinished: u32,
-    pub limit: f64,
-    pub rate: f64,
-    /// The share of its capacity that it surely has; 1 when warm.
-    pub warmth: f64,
-    pub credit: f64,
-    pub ill: bool,
-    pub trial: bool,
-    pub probing: bool,
-    pub probed_at: Point,
-    /// The other routers are told what the probe under way brings.
-    pub spread: bool,
-    pub sent_at: Point,
-    pub heard_at: Point,
-    /// Probes without answer since the last one with.
-    pub lost: u32,
-}
-
 pub enum HostNote {
     /// With the debt that it starts with if it is cold.
     Listed(Entry, f64),
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,109 @@
+//! What the parts remember: a host's actor and the face it shows, the desk with its ops and groups. No decisions.
+
+use std::cell::{Cell, RefCell};
+
+use arrowyard_types::*;
+use fastrand::Rng;
+use rustc_hash::FxHashMap;
+use slab::Slab;
+
+use crate::sends::{Commits, Sends};
+
+/// What the desk sees of a host.
+#[derive(Clone, Copy, Default)]
+pub struct Face {
+    pub zone: ZoneId,
+    pub size: f64,
+    /// What all routers call it.
+    pub tag: u32,
+    pub open: bool,
+    pub listed_primary: bool,
+    pub role: Option<Role>,
+    pub role_at: Point,
+    pub position: Point,
+    pub behind: Span,
+    /// Weight of this router's unfinished sends, and of those that ended unanswered a while ago.
+    pub load: f64,
+    pub unfinished: u32,
+    pub limit: f64,
+    pub rate: f64,
+    /// The share of its capacity that it surely has; 1 when warm.
+    pub warmth: f64,
+    pub credit: f64,
+    pub ill: bool,
+    pub trial: bool,
+    pub quiet: bool,
+    pub probing: bool,
+    pub probed_at: Point,
+    /// The other routers are told what the probe under way brings.
+    pub spread: bool,
+    pub sent_at: Point,
+    pub heard_at: Point,
+    /// Probes without answer since the last one with.
+    pub lost: u32,
+}
+
+#[derive(Default)]
+pub struct Host {
+    pub face: Face,
+    pub known: bool,
+    pub started: Option<Point>,
+    pub draining: bool,
+    pub live: f64,
+    pub kept: f64,
+    pub done: f64,
+    pub evidence: f64,
+    pub rest_until: Point,
+    pub mute: u32,
+    pub cut_at: Point,
+}
+
+pub struct Op {
+    pub ask: Ask,
+    pub arrived: Point,
+    /// What a session read must see.
+    pub floor: Option<Point>,
+    pub sends: Sends,
+    pub over: bool,
+}
+
+#[derive(Default)]
+pub struct Group {
+    pub members: Vec<HostId>,
+    /// When the first op came and all members were asked who they are.
+    pub asked_at: Option<Point>,
+    /// Some op waits for a primary.
+    pub wanted: Cell<bool>,
+    /// The share of its writes that are sent back so that its replicas catch up.
+    pub held_back: f64,
+    /// Sends of reads that ended of late, and those that were acked within their latency target.
+    pub ended: f64,
+    pub good: f64,
+    /// Those acked, and the sum of the shares of their latency targets that they took.
+    pub acked: f64,
+    pub slow: f64,
+}
+
+#[derive(Default)]
+pub struct Desk {
+    pub charter: Manifest,
+    pub op_types: Vec<OpType>,
+    pub bound: Span,
+    pub least_target: Span,
+    pub now: Point,
+    pub rng: RefCell<Rng>,
+    /// By tenant: its share, and its part of the latest sends.
+    pub tenants: Vec<(f64, f64)>,
+    pub faces: Vec<Face>,
+    pub groups: FxHashMap<GroupId, Group>,
+    pub ops: Slab<Op>,
+    pub places: FxHashMap<OpId, usize>,
+    pub held: Vec<usize>,
+    /// An alarm is set to try the held ops again.
+    pub trying: bool,
+    pub told_at: Point,
+    pub commits: Commits,
+    pub pulsed_at: Point,
+    /// Weight that a warm host gets a second, by its size.
+    pub peers: f64,
+}
