--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -138,11 +138,10 @@
         world.ask(op, ANY, None);
     }
     world.wait(1000);
-    let some = (100..150).any(|op| {
-        let op = world.ask(op, ANY, None);
-        !world.hosts_of(op).is_empty()
-    });
-    assert!(some, "all replicas were judged ill and none was used");
+    let ops: Vec<_> = (100..150).map(|op| world.ask(op, ANY, None)).collect();
+    let sent = ops.into_iter().filter(|op| !world.hosts_of(*op).is_empty()).count();
+    assert!(sent > 0, "all replicas were judged ill and none was used");
+    assert!(sent < 25, "{sent} of 50 reads went into a jam");
 }
 
 #[test]
@@ -236,3 +235,51 @@
     assert!(sent_back(3000, 10) > 10);
     assert_eq!(sent_back(0, 100), 0, "they caught up");
 }
+
+#[test]
+fn one_of_many_routers_spaces_its_sends_to_a_slow_primary() {
+    let mut many = charter(true, false, false);
+    many.insert("routers".to_string(), Fact::Number(400.0));
+    let mut world = World::settled(many);
+    for op in 10..13 {
+        world.ask(op, TOKENED, Some(op));
+        world.wait(TIMEOUT);
+        let word = Word { role: Some(Role::Primary), position: Some(world.now), ..Word::default() };
+        world.feed(Note::Probed { host: HostId(0), outcome: Outcome::Acked, word });
+    }
+    let op = world.ask(20, TOKENED, Some(20));
+    world.wait(100);
+    assert!(world.hosts_of(op).is_empty());
+}
+
+#[test]
+fn further_sends_of_an_op_pause() {
+    let mut world = World::settled(charter(true, false, false));
+    let op = world.ask(10, ANY, None);
+    for _ in 0..10 {
+        world.end_all(Outcome::Errored);
+        world.wait(5);
+    }
+    assert!((2..=4).contains(&world.hosts_of(op).len()), "{:?}", world.hosts_of(op));
+}
+
+#[test]
+fn what_one_router_had_to_ask_others_need_not_ask() {
+    let mut peers = charter(true, false, false);
+    peers.insert("peers".to_string(), Fact::Flag(true));
+    let (mut world, mut other) = (World::settled(peers.clone()), World::settled(peers));
+    for world in [&mut world, &mut other] {
+        world.wait(2 * BOUND);
+    }
+    world.ask(10, BOUNDED, None);
+    let asked = world.probes[0].0;
+    world.answer_probes(0);
+    let tells = world.trace.iter().filter_map(|(_, event)| match event {
+        Ok(Action::Tell { to: None, bytes }) => Some(bytes.clone()),
+        _ => None,
+    });
+    let bytes = tells.last().expect("news");
+    other.feed(Note::Told { from: PeerId(1), bytes });
+    let op = other.ask(10, BOUNDED, None);
+    assert_eq!((other.hosts_of(op), other.probes.len()), (vec![asked], 0));
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -84,17 +84,25 @@
             Note::HungUp { op } => self.ops.get_mut(&op.0).expect("an op that was asked").over = true,
             Note::Probed { host, outcome: Outcome::Acked, word } => {
                 if let (Some(position), Some(role)) = (word.position, word.role) {
-                    let (since, passes) = self.primary.entry(host.0).or_insert((Point::DAWN, false));
-                    if position > *since {
-                        (*since, *passes) = (position, role == Role::Primary);
-                    }
-                    self.tell(*host, position);
+                    self.report(*host, position, role == Role::Primary);
                 }
             }
+            Note::Told { bytes, .. } => {
+                let millis = i64::from(u32::from_le_bytes([bytes[4], bytes[5], bytes[6], bytes[7]]));
+                self.report(HostId(bytes[0].into()), Point::from_micros(millis * 1000), bytes[8] == 1);
+            }
             _ => {}
         }
     }
 
+    fn report(&mut self, host: HostId, position: Point, primary: bool) {
+        let (since, passes) = self.primary.entry(host.0).or_insert((Point::DAWN, false));
+        if position > *since {
+            (*since, *passes) = (position, primary);
+        }
+        self.tell(host, position);
+    }
+
     fn tell(&mut self, host: HostId, position: Point) {
         let told = self.told.entry(host.0).or_insert(position);
         *told = position.max(*told);
@@ -194,6 +202,7 @@
     End { place: usize, outcome: usize, primary: bool, behind: i64 },
     Report { place: usize, ok: bool, primary: bool, behind: i64 },
     List { host: u32, availability: usize, primary: bool, cold: bool },
+    News { host: u32, primary: bool, behind: i64 },
     HangUp { place: usize },
     Restart,
 }
@@ -210,6 +219,8 @@
             .prop_map(|(place, ok, primary, behind)| Step::Report { place, ok, primary, behind }),
         1 => (0u32..8, 0usize..3, flag(), flag())
             .prop_map(|(host, availability, primary, cold)| Step::List { host, availability, primary, cold }),
+        2 => (0u32..8, flag(), 0i64..700)
+            .prop_map(|(host, primary, behind)| Step::News { host, primary, behind }),
         1 => (0usize..50).prop_map(|place| Step::HangUp { place }),
         1 => Just(Step::Restart),
     ]
@@ -256,6 +267,12 @@
                     [Availability::Ready, Availability::Draining, Availability::Gone][availability];
                 world.list(vec![entry(host, availability, primary, cold.then_some(world.now))]);
             }
+            Step::News { host, primary, behind } => {
+                let millis = ((world.now - ms(behind)).micros() / 1000) as u32;
+                let role = if primary { 1 } else { 2 };
+                let bytes = [&host.to_le_bytes()[..], &millis.to_le_bytes(), &[role]].concat();
+                world.feed(Note::Told { from: PeerId(1), bytes });
+            }
             Step::HangUp { place } if !asked.is_empty() => {
                 let op = asked[place % asked.len()];
                 if !world.answered(op) {
