--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,6 +34,9 @@
 const READS_AT_PRIMARY: f64 = 0.75;
 /// How long a read waits for one replica's position, as a share of the least latency target.
 const PATIENCE: f64 = 0.1;
+/// How far a slow and a quick answer move the share of reads given back.
+const BACK_UP: f64 = 0.2;
+const BACK_DOWN: f64 = 0.03;
 /// A tenant is over its share from this multiple of it on.
 const OVER: f64 = 1.1;
 /// A router tells news at most once in so many connect time-outs for each router.
@@ -367,8 +370,7 @@
             _ => {
                 let good = (group.good + 1.0) / (group.ended + 1.0);
                 let back = 1.0 - if over { good } else { BACKED * good };
-                let slow = group.slow / (group.acked + 1.0) / EASY - 1.0;
-                back.max(slow).min(MOST_BACK)
+                back.max(group.back).min(MOST_BACK)
             }
         });
         let arrived = self.now;
@@ -490,10 +492,15 @@
         let tells = matches!(end.outcome, Outcome::Acked | Outcome::TimedOut | Outcome::Full);
         if let Some(group) = self.groups.get_mut(&group).filter(|_| tells && !writes) {
             group.ended += 1.0;
-            // Slow answers warn of a queue before that queue costs answers.
-            let acked = f64::from(end.outcome == Outcome::Acked);
-            group.good += if used <= 1.0 { acked } else { 0.0 };
-            (group.acked, group.slow) = (group.acked + acked, group.slow + used.min(1.0) * acked);
+            let acked = end.outcome == Outcome::Acked;
+            group.good += f64::from(acked && used <= 1.0);
+            // Slow answers warn of a queue before that queue costs answers. The share given back moves till
+            // few are slow, however much that takes.
+            if acked && used > (EASY + 1.0) * 0.5 {
+                group.back += (1.0 - group.back) * BACK_UP;
+            } else if acked && used < EASY {
+                group.back = (group.back - BACK_DOWN).max(0.0);
+            }
         }
         let op = &mut self.ops[place];
         let Some(one) = op.sends.end(end.send, end.outcome) else { return };
@@ -692,7 +699,6 @@
         let fades = 1.0 - (passed / (self.charter.span("connect_timeout") * REST)).min(1.0);
         for group in self.groups.values_mut() {
             (group.ended, group.good) = (group.ended * fades, group.good * fades);
-            (group.acked, group.slow) = (group.acked * fades, group.slow * fades);
             let faces = group.members.iter().map(|host| &self.faces[host.0 as usize]);
             let replicas = faces.filter(|f| f.open && f.role == Some(Role::Replica)).map(|f| f.behind);
             let (all, far) = (replicas.clone().count(), replicas.filter(|&b| b > self.bound).count());
--- a/src/state.rs
+++ b/src/state.rs
@@ -79,9 +79,8 @@
     /// Sends of reads that ended of late, and those that were acked within their latency target.
     pub ended: f64,
     pub good: f64,
-    /// Those acked, and the sum of the shares of their latency targets that they took.
-    pub acked: f64,
-    pub slow: f64,
+    /// The share of its reads that is given back since acked ones were slow.
+    pub back: f64,
 }
 
 #[derive(Default)]
