--- a/src/logic.rs
+++ b/src/logic.rs
@@ -211,6 +211,7 @@
         match end.outcome {
             Outcome::Acked => {
                 self.done += weight;
+                self.face.pace = Some(used);
                 self.judge(now, used > 1.0, charter);
                 if used > STRAINED {
                     self.cut(now, 0.9, charter);
@@ -489,14 +490,19 @@
         let (used, weight, writes) =
             (end.took / kind.latency_target, self.weight(kind), kind.need == Need::Write);
         let group = self.ops[place].ask.group;
+        let heard =
+            self.groups.get(&group).into_iter().flat_map(|group| &group.members).map(|&h| self.face(h));
+        let slow = (EASY + 1.0) * 0.5;
+        let pace: SmallVec<[f64; 16]> = heard.filter(|face| face.open).filter_map(|face| face.pace).collect();
+        let shared = pace.iter().filter(|&&pace| pace > slow).count() * 2 > pace.len();
         let tells = matches!(end.outcome, Outcome::Acked | Outcome::TimedOut | Outcome::Full);
         if let Some(group) = self.groups.get_mut(&group).filter(|_| tells && !writes) {
             group.ended += 1.0;
             let acked = end.outcome == Outcome::Acked;
             group.good += f64::from(acked && used <= 1.0);
             // Slow answers warn of a queue before that queue costs answers. The share given back moves till
-            // few are slow, however much that takes.
-            if acked && used > (EASY + 1.0) * 0.5 {
+            // few are slow, however much that takes; but slowness of a few hosts is left to their limits.
+            if acked && used > slow && shared {
                 group.back += (1.0 - group.back) * BACK_UP;
             } else if acked && used < EASY {
                 group.back = (group.back - BACK_DOWN).max(0.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,6 +38,8 @@
     /// The other routers are told what the probe under way brings.
     pub spread: bool,
     pub sent_at: Point,
+    /// The share of its latency target that its last acked send took.
+    pub pace: Option<f64>,
     pub heard_at: Point,
     /// Probes without answer since the last one with.
     pub lost: u32,
