--- a/src/logic.rs
+++ b/src/logic.rs
@@ -97,6 +97,9 @@
             HostNote::Ended(end, weight, used) => {
                 self.face.unfinished -= 1;
                 self.live -= weight;
+                if matches!(end.outcome, Outcome::Acked | Outcome::TimedOut) {
+                    self.face.pace = Some(if end.outcome == Outcome::Acked { used } else { 1.0 });
+                }
                 if end.outcome.is_answer() {
                     self.kept *= 0.5;
                     self.answered(now, end, weight, used, charter);
@@ -211,7 +214,6 @@
         match end.outcome {
             Outcome::Acked => {
                 self.done += weight;
-                self.face.pace = Some(used);
                 self.judge(now, used > 1.0, charter);
                 if used > STRAINED {
                     self.cut(now, 0.9, charter);
@@ -502,7 +504,7 @@
             group.good += f64::from(acked && used <= 1.0);
             // Slow answers warn of a queue before that queue costs answers. The share given back moves till
             // few are slow, however much that takes; but slowness of a few hosts is left to their limits.
-            if acked && used > slow && shared {
+            if (used > slow || !acked) && shared {
                 group.back += (1.0 - group.back) * BACK_UP;
             } else if acked && used < EASY {
                 group.back = (group.back - BACK_DOWN).max(0.0);
