The moving share alone throttles; a start once known is not forgotten

The ratio of reads acked in time covered the same ground and is taken out. A list that names an old start again no longer makes a host look cold till the next pulse.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,8 +41,8 @@
 const OVER: f64 = 1.1;
 /// A router tells news at most once in so many connect time-outs for each router.
 const TELL_GAP: f64 = 0.04;
-/// A group is sent at most this many times the share of reads that it lately acked in time.
-const BACKED: f64 = 1.5;
+/// What a tenant asks beyond its share is given back so many times as readily.
+const OVER_FIRST: f64 = 3.0;
 /// What opening a connection weighs, beside a send of the least latency target.
 const OPENING: f64 = 0.2;
 /// A position is asked for again after this share of the least bound.
@@ -86,7 +86,7 @@
 
     pub fn take(&mut self, id: HostId, now: Point, note: HostNote, charter: &Manifest, post: &mut Post) {
         match note {
-            HostNote::Listed(entry, debt) => self.listed(entry, debt, charter),
+            HostNote::Listed(entry, debt) => self.listed(now, entry, debt, charter),
             HostNote::Dropped => self.face.open &= charter.flag("removal_not_binding"),
             HostNote::Took(weight) => {
                 self.face.unfinished += 1;
@@ -133,8 +133,10 @@
         post.faces.push_back((id, self.face));
     }
 
-    fn listed(&mut self, entry: Entry, debt: f64, charter: &Manifest) {
-        if self.known && entry.started != self.started {
+    fn listed(&mut self, now: Point, entry: Entry, debt: f64, charter: &Manifest) {
+        // Danger: an entry without a start, or with an older one, would make a cold host look warm.
+        let started = entry.started.max(self.started);
+        if self.known && started != self.started {
             // It started again: its past says nothing of its health, and whatever the list still calls it, it
             // comes back as a replica.
             let Face { zone, size, tag, position, role_at, unfinished, rate, .. } = self.face;
@@ -142,7 +144,7 @@
             self.face = Face { zone, size, tag, position, role_at, unfinished, rate, ..fresh };
             (self.evidence, self.kept, self.mute) = (0.0, 0.0, 0);
         }
-        (self.known, self.started) = (true, entry.started);
+        (self.known, self.started) = (true, started);
         let face = &mut self.face;
         (face.zone, face.size, face.tag, face.listed_primary) =
             (entry.zone, entry.size.max(0.01), entry.tag, entry.primary);
@@ -150,7 +152,7 @@
         let binds = self.draining || !charter.flag("removal_not_binding");
         self.draining = entry.availability == Availability::Draining || gone && binds;
         face.open = !self.draining;
-        if entry.started.is_some() && face.warmth >= 1.0 {
+        if started.is_some_and(|at| now - at < charter.span("cold")) && face.warmth >= 1.0 {
             // Till the next pulse tells how warm it is. The first send has to be earned, too: from a debt drawn
             // up to a mean send, so that many small routers together start at their share, not at none.
             (face.warmth, face.credit) = (charter.number_or("cold_from", 1.0), -debt);
@@ -364,17 +366,10 @@
         } else {
             self.commits.last(ask.session)
         };
-        // Danger: a jam that feeds itself, as hosts work on sends that nobody waits for any more. What a router
-        // sends to a group falls with the share that is acked in time. Harms where reads fail for other reasons.
-        // What a tenant asks beyond its share goes first, at the first signs.
         let over = self.over_share(&ask);
         let back = self.groups.get(&ask.group).map_or(0.0, |group| match need {
             Need::Write => group.held_back,
-            _ => {
-                let good = (group.good + 1.0) / (group.ended + 1.0);
-                let back = 1.0 - if over { good } else { BACKED * good };
-                back.max(group.back).min(MOST_BACK)
-            }
+            _ => (group.back * if over { OVER_FIRST } else { 1.0 }).min(MOST_BACK),
         });
         let arrived = self.now;
         let place = self.ops.insert(Op { ask, arrived, floor, sends: Sends::default(), over: false });
@@ -492,18 +487,17 @@
         let (used, weight, writes) =
             (end.took / kind.latency_target, self.weight(kind), kind.need == Need::Write);
         let group = self.ops[place].ask.group;
-        let heard =
-            self.groups.get(&group).into_iter().flat_map(|group| &group.members).map(|&h| self.face(h));
+        let members = self.groups.get(&group).into_iter().flat_map(|group| &group.members);
+        let heard = members.map(|&host| self.face(host));
         let slow = (EASY + 1.0) * 0.5;
         let pace: SmallVec<[f64; 16]> = heard.filter(|face| face.open).filter_map(|face| face.pace).collect();
         let shared = pace.iter().filter(|&&pace| pace > slow).count() * 2 > pace.len();
         let tells = matches!(end.outcome, Outcome::Acked | Outcome::TimedOut | Outcome::Full);
         if let Some(group) = self.groups.get_mut(&group).filter(|_| tells && !writes) {
-            group.ended += 1.0;
             let acked = end.outcome == Outcome::Acked;
-            group.good += f64::from(acked && used <= 1.0);
-            // Slow answers warn of a queue before that queue costs answers. The share given back moves till
-            // few are slow, however much that takes; but slowness of a few hosts is left to their limits.
+            // Danger: a jam that feeds itself, as hosts work on sends that nobody waits for any more. The share
+            // of reads given back moves till few are slow, however much that takes; slowness of a few hosts is
+            // left to their limits. Harms where most hosts are slow for other reasons.
             if (used > slow || !acked) && shared {
                 group.back += (1.0 - group.back) * BACK_UP;
             } else if acked && used < EASY {
@@ -543,7 +537,6 @@
         let id = self.ops[place].ask.group;
         let group = self.groups.get_mut(&id)?;
         if group.asked_at.is_none() {
-            // A fresh router knows only an old list: the members say who is primary and how far they are.
             group.asked_at = Some(self.now);
             self.probe(&self.groups[&id].members, false, post);
             if self.charter.flag("probes") {
@@ -704,9 +697,7 @@
         // till most are within the bound, but where long reads hold up the log. Harms when reports come late.
         let long = self.op_types.iter().any(|kind| self.weight(kind) >= LONG);
         let step = if long { 0.0 } else { passed / self.charter.span("connect_timeout") * CATCH_UP };
-        let fades = 1.0 - (passed / (self.charter.span("connect_timeout") * REST)).min(1.0);
         for group in self.groups.values_mut() {
-            (group.ended, group.good) = (group.ended * fades, group.good * fades);
             let faces = group.members.iter().map(|host| &self.faces[host.0 as usize]);
             let replicas = faces.filter(|f| f.open && f.role == Some(Role::Replica)).map(|f| f.behind);
             let (all, far) = (replicas.clone().count(), replicas.filter(|&b| b > self.bound).count());
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,9 +78,6 @@
     pub wanted: Cell<bool>,
     /// The share of its writes that are sent back so that its replicas catch up.
     pub held_back: f64,
-    /// Sends of reads that ended of late, and those that were acked within their latency target.
-    pub ended: f64,
-    pub good: f64,
     /// The share of its reads that is given back since acked ones were slow.
     pub back: f64,
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -263,11 +263,11 @@
     world.ask(10, BOUNDED, None);
     let asked = world.probes[0].0;
     world.answer_probes(0);
-    let tells = world.trace.iter().filter_map(|(_, event)| match event {
+    let mut tells = world.trace.iter().filter_map(|(_, event)| match event {
         Ok(Action::Tell { to: None, bytes }) => Some(bytes.clone()),
         _ => None,
     });
-    let bytes = tells.last().expect("news");
+    let bytes = tells.next_back().expect("news");
     other.feed(Note::Told { from: PeerId(1), bytes });
     let op = other.ask(10, BOUNDED, None);
     assert_eq!((other.hosts_of(op), other.probes.len()), (vec![asked], 0));
