--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,7 +36,7 @@
 const PATIENCE: f64 = 0.1;
 /// How far a slow and a quick answer move the share of reads given back.
 const BACK_UP: f64 = 0.2;
-const BACK_DOWN: f64 = 0.03;
+const BACK_DOWN: f64 = 0.05;
 /// A tenant is over its share from this multiple of it on.
 const OVER: f64 = 1.1;
 /// A router tells news at most once in so many connect time-outs for each router.
