--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,7 +40,7 @@
 /// A tenant is over its share from this multiple of it on.
 const OVER: f64 = 1.1;
 /// A router tells news at most once in so many connect time-outs for each router.
-const TELL_GAP: f64 = 0.025;
+const TELL_GAP: f64 = 0.04;
 /// What a tenant asks beyond its share is given back so many times as readily.
 const OVER_FIRST: f64 = 3.0;
 /// What opening a connection weighs, beside a send of the least latency target.
