--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -5,10 +5,6 @@
 use arrowyard_types::*;
 use helpers::*;
 
-fn replica(host: u32) -> bool {
-    host != 0
-}
-
 #[test]
 fn the_lightest_replica_wins_and_ties_fall_at_random() {
     let mut world = World::settled(charter(true, false, false));
