--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,7 +48,7 @@
 /// A position is asked for again after this share of the least bound.
 const PROBE_GAP: f64 = 0.125;
 /// A cold host gets at most this part of the multiple of its capacity that would push it over.
-const OF_MULTIPLE: f64 = 0.9;
+const OF_MULTIPLE: f64 = 0.7;
 /// A missing primary is looked for, and a limit is cut, once in this share of the connect time-out.
 const STEP: f64 = 0.4;
 /// While most replicas are behind, the share of writes sent back grows by this in a connect time-out.
