--- a/src/post.rs
+++ b/src/post.rs
@@ -66,8 +66,11 @@
     [&tag.to_le_bytes()[..], &millis.to_le_bytes(), &[role]].concat()
 }
 
-/// Positions are not in the future, so that the lower bits are enough.
+/// Positions are not in the future, so that the lower bits are enough. Nothing of a message of another form.
 pub fn news_from(bytes: &[u8], now: Point) -> Option<(u32, Word)> {
+    if bytes.len() != 9 {
+        return None;
+    }
     let number = |from: usize| Some(u32::from_le_bytes(bytes.get(from..from + 4)?.try_into().ok()?));
     let age = (now.micros().div_euclid(1000) as u32).wrapping_sub(number(4)?);
     let position =
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -250,9 +250,14 @@
         _ => None,
     });
     let bytes = tells.next_back().expect("news");
+    for cut in [&bytes[..8], &[], &[&bytes[..], &[0]].concat()] {
+        other.feed(Note::Told { from: PeerId(1), bytes: cut.to_vec() });
+        let op = other.ask(20 + cut.len() as u64, BOUNDED, None);
+        assert!(other.hosts_of(op).is_empty(), "news of another form tells nothing");
+    }
     other.feed(Note::Told { from: PeerId(1), bytes });
     let op = other.ask(10, BOUNDED, None);
-    assert_eq!((other.hosts_of(op), other.probes.len()), (vec![asked], 0));
+    assert_eq!((other.hosts_of(op), other.probes.len()), (vec![asked], 1));
 }
 
 #[test]
