--- a/src/logic.rs
+++ b/src/logic.rs
@@ -697,9 +697,7 @@
         // till most are within the bound, but where long reads hold up the log. Harms when reports come late.
         let long = self.op_types.iter().any(|kind| self.weight(kind) >= LONG);
         let step = if long { 0.0 } else { passed / self.charter.span("connect_timeout") * CATCH_UP };
-        let fades = 1.0 - (passed / (self.charter.span("connect_timeout") * REST)).min(1.0);
         for group in self.groups.values_mut() {
-            group.back *= fades;
             let faces = group.members.iter().map(|host| &self.faces[host.0 as usize]);
             let replicas = faces.filter(|f| f.open && f.role == Some(Role::Replica)).map(|f| f.behind);
             let (all, far) = (replicas.clone().count(), replicas.filter(|&b| b > self.bound).count());
