Module tidied: one gate for probes, throttle on its own, host walk and mean weight once

Read of the whole change. probe() says whether it asked, in place of two weaker checks beside it in choose() and ask(); where probes are allowed but reports are not told, a read no longer waits for a report that never comes (no site has that; seen by reading, not by a run). The throttle is worked out for reads only, without a list; the mean weight once a list, not once an entry; the news form is checked once; comments of pace and back say what they hold.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,7 +12,6 @@
 use smallvec::SmallVec;
 
 use crate::post::{HostNote, Post, news_from, news_of};
-use crate::sends::Sends;
 use crate::state::{Desk, Face, Group, Host, Op};
 
 /// The window's f: a replica is in the load window when its load times this is at most the least load.
@@ -268,6 +267,10 @@
         }
     }
 
+    fn hosts(&self) -> impl Iterator<Item = HostId> + use<> {
+        (0..self.faces.len() as u32).map(HostId)
+    }
+
     fn face(&self, host: HostId) -> &Face {
         &self.faces[host.0 as usize]
     }
@@ -318,10 +321,9 @@
                 self.try_held(post);
             }
             Note::Told { bytes, .. } => {
-                let news = news_from(&bytes, self.now);
-                let all = (0..self.faces.len() as u32).map(HostId);
-                for host in all.filter(|&host| news.is_some_and(|(tag, _)| tag == self.face(host).tag)) {
-                    post.hosts.put(host, HostNote::Told(news.unwrap_or_default().1));
+                if let Some((tag, word)) = news_from(&bytes, self.now) {
+                    let meant = self.hosts().filter(|&host| self.face(host).tag == tag);
+                    meant.for_each(|host| post.hosts.put(host, HostNote::Told(word)));
                 }
                 self.try_held(post);
             }
@@ -332,26 +334,24 @@
     /// not ask again. A router tells so seldom that all together never flood each other.
     fn tell(&mut self, host: HostId, word: &Word, post: &mut Post) {
         let gap = self.charter.span("connect_timeout") * (TELL_GAP * self.charter.number_or("routers", 1.0));
-        if self.face(host).spread
-            && word.position > Some(self.face(host).position)
-            && self.now - self.told_at >= gap
-        {
+        let face = *self.face(host);
+        if face.spread && word.position > Some(face.position) && self.now - self.told_at >= gap {
             self.told_at = self.now;
-            post.actions.push(Action::Tell { to: None, bytes: news_of(self.face(host).tag, word) });
+            post.actions.push(Action::Tell { to: None, bytes: news_of(face.tag, word) });
         }
     }
 
     fn listed(&mut self, form: ListForm, entries: Vec<Entry>, post: &mut Post) {
         let missing = |host: &HostId| form != ListForm::Changes && !entries.iter().any(|e| e.host == *host);
-        let all = (0..self.faces.len() as u32).map(HostId);
-        all.filter(missing).for_each(|host| post.hosts.put(host, HostNote::Dropped));
+        self.hosts().filter(missing).for_each(|host| post.hosts.put(host, HostNote::Dropped));
+        let weights = self.op_types.iter().map(|kind| self.weight(kind));
+        let mean = weights.sum::<f64>() / self.op_types.len() as f64;
         for entry in entries {
             self.groups.values_mut().for_each(|group| group.members.retain(|&host| host != entry.host));
             let members = &mut self.groups.entry(entry.group).or_default().members;
             members.push(entry.host);
             members.sort_unstable();
-            let weights = self.op_types.iter().map(|kind| self.weight(kind));
-            let debt = weights.sum::<f64>() / self.op_types.len() as f64 * self.rng.borrow_mut().f64();
+            let debt = mean * self.rng.borrow_mut().f64();
             post.hosts.put(entry.host, HostNote::Listed(entry, debt));
         }
     }
@@ -366,13 +366,11 @@
         } else {
             self.commits.last(ask.session)
         };
-        let over = self.over_share(&ask);
         let back = self.groups.get(&ask.group).map_or(0.0, |group| match need {
             Need::Write => group.held_back,
-            _ => (group.back * if over { OVER_FIRST } else { 1.0 }).min(MOST_BACK),
+            _ => (group.back * if self.over_share(&ask) { OVER_FIRST } else { 1.0 }).min(MOST_BACK),
         });
-        let arrived = self.now;
-        let place = self.ops.insert(Op { ask, arrived, floor, sends: Sends::default(), over: false });
+        let place = self.ops.insert(Op { ask, arrived: self.now, floor, ..Op::default() });
         self.places.insert(ask.op, place);
         if self.rng.borrow_mut().f64() < back {
             return self.give_up(place, post);
@@ -486,37 +484,41 @@
         let kind = self.op_type(&self.ops[place]);
         let (used, weight, writes) =
             (end.took / kind.latency_target, self.weight(kind), kind.need == Need::Write);
-        let group = self.ops[place].ask.group;
-        let members = self.groups.get(&group).into_iter().flat_map(|group| &group.members);
-        let heard = members.map(|&host| self.face(host));
-        let slow = (EASY + 1.0) * 0.5;
-        let pace: SmallVec<[f64; 16]> = heard.filter(|face| face.open).filter_map(|face| face.pace).collect();
-        let shared = pace.iter().filter(|&&pace| pace > slow).count() * 2 > pace.len();
-        let tells = matches!(end.outcome, Outcome::Acked | Outcome::TimedOut | Outcome::Full);
-        if let Some(group) = self.groups.get_mut(&group).filter(|_| tells && !writes) {
-            let acked = end.outcome == Outcome::Acked;
-            // Danger: a jam that feeds itself, as hosts work on sends that nobody waits for any more. The share
-            // of reads given back moves till few are slow, however much that takes; slowness of a few hosts is
-            // left to their limits. Harms where most hosts are slow for other reasons.
-            if (used > slow || !acked) && shared {
-                group.back += (1.0 - group.back) * BACK_UP;
-            } else if acked && used < EASY {
-                group.back = (group.back - BACK_DOWN).max(0.0);
-            }
-        }
         let op = &mut self.ops[place];
         let Some(one) = op.sends.end(end.send, end.outcome) else { return };
         if let Some(session) = op.ask.session.filter(|_| writes && end.outcome == Outcome::Acked) {
             self.commits.keep(session, end.word.position.unwrap_or(self.now), SESSIONS);
         }
+        let group = op.ask.group;
         if op.over || end.finished {
             self.finish(place, post);
         } else if !op.sends.is_out() {
             post.ops.push_back(place);
         }
+        if !writes {
+            self.throttle(group, end.outcome, used);
+        }
         post.hosts.put(one.host, HostNote::Ended(end, weight, used));
     }
 
+    /// Danger: a jam that feeds itself, as hosts work on sends that nobody waits for any more. The share of reads
+    /// given back moves till few are slow, however much that takes; slowness of a few hosts is left to their
+    /// limits. Harms where most hosts are slow for other reasons.
+    fn throttle(&mut self, group: GroupId, outcome: Outcome, used: f64) {
+        let acked = outcome == Outcome::Acked;
+        let tells = acked || matches!(outcome, Outcome::TimedOut | Outcome::Full);
+        let Some(group) = self.groups.get_mut(&group).filter(|_| tells) else { return };
+        let slow = (EASY + 1.0) * 0.5;
+        let faces = group.members.iter().map(|host| &self.faces[host.0 as usize]);
+        let paces = faces.filter(|face| face.open).filter_map(|face| face.pace);
+        let (all, far) = (paces.clone().count(), paces.filter(|&pace| pace > slow).count());
+        if (used > slow || !acked) && far * 2 > all {
+            group.back += (1.0 - group.back) * BACK_UP;
+        } else if acked && used < EASY {
+            group.back = (group.back - BACK_DOWN).max(0.0);
+        }
+    }
+
     /// The member that is known first-hand to be primary, by the newest word; else the one the list names.
     fn primary(&self, group: &Group) -> Option<HostId> {
         let standing = |host: &HostId| self.face(*host).open && !self.face(*host).quiet;
@@ -526,10 +528,13 @@
         told.max_by_key(|&host| self.face(host).role_at).or_else(|| members().find(named))
     }
 
-    fn probe(&self, hosts: &[HostId], spread: bool, post: &mut Post) {
+    /// Whether any of them was asked.
+    fn probe(&self, hosts: &[HostId], spread: bool, post: &mut Post) -> bool {
         let allowed = self.charter.flag("probes") && self.charter.text("reports") != "none";
-        let able = |host: &&HostId| allowed && self.face(**host).open && !self.face(**host).probing;
-        hosts.iter().filter(able).for_each(|&host| post.hosts.put(host, HostNote::Probe(spread)));
+        let able = |host: &HostId| allowed && self.face(*host).open && !self.face(*host).probing;
+        let asked: Hosts = hosts.iter().copied().filter(able).collect();
+        asked.iter().for_each(|&host| post.hosts.put(host, HostNote::Probe(spread)));
+        !asked.is_empty()
     }
 
     /// The host for the next send of this op; none while it should wait.
@@ -538,8 +543,7 @@
         let group = self.groups.get_mut(&id)?;
         if group.asked_at.is_none() {
             group.asked_at = Some(self.now);
-            self.probe(&self.groups[&id].members, false, post);
-            if self.charter.flag("probes") {
+            if self.probe(&self.groups[&id].members, false, post) {
                 return None;
             }
         }
@@ -568,8 +572,7 @@
                 // None known: members in turn, the most advanced first; a known replica counts as a miss.
                 // Danger: a fresh read answered by a replica that does not check reads.
                 let blank = |f: &Face| f.role.is_none() && !f.probing && f.sound();
-                let able = |host: HostId| blank(self.face(host)) && self.bears(host, 1.0);
-                let next = |host: &HostId| !op.sends.tried(*host) && able(*host);
+                let next = |h: &HostId| blank(self.face(*h)) && self.bears(*h, 1.0) && !op.sends.tried(*h);
                 let turn = group.members.iter().copied().filter(next);
                 among.extend(turn.max_by_key(|&host| self.face(host).position));
             }
@@ -643,8 +646,7 @@
         let least = due.iter().map(|&host| key(host)).min();
         let ties: Hosts = due.into_iter().filter(|&host| Some(key(host)) == least).collect();
         let next = (!ties.is_empty()).then(|| self.draw(&ties));
-        self.probe(next.as_slice(), self.charter.flag("peers"), post);
-        next.is_some() && self.charter.flag("probes")
+        self.probe(next.as_slice(), self.charter.flag("peers"), post)
     }
 
     /// Dynamic MPF: the load window, then the session's host, then the lightest, ties at random.
@@ -691,8 +693,7 @@
         let rates: SmallVec<[f64; 16]> = warm.map(|face| face.rate / face.size).collect();
         self.peers =
             if rates.is_empty() { self.peers } else { rates.iter().sum::<f64>() / rates.len() as f64 };
-        let all = (0..self.faces.len() as u32).map(HostId);
-        all.for_each(|host| post.hosts.put(host, HostNote::Pulse(passed, self.peers)));
+        self.hosts().for_each(|host| post.hosts.put(host, HostNote::Pulse(passed, self.peers)));
         // Danger: writes come faster than replicas apply them, and bounded reads lose all. Some are sent back
         // till most are within the bound, but where long reads hold up the log. Harms when reports come late.
         let long = self.op_types.iter().any(|kind| self.weight(kind) >= LONG);
--- a/src/post.rs
+++ b/src/post.rs
@@ -68,13 +68,10 @@
 
 /// Positions are not in the future, so that the lower bits are enough. Nothing of a message of another form.
 pub fn news_from(bytes: &[u8], now: Point) -> Option<(u32, Word)> {
-    if bytes.len() != 9 {
-        return None;
-    }
-    let number = |from: usize| Some(u32::from_le_bytes(bytes.get(from..from + 4)?.try_into().ok()?));
-    let age = (now.micros().div_euclid(1000) as u32).wrapping_sub(number(4)?);
-    let position =
-        Some(Point::from_micros(now.micros().div_euclid(1000) * 1000) - Span::from_millis(age.into()));
-    let role = [None, Some(Role::Primary), Some(Role::Replica)].get(usize::from(*bytes.get(8)?)).copied()?;
-    Some((number(0)?, Word { role, position, ..Word::default() }))
+    let [t0, t1, t2, t3, p0, p1, p2, p3, role] = *<&[u8; 9]>::try_from(bytes).ok()?;
+    let millis = now.micros().div_euclid(1000);
+    let age = (millis as u32).wrapping_sub(u32::from_le_bytes([p0, p1, p2, p3]));
+    let position = Some(Point::from_micros(millis * 1000) - Span::from_millis(age.into()));
+    let role = [None, Some(Role::Primary), Some(Role::Replica)].get(usize::from(role)).copied()?;
+    Some((u32::from_le_bytes([t0, t1, t2, t3]), Word { role, position, ..Word::default() }))
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,7 +38,7 @@
     /// The other routers are told what the probe under way brings.
     pub spread: bool,
     pub sent_at: Point,
-    /// The share of its latency target that its last acked send took.
+    /// The share of its latency target that its last acked send took; 1 for a time-out.
     pub pace: Option<f64>,
     pub heard_at: Point,
     /// Probes without answer since the last one with.
@@ -60,6 +60,7 @@
     pub cut_at: Point,
 }
 
+#[derive(Default)]
 pub struct Op {
     pub ask: Ask,
     pub arrived: Point,
@@ -78,7 +79,7 @@
     pub wanted: Cell<bool>,
     /// The share of its writes that are sent back so that its replicas catch up.
     pub held_back: f64,
-    /// The share of its reads that is given back since acked ones were slow.
+    /// The share of its reads that is given back while most hosts are slow.
     pub back: f64,
 }
 
