--- a/crates/arrowyard-adapter/src/main.rs
+++ b/crates/arrowyard-adapter/src/main.rs
@@ -2,7 +2,6 @@
 //! It only translates: what it reads becomes notes, what the module wants becomes messages.
 
 mod batch;
-mod manifest;
 mod router;
 mod value;
 
--- a/crates/arrowyard-adapter/src/router.rs
+++ b/crates/arrowyard-adapter/src/router.rs
@@ -4,11 +4,11 @@
 use std::fmt::Write;
 
 use arrowyard::Router;
+use arrowyard_charter::{manifest, micros, point, span, tag};
 use arrowyard_types::*;
 use serde_json::{Map, Value};
 
-use crate::manifest::manifest;
-use crate::value::{Fields, micros, point, span};
+use crate::value::Fields;
 
 /// The hosts that this instance's lists have named. Each instance numbers its own.
 #[derive(Default)]
@@ -194,11 +194,6 @@
     }
 }
 
-/// The same for an address at all routers (FNV-1a).
-fn tag(address: &str) -> u32 {
-    address.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
-}
-
 fn outcome(fields: Fields, place: usize) -> Result<Outcome, String> {
     Ok(match fields.whole(place)? {
         0 => Outcome::Acked,
--- a/crates/arrowyard-adapter/src/value.rs
+++ b/crates/arrowyard-adapter/src/value.rs
@@ -1,20 +1,7 @@
 //! Typed reading of the wire's JSON values.
 
-use arrowyard_types::{Point, Span};
 use serde_json::Value;
 
-pub fn micros(millis: f64) -> i64 {
-    (millis * 1000.0).round() as i64
-}
-
-pub fn point(millis: f64) -> Point {
-    Point::from_micros(micros(millis))
-}
-
-pub fn span(millis: f64) -> Span {
-    Span::from_micros(micros(millis))
-}
-
 /// The values of one message, by their place, with its name for the complaint when one is wrong.
 #[derive(Clone, Copy)]
 pub struct Fields<'a> {
--- a/crates/arrowyard-adapter/src/manifest.rs
+++ b/crates/arrowyard-charter/src/lib.rs
@@ -1,10 +1,9 @@
-//! The settings of the first message, under our names.
+//! The settings that a router is told, under our names. The simulator's first message and the real router's
+//! file hold the same object, so that both callers of the decision module translate it here.
 
-use arrowyard_types::{Fact, Manifest};
+use arrowyard_types::{Fact, Manifest, Point, Span as Time};
 use serde_json::{Map, Value};
 
-use crate::value::span;
-
 enum As {
     Flag,
     Number,
@@ -88,6 +87,24 @@
     ("pull", "probe"),
 ];
 
+/// Milliseconds with fractions, as the settings give times, in microseconds.
+pub fn micros(millis: f64) -> i64 {
+    (millis * 1000.0).round() as i64
+}
+
+pub fn point(millis: f64) -> Point {
+    Point::from_micros(micros(millis))
+}
+
+pub fn span(millis: f64) -> Time {
+    Time::from_micros(micros(millis))
+}
+
+/// What all routers call a host that their lists name so (FNV-1a).
+pub fn tag(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
 pub fn manifest(info: &Map<String, Value>) -> Result<Manifest, String> {
     let mut manifest = Manifest::new();
     for (path, name, kind) in NAMES {
@@ -97,8 +114,7 @@
             let Some(value) = rest.get(step) else { break };
             if steps.peek() == Some(&"*") {
                 let field = path.split_once("*.").map(|(_, field)| field);
-                let rows =
-                    value.as_array().ok_or_else(|| format!("PowerOn: params {step} is not an array"))?;
+                let rows = value.as_array().ok_or_else(|| format!("settings: {step} is not an array"))?;
                 for (row, value) in rows.iter().enumerate() {
                     let value = match field {
                         Some(field) => value.get(field),
@@ -135,6 +151,6 @@
             Fact::Text(ours.to_string())
         }),
     };
-    manifest.insert(name, fact.ok_or_else(|| format!("PowerOn: params {path} has the wrong type"))?);
+    manifest.insert(name, fact.ok_or_else(|| format!("settings: {path} has the wrong type"))?);
     Ok(())
 }
--- /dev/null
+++ b/crates/arrowyard-daemon/src/book.rs
@@ -0,0 +1,121 @@
+//! What became of each op: exactly one end for each of its sends, and one final answer.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use arrowyard_pg::{Answer, Statement};
+use arrowyard_types::{OpId, Outcome, SendNo};
+use tokio::sync::oneshot;
+
+use crate::relay::Reply;
+
+struct Page {
+    statement: Rc<Statement>,
+    /// Until the final answer is given.
+    client: Option<oneshot::Sender<Reply>>,
+    /// By number.
+    sends: Vec<Stand>,
+}
+
+/// How a send stands.
+enum Stand {
+    Out(oneshot::Sender<()>),
+    /// Its end is still to come.
+    CalledOff,
+    Ended,
+}
+
+/// What has been answered since the last tally.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    pub acked: u32,
+    pub busy: u32,
+    pub errored: u32,
+    pub gone: u32,
+    pub sends: u32,
+    pub lost_sends: u32,
+}
+
+#[derive(Default)]
+pub struct Book {
+    pages: HashMap<OpId, Page>,
+    pub tally: Tally,
+}
+
+impl Book {
+    pub fn open(&mut self, op: OpId, statement: Rc<Statement>, client: oneshot::Sender<Reply>) {
+        self.pages.insert(op, Page { statement, client: Some(client), sends: Vec::new() });
+    }
+
+    pub fn len(&self) -> usize {
+        self.pages.len()
+    }
+
+    /// The next send of the op, and what tells it that it is called off; nothing for an op that is over.
+    pub fn send(&mut self, op: OpId) -> Option<(SendNo, Rc<Statement>, oneshot::Receiver<()>)> {
+        let page = self.pages.get_mut(&op).filter(|page| page.client.is_some())?;
+        let (call_off, called_off) = oneshot::channel();
+        page.sends.push(Stand::Out(call_off));
+        self.tally.sends += 1;
+        Some((SendNo(page.sends.len() as u32 - 1), page.statement.clone(), called_off))
+    }
+
+    pub fn call_off(&mut self, op: OpId, send: SendNo) {
+        let Some(stand) = self.stand(op, send) else { return };
+        match std::mem::replace(stand, Stand::CalledOff) {
+            // The send's end may be on its way already; then nobody hears this.
+            Stand::Out(call_off) => drop(call_off.send(())),
+            other => *stand = other,
+        }
+    }
+
+    fn stand(&mut self, op: OpId, send: SendNo) -> Option<&mut Stand> {
+        self.pages.get_mut(&op)?.sends.get_mut(send.0 as usize)
+    }
+
+    /// Takes the end of a send; the first acked one goes to the client. Tells whether the op is over; nothing for
+    /// an end that was taken before. Danger: an end taken twice would end another send in the module's eyes.
+    pub fn end(&mut self, op: OpId, send: SendNo, outcome: Outcome, answer: Option<Answer>) -> Option<bool> {
+        let stand = self.stand(op, send).filter(|stand| !matches!(stand, Stand::Ended))?;
+        *stand = Stand::Ended;
+        self.tally.lost_sends += u32::from(!outcome.is_answer());
+        if let Some(answer) = answer.filter(|_| outcome == Outcome::Acked) {
+            self.answer(op, Reply::Acked(answer));
+        }
+        let over = self.pages.get(&op).is_none_or(|page| page.client.is_none());
+        self.tidy(op);
+        Some(over)
+    }
+
+    /// The final answer, if the op has none yet.
+    pub fn answer(&mut self, op: OpId, reply: Reply) {
+        let Some(client) = self.pages.get_mut(&op).and_then(|page| page.client.take()) else { return };
+        let count = match reply {
+            Reply::Acked(_) => &mut self.tally.acked,
+            Reply::Busy(_) => &mut self.tally.busy,
+            Reply::Errored | Reply::Refused(_) => &mut self.tally.errored,
+        };
+        *count += 1;
+        if client.send(reply).is_err() {
+            self.tally.gone += 1;
+        }
+        self.tidy(op);
+    }
+
+    /// The client went away; false if the op was over.
+    pub fn hang_up(&mut self, op: OpId) -> bool {
+        let client = self.pages.get_mut(&op).and_then(|page| page.client.take());
+        self.tally.gone += u32::from(client.is_some());
+        self.tidy(op);
+        client.is_some()
+    }
+
+    fn tidy(&mut self, op: OpId) {
+        let done = |page: &Page| {
+            page.client.is_none() && page.sends.iter().all(|stand| matches!(stand, Stand::Ended))
+        };
+        if self.pages.get(&op).is_some_and(done) {
+            self.pages.remove(&op);
+        }
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-daemon/src/drain.rs
@@ -0,0 +1,46 @@
+//! The planned end: the router goes on accepting for a while, then closes what is idle and finishes its ops.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::{Duration, Instant, sleep};
+
+use crate::limits::Limits;
+
+/// How far the end has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
+pub enum Stage {
+    Serving,
+    /// No new connections; connections end between ops.
+    Closing,
+}
+
+pub struct Drain {
+    pub stage: watch::Sender<Stage>,
+    pub clients: Rc<Cell<usize>>,
+    pub limits: Rc<Limits>,
+}
+
+pub fn signals() -> io::Result<(Signal, Signal)> {
+    Ok((signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?))
+}
+
+impl Drain {
+    /// Returns once a signal has come and no client is left, or the last ops have had their time.
+    pub async fn run(&self, (mut terminate, mut interrupt): (Signal, Signal)) {
+        tokio::select! {
+            _ = terminate.recv() => log::info!("SIGTERM: ending, {} clients", self.clients.get()),
+            _ = interrupt.recv() => log::info!("SIGINT: ending, {} clients", self.clients.get()),
+        }
+        sleep(self.limits.accept).await;
+        self.stage.send_replace(Stage::Closing);
+        let last = Instant::now() + self.limits.last;
+        while self.clients.get() > 0 && Instant::now() < last {
+            sleep(Duration::from_millis(5)).await;
+        }
+        log::info!("ended with {} clients", self.clients.get());
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-daemon/src/limits.rs
@@ -0,0 +1,89 @@
+//! Every size, count and time of the network code, filled at start from what the router is told.
+
+use std::time::Duration;
+
+use arrowyard_types::{Facts, Manifest, OpType, Span};
+
+use crate::clock::duration;
+use crate::waybill::Waybill;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections of clients; at this number the longest idle one is closed for a new one.
+    pub clients: usize,
+    /// Further connections of clients, which are told that the router is busy.
+    pub crowd: usize,
+    /// Connections to database hosts, of all hosts together.
+    pub links: usize,
+    /// Ops in hand.
+    pub ops: usize,
+    /// Mail that waits for the route stage; wishes that wait for discovery.
+    pub inbox: usize,
+    /// Bytes of one message of a client, and of a database host.
+    pub message: usize,
+    pub answer: usize,
+    /// Bytes of one line of discovery's answer, and of an HTTP head.
+    pub list: usize,
+    pub head: usize,
+    /// Bytes that are asked of a socket at once.
+    pub read: usize,
+    /// Lines of the log in a second.
+    pub log_lines: u32,
+    /// How long a connection to a host may take to come up, and a probe to be answered.
+    pub connect: Duration,
+    /// How long a connection to a host may stay idle here: less than the host bears.
+    pub idle: Duration,
+    /// How long the end of a whole answer is waited for.
+    pub ready: Duration,
+    /// How long a client may take for its first message, and to take an answer.
+    pub greeting: Duration,
+    pub relay: Duration,
+    /// How long discovery may take for a whole list, and a watch may stay silent: it speaks every 2 s.
+    pub fetch: Duration,
+    pub silence: Duration,
+    /// How long a router that is to end goes on accepting, and how long its last ops may take.
+    pub accept: Duration,
+    pub last: Duration,
+    /// How often the tally is logged.
+    pub tally: Duration,
+}
+
+/// Values are of 64 KiB at most; as text each of their bytes takes two, and the statement some more.
+const VALUE: usize = 64 * 1024;
+const STATEMENT: usize = 8 * 1024;
+
+impl Limits {
+    pub fn new(waybill: &Waybill, manifest: &Manifest) -> Self {
+        let (message, answer) = (2 * VALUE + STATEMENT, 2 * VALUE + STATEMENT);
+        let memory = waybill.memory_mb * 1024 * 1024;
+        // A client has one op at a time, an op one send: half of the memory must hold them at their largest.
+        let held = memory / 2 / (message + answer);
+        let sockets = waybill.sockets;
+        let clients = (sockets * 15 / 32).min(held).max(1);
+        let told = manifest.number_or("max_open", f64::MAX) as usize;
+        let longest = OpType::rows(manifest).iter().map(|row| row.op_timeout).max().unwrap_or_default();
+        Limits {
+            clients,
+            crowd: sockets / 16,
+            links: sockets * 13 / 32,
+            ops: told.min(held),
+            inbox: 1024,
+            message,
+            answer,
+            list: 4 * 1024 * 1024,
+            head: 16 * 1024,
+            read: 4 * 1024,
+            log_lines: 50,
+            connect: duration(manifest.span("connect_timeout")),
+            idle: duration(manifest.span("idle_close") * 0.8),
+            ready: duration(manifest.span("tick").max(Span::from_millis(1))),
+            greeting: Duration::from_secs(10),
+            relay: Duration::from_secs(2),
+            fetch: Duration::from_secs(3),
+            silence: Duration::from_secs(3),
+            accept: Duration::from_millis(450),
+            last: duration(longest.max(Span::from_millis(3000))),
+            tally: Duration::from_secs(5),
+        }
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-daemon/src/link.rs
@@ -0,0 +1,182 @@
+//! One connection to a database host: brought up once, then one command at a time.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use arrowyard_pg::{Answer, Heard, Malformed, Mode, Status, code, put_startup};
+use arrowyard_types::{Outcome, Point, Role, Span, Word};
+use bytes::BytesMut;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
+
+use crate::limits::Limits;
+
+/// One more open connection, for as long as it is kept.
+pub struct Count(Rc<Cell<usize>>);
+
+impl Count {
+    pub fn one(of: &Rc<Cell<usize>>) -> Self {
+        of.set(of.get() + 1);
+        Count(of.clone())
+    }
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+pub struct Link {
+    pub dial: SocketAddr,
+    pub idle_since: Instant,
+    stream: TcpStream,
+    came: BytesMut,
+    limits: Rc<Limits>,
+    _count: Count,
+}
+
+/// What a host told about one command.
+#[derive(Debug, Default, PartialEq)]
+pub struct Told {
+    pub answer: Option<Answer>,
+    /// The code of an error.
+    pub error: Option<String>,
+    pub word: Word,
+    /// The host is ready for another command.
+    pub ready: bool,
+}
+
+/// The connection ended, or what came makes no sense.
+#[derive(Debug)]
+pub struct Broken(pub String);
+
+impl From<io::Error> for Broken {
+    fn from(error: io::Error) -> Self {
+        Broken(error.to_string())
+    }
+}
+
+impl From<Malformed> for Broken {
+    fn from(malformed: Malformed) -> Self {
+        Broken(malformed.0.to_string())
+    }
+}
+
+impl Told {
+    /// What it means for a send, or for a probe, of which the whole command was written.
+    pub fn outcome(&self) -> Outcome {
+        match (self.error.as_deref(), &self.answer) {
+            (None, Some(_)) => Outcome::Acked,
+            (Some(code::READ_ONLY | code::SNAPSHOT_TOO_OLD), _) => Outcome::Miss,
+            (Some(code::TOO_MANY_CONNECTIONS), _) => Outcome::Full,
+            _ => Outcome::Errored,
+        }
+    }
+}
+
+impl Link {
+    /// Dials the host and is let in; the outcome, if it is not, for a send that was never written.
+    pub async fn open(dial: SocketAddr, count: Count, limits: Rc<Limits>) -> Result<Link, Outcome> {
+        let failed = |why: Broken| {
+            log::debug!("{dial} not connected: {}", why.0);
+            Outcome::ConnectFailed
+        };
+        let opened = timeout(limits.connect, async {
+            let stream = TcpStream::connect(dial).await?;
+            stream.set_nodelay(true)?;
+            let came = BytesMut::with_capacity(limits.read);
+            let idle_since = Instant::now();
+            let mut link = Link { dial, idle_since, stream, came, limits: limits.clone(), _count: count };
+            let mut out = BytesMut::new();
+            put_startup(&mut out, "web", "orders");
+            link.stream.write_all(&out).await?;
+            let told = link.hear().await?;
+            Ok((link, told))
+        });
+        match opened.await {
+            Ok(Ok((link, Told { ready: true, error: None, .. }))) => Ok(link),
+            Ok(Ok((_, told))) if told.outcome() == Outcome::Full => Err(Outcome::Full),
+            Ok(Ok((_, told))) => Err(failed(Broken(format!("error {:?}", told.error)))),
+            Ok(Err(why)) => Err(failed(why)),
+            Err(_) => Err(failed(Broken("no answer in time".to_string()))),
+        }
+    }
+
+    /// Whether nothing has come, not even the end, while it was idle. Danger: a send on a dead connection.
+    pub fn is_clean(&self) -> bool {
+        let untouched = self.stream.try_read(&mut [0]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
+        self.came.is_empty() && untouched
+    }
+
+    pub async fn write(&mut self, command: &[u8]) -> Result<(), Broken> {
+        Ok(self.stream.write_all(command).await?)
+    }
+
+    /// Reads all that the host tells, up to its being ready. An answer that is whole counts, whatever follows.
+    pub async fn hear(&mut self) -> Result<Told, Broken> {
+        let (mut told, mut answer) = (Told::default(), Answer::default());
+        loop {
+            let heard = match told.answer.is_some() || told.error.is_some() {
+                true => timeout(self.limits.ready, self.next()).await.unwrap_or(Err(Broken(String::new()))),
+                false => self.next().await,
+            };
+            match heard {
+                Ok(Heard::Columns(columns)) => answer.columns = columns,
+                Ok(Heard::Row(row)) => answer.row = row,
+                Ok(Heard::Complete(complete)) if !answer.columns.is_empty() && !answer.row.is_empty() => {
+                    told.answer = Some(Answer { complete, ..std::mem::take(&mut answer) });
+                }
+                Ok(Heard::Status(Status::Mode(mode))) => {
+                    let role = if mode == Mode::ReadWrite { Role::Primary } else { Role::Replica };
+                    told.word.role = Some(role);
+                }
+                Ok(Heard::Status(Status::Position(millis))) => {
+                    told.word.position = Some(point(millis as f64))
+                }
+                Ok(Heard::Status(Status::Stats(report))) => learn(&mut told.word, &report),
+                Ok(Heard::Error(code)) => told.error = Some(code),
+                Ok(Heard::Ready) => {
+                    told.ready = true;
+                    return Ok(told);
+                }
+                Ok(_) => {}
+                Err(_) if told.answer.is_some() || told.error.is_some() => return Ok(told),
+                Err(broken) => return Err(broken),
+            }
+        }
+    }
+
+    async fn next(&mut self) -> Result<Heard, Broken> {
+        loop {
+            if let Some(heard) = Heard::take(&mut self.came, self.limits.answer)? {
+                return Ok(heard);
+            }
+            self.came.reserve(self.limits.read);
+            if self.stream.read_buf(&mut self.came).await? == 0 {
+                return Err(Broken("the host ended the connection".to_string()));
+            }
+        }
+    }
+}
+
+/// Positions are Unix times in milliseconds.
+fn point(millis: f64) -> Point {
+    Point::from_micros(0) + Span::from_micros((millis * 1e3).floor() as i64)
+}
+
+/// Adds what a load report tells.
+pub fn learn(word: &mut Word, report: &[(String, f64)]) {
+    for (name, number) in report {
+        match name.as_str() {
+            "x0" => word.position = Some(point(*number)),
+            "x1" => word.role = Some(if *number == 1.0 { Role::Primary } else { Role::Replica }),
+            "util" | "busy" => word.util = Some(*number),
+            "queue" | "q" => word.queue = Some(*number),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-daemon/src/main.rs
@@ -0,0 +1,93 @@
+//! The router on sockets: reads what it is told, starts the stages on one thread, and ends when told to.
+
+mod admit;
+mod book;
+mod clock;
+mod discovery;
+mod drain;
+mod http;
+mod limits;
+mod link;
+mod list;
+mod logger;
+mod pool;
+mod probe;
+mod relay;
+mod roster;
+mod route;
+mod send;
+mod take_in;
+mod waybill;
+
+use std::cell::Cell;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use arrowyard_charter::manifest;
+use arrowyard_types::Facts;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::admit::Gate;
+use crate::clock::Clock;
+use crate::discovery::{Discovery, Wish};
+use crate::drain::{Drain, Stage};
+use crate::limits::Limits;
+use crate::pool::Pool;
+use crate::roster::Roster;
+use crate::route::{Route, Yard};
+use crate::take_in::Front;
+use crate::waybill::Waybill;
+
+async fn run(waybill: Waybill) -> Result<(), String> {
+    let told = manifest(&waybill.settings)?;
+    let limits = Rc::new(Limits::new(&waybill, &told));
+    logger::start(&waybill.name, limits.log_lines);
+    let signals = drain::signals().map_err(|e| format!("signals: {e}"))?;
+    let clock = Clock::start();
+    let (mail, inbox) = mpsc::channel(limits.inbox);
+    let (wishes, wished) = mpsc::channel(limits.inbox);
+    let (stage, staged) = watch::channel(Stage::Serving);
+
+    let pool = Pool::new(limits.clone());
+    drop(spawn_local(pool.clone().sweep()));
+    let version = Rc::new(Cell::new(waybill.known.as_ref().map(|list| list.version)));
+    let discovery =
+        Discovery { dial: waybill.discovery, version, mail: mail.clone(), limits: limits.clone() };
+    drop(spawn_local(discovery.run(wished)));
+    if told.text("list") != "ask" {
+        // Where lists come unasked, the module does not ask.
+        wishes.send(Wish::Watch(true)).await.map_err(|e| e.to_string())?;
+    }
+
+    let gate = Gate::new(&waybill.settings, &told, &limits);
+    let roster = Roster::new(&waybill.settings);
+    let yard = Yard { roster, pool, clock, limits: limits.clone(), wishes, mail: mail.clone() };
+    drop(spawn_local(Route::start(yard, waybill.seed, told, waybill.known.as_ref()).run(inbox)));
+
+    let listener = TcpListener::bind(waybill.listen).await.map_err(|e| format!("{}: {e}", waybill.listen))?;
+    log::info!("serving at {}, discovery at {}", waybill.listen, waybill.discovery);
+    let clients = Rc::new(Cell::new(0));
+    let drain = Drain { stage, clients: clients.clone(), limits: limits.clone() };
+    let front = Front { gate, mail, clients, spare: Notify::new(), stage: staged, clock, limits };
+    drop(spawn_local(Rc::new(front).listen(listener)));
+    drain.run(signals).await;
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let started = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string());
+    let ended = started.and_then(|runtime| {
+        let waybill = Waybill::read()?;
+        LocalSet::new().block_on(&runtime, run(waybill))
+    });
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("arrowyard: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-daemon/src/pool.rs
@@ -0,0 +1,66 @@
+//! Connections to database hosts that wait for their next command.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use arrowyard_types::{HostId, Outcome};
+use tokio::time::{Instant, sleep};
+
+use crate::limits::Limits;
+use crate::link::{Count, Link};
+
+pub struct Pool {
+    idle: RefCell<BTreeMap<HostId, Vec<Link>>>,
+    open: Rc<Cell<usize>>,
+    limits: Rc<Limits>,
+}
+
+impl Pool {
+    pub fn new(limits: Rc<Limits>) -> Rc<Self> {
+        Rc::new(Pool { idle: RefCell::default(), open: Rc::default(), limits })
+    }
+
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// The connection to the host that was used last, else a new one; the outcome, if there is none to be had.
+    pub async fn take(&self, host: HostId, dial: SocketAddr) -> Result<Link, Outcome> {
+        while let Some(link) = self.idle.borrow_mut().get_mut(&host).and_then(Vec::pop) {
+            if link.dial == dial && link.idle_since.elapsed() < self.limits.idle && link.is_clean() {
+                return Ok(link);
+            }
+        }
+        if self.open.get() >= self.limits.links && !self.close_oldest() {
+            // The lack is this router's own and says nothing of the host.
+            return Err(Outcome::Moot);
+        }
+        Link::open(dial, Count::one(&self.open), self.limits.clone()).await
+    }
+
+    pub fn put_back(&self, host: HostId, mut link: Link) {
+        link.idle_since = Instant::now();
+        self.idle.borrow_mut().entry(host).or_default().push(link);
+    }
+
+    pub fn close_idle(&self, host: HostId) {
+        self.idle.borrow_mut().remove(&host);
+    }
+
+    fn close_oldest(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.values_mut().filter(|links| !links.is_empty()).min_by_key(|l| l[0].idle_since);
+        oldest.map(|links| links.remove(0)).is_some()
+    }
+
+    /// Closes what was idle for too long, before the host does: a send that crosses the end may have run.
+    pub async fn sweep(self: Rc<Self>) {
+        loop {
+            sleep(self.limits.idle / 8).await;
+            let keep = |link: &mut Link| link.idle_since.elapsed() < self.limits.idle && link.is_clean();
+            self.idle.borrow_mut().values_mut().for_each(|links| links.retain_mut(keep));
+        }
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-daemon/src/probe.rs
@@ -0,0 +1,38 @@
+//! One probe of a host: it is asked for its report.
+
+use std::net::SocketAddr;
+
+use arrowyard_pg::{put_plain, report, value};
+use arrowyard_types::{HostId, Outcome, Word};
+use bytes::BytesMut;
+use tokio::time::timeout;
+
+use crate::limits::Limits;
+use crate::link::learn;
+use crate::pool::Pool;
+
+pub async fn run(host: HostId, dial: SocketAddr, pool: &Pool, limits: &Limits) -> (Outcome, Word) {
+    let none = Word::default();
+    let asked = timeout(limits.connect, async {
+        let mut link = match pool.take(host, dial).await {
+            Ok(link) => link,
+            Err(outcome) => return (outcome, none),
+        };
+        let mut out = BytesMut::new();
+        put_plain(&mut out, "SHOW stats");
+        if link.write(&out).await.is_err() {
+            return (Outcome::ConnectFailed, none);
+        }
+        let Ok(told) = link.hear().await else { return (Outcome::Reset, none) };
+        if told.ready {
+            pool.put_back(host, link);
+        }
+        let (outcome, mut word) = (told.outcome(), told.word);
+        let row = told.answer.as_ref().and_then(|answer| value(&answer.row));
+        let text = row.as_deref().map(String::from_utf8_lossy);
+        log::trace!("{dial}: probe: {outcome:?} {text:?} {word:?}");
+        learn(&mut word, &report(&text.unwrap_or_default()));
+        (outcome, word)
+    });
+    asked.await.unwrap_or((Outcome::TimedOut, none))
+}
--- /dev/null
+++ b/crates/arrowyard-daemon/src/relay.rs
@@ -0,0 +1,43 @@
+//! The final answer of an op, on its way to the client: one whole answer, written in one piece.
+
+use arrowyard_pg::{Answer, code, put_busy, put_error, put_fatal, put_ready};
+use arrowyard_types::Span;
+use bytes::BytesMut;
+use tokio::io::{AsyncWrite, AsyncWriteExt};
+use tokio::time::timeout;
+
+use crate::limits::Limits;
+
+#[derive(Debug, PartialEq)]
+pub enum Reply {
+    Acked(Answer),
+    /// Trying again is harmless, after this span if one is named.
+    Busy(Option<Span>),
+    Errored,
+    /// The statement cannot be an op of this router.
+    Refused(&'static str),
+}
+
+impl Reply {
+    pub fn put(&self, out: &mut BytesMut) {
+        match self {
+            Reply::Acked(answer) => answer.put(out),
+            Reply::Busy(after) => put_busy(out, after.map(|span| (span.micros().max(0) / 1000) as u64)),
+            Reply::Errored => put_error(out, code::INTERNAL, "not answered; it may have run"),
+            Reply::Refused(why) => put_error(out, code::PROTOCOL_VIOLATION, why),
+        }
+        put_ready(out);
+    }
+}
+
+/// The client is told that the router is busy, and that the connection ends.
+pub fn put_crowded(out: &mut BytesMut) {
+    put_fatal(out, code::TOO_MANY_CONNECTIONS, "too many clients, nothing was done");
+}
+
+/// Writes all of it; false if the client is gone or does not take it.
+pub async fn write(client: &mut (impl AsyncWrite + Unpin), out: &mut BytesMut, limits: &Limits) -> bool {
+    let whole = matches!(timeout(limits.relay, client.write_all(out)).await, Ok(Ok(())));
+    out.clear();
+    whole
+}
--- /dev/null
+++ b/crates/arrowyard-daemon/src/take_in.rs
@@ -0,0 +1,214 @@
+//! Clients: connections are accepted, messages decoded, and the time at which an op came is stamped.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use arrowyard_pg::{
+    Asked, Malformed, Opening, Statement, code, greet, put_done, put_empty, put_fatal, put_ready,
+};
+use arrowyard_types::Point;
+use bytes::BytesMut;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::{Duration, sleep, timeout};
+
+use crate::admit::Gate;
+use crate::clock::Clock;
+use crate::drain::Stage;
+use crate::limits::Limits;
+use crate::link::Count;
+use crate::relay::{self, Reply};
+use crate::route::Mail;
+
+/// What the connections of all clients share.
+pub struct Front {
+    pub gate: Gate,
+    pub mail: mpsc::Sender<Mail>,
+    pub clients: Rc<Cell<usize>>,
+    /// Wakes the connection that has been idle longest, which then closes.
+    pub spare: Notify,
+    pub stage: watch::Receiver<Stage>,
+    pub clock: Clock,
+    pub limits: Rc<Limits>,
+}
+
+impl Front {
+    /// Accepts until the router closes.
+    pub async fn listen(self: Rc<Self>, listener: TcpListener) {
+        let mut stage = self.stage.clone();
+        loop {
+            while self.clients.get() >= self.limits.clients + self.limits.crowd {
+                sleep(Duration::from_millis(5)).await;
+            }
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                _ = stage.wait_for(|&stage| stage == Stage::Closing) => return,
+            };
+            let crowded = self.clients.get() >= self.limits.clients;
+            if crowded {
+                self.spare.notify_one();
+            }
+            match accepted {
+                Ok((stream, _)) => {
+                    let count = Count::one(&self.clients);
+                    drop(spawn_local(Client::new(self.clone(), stream, crowded, count).serve()));
+                }
+                Err(error) => {
+                    log::warn!("a client could not be accepted: {error}");
+                    sleep(Duration::from_millis(5)).await;
+                }
+            }
+        }
+    }
+}
+
+struct Client {
+    front: Rc<Front>,
+    stream: TcpStream,
+    came: BytesMut,
+    out: BytesMut,
+    /// There were too many clients when it came.
+    crowded: bool,
+    _count: Count,
+}
+
+/// The connection ends: the client left, broke the protocol, or the router closes it.
+struct Ended;
+
+impl Client {
+    fn new(front: Rc<Front>, stream: TcpStream, crowded: bool, count: Count) -> Self {
+        let came = BytesMut::with_capacity(front.limits.read);
+        Client { front, stream, came, out: BytesMut::new(), crowded, _count: count }
+    }
+
+    async fn serve(mut self) {
+        if self.stream.set_nodelay(true).is_ok() {
+            let _ = self.talk().await;
+        }
+    }
+
+    async fn talk(&mut self) -> Result<(), Ended> {
+        let greeting = self.front.limits.greeting;
+        timeout(greeting, self.open()).await.map_err(|_| Ended)??;
+        loop {
+            let asked = self.next().await?;
+            match asked {
+                Asked::Query(text) => self.query(text).await?,
+                Asked::Terminate => return Ok(()),
+                Asked::Other(_) => return self.fatal(code::NOT_SUPPORTED, "only simple queries").await,
+            }
+        }
+    }
+
+    async fn open(&mut self) -> Result<(), Ended> {
+        loop {
+            match Opening::take(&mut self.came, self.front.limits.message) {
+                Ok(Some(Opening::Startup)) => {
+                    greet(&mut self.out);
+                    return self.write().await;
+                }
+                // Not here; the client may go on in the clear.
+                Ok(Some(Opening::Encryption)) => self.stream.write_all(b"N").await.map_err(|_| Ended)?,
+                Ok(Some(Opening::Cancel)) => return Err(Ended),
+                Ok(None) => self.read().await?,
+                Err(malformed) => return self.malformed(malformed).await,
+            }
+        }
+    }
+
+    /// The next message; between ops the router may close the connection.
+    async fn next(&mut self) -> Result<Asked, Ended> {
+        let mut stage = self.front.stage.clone();
+        loop {
+            match Asked::take(&mut self.came, self.front.limits.message) {
+                Ok(Some(asked)) => return Ok(asked),
+                Ok(None) => {}
+                Err(malformed) => self.malformed(malformed).await?,
+            }
+            let between = self.came.is_empty();
+            let front = self.front.clone();
+            tokio::select! {
+                biased;
+                read = self.read() => read?,
+                _ = stage.wait_for(|&stage| stage == Stage::Closing), if between => return Err(Ended),
+                () = front.spare.notified(), if between => return Err(Ended),
+            }
+        }
+    }
+
+    async fn query(&mut self, text: String) -> Result<(), Ended> {
+        let arrived = self.front.clock.now();
+        let command = text.trim_matches(|c: char| c.is_whitespace() || c == ';');
+        let word = command.split_ascii_whitespace().next().unwrap_or_default().to_ascii_uppercase();
+        match word.as_str() {
+            "" => put_empty(&mut self.out),
+            "SET" | "RESET" => put_done(&mut self.out, &word),
+            "DISCARD" => put_done(&mut self.out, "DISCARD ALL"),
+            _ if self.crowded => {
+                relay::put_crowded(&mut self.out);
+                self.write().await?;
+                return Err(Ended);
+            }
+            _ => {
+                let reply = match Statement::parse(text) {
+                    Ok(statement) => self.op(statement, arrived).await?,
+                    Err(Malformed(why)) => Reply::Refused(why),
+                };
+                reply.put(&mut self.out);
+                return self.write().await;
+            }
+        }
+        put_ready(&mut self.out);
+        self.write().await
+    }
+
+    /// One op, from its admission to its final answer.
+    async fn op(&mut self, statement: Statement, arrived: Point) -> Result<Reply, Ended> {
+        let (ask, _open) = match self.front.gate.admit(&statement, arrived) {
+            Ok(admitted) => admitted,
+            Err(reply) => return Ok(reply),
+        };
+        let (answer, mut answered) = oneshot::channel();
+        let mail = self.front.mail.clone();
+        let op = ask.op;
+        mail.send(Mail::Asked(ask, Rc::new(statement), answer)).await.map_err(|_| Ended)?;
+        loop {
+            let room = self.came.len() < self.front.limits.message;
+            tokio::select! {
+                biased;
+                reply = &mut answered => return Ok(reply.unwrap_or(Reply::Errored)),
+                read = self.read(), if room => if read.is_err() {
+                    let _ = mail.send(Mail::HungUp(op)).await;
+                    return Err(Ended);
+                },
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), Ended> {
+        self.came.reserve(self.front.limits.read);
+        match self.stream.read_buf(&mut self.came).await {
+            Ok(0) | Err(_) => Err(Ended),
+            Ok(_) => Ok(()),
+        }
+    }
+
+    async fn write(&mut self) -> Result<(), Ended> {
+        let written = relay::write(&mut self.stream, &mut self.out, &self.front.limits).await;
+        if written { Ok(()) } else { Err(Ended) }
+    }
+
+    async fn malformed<T>(&mut self, Malformed(why): Malformed) -> Result<T, Ended> {
+        log::warn!("a client broke the protocol: {why}");
+        self.fatal(code::PROTOCOL_VIOLATION, why).await
+    }
+
+    async fn fatal<T>(&mut self, code: &str, why: &str) -> Result<T, Ended> {
+        put_fatal(&mut self.out, code, why);
+        self.write().await?;
+        Err(Ended)
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-pg/src/client.rs
@@ -0,0 +1,122 @@
+//! What clients send, and what is sent to them.
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+use crate::code;
+use crate::frame::{Malformed, put, put_text, take, take_bare, take_text};
+
+const VERSION_3: u32 = 196_608;
+const CANCEL: u32 = 80_877_102;
+const SSL: u32 = 80_877_103;
+const GSS: u32 = 80_877_104;
+
+/// The first message on a client's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Opening {
+    Startup,
+    /// It asks for encryption; a single letter answers, and another first message follows.
+    Encryption,
+    Cancel,
+}
+
+impl Opening {
+    pub fn take(came: &mut BytesMut, most: usize) -> Result<Option<Opening>, Malformed> {
+        let Some(body) = take_bare(came, most)? else { return Ok(None) };
+        let Some(&[a, b, c, d]) = body.get(..4) else {
+            return Err(Malformed("the first message is too short"));
+        };
+        match u32::from_be_bytes([a, b, c, d]) {
+            version if version >> 16 == VERSION_3 >> 16 => Ok(Some(Opening::Startup)),
+            SSL | GSS => Ok(Some(Opening::Encryption)),
+            CANCEL => Ok(Some(Opening::Cancel)),
+            _ => Err(Malformed("the protocol's version is not 3")),
+        }
+    }
+}
+
+/// A later message of a client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Asked {
+    Query(String),
+    Terminate,
+    /// A message of the extended protocol or of a copy, which is not spoken here.
+    Other(u8),
+}
+
+impl Asked {
+    pub fn take(came: &mut BytesMut, most: usize) -> Result<Option<Asked>, Malformed> {
+        let Some((letter, mut body)) = take(came, most)? else { return Ok(None) };
+        Ok(Some(match letter {
+            b'Q' => {
+                let text = Vec::from(take_text(&mut body)?);
+                Asked::Query(String::from_utf8(text).map_err(|_| Malformed("a statement is not UTF-8"))?)
+            }
+            b'X' => Asked::Terminate,
+            other => Asked::Other(other),
+        }))
+    }
+}
+
+/// Lets a client in.
+pub fn greet(out: &mut BytesMut) {
+    put(out, Some(b'R'), |out| out.put_u32(0));
+    for (name, value) in
+        [("server_version", "16.0"), ("server_encoding", "UTF8"), ("client_encoding", "UTF8")]
+    {
+        put(out, Some(b'S'), |out| {
+            put_text(out, name);
+            put_text(out, value);
+        });
+    }
+    put_ready(out);
+}
+
+pub fn put_ready(out: &mut BytesMut) {
+    put(out, Some(b'Z'), |out| out.put_u8(b'I'));
+}
+
+pub fn put_empty(out: &mut BytesMut) {
+    put(out, Some(b'I'), |_| ());
+}
+
+/// The end of a command without rows.
+pub fn put_done(out: &mut BytesMut, command: &str) {
+    put(out, Some(b'C'), |out| put_text(out, command));
+}
+
+fn put_failure(out: &mut BytesMut, severity: &str, code: &str, text: &str, detail: Option<u64>) {
+    put(out, Some(b'E'), |out| {
+        let detail = detail.map(|number| number.to_string());
+        let fields = [(b'S', severity), (b'V', severity), (b'C', code), (b'M', text)];
+        for (letter, value) in fields.into_iter().chain(detail.as_deref().map(|d| (b'D', d))) {
+            out.put_u8(letter);
+            put_text(out, value);
+        }
+        out.put_u8(0);
+    });
+}
+
+/// A busy reply: trying again is harmless, after so many milliseconds if a number is given.
+pub fn put_busy(out: &mut BytesMut, retry_after: Option<u64>) {
+    put_failure(out, "ERROR", code::TOO_MANY_CONNECTIONS, "busy, nothing was done", retry_after);
+}
+
+/// An error reply: nothing is promised.
+pub fn put_error(out: &mut BytesMut, code: &str, text: &str) {
+    put_failure(out, "ERROR", code, text, None);
+}
+
+/// An error after which the connection ends.
+pub fn put_fatal(out: &mut BytesMut, code: &str, text: &str) {
+    put_failure(out, "FATAL", code, text, None);
+}
+
+impl crate::Answer {
+    /// Writes the answer as the host gave it.
+    pub fn put(&self, out: &mut BytesMut) {
+        let body = |bytes: &Bytes| bytes.clone();
+        put(out, Some(b'T'), |out| out.put(body(&self.columns)));
+        put(out, Some(b'D'), |out| out.put(body(&self.row)));
+        put(out, Some(b'C'), |out| out.put(body(&self.complete)));
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-pg/src/host.rs
@@ -0,0 +1,125 @@
+//! What database hosts send, and what is sent to them.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+
+use crate::frame::{Malformed, put, put_text, take, take_text};
+
+/// A whole answer, each part as the host wrote it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    pub columns: Bytes,
+    pub row: Bytes,
+    pub complete: Bytes,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    ReadWrite,
+    ReadOnly,
+}
+
+/// What a host says of itself beside its answers.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Status {
+    Mode(Mode),
+    /// A position or a commit, as Unix time in milliseconds.
+    Position(i64),
+    /// A load report.
+    Stats(Vec<(String, f64)>),
+    Other,
+}
+
+/// One message of a host.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Heard {
+    /// It lets the router in.
+    Welcome,
+    Status(Status),
+    Columns(Bytes),
+    /// The only row of an answer, of one column.
+    Row(Bytes),
+    Complete(Bytes),
+    Empty,
+    /// The code of an error.
+    Error(String),
+    Ready,
+    /// A notice, a key for cancelling, and the like.
+    Aside,
+}
+
+impl Heard {
+    pub fn take(came: &mut BytesMut, most: usize) -> Result<Option<Heard>, Malformed> {
+        let Some((letter, mut body)) = take(came, most)? else { return Ok(None) };
+        Ok(Some(match letter {
+            b'R' if body[..] == [0, 0, 0, 0] => Heard::Welcome,
+            b'R' => return Err(Malformed("the host asks for a password")),
+            b'S' => Heard::Status(status(&mut body)?),
+            b'T' => Heard::Columns(body),
+            b'D' => {
+                value(&body).ok_or(Malformed("a row is not of one column"))?;
+                Heard::Row(body)
+            }
+            b'C' => Heard::Complete(body),
+            b'I' => Heard::Empty,
+            b'E' => Heard::Error(error_code(body)?),
+            b'Z' => Heard::Ready,
+            b'N' | b'K' | b'A' => Heard::Aside,
+            _ => return Err(Malformed("the host sent a message of another kind")),
+        }))
+    }
+}
+
+fn status(body: &mut Bytes) -> Result<Status, Malformed> {
+    let (name, told) = (take_text(body)?, take_text(body)?);
+    let Ok(told) = std::str::from_utf8(&told) else { return Ok(Status::Other) };
+    Ok(match (&name[..], told) {
+        (b"mode", "read-write") => Status::Mode(Mode::ReadWrite),
+        (b"mode", "read-only") => Status::Mode(Mode::ReadOnly),
+        (b"wal_time", told) => told.parse().map_or(Status::Other, Status::Position),
+        (b"stats", told) => Status::Stats(report(told)),
+        _ => Status::Other,
+    })
+}
+
+/// A load report, as in `inflight=7,util=0.61`; what is no finite number is left out.
+pub fn report(told: &str) -> Vec<(String, f64)> {
+    let fields = told.split(',').filter_map(|field| field.trim().split_once('='));
+    let numbers = fields.filter_map(|(name, number)| Some((name.to_string(), number.parse().ok()?)));
+    numbers.filter(|(_, number): &(String, f64)| number.is_finite()).collect()
+}
+
+/// The value of a row of one column; nothing if it is none, or null.
+pub fn value(row: &Bytes) -> Option<Bytes> {
+    let mut row = row.clone();
+    if row.len() < 6 || row.get_u16() != 1 {
+        return None;
+    }
+    let length = usize::try_from(row.get_i32()).ok()?;
+    (row.len() == length).then_some(row)
+}
+
+fn error_code(mut body: Bytes) -> Result<String, Malformed> {
+    while body.first().is_some_and(|&letter| letter != 0) {
+        let letter = body.get_u8();
+        let told = take_text(&mut body)?;
+        if letter == b'C' {
+            return Ok(String::from_utf8_lossy(&told).into_owned());
+        }
+    }
+    Err(Malformed("an error has no code"))
+}
+
+pub fn put_startup(out: &mut BytesMut, user: &str, database: &str) {
+    put(out, None, |out| {
+        out.put_u32(196_608);
+        for text in ["user", user, "database", database] {
+            put_text(out, text);
+        }
+        out.put_u8(0);
+    });
+}
+
+/// A command that is not a client's.
+pub fn put_plain(out: &mut BytesMut, command: &str) {
+    put(out, Some(b'Q'), |out| put_text(out, command));
+}
--- /dev/null
+++ b/crates/arrowyard-pg/src/statement.rs
@@ -0,0 +1,82 @@
+//! A client's statement: the comment at its head, and what follows it.
+
+use std::ops::Range;
+
+use bytes::{BufMut, BytesMut};
+
+use crate::frame::{Malformed, put};
+
+/// A statement with what its comment tells. Its text passes on unchanged, but for the time in `d`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Statement {
+    text: String,
+    /// Where the number of `d` stands in the text.
+    wait_at: Range<usize>,
+    /// For so many milliseconds, from when it sent the statement, the client waits.
+    pub wait_ms: u32,
+    pub op_type: String,
+    pub tenant: Option<String>,
+    pub group: i64,
+    /// The session's last commit, as Unix time in milliseconds; 0 for none.
+    pub after: Option<i64>,
+    pub again: bool,
+    /// The quoted key after the comment.
+    pub key: Option<u64>,
+}
+
+impl Statement {
+    pub fn parse(text: String) -> Result<Statement, Malformed> {
+        let start = text.find("/*").filter(|&start| text[..start].trim().is_empty());
+        let start = start.ok_or(Malformed("a statement has no comment"))? + 2;
+        let end = start + text[start..].find("*/").ok_or(Malformed("a comment has no end"))?;
+        let (mut wait, mut op_type, mut tenant, mut group) = (None, None, None, 0);
+        let (mut after, mut again, mut named) = (None, false, false);
+        let mut at = start;
+        for part in text[start..end].split(',') {
+            let number = Malformed("a number of a comment is not one");
+            let (name, value) = part.split_once('=').ok_or(Malformed("a name of a comment has no value"))?;
+            let value_at = at + name.len() + 1;
+            let (name, trimmed) = (name.trim(), value.trim());
+            match name {
+                "id" => named = !trimmed.is_empty(),
+                "c" => op_type = Some(trimmed.to_string()),
+                "t" => tenant = Some(trimmed.to_string()),
+                "d" => {
+                    let from = value_at + (value.len() - value.trim_start().len());
+                    wait = Some((from..from + trimmed.len(), trimmed.parse().map_err(|_| number)?));
+                }
+                "cluster" => group = trimmed.parse().map_err(|_| number)?,
+                "after" => after = Some(trimmed.parse().map_err(|_| number)?),
+                "r" => again = trimmed == "1",
+                _ => {}
+            }
+            at += part.len() + 1;
+        }
+        if !named {
+            return Err(Malformed("a comment has no id"));
+        }
+        let (wait_at, wait_ms) = wait.ok_or(Malformed("a comment has no d"))?;
+        let op_type = op_type.ok_or(Malformed("a comment has no c"))?;
+        let key = text[end..].split('\'').nth(1).map(key);
+        Ok(Statement { text, wait_at, wait_ms, op_type, tenant, group, after, again, key })
+    }
+
+    /// Writes it as a query, with the time that the sender will wait.
+    pub fn put(&self, out: &mut BytesMut, wait_ms: u64) {
+        put(out, Some(b'Q'), |out| {
+            out.put_slice(&self.text.as_bytes()[..self.wait_at.start]);
+            out.put_slice(wait_ms.to_string().as_bytes());
+            out.put_slice(&self.text.as_bytes()[self.wait_at.end..]);
+            out.put_u8(0);
+        });
+    }
+}
+
+/// A key of 16 hex digits as its number, any other by its hash (FNV-1a).
+fn key(text: &str) -> u64 {
+    let digits = Some(text).filter(|text| text.len() == 16);
+    digits.and_then(|text| u64::from_str_radix(text, 16).ok()).unwrap_or_else(|| {
+        text.bytes()
+            .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
+    })
+}
--- a/crates/arrowyard-types/src/op_type.rs
+++ b/crates/arrowyard-types/src/op_type.rs
@@ -40,6 +40,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct OpType {
     pub latency_target: Span,
+    pub op_timeout: Span,
     pub value: f64,
     /// The part of the value that an answer after the latency target still earns.
     pub late_value: f64,
@@ -62,6 +63,7 @@
         };
         OpType {
             latency_target: manifest.span(&key("latency_target")).max(Span::from_micros(1)),
+            op_timeout: manifest.span(&key("op_timeout")),
             value: manifest.number_or(&key("value"), 1.0),
             late_value: manifest.number_or(&key("late_value"), 0.0),
             effect: match manifest.text(&key("effect")) {
