Positions in load reports are read as seconds

A trace of notes and actions (now kept, ARROWYARD_LOG=trace) showed Probed notes with positions decades back; the raw rows read x0=1796131335.181, Unix seconds. link.rs 'learn' took them for milliseconds, so that every replica known only by probes seemed behind and the module held writes back for the log to catch up. Ruled out by the same trace: late answers (p50 as simulated), wrong roles, positions of answers (milliseconds).

Test: a_report_tells_positions_in_seconds.

--- a/crates/arrowyard-daemon/src/link.rs
+++ b/crates/arrowyard-daemon/src/link.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use arrowyard_pg::{Answer, Heard, Malformed, Mode, Status, code, put_startup};
-use arrowyard_types::{Outcome, Point, Role, Span, Word};
+use arrowyard_types::{Outcome, Point, Role, Word};
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -135,7 +135,7 @@
                     told.word.role = Some(role);
                 }
                 Ok(Heard::Status(Status::Position(millis))) => {
-                    told.word.position = Some(point(millis as f64))
+                    told.word.position = Some(Point::from_micros(millis.saturating_mul(1000)))
                 }
                 Ok(Heard::Status(Status::Stats(report))) => learn(&mut told.word, &report),
                 Ok(Heard::Error(code)) => told.error = Some(code),
@@ -163,16 +163,12 @@
     }
 }
 
-/// Positions are Unix times in milliseconds.
-fn point(millis: f64) -> Point {
-    Point::from_micros(0) + Span::from_micros((millis * 1e3).floor() as i64)
-}
-
-/// Adds what a load report tells.
+/// Adds what a load report tells. Danger: its positions are Unix times in seconds, those of answers in
+/// milliseconds; one taken for the other lies decades back, and every replica seems behind.
 pub fn learn(word: &mut Word, report: &[(String, f64)]) {
     for (name, number) in report {
         match name.as_str() {
-            "x0" => word.position = Some(point(*number)),
+            "x0" => word.position = Some(Point::from_micros((number * 1e6).floor() as i64)),
             "x1" => word.role = Some(if *number == 1.0 { Role::Primary } else { Role::Replica }),
             "util" | "busy" => word.util = Some(*number),
             "queue" | "q" => word.queue = Some(*number),
@@ -180,3 +176,18 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_tells_positions_in_seconds() {
+        let mut word = Word::default();
+        learn(&mut word, &arrowyard_pg::report("x0=1767225600.123,x1=0"));
+        let told = word.position.expect("the report holds a position");
+        let early = Point::from_micros(1_767_225_600_123_000) - told;
+        assert!((0..=1).contains(&early.micros()), "{told:?}");
+        assert_eq!(word.role, Some(Role::Replica));
+    }
+}
--- a/crates/arrowyard-daemon/src/logger.rs
+++ b/crates/arrowyard-daemon/src/logger.rs
@@ -28,8 +28,10 @@
         if self.second.swap(second, Ordering::Relaxed) != second {
             self.lines.store(0, Ordering::Relaxed);
         }
-        // Danger: whoever reads the log is slow, and a storm of lines stops the router.
-        if self.lines.fetch_add(1, Ordering::Relaxed) >= self.most {
+        // Danger: whoever reads the log is slow, and a storm of lines stops the router. Who asks for a trace
+        // wants all of it.
+        let bound = log::max_level() <= LevelFilter::Info;
+        if bound && self.lines.fetch_add(1, Ordering::Relaxed) >= self.most {
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return;
         }
--- a/crates/arrowyard-daemon/src/route.rs
+++ b/crates/arrowyard-daemon/src/route.rs
@@ -79,6 +79,7 @@
             };
             let Some(note) = note else { continue };
             let now = self.yard.clock.now();
+            log::trace!("{} {note:?}", now.micros());
             self.router.take(now, note, &mut actions);
             actions.drain(..).for_each(|action| self.carry_out(now, action));
         }
@@ -115,6 +116,7 @@
 
     fn carry_out(&mut self, now: Point, action: Action) {
         let Yard { roster, pool, clock, limits, wishes, mail } = &self.yard;
+        log::trace!("{} {action:?}", now.micros());
         match action {
             Action::Send { op, host, until } => {
                 let Some((send, statement, called_off)) = self.book.send(op) else { return };
