Writes are held back only while the primary is full for reads

Checked: a trace shows 105 writes busy-replied on arrival while the primaries held 0 to 2 sends of this router; no other op type was given back. At fault: logic.rs 'pulse', which held back by the replicas' lag alone. A primary with room can take the reads that replicas lose, and writes are worth more. Covers any cause of lag at low load (slow apply, cut log, stale reports); does harm where the primary is full of this router's sends but not of others'.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,7 +30,7 @@
 const EASY: f64 = 0.4;
 const STRAINED: f64 = 0.9;
 /// Reads may fill the primary to this share of its limit.
-const READS_AT_PRIMARY: f64 = 0.75;
+const FOR_READS: f64 = 0.75;
 /// How long a read waits for one replica's position, as a share of the least latency target.
 const PATIENCE: f64 = 0.1;
 /// How far a slow and a quick answer move the share of reads given back.
@@ -152,8 +152,8 @@
         self.draining = entry.availability == Availability::Draining || gone && binds;
         face.open = !self.draining;
         if started.is_some_and(|at| now - at < charter.span("cold")) && face.warmth >= 1.0 {
-            // Till the next pulse tells how warm it is. The first send has to be earned, too: from a debt drawn
-            // up to a mean send, so that many small routers together start at their share, not at none.
+            // Till the next pulse tells how warm it is. The first send has to be earned, too: from a debt up
+            // to a mean send, drawn, so that many small routers together start at their share, not at none.
             (face.warmth, face.credit) = (charter.number_or("cold_from", 1.0), -debt);
         }
     }
@@ -330,8 +330,8 @@
         }
     }
 
-    /// Danger: probes fail, or cost too much where routers are many. What a read had to ask for, the others need
-    /// not ask again. A router tells so seldom that all together never flood each other.
+    /// Danger: probes fail, or cost too much where routers are many. What a read had to ask for, the others
+    /// need not ask again. A router tells so seldom that all together never flood each other.
     fn tell(&mut self, host: HostId, word: &Word, post: &mut Post) {
         let gap = self.charter.span("connect_timeout") * (TELL_GAP * self.charter.number_or("routers", 1.0));
         let face = *self.face(host);
@@ -501,9 +501,9 @@
         post.hosts.put(one.host, HostNote::Ended(end, weight, used));
     }
 
-    /// Danger: a jam that feeds itself, as hosts work on sends that nobody waits for any more. The share of reads
-    /// given back moves till few are slow, however much that takes; slowness of a few hosts is left to their
-    /// limits. Harms where most hosts are slow for other reasons.
+    /// Danger: a jam that feeds itself, as hosts work on sends that nobody waits for any more. The share of
+    /// reads given back moves till few are slow, however much that takes; slowness of a few hosts is left to
+    /// their limits. Harms where most hosts are slow for other reasons.
     fn throttle(&mut self, group: GroupId, outcome: Outcome, used: f64) {
         let acked = outcome == Outcome::Acked;
         let tells = acked || matches!(outcome, Outcome::TimedOut | Outcome::Full);
@@ -594,9 +594,9 @@
             let able = replicas.iter().copied().filter(|h| sound(h) && self.bears(*h, 1.0));
             let ahead = able.max_by_key(|&host| self.face(host).position);
             let ahead = ahead.filter(|_| checks && fit.is_empty() && op.sends.len() == 0);
-            among.extend(ahead.or(primary.filter(|&host| self.bears(host, READS_AT_PRIMARY))));
-            // Danger: a router with few ops knows no position that is still within the bound, and sends all to
-            // the primary. So the replicas are asked in turn, and the read waits a moment for their word.
+            among.extend(ahead.or(primary.filter(|&host| self.bears(host, FOR_READS))));
+            // Danger: a router with few ops knows no position that is still within the bound, and sends all
+            // to the primary. So the replicas are asked in turn, and the read waits a moment for their word.
             if fit.is_empty() && self.ask(op, &replicas, post) {
                 return Hosts::new();
             }
@@ -673,7 +673,7 @@
         self.draw(&ties)
     }
 
-    /// One at random. Danger: routers with few ops see all hosts idle, and equal odds overload the small ones.
+    /// One at random. Danger: routers with few ops see all hosts idle; equal odds overload the small ones.
     fn draw(&self, hosts: &[HostId]) -> HostId {
         let share = |host: HostId| self.face(host).size * self.face(host).warmth;
         let mut left = self.rng.borrow_mut().f64() * hosts.iter().map(|&host| share(host)).sum::<f64>();
@@ -685,7 +685,7 @@
     }
 
     fn pulse(&mut self, post: &mut Post) {
-        let (now, passed) = (self.now, self.now - self.pulsed_at);
+        let (now, passed, pace) = (self.now, self.now - self.pulsed_at, self.least_target);
         self.pulsed_at = now;
         let poll = self.charter.span("connect_timeout") * STEP;
         post.actions.push(Action::Ring { after: poll, cookie: PULSE });
@@ -694,15 +694,16 @@
         self.peers =
             if rates.is_empty() { self.peers } else { rates.iter().sum::<f64>() / rates.len() as f64 };
         self.hosts().for_each(|host| post.hosts.put(host, HostNote::Pulse(passed, self.peers)));
-        // Danger: writes come faster than replicas apply them, and bounded reads lose all. Some are sent back
-        // till most are within the bound, but where long reads hold up the log. Harms when reports come late.
+        // Danger: writes come faster than replicas apply them; bounded reads lose all. Some go back while
+        // the primary has no room for reads, but where long reads hold up the log. Harms if reports lag.
         let long = self.op_types.iter().any(|kind| self.weight(kind) >= LONG);
         let step = if long { 0.0 } else { passed / self.charter.span("connect_timeout") * CATCH_UP };
         for group in self.groups.values_mut() {
             let faces = group.members.iter().map(|host| &self.faces[host.0 as usize]);
+            let full = faces.clone().any(|f| f.role == Some(Role::Primary) && !f.bears(FOR_READS, now, pace));
             let replicas = faces.filter(|f| f.open && f.role == Some(Role::Replica)).map(|f| f.behind);
             let (all, far) = (replicas.clone().count(), replicas.filter(|&b| b > self.bound).count());
-            group.held_back += if far * 2 > all { step } else { -step };
+            group.held_back += if far * 2 > all && full { step } else { -step };
             group.held_back = group.held_back.clamp(0.0, MOST_BACK);
         }
         for group in self.groups.values().filter(|group| group.wanted.replace(false)) {
