--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -199,7 +199,9 @@
         }
         for step in 0..15 {
             world.end_all(Outcome::Acked);
-            (0..load).for_each(|op| drop(world.ask(first + step * load + op, TOKENED, None)));
+            for op in 0..load {
+                world.ask(first + step * load + op, TOKENED, None);
+            }
             world.wait(100);
         }
         let ops: Vec<_> = (first + 500..first + 550).map(|op| world.ask(op, TOKENED, Some(op))).collect();
