Connections that say nothing make room for clients that do

At fault: 'open' did not wait on the same wake-up as 'next', and the router refused by what the count was when a connection came. Now the longest idle one closes, startup or not; a message that does not end within the greeting time ends its connection. Discovery's body is bounded as its lines are.

--- a/crates/arrowyard-daemon/src/discovery.rs
+++ b/crates/arrowyard-daemon/src/discovery.rs
@@ -85,6 +85,9 @@
                         self.tell(&line).await?;
                     }
                 }
+                if data.len() > self.limits.list {
+                    return Err("the list is too long".to_string());
+                }
                 if *body == http::Body::Over || read == 0 {
                     return if watch { Err("the watch ended".to_string()) } else { self.tell(&data).await };
                 }
--- a/crates/arrowyard-daemon/src/limits.rs
+++ b/crates/arrowyard-daemon/src/limits.rs
@@ -35,7 +35,8 @@
     pub idle: Duration,
     /// How long the end of a whole answer is waited for.
     pub ready: Duration,
-    /// How long a client may take for its first message, and to take an answer.
+    /// How long a client may take for its first message or from the start of another to its end, and to take
+    /// an answer.
     pub greeting: Duration,
     pub relay: Duration,
     /// How long discovery may take for a whole list, and a watch may stay silent: it speaks every 2 s.
@@ -79,7 +80,7 @@
             connect: duration(manifest.span("connect_timeout")),
             idle: duration(manifest.span("idle_close") * 0.8),
             ready: duration(manifest.span("tick").max(Span::from_millis(1))),
-            greeting: Duration::from_secs(10),
+            greeting: Duration::from_secs(5),
             relay: Duration::from_secs(2),
             fetch: Duration::from_secs(3),
             silence: Duration::from_millis(2500),
--- a/crates/arrowyard-daemon/src/main.rs
+++ b/crates/arrowyard-daemon/src/main.rs
@@ -27,7 +27,7 @@
 use arrowyard_types::Facts;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::admit::Gate;
@@ -38,7 +38,7 @@
 use crate::pool::Pool;
 use crate::roster::Roster;
 use crate::route::{Route, Yard};
-use crate::take_in::Front;
+use crate::take_in::{Front, Idlers};
 use crate::waybill::Waybill;
 
 async fn run(waybill: Waybill) -> Result<(), String> {
@@ -74,7 +74,7 @@
     log::info!("serving at {address}, discovery at {}", waybill.discovery);
     let clients = Rc::new(Cell::new(0));
     let drain = Drain { stage, clients: clients.clone(), limits: limits.clone() };
-    let front = Front { gate, mail, clients, spare: Notify::new(), stage: staged, beat, limits };
+    let front = Front { gate, mail, clients, idlers: Idlers::default(), stage: staged, beat, limits };
     drop(spawn_local(Rc::new(front).listen(listener)));
     drain.run(signals).await;
     Ok(())
--- a/crates/arrowyard-daemon/src/take_in.rs
+++ b/crates/arrowyard-daemon/src/take_in.rs
@@ -1,6 +1,7 @@
 //! Clients: connections are accepted, messages decoded, and the time at which an op came is stamped.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 
 use arrowyard_pg::{
@@ -10,8 +11,8 @@
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::task::spawn_local;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Duration, sleep, timeout};
 
 use crate::admit::Gate;
@@ -27,13 +28,36 @@
     pub gate: Gate,
     pub mail: mpsc::Sender<Mail>,
     pub clients: Rc<Cell<usize>>,
-    /// Wakes the connection that has been idle longest, which then closes.
-    pub spare: Notify,
+    pub idlers: Idlers,
     pub stage: watch::Receiver<Stage>,
     pub beat: Rc<Beat>,
     pub limits: Rc<Limits>,
 }
 
+/// Connections that wait for a message, the longest idle first. Those that are gone on are left in until there
+/// are too many.
+#[derive(Default)]
+pub struct Idlers(RefCell<VecDeque<oneshot::Sender<()>>>);
+
+impl Idlers {
+    /// Resolves when this connection is to make room; `most` is how many there can be.
+    fn wait(&self, most: usize) -> oneshot::Receiver<()> {
+        let (close, closed) = oneshot::channel();
+        let mut waiting = self.0.borrow_mut();
+        if waiting.len() >= most * 4 {
+            waiting.retain(|close| !close.is_closed());
+        }
+        waiting.push_back(close);
+        closed
+    }
+
+    /// Whether there was one.
+    fn close_oldest(&self) -> bool {
+        let mut waiting = self.0.borrow_mut();
+        std::iter::from_fn(|| waiting.pop_front()).any(|close| close.send(()).is_ok())
+    }
+}
+
 impl Front {
     /// Accepts until the router closes.
     pub async fn listen(self: Rc<Self>, listener: TcpListener) {
@@ -47,14 +71,13 @@
                 accepted = listener.accept() => accepted,
                 _ = stage.wait_for(|&stage| stage == Stage::Closing) => return,
             };
-            let crowded = self.clients.get() >= self.limits.clients;
-            if crowded {
-                self.spare.notify_one();
-            }
             match accepted {
                 Ok((stream, _)) => {
                     let count = Count::one(&self.clients);
-                    drop(spawn_local(Client::new(self.clone(), stream, crowded, count).serve()));
+                    drop(spawn_local(Client::new(self.clone(), stream, count).serve()));
+                    while self.clients.get() > self.limits.clients && self.idlers.close_oldest() {
+                        yield_now().await;
+                    }
                 }
                 Err(error) => {
                     log::warn!("a client could not be accepted: {error}");
@@ -70,8 +93,6 @@
     stream: TcpStream,
     came: BytesMut,
     out: BytesMut,
-    /// There were too many clients when it came.
-    crowded: bool,
     _count: Count,
 }
 
@@ -79,9 +100,9 @@
 struct Ended;
 
 impl Client {
-    fn new(front: Rc<Front>, stream: TcpStream, crowded: bool, count: Count) -> Self {
+    fn new(front: Rc<Front>, stream: TcpStream, count: Count) -> Self {
         let came = BytesMut::with_capacity(front.limits.read);
-        Client { front, stream, came, out: BytesMut::new(), crowded, _count: count }
+        Client { front, stream, came, out: BytesMut::new(), _count: count }
     }
 
     async fn serve(mut self) {
@@ -113,29 +134,33 @@
                 // Not here; the client may go on in the clear.
                 Ok(Some(Opening::Encryption)) => self.stream.write_all(b"N").await.map_err(|_| Ended)?,
                 Ok(Some(Opening::Cancel)) => return Err(Ended),
-                Ok(None) => self.read().await?,
+                Ok(None) => self.fill(true).await?,
                 Err(malformed) => return self.malformed(malformed).await,
             }
         }
     }
 
-    /// The next message; between ops the router may close the connection.
     async fn next(&mut self) -> Result<Asked, Ended> {
-        let mut stage = self.front.stage.clone();
         loop {
             match Asked::take(&mut self.came, self.front.limits.message) {
                 Ok(Some(asked)) => return Ok(asked),
-                Ok(None) => {}
+                Ok(None) => self.fill(self.came.is_empty()).await?,
                 Err(malformed) => self.malformed(malformed).await?,
             }
-            let between = self.came.is_empty();
-            let front = self.front.clone();
-            tokio::select! {
-                biased;
-                read = self.read() => read?,
-                _ = stage.wait_for(|&stage| stage == Stage::Closing), if between => return Err(Ended),
-                () = front.spare.notified(), if between => return Err(Ended),
-            }
+        }
+    }
+
+    /// Waits for more of a message. Danger: connections that say nothing, or never end what they say, leave no
+    /// room for others. Where no op was begun, the router may close one; where one was, only after a while.
+    async fn fill(&mut self, may_close: bool) -> Result<(), Ended> {
+        let (front, mut stage) = (self.front.clone(), self.front.stage.clone());
+        let closed = front.idlers.wait(front.limits.clients);
+        tokio::select! {
+            biased;
+            read = self.read() => read,
+            _ = stage.wait_for(|&stage| stage == Stage::Closing), if may_close => Err(Ended),
+            _ = closed, if may_close => Err(Ended),
+            () = sleep(front.limits.greeting), if !may_close => Err(Ended),
         }
     }
 
@@ -147,7 +172,7 @@
             "" => put_empty(&mut self.out),
             "SET" | "RESET" => put_done(&mut self.out, &word),
             "DISCARD" => put_done(&mut self.out, "DISCARD ALL"),
-            _ if self.crowded => {
+            _ if self.front.clients.get() > self.front.limits.clients => {
                 relay::put_crowded(&mut self.out);
                 self.write().await?;
                 return Err(Ended);
--- a/crates/arrowyard-daemon/tests/sockets.rs
+++ b/crates/arrowyard-daemon/tests/sockets.rs
@@ -365,6 +365,20 @@
     assert_eq!(router.client().ask("put", 1000), value(&primary));
 }
 
+#[test]
+fn connections_that_say_nothing_make_room_for_those_that_do() {
+    let primary = Host::start("one", true, Act::Serve);
+    let router = Router::start(&[&primary], &Discovery::start());
+    let mut early = router.client();
+    assert_eq!(early.ask("put", 1000), value(&primary));
+    // More than the 256 descriptors of this router.
+    let silent: Vec<_> = (0..400).map(|_| TcpStream::connect(router.address).unwrap()).collect();
+    let (mut client, came) = (router.client(), Instant::now());
+    assert_eq!(client.ask("put", 1000), value(&primary));
+    assert!(came.elapsed() < Duration::from_secs(2), "{:?}", came.elapsed());
+    drop(silent);
+}
+
 #[test]
 fn a_send_that_broke_after_it_was_written_may_have_run() {
     let (primary, replica) = (Host::start("one", true, Act::Break), Host::start("two", false, Act::Break));
