Positions in the future are ignored; ops are bounded by bytes; the end of the route stage ends the router

Without the new check a replica an hour behind serves a bounded read (test fails so); route.rs 'likely'; - ops were bounded by the largest possible message (361 ops at 192 MB): now by what their statements hold; - connections that trickle a message make room as silent ones do; - a route stage that ended left a router that answers nothing: the process now ends instead.

--- a/crates/arrowyard-daemon/src/admit.rs
+++ b/crates/arrowyard-daemon/src/admit.rs
@@ -10,8 +10,8 @@
 };
 use serde_json::{Map, Value};
 
+use crate::count::Count;
 use crate::limits::Limits;
-use crate::link::Count;
 use crate::relay::Reply;
 
 pub struct Gate {
@@ -19,7 +19,15 @@
     tenants: HashMap<String, TenantId>,
     next: Cell<u64>,
     open: Rc<Cell<usize>>,
-    most: usize,
+    bytes: Rc<Cell<usize>>,
+    limits: Rc<Limits>,
+}
+
+/// An op's place among those in hand, for as long as it is kept.
+#[derive(Debug)]
+pub struct Place {
+    _open: Count,
+    _bytes: Count,
 }
 
 /// The names of a list of the settings, in order.
@@ -29,7 +37,7 @@
 }
 
 impl Gate {
-    pub fn new(settings: &Map<String, Value>, manifest: &Manifest, limits: &Limits) -> Self {
+    pub fn new(settings: &Map<String, Value>, manifest: &Manifest, limits: Rc<Limits>) -> Self {
         let with_session = |row: &OpType| matches!(row.need, Need::Session | Need::Write);
         let rows = OpType::rows(manifest);
         let rows = names(settings, "grades").into_iter().zip(rows.iter().map(with_session));
@@ -39,16 +47,19 @@
             tenants: tenants.map(|(n, name)| (name.to_string(), TenantId(n as u32))).collect(),
             next: Cell::new(0),
             open: Rc::default(),
-            most: limits.ops,
+            bytes: Rc::default(),
+            limits,
         }
     }
 
-    /// The op that the statement asks for; its place among the open ops is taken for as long as the count is kept.
-    pub fn admit(&self, statement: &Statement, arrived: Point) -> Result<(Ask, Count), Reply> {
+    /// The op that the statement asks for, with its place. Danger: more ops, or more bytes of them, than the
+    /// router's memory holds.
+    pub fn admit(&self, statement: &Statement, arrived: Point) -> Result<(Ask, Place), Reply> {
         let Some(&(op_type, with_session)) = self.op_types.get(&statement.op_type) else {
             return Err(Reply::Refused("the statement's op type is not known"));
         };
-        if self.open.get() >= self.most {
+        let bytes = statement.len();
+        if self.open.get() >= self.limits.ops || self.bytes.get() + bytes > self.limits.held {
             return Err(Reply::Busy(None));
         }
         let op = OpId(self.next.get());
@@ -68,6 +79,59 @@
             token_age,
             due: arrived + Span::from_millis(statement.wait_ms.into()),
         };
-        Ok((ask, Count::one(&self.open)))
+        Ok((ask, Place { _open: Count::one(&self.open), _bytes: Count::many(&self.bytes, bytes) }))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::waybill::Waybill;
+
+    /// With room for two ops of 100 bytes.
+    fn gate() -> Gate {
+        let told = serde_json::json!({"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1f",
+            "settings": {"grades": [{"name": "look", "objective": 5.0}], "parties": [{"name": "p"}, {"name": "q"}],
+                "domain": {"read_level": ["own_writes"]}, "caps": {"open_cap": 2}}});
+        let waybill = Waybill::of(&told, |_| None).expect("it is whole");
+        let manifest = arrowyard_charter::manifest(&waybill.settings).expect("its types are right");
+        let limits = Limits { held: 200, ..Limits::new(&waybill, &manifest) };
+        Gate::new(&waybill.settings, &manifest, Rc::new(limits))
+    }
+
+    fn statement(rest: &str, length: usize) -> Statement {
+        let text = format!(
+            "/* id=1,c=look,t=q,d=80,cluster=4{rest} */ SELECT payload WHERE ref = '00000000000000ff'"
+        );
+        Statement::parse(format!("{text:length$}")).expect("it has the form")
+    }
+
+    #[test]
+    fn names_become_ids_and_times_points() {
+        let arrived = Point::from_micros(5_000_000);
+        let (ask, _place) = gate().admit(&statement(",after=4900,r=1", 0), arrived).expect("there is room");
+        let wanted = Ask {
+            op: OpId(0),
+            op_type: OpTypeId(0),
+            tenant: Some(TenantId(1)),
+            group: GroupId(4),
+            session: Some(SessionId(0xff)),
+            again: true,
+            token_age: Some(Span::from_millis(100)),
+            due: Point::from_micros(5_080_000),
+        };
+        assert_eq!(ask, wanted);
+    }
+
+    #[test]
+    fn ops_beyond_the_count_or_the_bytes_are_busy_replied_till_a_place_is_free() {
+        let (gate, now) = (gate(), Point::from_micros(0));
+        let admit = |length| gate.admit(&statement("", length), now).map(|(_, place)| place);
+        let (first, second) = (admit(100), admit(100));
+        assert!(first.is_ok() && second.is_ok());
+        assert_eq!(admit(100).err(), Some(Reply::Busy(None)));
+        drop(first);
+        assert_eq!(admit(101).err(), Some(Reply::Busy(None)));
+        assert!(admit(100).is_ok());
     }
 }
--- a/crates/arrowyard-daemon/src/drain.rs
+++ b/crates/arrowyard-daemon/src/drain.rs
@@ -6,7 +6,7 @@
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
-use tokio::time::{Duration, Instant, sleep};
+use tokio::time::{Instant, sleep};
 
 use crate::limits::Limits;
 
@@ -39,7 +39,7 @@
         self.stage.send_replace(Stage::Closing);
         let last = Instant::now() + self.limits.last;
         while self.clients.get() > 0 && Instant::now() < last {
-            sleep(Duration::from_millis(5)).await;
+            sleep(self.limits.pause).await;
         }
         log::info!("ended with {} clients", self.clients.get());
     }
--- a/crates/arrowyard-daemon/src/limits.rs
+++ b/crates/arrowyard-daemon/src/limits.rs
@@ -15,8 +15,9 @@
     pub crowd: usize,
     /// Connections to database hosts, of all hosts together.
     pub links: usize,
-    /// Ops in hand.
+    /// Ops in hand, and the bytes of their statements.
     pub ops: usize,
+    pub held: usize,
     /// Mail that waits for the route stage; wishes that wait for discovery.
     pub inbox: usize,
     /// Bytes of one message of a client, and of a database host.
@@ -45,6 +46,10 @@
     /// How long a router that is to end goes on accepting, and how long its last ops may take.
     pub accept: Duration,
     pub last: Duration,
+    /// How long is waited before something is tried once more.
+    pub pause: Duration,
+    /// How far a position may lie ahead of this router's clock.
+    pub ahead: Span,
     /// How often the thread notes that it comes round.
     pub beat: Duration,
     /// How often the tally is logged.
@@ -58,18 +63,16 @@
 impl Limits {
     pub fn new(waybill: &Waybill, manifest: &Manifest) -> Self {
         let (message, answer) = (2 * VALUE + STATEMENT, 2 * VALUE + STATEMENT);
-        let memory = waybill.memory_mb * 1024 * 1024;
-        // A client has one op at a time, an op one send: half of the memory must hold them at their largest.
-        let held = memory / 2 / (message + answer);
         let sockets = waybill.sockets;
-        let clients = (sockets * 15 / 32).min(held).max(1);
         let told = manifest.number_or("max_open", f64::MAX) as usize;
         let longest = OpType::rows(manifest).iter().map(|row| row.op_timeout).max().unwrap_or_default();
         Limits {
-            clients,
+            clients: (sockets * 15 / 32).max(1),
             crowd: sockets / 16,
             links: sockets * 13 / 32,
-            ops: told.min(held),
+            ops: told.min(sockets),
+            // The rest is for what clients send just now, and for answers.
+            held: waybill.memory_mb * 1024 * 1024 / 4,
             inbox: 1024,
             message,
             answer,
@@ -86,6 +89,9 @@
             silence: Duration::from_millis(2500),
             accept: Duration::from_millis(450),
             last: duration(longest.max(Span::from_millis(3000))),
+            pause: Duration::from_millis(5),
+            // Commits are told in whole milliseconds, rounded up.
+            ahead: Span::from_millis(5),
             beat: Duration::from_millis(5),
             tally: Duration::from_secs(5),
         }
--- a/crates/arrowyard-daemon/src/link.rs
+++ b/crates/arrowyard-daemon/src/link.rs
@@ -1,6 +1,5 @@
 //! One connection to a database host: brought up once, then one command at a time.
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,24 +11,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::count::Count;
 use crate::limits::Limits;
 
-/// One more open connection, for as long as it is kept.
-pub struct Count(Rc<Cell<usize>>);
-
-impl Count {
-    pub fn one(of: &Rc<Cell<usize>>) -> Self {
-        of.set(of.get() + 1);
-        Count(of.clone())
-    }
-}
-
-impl Drop for Count {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 pub struct Link {
     pub dial: SocketAddr,
     pub idle_since: Instant,
--- a/crates/arrowyard-daemon/src/main.rs
+++ b/crates/arrowyard-daemon/src/main.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod book;
 mod clock;
+mod count;
 mod discovery;
 mod drain;
 mod http;
@@ -64,10 +65,10 @@
         wishes.send(Wish::Watch(true)).await.map_err(|e| e.to_string())?;
     }
 
-    let gate = Gate::new(&waybill.settings, &told, &limits);
+    let gate = Gate::new(&waybill.settings, &told, limits.clone());
     let roster = Roster::new(&waybill.settings);
     let yard = Yard { roster, pool, clock, limits: limits.clone(), wishes, mail: mail.clone() };
-    drop(spawn_local(Route::start(yard, waybill.seed, told, waybill.known.as_ref()).run(inbox)));
+    let route = spawn_local(Route::start(yard, waybill.seed, told, waybill.known.as_ref()).run(inbox));
 
     let listener = TcpListener::bind(waybill.listen).await.map_err(|e| format!("{}: {e}", waybill.listen))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
@@ -76,8 +77,11 @@
     let drain = Drain { stage, clients: clients.clone(), limits: limits.clone() };
     let front = Front { gate, mail, clients, idlers: Idlers::default(), stage: staged, beat, limits };
     drop(spawn_local(Rc::new(front).listen(listener)));
-    drain.run(signals).await;
-    Ok(())
+    tokio::select! {
+        () = drain.run(signals) => Ok(()),
+        // Danger: a router that takes ops and answers none. Better that it ends and is started anew.
+        ended = route => Err(format!("the route stage ended: {ended:?}")),
+    }
 }
 
 fn main() -> ExitCode {
--- a/crates/arrowyard-daemon/src/pool.rs
+++ b/crates/arrowyard-daemon/src/pool.rs
@@ -8,8 +8,9 @@
 use arrowyard_types::{HostId, Outcome};
 use tokio::time::{Instant, sleep};
 
+use crate::count::Count;
 use crate::limits::Limits;
-use crate::link::{Count, Link};
+use crate::link::Link;
 
 pub struct Pool {
     idle: RefCell<BTreeMap<HostId, Vec<Link>>>,
--- a/crates/arrowyard-daemon/src/route.rs
+++ b/crates/arrowyard-daemon/src/route.rs
@@ -106,14 +106,28 @@
             Mail::HungUp(op) => self.book.hang_up(op).then_some(Note::HungUp { op }),
             Mail::SendEnded(op, send, host, End { outcome, took, word, answer }) => {
                 let finished = self.book.end(op, send, outcome, answer)?;
+                let word = self.likely(word);
                 Some(Note::SendEnded(Ended { op, send, host, outcome, took, finished, word }))
             }
-            Mail::Probed(host, outcome, word) => Some(Note::Probed { host, outcome, word }),
+            Mail::Probed(host, outcome, word) => {
+                Some(Note::Probed { host, outcome, word: self.likely(word) })
+            }
             Mail::Listed(list) => Some(self.yard.roster.note(&list, false)),
             Mail::ListFailed => Some(Note::ListFailed),
         }
     }
 
+    /// A host's word without a position that cannot be. Danger: positions never go back, so that one spoilt on the
+    /// way, in the future, would make stale data look fresh for good.
+    fn likely(&self, word: Word) -> Word {
+        let latest = self.yard.clock.now() + self.yard.limits.ahead;
+        let position = word.position.filter(|&position| position <= latest);
+        if position != word.position {
+            log::warn!("a position in the future is ignored: {word:?}");
+        }
+        Word { position, ..word }
+    }
+
     fn carry_out(&mut self, now: Point, action: Action) {
         let Yard { roster, pool, clock, limits, wishes, mail } = &self.yard;
         log::trace!("{} {action:?}", now.micros());
--- a/crates/arrowyard-daemon/src/take_in.rs
+++ b/crates/arrowyard-daemon/src/take_in.rs
@@ -13,13 +13,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::{Duration, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 use crate::admit::Gate;
 use crate::clock::Beat;
+use crate::count::Count;
 use crate::drain::Stage;
 use crate::limits::Limits;
-use crate::link::Count;
 use crate::relay::{self, Reply};
 use crate::route::Mail;
 
@@ -64,7 +64,7 @@
         let mut stage = self.stage.clone();
         loop {
             while self.clients.get() >= self.limits.clients + self.limits.crowd {
-                sleep(Duration::from_millis(5)).await;
+                sleep(self.limits.pause).await;
             }
             let accepted = tokio::select! {
                 biased;
@@ -81,7 +81,7 @@
                 }
                 Err(error) => {
                     log::warn!("a client could not be accepted: {error}");
-                    sleep(Duration::from_millis(5)).await;
+                    sleep(self.limits.pause).await;
                 }
             }
         }
@@ -151,7 +151,8 @@
     }
 
     /// Waits for more of a message. Danger: connections that say nothing, or never end what they say, leave no
-    /// room for others. Where no op was begun, the router may close one; where one was, only after a while.
+    /// room for others, and the longest idle one closes. For the planned end alone only those do that have not
+    /// begun to say something.
     async fn fill(&mut self, may_close: bool) -> Result<(), Ended> {
         let (front, mut stage) = (self.front.clone(), self.front.stage.clone());
         let closed = front.idlers.wait(front.limits.clients);
@@ -159,7 +160,7 @@
             biased;
             read = self.read() => read,
             _ = stage.wait_for(|&stage| stage == Stage::Closing), if may_close => Err(Ended),
-            _ = closed, if may_close => Err(Ended),
+            _ = closed => Err(Ended),
             () = sleep(front.limits.greeting), if !may_close => Err(Ended),
         }
     }
--- a/crates/arrowyard-daemon/tests/sockets.rs
+++ b/crates/arrowyard-daemon/tests/sockets.rs
@@ -8,8 +8,8 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-fn unix_ms() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
+fn unix_ms() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64
 }
 
 fn message(letter: u8, body: &[u8]) -> Vec<u8> {
@@ -56,14 +56,17 @@
     heard: Arc<Mutex<Vec<(usize, String)>>>,
     /// Connections that the router ended.
     ended: Arc<Mutex<Vec<usize>>>,
+    /// How many milliseconds ahead of the clock the positions are that it tells.
+    ahead: Arc<Mutex<i64>>,
 }
 
 impl Host {
     fn start(name: &'static str, primary: bool, act: Act) -> Host {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let (act, heard, ended) = (Arc::new(Mutex::new(act)), Arc::default(), Arc::default());
-        let host = Host { name, address, primary, act, heard, ended };
+        let act = Arc::new(Mutex::new(act));
+        let (heard, ended, ahead) = Default::default();
+        let host = Host { name, address, primary, act, heard, ended, ahead };
         let serving = host.clone();
         spawn(move || {
             for (number, stream) in listener.incoming().enumerate() {
@@ -87,7 +90,7 @@
             let (letter, body) = read_message(&mut stream)?;
             assert_eq!(letter, b'Q');
             let text = String::from_utf8(body).unwrap().trim_end_matches('\0').to_string();
-            let now = unix_ms();
+            let now = unix_ms() + *self.ahead.lock().unwrap();
             if text == "SHOW stats" {
                 let report = format!("x0={}.{:03},x1={}", now / 1000, now % 1000, u8::from(self.primary));
                 stream.write_all(&[row(report.as_bytes()), ready.clone()].concat()).ok()?;
@@ -196,14 +199,15 @@
             r#"{{"balancers":1,"granularity":5.0,"discovery":"on_request","dcs":["a"],"parties":[{{"name":"p","share":1.0}}],
             "caps":{{"cancel":true,"dial_timeout":250.0,"idle_close":15000.0,"max_retry_after":700.0,"open_cap":1000,
             "parallel_tries":false,"probing":true,"retry_after":true,"send_cap":6,"streams_per_conn":1}},
-            "domain":{{"list_role":"initial","progress_told":true,"read_level":["loose","update","update"],
-            "oldest_data":[0.0,0.0,0.0],"server_checks":"silent","token_mode":"router"}},
+            "domain":{{"list_role":"initial","progress_told":true,"read_level":["loose","update","update","recent"],
+            "oldest_data":[0.0,0.0,0.0,300.0],"server_checks":"silent","token_mode":"router"}},
             "invariants":{{"answer_slack":20.0,"ask_within":10000.0,"cold":13000.0,"cold_from":0.2,"drain_grace":500.0,
             "fall":1500.0,"fall_multiple":2.0}},"reporting":{{"fields":["x0","x1"],"source":"pull"}},
-            "grades":[{},{},{}]}}"#,
+            "grades":[{},{},{},{}]}}"#,
             op_type("look", "read_like", 1500),
             op_type("put", "non_idempotent", 1500),
             op_type("mark", "idempotency_key", 1500),
+            op_type("view", "read_like", 1500),
         );
         let told = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f30d27a5be964",
@@ -303,7 +307,7 @@
 fn statement(op_type: &str, wait: u32) -> String {
     let head = format!("/* id=9b1f03aa5c7e2d41,c={op_type},t=p,d={wait},k=5c0f6e1a2b3d4c59,cluster=7 */");
     match op_type {
-        "look" => format!("{head} SELECT payload FROM entries WHERE ref = '7f3a9c21e0b4d655'"),
+        "look" | "view" => format!("{head} SELECT payload FROM entries WHERE ref = '7f3a9c21e0b4d655'"),
         _ => format!("{head} INSERT INTO entries (ref, payload) VALUES ('7f3a9c21e0b4d655', '\\x9f03')"),
     }
 }
@@ -468,6 +472,20 @@
     assert_eq!(replica.heard(), heard);
 }
 
+#[test]
+fn a_position_in_the_future_does_not_make_a_copy_look_fresh() {
+    let (primary, replica) = (Host::start("one", true, Act::Serve), Host::start("two", false, Act::Serve));
+    let router = Router::start(&[&primary, &replica], &Discovery::start());
+    let mut client = router.client();
+    *replica.ahead.lock().unwrap() = 3_600_000;
+    assert_eq!(client.ask("look", 1000), value(&replica));
+    *replica.ahead.lock().unwrap() = -3_600_000;
+    assert_eq!(client.ask("view", 1000), value(&primary));
+    *replica.ahead.lock().unwrap() = 0;
+    assert_eq!(client.ask("look", 1000), value(&replica));
+    assert_eq!(client.ask("view", 1000), value(&replica));
+}
+
 #[test]
 fn a_watch_that_falls_silent_is_asked_for_anew() {
     let primary = Host::start("one", true, Act::Serve);
--- a/crates/arrowyard-pg/src/statement.rs
+++ b/crates/arrowyard-pg/src/statement.rs
@@ -61,6 +61,12 @@
         Ok(Statement { text, wait_at, wait_ms, op_type, tenant, group, after, again, key })
     }
 
+    /// The bytes of its text.
+    #[expect(clippy::len_without_is_empty, reason = "a statement is never empty")]
+    pub fn len(&self) -> usize {
+        self.text.len()
+    }
+
     /// Writes it as a query, with the time that the sender will wait.
     pub fn put(&self, out: &mut BytesMut, wait_ms: u64) {
         put(out, Some(b'Q'), |out| {
