--- a/crates/arrowyard-daemon/src/limits.rs
+++ b/crates/arrowyard-daemon/src/limits.rs
@@ -65,6 +65,11 @@
         let (message, answer) = (2 * VALUE + STATEMENT, 2 * VALUE + STATEMENT);
         let sockets = waybill.sockets;
         let told = manifest.number_or("max_open", f64::MAX) as usize;
+        // Danger: a time that was not told is zero, no connection comes up, and each is idle for too long.
+        let told_span = |name: &str| match duration(manifest.span(name)) {
+            Duration::ZERO => Duration::from_secs(1),
+            told => told,
+        };
         let longest = OpType::rows(manifest).iter().map(|row| row.op_timeout).max().unwrap_or_default();
         Limits {
             clients: (sockets * 15 / 32).max(1),
@@ -80,8 +85,8 @@
             head: 16 * 1024,
             read: 4 * 1024,
             log_lines: 50,
-            connect: duration(manifest.span("connect_timeout")),
-            idle: duration(manifest.span("idle_close") * 0.8),
+            connect: told_span("connect_timeout"),
+            idle: told_span("idle_close").mul_f64(0.8),
             ready: duration(manifest.span("tick").max(Span::from_millis(1))),
             greeting: Duration::from_secs(5),
             relay: Duration::from_secs(2),
