--- a/crates/arrowyard-daemon/src/book.rs
+++ b/crates/arrowyard-daemon/src/book.rs
@@ -122,6 +122,8 @@
 
 #[cfg(test)]
 mod tests {
+    use proptest::prelude::*;
+
     use super::*;
 
     const OP: OpId = OpId(7);
@@ -162,4 +164,51 @@
         assert_eq!(book.end(OP, number, Outcome::Cancelled, None), Some(true));
         assert_eq!(book.len(), 0);
     }
+
+    proptest! {
+        /// A plain model: which sends are out, and what ended the op first.
+        #[test]
+        fn whatever_comes_in_whatever_order_each_send_ends_once_and_the_op_once(
+            steps in prop::collection::vec((0_u8..6, 0_u32..4), 0..40),
+        ) {
+            let (mut book, mut answered) = open();
+            let (mut out, mut ended, mut first) = (Vec::new(), Vec::new(), None);
+            for (step, number) in steps {
+                let known = out.contains(&number) && !ended.contains(&number);
+                match step {
+                    0 => match book.send(OP) {
+                        Some((SendNo(number), ..)) => {
+                            prop_assert!(first.is_none() && number == out.len() as u32);
+                            out.push(number);
+                        }
+                        None => prop_assert!(first.is_some()),
+                    },
+                    1 | 2 => {
+                        let (outcome, answer) = match step {
+                            1 => (Outcome::Acked, Some(Answer::default())),
+                            _ => (Outcome::TimedOut, None),
+                        };
+                        if known && step == 1 {
+                            first.get_or_insert(Some(Reply::Acked(Answer::default())));
+                        }
+                        let told = book.end(OP, SendNo(number), outcome, answer);
+                        prop_assert_eq!(told, known.then_some(first.is_some()));
+                        ended.extend(known.then_some(number));
+                    }
+                    3 => {
+                        book.answer(OP, Reply::Errored);
+                        first.get_or_insert(Some(Reply::Errored));
+                    }
+                    4 => {
+                        prop_assert_eq!(book.hang_up(OP), first.is_none());
+                        first.get_or_insert(None);
+                    }
+                    _ => book.call_off(OP, SendNo(number)),
+                }
+                let gone = first.is_some() && out.len() == ended.len();
+                prop_assert_eq!(book.len(), usize::from(!gone));
+            }
+            prop_assert_eq!(answered.try_recv().ok(), first.flatten());
+        }
+    }
 }
