A dead primary no longer counts as a full one

Checked by a trace of notes and actions: the busy replies follow the outage and go on 2 s after the new primary named itself. At fault: logic.rs 'pulse': a host keeps its role when it is lost, and one that is not open bears nothing, so that it counted as full and writes were held back for copies that stand still anyway. Now only a standing primary can be full. Test: a_primary_that_is_gone_is_not_a_full_one, which fails without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -690,9 +690,8 @@
         let poll = self.charter.span("connect_timeout") * STEP;
         post.actions.push(Action::Ring { after: poll, cookie: PULSE });
         let warm = self.faces.iter().filter(|face| face.warmth >= 1.0 && face.sound());
-        let rates: SmallVec<[f64; 16]> = warm.map(|face| face.rate / face.size).collect();
-        self.peers =
-            if rates.is_empty() { self.peers } else { rates.iter().sum::<f64>() / rates.len() as f64 };
+        let acks: SmallVec<[f64; 16]> = warm.map(|face| face.rate / face.size).collect();
+        self.peers = if acks.is_empty() { self.peers } else { acks.iter().sum::<f64>() / acks.len() as f64 };
         self.hosts().for_each(|host| post.hosts.put(host, HostNote::Pulse(passed, self.peers)));
         // Danger: writes come faster than replicas apply them; bounded reads lose all. Some go back while
         // the primary has no room for reads, but where long reads hold up the log. Harms if reports lag.
@@ -700,7 +699,8 @@
         let step = if long { 0.0 } else { passed / self.charter.span("connect_timeout") * CATCH_UP };
         for group in self.groups.values_mut() {
             let faces = group.members.iter().map(|host| &self.faces[host.0 as usize]);
-            let full = faces.clone().any(|f| f.role == Some(Role::Primary) && !f.bears(FOR_READS, now, pace));
+            let mut standing = faces.clone().filter(|f| f.role == Some(Role::Primary) && f.open && !f.quiet);
+            let full = standing.any(|primary| !primary.bears(FOR_READS, now, pace));
             let replicas = faces.filter(|f| f.open && f.role == Some(Role::Replica)).map(|f| f.behind);
             let (all, far) = (replicas.clone().count(), replicas.filter(|&b| b > self.bound).count());
             group.held_back += if far * 2 > all && full { step } else { -step };
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -217,6 +217,20 @@
     assert_eq!(sent_back(0, 30, 3000), 0, "they caught up");
 }
 
+#[test]
+fn a_primary_that_is_gone_is_not_a_full_one() {
+    let mut world = World::settled(charter(true, false, false));
+    world.list(vec![entry(0, Availability::Gone, true, None)]);
+    world.wait(3000);
+    for host in 1..4 {
+        let word = Word { position: Some(world.now - ms(3000)), ..Word::default() };
+        world.feed(Note::Probed { host: HostId(host), outcome: Outcome::Acked, word });
+    }
+    world.wait(1500);
+    let ops: Vec<_> = (100..150).map(|op| world.ask(op, TOKENED, Some(op))).collect();
+    assert!(!ops.into_iter().any(|op| world.answered(op)), "they wait for the next primary");
+}
+
 #[test]
 fn one_of_many_routers_spaces_its_sends_to_a_slow_primary() {
     let mut many = charter(true, false, false);
