A missing primary is looked for half as often

At fault: logic.rs 'pulse', which asks all members every pulse. Ruled out: bounded reads (their gap grows with the lag). Now once in 0.8 connect time-outs. Covers grown deployments, too, where hundreds of routers ask at once; does harm by a later find, well under a tenth of a switch. Test: a_missing_primary_is_looked_for_but_not_all_the_time.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,7 +48,7 @@
 const PROBE_GAP: f64 = 0.125;
 /// A cold host gets at most this part of the multiple of its capacity that would push it over.
 const OF_MULTIPLE: f64 = 0.7;
-/// A missing primary is looked for, and a limit is cut, once in this share of the connect time-out.
+/// A limit is cut once in this share of the connect time-out; a missing primary is looked for half as often.
 const STEP: f64 = 0.4;
 /// While most replicas are behind, the share of writes sent back grows by this in a connect time-out.
 const CATCH_UP: f64 = 0.25;
@@ -707,7 +707,7 @@
             group.held_back = group.held_back.clamp(0.0, MOST_BACK);
         }
         for group in self.groups.values().filter(|group| group.wanted.replace(false)) {
-            let due = |host: &HostId| now - self.face(*host).probed_at >= poll;
+            let due = |host: &HostId| now - self.face(*host).probed_at >= poll * 2.0;
             self.probe(&group.members.iter().copied().filter(due).collect::<Hosts>(), false, post);
         }
     }
