Without a known primary a write tries the most advanced member once

Ruled out: late relaying (0.3 ms at the 99th percentile). A miss is untouched, proves that nothing ran, and tells role and position first-hand. Does harm where that member hangs unnoticed: a non-retryable write may have run. Test: without_a_primary_a_write_tries_the_most_advanced_member_once.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -569,9 +569,9 @@
             if primary.is_some() {
                 among.extend(primary.filter(|&host| self.bears(host, 1.0)));
             } else if (kind.need == Need::Write || checks) && (op.sends.len() as f64) < half {
-                // None known: members in turn, the most advanced first; a known replica counts as a miss.
-                // Danger: a fresh read answered by a replica that does not check reads.
-                let blank = |f: &Face| f.role.is_none() && !f.probing && f.sound();
+                // None known: members in turn, the most advanced first; of known replicas only that one, which
+                // takes over if any does. Danger: a fresh read answered by a replica that checks no reads.
+                let blank = |f: &Face| (f.role.is_none() || op.sends.len() == 0) && !f.probing && f.sound();
                 let next = |h: &HostId| blank(self.face(*h)) && self.bears(*h, 1.0) && !op.sends.tried(*h);
                 let turn = group.members.iter().copied().filter(next);
                 among.extend(turn.max_by_key(|&host| self.face(host).position));
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -64,6 +64,20 @@
     assert_eq!(world.hosts_of(op), [0, 2]);
 }
 
+#[test]
+fn without_a_primary_a_write_tries_the_most_advanced_member_once() {
+    let mut world = World::settled(charter(true, false, false));
+    world.wait(50);
+    let word = Word { role: Some(Role::Replica), position: Some(world.now), ..Word::default() };
+    world.feed(Note::Probed { host: HostId(2), outcome: Outcome::Acked, word });
+    world.list(vec![entry(0, Availability::Gone, true, None)]);
+    let op = world.ask(10, NON_RETRYABLE, Some(1));
+    assert_eq!(world.hosts_of(op), [2]);
+    world.end(0, Outcome::Miss, word);
+    world.wait(100);
+    assert_eq!(world.hosts_of(op), [2], "other known replicas count as a miss");
+}
+
 #[test]
 fn a_hung_replica_does_not_look_light() {
     let mut world = World::settled(charter(true, false, false));
