--- a/src/logic.rs
+++ b/src/logic.rs
@@ -569,8 +569,8 @@
             if primary.is_some() {
                 among.extend(primary.filter(|&host| self.bears(host, 1.0)));
             } else if (kind.need == Need::Write || checks) && (op.sends.len() as f64) < half {
-                // None known: members in turn, the most advanced first; of known replicas only that one, which
-                // takes over if any does. Danger: a fresh read answered by a replica that checks no reads.
+                // None known: members in turn, the most advanced first; of known replicas that one alone,
+                // which takes over if any does. Danger: a fresh read answered by one that checks no reads.
                 let blank = |f: &Face| (f.role.is_none() || op.sends.len() == 0) && !f.probing && f.sound();
                 let next = |h: &HostId| blank(self.face(*h)) && self.bears(*h, 1.0) && !op.sends.tried(*h);
                 let turn = group.members.iter().copied().filter(next);
