--- a/crates/arrowyard-daemon/tests/sockets.rs
+++ b/crates/arrowyard-daemon/tests/sockets.rs
@@ -243,7 +243,7 @@
     }
 
     fn terminate(&mut self) -> ExitStatus {
-        let kill = Command::new("kill").arg(self.child.id().to_string()).status().unwrap();
+        let kill = Command::new("sh").args(["-c", &format!("kill {}", self.child.id())]).status().unwrap();
         assert!(kill.success());
         self.child.wait().unwrap()
     }
