--- a/crates/arrowyard-daemon/src/admit.rs
+++ b/crates/arrowyard-daemon/src/admit.rs
@@ -6,7 +6,7 @@
 
 use arrowyard_pg::Statement;
 use arrowyard_types::{
-    Ask, GroupId, Manifest, Need, OpId, OpType, OpTypeId, Point, SessionId, Span, TenantId,
+    Ask, Effect, GroupId, Manifest, Need, OpId, OpType, OpTypeId, Point, SessionId, Span, TenantId,
 };
 use serde_json::{Map, Value};
 
@@ -15,7 +15,7 @@
 use crate::relay::Reply;
 
 pub struct Gate {
-    op_types: HashMap<String, (OpTypeId, bool)>,
+    op_types: HashMap<String, (OpTypeId, OpType)>,
     tenants: HashMap<String, TenantId>,
     next: Cell<u64>,
     open: Rc<Cell<usize>>,
@@ -38,12 +38,13 @@
 
 impl Gate {
     pub fn new(settings: &Map<String, Value>, manifest: &Manifest, limits: Rc<Limits>) -> Self {
-        let with_session = |row: &OpType| matches!(row.need, Need::Session | Need::Write);
-        let rows = OpType::rows(manifest);
-        let rows = names(settings, "grades").into_iter().zip(rows.iter().map(with_session));
+        let rows = names(settings, "grades").into_iter().zip(OpType::rows(manifest));
         let tenants = names(settings, "parties").into_iter().enumerate();
         Gate {
-            op_types: (0..).zip(rows).map(|(n, (name, s))| (name.to_string(), (OpTypeId(n), s))).collect(),
+            op_types: (0..)
+                .zip(rows)
+                .map(|(n, (name, row))| (name.to_string(), (OpTypeId(n), row)))
+                .collect(),
             tenants: tenants.map(|(n, name)| (name.to_string(), TenantId(n as u32))).collect(),
             next: Cell::new(0),
             open: Rc::default(),
@@ -55,9 +56,16 @@
     /// The op that the statement asks for, with its place. Danger: more ops, or more bytes of them, than the
     /// router's memory holds.
     pub fn admit(&self, statement: &Statement, arrived: Point) -> Result<(Ask, Place), Reply> {
-        let Some(&(op_type, with_session)) = self.op_types.get(&statement.op_type) else {
+        let Some((op_type, row)) = self.op_types.get(&statement.op_type) else {
             return Err(Reply::Refused("the statement's op type is not known"));
         };
+        let tenant = statement.tenant.as_ref().filter(|_| !self.tenants.is_empty());
+        let tenant = tenant.map(|name| self.tenants.get(name).copied().ok_or(name)).transpose();
+        let tenant = tenant.map_err(|_| Reply::Refused("the statement's tenant is not known"))?;
+        if matches!(row.effect, Effect::Tokened { .. }) && !statement.marked {
+            return Err(Reply::Refused("an op of this type needs its mark, k"));
+        }
+        let with_session = matches!(row.need, Need::Session | Need::Write);
         let bytes = statement.len();
         if self.open.get() >= self.limits.ops || self.bytes.get() + bytes > self.limits.held {
             return Err(Reply::Busy(None));
@@ -71,8 +79,8 @@
         });
         let ask = Ask {
             op,
-            op_type,
-            tenant: statement.tenant.as_ref().and_then(|tenant| self.tenants.get(tenant).copied()),
+            op_type: *op_type,
+            tenant,
             group: GroupId(statement.group),
             session: statement.key.filter(|_| with_session).map(SessionId),
             again: statement.again,
--- a/crates/arrowyard-daemon/src/limits.rs
+++ b/crates/arrowyard-daemon/src/limits.rs
@@ -40,6 +40,8 @@
     /// an answer.
     pub greeting: Duration,
     pub relay: Duration,
+    /// How long a client that is let go may go on talking.
+    pub linger: Duration,
     /// How long discovery may take for a whole list, and a watch may stay silent: it speaks every 2 s.
     pub fetch: Duration,
     pub silence: Duration,
@@ -90,6 +92,7 @@
             ready: duration(manifest.span("tick").max(Span::from_millis(1))),
             greeting: Duration::from_secs(5),
             relay: Duration::from_secs(2),
+            linger: Duration::from_millis(200),
             fetch: Duration::from_secs(3),
             silence: Duration::from_millis(2500),
             accept: Duration::from_millis(450),
--- a/crates/arrowyard-daemon/src/link.rs
+++ b/crates/arrowyard-daemon/src/link.rs
@@ -96,6 +96,14 @@
         self.came.is_empty() && untouched
     }
 
+    /// Gives the room back that a large answer took.
+    pub fn rest(&mut self) {
+        self.idle_since = Instant::now();
+        if self.came.is_empty() {
+            self.came = BytesMut::new();
+        }
+    }
+
     pub async fn write(&mut self, command: &[u8]) -> Result<(), Broken> {
         Ok(self.stream.write_all(command).await?)
     }
@@ -109,10 +117,15 @@
                 false => self.next().await,
             };
             match heard {
-                Ok(Heard::Columns(columns)) => answer.columns = columns,
-                Ok(Heard::Row(row)) => answer.row = row,
+                Ok(Heard::Columns(columns)) if answer.columns.is_empty() => answer.columns = columns,
+                Ok(Heard::Row(row)) if answer.row.is_empty() => answer.row = row,
+                // Danger: a second row, or an answer nobody asked for, passed on as the first.
+                Ok(Heard::Columns(_) | Heard::Row(_)) if told.answer.is_none() => {
+                    return Err(Broken("the host told more than one row".to_string()));
+                }
+                Ok(Heard::Columns(_) | Heard::Row(_)) => return Ok(told),
                 Ok(Heard::Complete(complete)) if !answer.columns.is_empty() && !answer.row.is_empty() => {
-                    told.answer = Some(Answer { complete, ..std::mem::take(&mut answer) });
+                    told.answer = Some(Answer { complete, ..answer.clone() });
                 }
                 Ok(Heard::Status(Status::Mode(mode))) => {
                     let role = if mode == Mode::ReadWrite { Role::Primary } else { Role::Replica };
--- a/crates/arrowyard-daemon/src/main.rs
+++ b/crates/arrowyard-daemon/src/main.rs
@@ -93,8 +93,8 @@
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("arrowyard: {why}");
-            ExitCode::FAILURE
+            eprintln!("arrowyard: {}", why.replace('\n', " "));
+            ExitCode::from(2)
         }
     }
 }
--- a/crates/arrowyard-daemon/src/pool.rs
+++ b/crates/arrowyard-daemon/src/pool.rs
@@ -37,14 +37,13 @@
             }
         }
         if self.open.get() >= self.limits.links && !self.close_oldest() {
-            // The lack is this router's own and says nothing of the host.
-            return Err(Outcome::Moot);
+            return Err(Outcome::ConnectFailed);
         }
         Link::open(dial, Count::one(&self.open), self.limits.clone()).await
     }
 
     pub fn put_back(&self, host: HostId, mut link: Link) {
-        link.idle_since = Instant::now();
+        link.rest();
         self.heard.borrow_mut().insert(host, link.idle_since);
         self.idle.borrow_mut().entry(host).or_default().push(link);
     }
--- a/crates/arrowyard-daemon/src/send.rs
+++ b/crates/arrowyard-daemon/src/send.rs
@@ -6,7 +6,7 @@
 use arrowyard_pg::{Answer, Statement};
 use arrowyard_types::{HostId, Outcome, Point, Span, Word};
 use bytes::BytesMut;
-use tokio::sync::oneshot;
+use tokio::sync::oneshot::{self, error::TryRecvError};
 use tokio::time::{Instant, sleep_until};
 
 use crate::clock::Clock;
@@ -31,7 +31,7 @@
 }
 
 impl End {
-    /// Of a send to a host that was never said to be anywhere.
+    /// Of a send that was never tried: its op is over, its time has run out, or its host is nowhere.
     pub fn unsent() -> Self {
         End { outcome: Outcome::Moot, took: Span::ZERO, word: Word::default(), answer: None }
     }
@@ -39,8 +39,11 @@
 
 /// Carries the order out. Until the statement is wholly written it never ran, whatever happens; from then on it
 /// may have. Giving up closes the connection.
-pub async fn run(order: Order, pool: &Pool, clock: Clock) -> End {
+pub async fn run(mut order: Order, pool: &Pool, clock: Clock) -> End {
     let (started, since, mut written) = (clock.now(), Instant::now(), false);
+    if started >= order.until || order.called_off.try_recv() != Err(TryRecvError::Empty) {
+        return End::unsent();
+    }
     let Order { host, dial, statement, until, called_off } = order;
     let (outcome, word, answer) = tokio::select! {
         biased;
--- a/crates/arrowyard-daemon/src/take_in.rs
+++ b/crates/arrowyard-daemon/src/take_in.rs
@@ -155,6 +155,10 @@
     /// begun to say something.
     async fn fill(&mut self, may_close: bool) -> Result<(), Ended> {
         let (front, mut stage) = (self.front.clone(), self.front.stage.clone());
+        if self.came.is_empty() {
+            // The room that a large op took is given back.
+            (self.came, self.out) = (BytesMut::new(), BytesMut::new());
+        }
         let closed = front.idlers.wait(front.limits.clients);
         tokio::select! {
             biased;
@@ -175,8 +179,7 @@
             "DISCARD" => put_done(&mut self.out, "DISCARD ALL"),
             _ if self.front.clients.get() > self.front.limits.clients => {
                 relay::put_crowded(&mut self.out);
-                self.write().await?;
-                return Err(Ended);
+                return self.end().await;
             }
             _ => {
                 let reply = match Statement::parse(text) {
@@ -227,6 +230,21 @@
         if written { Ok(()) } else { Err(Ended) }
     }
 
+    /// Writes the last words. Danger: a connection closed while bytes of the client are unread is reset, and the
+    /// client never reads them. So what it still says is read for a while, and dropped.
+    async fn end<T>(&mut self) -> Result<T, Ended> {
+        self.write().await?;
+        let _ = self.stream.shutdown().await;
+        let linger = self.front.limits.linger;
+        let rest = async {
+            while self.read().await.is_ok() {
+                self.came.clear();
+            }
+        };
+        let _ = timeout(linger, rest).await;
+        Err(Ended)
+    }
+
     async fn malformed<T>(&mut self, Malformed(why): Malformed) -> Result<T, Ended> {
         log::warn!("a client broke the protocol: {why}");
         self.fatal(code::PROTOCOL_VIOLATION, why).await
@@ -234,7 +252,6 @@
 
     async fn fatal<T>(&mut self, code: &str, why: &str) -> Result<T, Ended> {
         put_fatal(&mut self.out, code, why);
-        self.write().await?;
-        Err(Ended)
+        self.end().await
     }
 }
