--- a/crates/arrowyard-daemon/tests/sockets.rs
+++ b/crates/arrowyard-daemon/tests/sockets.rs
@@ -457,14 +457,17 @@
 }
 
 #[test]
-fn a_send_that_was_turned_away_never_ran() {
-    let primary = Host::start("one", true, Act::Fail("53300"));
-    let router = Router::start(&[&primary], &Discovery::start());
-    let mut client = router.client();
-    client.write(&statement("put", 1000));
-    eventually("the write is sent again", || primary.heard() > 1);
-    *primary.act.lock().unwrap() = Act::Serve;
-    assert_eq!(client.reply(), value(&primary));
+fn a_send_that_provably_never_ran_or_whose_repeat_is_dropped_is_sent_again() {
+    let cases = [("put", Act::Fail("53300")), ("put", Act::Fail("25006")), ("mark", Act::Break)];
+    for (op_type, act) in cases {
+        let primary = Host::start("one", true, act);
+        let router = Router::start(&[&primary], &Discovery::start());
+        let mut client = router.client();
+        client.write(&statement(op_type, 1000));
+        eventually("the write is sent again", || primary.heard() > 1);
+        *primary.act.lock().unwrap() = Act::Serve;
+        assert_eq!(client.reply(), value(&primary));
+    }
 }
 
 #[test]
