--- a/crates/arrowyard-daemon/src/pool.rs
+++ b/crates/arrowyard-daemon/src/pool.rs
@@ -76,3 +76,52 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use arrowyard_pg::greet;
+    use bytes::BytesMut;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::task::{LocalSet, spawn_local};
+
+    use super::*;
+    use crate::waybill::Waybill;
+
+    /// A host that lets everybody in and says nothing more.
+    async fn host() -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
+        let dial = listener.local_addr().expect("it is bound");
+        drop(spawn_local(async move {
+            let mut kept = Vec::new();
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut out = BytesMut::new();
+                greet(&mut out);
+                let _ = (stream.read(&mut [0; 64]).await, stream.write_all(&out).await);
+                kept.push(stream);
+            }
+        }));
+        dial
+    }
+
+    #[tokio::test]
+    async fn with_no_descriptor_left_an_idle_connection_goes_first_and_then_a_dial_fails() {
+        let told = serde_json::json!({"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+            "settings": {}});
+        let waybill = Waybill::of(&told, |_| None).expect("it is whole");
+        let manifest = arrowyard_charter::manifest(&waybill.settings).expect("it is empty");
+        let limits = Limits { links: 2, ..Limits::new(&waybill, &manifest) };
+        LocalSet::new()
+            .run_until(async {
+                let (pool, one, two) = (Pool::new(Rc::new(limits)), host().await, host().await);
+                let first = pool.take(HostId(1), one).await.expect("there is room");
+                let second = pool.take(HostId(1), one).await.expect("there is room");
+                assert_eq!(pool.take(HostId(2), two).await.err(), Some(Outcome::ConnectFailed));
+                pool.put_back(HostId(1), first);
+                assert_eq!(pool.take(HostId(2), two).await.map(|link| link.dial), Ok(two));
+                assert_eq!(pool.open(), 1, "the idle one was closed, the third ended just now");
+                drop(second);
+            })
+            .await;
+    }
+}
