On SIGHUP the file is read again and the list is watched at its new address

Ruled out: a panic (nothing on standard error), the planned end (drain.rs takes SIGTERM and SIGINT only). At fault: main.rs, where no SIGHUP was taken, and discovery.rs, whose address was fixed at the start. Now: reload.rs reads the file, more than once if it is caught half written; discovery moves its watch at once and goes on after the last version, so that changes told in between come too.

--- a/crates/arrowyard-daemon/src/discovery.rs
+++ b/crates/arrowyard-daemon/src/discovery.rs
@@ -20,6 +20,8 @@
 pub enum Wish {
     Watch(bool),
     Fetch,
+    /// It is reached at another address from now on.
+    Move(SocketAddr),
 }
 
 #[derive(Clone)]
@@ -32,13 +34,23 @@
 }
 
 impl Discovery {
-    pub async fn run(self, mut wishes: mpsc::Receiver<Wish>) {
+    pub async fn run(mut self, mut wishes: mpsc::Receiver<Wish>) {
         let mut watch: Option<JoinHandle<()>> = None;
         while let Some(wish) = wishes.recv().await {
             match wish {
                 Wish::Watch(true) if watch.as_ref().is_some_and(|watch| !watch.is_finished()) => {}
                 Wish::Watch(true) => watch = Some(spawn_local(self.clone().call(true))),
                 Wish::Watch(false) => watch.take().into_iter().for_each(|watch| watch.abort()),
+                Wish::Move(dial) if dial == self.dial => {}
+                // Danger: the old address stays open for a while and then leaves the router without news. So the
+                // watch moves at once, and goes on after the last version.
+                Wish::Move(dial) => {
+                    self.dial = dial;
+                    if let Some(old) = watch.take() {
+                        old.abort();
+                        watch = Some(spawn_local(self.clone().call(true)));
+                    }
+                }
                 Wish::Fetch => drop(spawn_local(self.clone().call(false))),
             }
         }
--- a/crates/arrowyard-daemon/src/limits.rs
+++ b/crates/arrowyard-daemon/src/limits.rs
@@ -28,6 +28,8 @@
     pub head: usize,
     /// Bytes that are asked of a socket at once.
     pub read: usize,
+    /// How often the file is read on SIGHUP before it counts as broken.
+    pub reads: u32,
     /// Lines of the log in a second.
     pub log_lines: u32,
     /// How long a connection to a host may take to come up, and a probe to be answered.
@@ -86,6 +88,7 @@
             list: 4 * 1024 * 1024,
             head: 16 * 1024,
             read: 4 * 1024,
+            reads: 20,
             log_lines: 50,
             connect: told_span("connect_timeout"),
             idle: told_span("idle_close").mul_f64(0.8),
--- a/crates/arrowyard-daemon/src/main.rs
+++ b/crates/arrowyard-daemon/src/main.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod probe;
 mod relay;
+mod reload;
 mod roster;
 mod route;
 mod send;
@@ -28,6 +29,7 @@
 use arrowyard_types::Facts;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 
@@ -37,6 +39,7 @@
 use crate::drain::{Drain, Stage};
 use crate::limits::Limits;
 use crate::pool::Pool;
+use crate::reload::Reload;
 use crate::roster::Roster;
 use crate::route::{Route, Yard};
 use crate::take_in::{Front, Idlers};
@@ -47,6 +50,7 @@
     let limits = Rc::new(Limits::new(&waybill, &told));
     logger::start(&waybill.name, limits.log_lines);
     let signals = drain::signals().map_err(|e| format!("signals: {e}"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let clock = Clock::start();
     let (mail, inbox) = mpsc::channel(limits.inbox);
     let (wishes, wished) = mpsc::channel(limits.inbox);
@@ -60,6 +64,7 @@
     let discovery =
         Discovery { dial: waybill.discovery, version, mail: mail.clone(), limits: limits.clone() };
     drop(spawn_local(discovery.run(wished)));
+    drop(spawn_local(Reload { wishes: wishes.clone(), limits: limits.clone() }.run(hangup)));
     if told.text("list") != "ask" {
         // Where lists come unasked, the module does not ask.
         wishes.send(Wish::Watch(true)).await.map_err(|e| e.to_string())?;
--- a/crates/arrowyard-daemon/tests/sockets.rs
+++ b/crates/arrowyard-daemon/tests/sockets.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
@@ -193,6 +194,9 @@
 struct Router {
     child: Child,
     address: SocketAddr,
+    /// Its file, and what stands in it.
+    path: PathBuf,
+    told: String,
 }
 
 impl Router {
@@ -232,15 +236,14 @@
             std::process::id(),
             discovery.address.port()
         ));
-        std::fs::write(&path, told).unwrap();
+        std::fs::write(&path, &told).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_arrowyard"));
         let mut child = command.env("RELAY_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
         let serving = log.find_map(|line| line.ok()?.split_once("serving at ").map(|(_, at)| at.to_string()));
         let address = serving.unwrap().split(',').next().unwrap().parse().unwrap();
         spawn(move || log.for_each(drop));
-        std::fs::remove_file(path).unwrap();
-        Router { child, address }
+        Router { child, address, path, told }
     }
 
     fn connect(&self) -> TcpStream {
@@ -259,9 +262,13 @@
         client
     }
 
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    }
+
     fn terminate(&mut self) -> ExitStatus {
-        let kill = Command::new("sh").args(["-c", &format!("kill {}", self.child.id())]).status().unwrap();
-        assert!(kill.success());
+        self.signal("TERM");
         self.child.wait().unwrap()
     }
 }
@@ -270,6 +277,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
     }
 }
 
@@ -563,6 +571,26 @@
     eventually("the silent watch is given up", || discovery.calls().len() == 2);
 }
 
+#[test]
+fn on_sighup_the_list_is_watched_where_the_new_file_says_and_a_broken_file_changes_nothing() {
+    let (primary, replica) = (Host::start("one", true, Act::Serve), Host::start("two", false, Act::Serve));
+    let (old, new) = (Discovery::start(), Discovery::start());
+    let router = Router::start(&[&primary, &replica], &old);
+    let mut client = router.client();
+    eventually("the list is watched", || old.calls().len() == 1);
+    std::fs::write(&router.path, &router.told[..router.told.len() / 2]).unwrap();
+    router.signal("HUP");
+    assert_eq!(client.ask("look", 1000), value(&replica));
+    let moved = router.told.replace(&old.address.to_string(), &new.address.to_string());
+    std::fs::write(&router.path, moved).unwrap();
+    router.signal("HUP");
+    eventually("the list is watched at the new address", || !new.watches.lock().unwrap().is_empty());
+    assert_eq!(new.calls(), ["GET /catalog/members?watch=1&from=3 HTTP/1.1"]);
+    new.tell(&list(false, &[replica.line("DRAINING")]));
+    eventually("reads leave the replica", || client.ask("look", 1000) == value(&primary));
+    assert_eq!(old.calls().len(), 1);
+}
+
 #[test]
 fn a_planned_end_answers_what_was_taken() {
     let (primary, mut router) = alone(Act::Hang);
