The pool asks the socket itself whether an idle connection is untouched

Checked: a host of the test writes or closes while the runtime does not come round, and Link::is_good still says good. At fault: link.rs, is_good by try_read, which looks only if the runtime has noticed something since its last wait. Now a peek at the socket.

--- a/crates/arrowyard-daemon/src/link.rs
+++ b/crates/arrowyard-daemon/src/link.rs
@@ -1,12 +1,14 @@
 //! One connection to a database host: brought up once, then one command at a time.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use arrowyard_pg::{Answer, Heard, Malformed, Mode, Status, code, put_startup};
 use arrowyard_types::{Outcome, Point, Role, Word};
 use bytes::BytesMut;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
@@ -90,10 +92,12 @@
     }
 
     /// Whether it was not idle for too long, and nothing has come meanwhile, not even the end. Danger: a send on a
-    /// dead connection.
+    /// dead connection. The socket itself is asked: the runtime only knows what it saw when it last waited.
     pub fn is_good(&self) -> bool {
-        let untouched =
-            || self.stream.try_read(&mut [0]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
+        let untouched = || {
+            let looked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+            looked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        };
         self.idle_since.elapsed() < self.limits.idle && self.came.is_empty() && untouched()
     }
 
@@ -178,8 +182,35 @@
 
 #[cfg(test)]
 mod tests {
+    use std::io::{Read, Write};
+
+    use arrowyard_pg::greet;
+
     use super::*;
 
+    #[tokio::test]
+    async fn a_connection_is_no_longer_good_once_anything_came_over_it_even_its_end() {
+        for last in [&b""[..], b"noise"] {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+            let dial = listener.local_addr().expect("it is bound");
+            let (go, gone) = std::sync::mpsc::channel();
+            let host = std::thread::spawn(move || {
+                let (mut stream, _) = listener.accept()?;
+                let mut out = BytesMut::new();
+                greet(&mut out);
+                let _ = (stream.read(&mut [0; 64])?, stream.write_all(&out)?, gone.recv());
+                stream.write_all(last)
+            });
+            let limits = Rc::new(Limits::told(serde_json::json!({})).2);
+            let link = Link::open(dial, Count::one(&Rc::default()), limits).await.expect("it is let in");
+            assert!(link.is_good());
+            // The runtime does not come round meanwhile.
+            go.send(()).expect("the host waits");
+            host.join().expect("the host ends").expect("it wrote");
+            assert!(!link.is_good(), "{last:?}");
+        }
+    }
+
     #[test]
     fn a_report_tells_positions_in_seconds() {
         let mut word = Word::default();
