Silent and endless clients are let go within 3 s; an id names one open op

Checked by a probe (now a test): a client let in that asks nothing stays for good, and one that sends a message a byte at a time is never cut off, since each read had the whole time; a second op with the id of an open one is sent on. Ruled out: bad input, huge lengths, half a message and a close (each answered or closed at once in the log and the tests). At fault: take_in.rs, fill, whose time starts anew with each read and not at all for who is let in; admit.rs, which kept no ids.

--- a/crates/arrowyard-daemon/src/admit.rs
+++ b/crates/arrowyard-daemon/src/admit.rs
@@ -1,7 +1,7 @@
 //! What may become an op: caps, names to ids, and the point at which the client gives up.
 
-use std::cell::Cell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 use arrowyard_pg::Statement;
@@ -20,6 +20,7 @@
     next: Cell<u64>,
     open: Rc<Cell<usize>>,
     bytes: Rc<Cell<usize>>,
+    ids: Rc<RefCell<HashSet<u64>>>,
     limits: Rc<Limits>,
 }
 
@@ -28,6 +29,14 @@
 pub struct Place {
     _open: Count,
     _bytes: Count,
+    id: u64,
+    ids: Rc<RefCell<HashSet<u64>>>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.ids.borrow_mut().remove(&self.id);
+    }
 }
 
 /// The names of a list of the settings, in order.
@@ -49,6 +58,7 @@
             next: Cell::new(0),
             open: Rc::default(),
             bytes: Rc::default(),
+            ids: Rc::default(),
             limits,
         }
     }
@@ -74,6 +84,16 @@
         if self.open.get() >= self.limits.ops || self.bytes.get() + bytes > self.limits.held {
             return Err(Reply::Busy(None));
         }
+        // Danger: a client that names another's open op. Hosts turn the second away, or both.
+        if !self.ids.borrow_mut().insert(statement.id) {
+            return Err(Reply::Refused("an op of this id is open"));
+        }
+        let place = Place {
+            _open: Count::one(&self.open),
+            _bytes: Count::many(&self.bytes, bytes),
+            id: statement.id,
+            ids: self.ids.clone(),
+        };
         let op = OpId(self.next.get());
         self.next.set(op.0 + 1);
         let commit = |millis: i64| Point::from_micros(millis.saturating_mul(1000));
@@ -91,7 +111,7 @@
             token_age,
             due: arrived + Span::from_millis(statement.wait_ms.into()),
         };
-        Ok((ask, Place { _open: Count::one(&self.open), _bytes: Count::many(&self.bytes, bytes) }))
+        Ok((ask, place))
     }
 }
 
@@ -109,8 +129,12 @@
     }
 
     fn statement(rest: &str, length: usize) -> Statement {
+        named(1, rest, length)
+    }
+
+    fn named(id: u64, rest: &str, length: usize) -> Statement {
         let text = format!(
-            "/* id=1,c=look,t=q,d=80,cluster=4{rest} */ SELECT payload WHERE ref = '00000000000000ff'"
+            "/* id={id},c=look,t=q,d=80,cluster=4{rest} */ SELECT payload WHERE ref = '00000000000000ff'"
         );
         Statement::parse(format!("{text:length$}")).expect("it has the form")
     }
@@ -135,12 +159,23 @@
     #[test]
     fn ops_beyond_the_count_or_the_bytes_are_busy_replied_till_a_place_is_free() {
         let (gate, now) = (gate(), Point::from_micros(0));
-        let admit = |length| gate.admit(&statement("", length), now).map(|(_, place)| place);
-        let (first, second) = (admit(100), admit(100));
+        let admit = |id, length| gate.admit(&named(id, "", length), now).map(|(_, place)| place);
+        let (first, second) = (admit(1, 100), admit(2, 100));
         assert!(first.is_ok() && second.is_ok());
-        assert_eq!(admit(100).err(), Some(Reply::Busy(None)));
+        assert_eq!(admit(3, 100).err(), Some(Reply::Busy(None)));
+        drop(first);
+        assert_eq!(admit(3, 101).err(), Some(Reply::Busy(None)));
+        assert!(admit(3, 100).is_ok());
+    }
+
+    #[test]
+    fn an_id_names_one_open_op_and_is_free_again_once_that_is_over() {
+        let (gate, now) = (gate(), Point::from_micros(0));
+        let admit = || gate.admit(&statement("", 0), now).map(|(_, place)| place);
+        let first = admit();
+        assert!(first.is_ok());
+        assert!(matches!(admit().err(), Some(Reply::Refused(_))));
         drop(first);
-        assert_eq!(admit(101).err(), Some(Reply::Busy(None)));
-        assert!(admit(100).is_ok());
+        assert!(admit().is_ok());
     }
 }
--- a/crates/arrowyard-daemon/src/limits.rs
+++ b/crates/arrowyard-daemon/src/limits.rs
@@ -38,8 +38,8 @@
     pub idle: Duration,
     /// How long the end of a whole answer is waited for.
     pub ready: Duration,
-    /// How long a client may take for its first message or from the start of another to its end, and to take
-    /// an answer.
+    /// How long a client may take till its first op, and from the start of a message to its end; and how long
+    /// to take an answer.
     pub greeting: Duration,
     pub relay: Duration,
     /// How long a client that is let go may go on talking.
@@ -93,7 +93,8 @@
             connect: told_span("connect_timeout"),
             idle: told_span("idle_close").mul_f64(0.8),
             ready: duration(manifest.span("tick").max(Span::from_millis(1))),
-            greeting: Duration::from_secs(5),
+            // A connection without an open op may be closed after 2 s, and one that only holds a place must be within 3.
+            greeting: Duration::from_millis(2300),
             relay: Duration::from_secs(2),
             linger: Duration::from_millis(200),
             fetch: Duration::from_secs(3),
--- a/crates/arrowyard-daemon/src/take_in.rs
+++ b/crates/arrowyard-daemon/src/take_in.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::admit::Gate;
 use crate::clock::Beat;
@@ -93,6 +93,9 @@
     stream: TcpStream,
     came: BytesMut,
     out: BytesMut,
+    accepted: Instant,
+    /// Whether it ever sent a whole message after the first.
+    asked: bool,
     _count: Count,
 }
 
@@ -101,7 +104,8 @@
 
 impl Client {
     fn new(front: Rc<Front>, stream: TcpStream, count: Count) -> Self {
-        Client { front, stream, came: BytesMut::new(), out: BytesMut::new(), _count: count }
+        let (came, out) = (BytesMut::new(), BytesMut::new());
+        Client { front, stream, came, out, accepted: Instant::now(), asked: false, _count: count }
     }
 
     async fn serve(mut self) {
@@ -133,17 +137,31 @@
                 // Not here; the client may go on in the clear.
                 Ok(Some(Opening::Encryption)) => self.stream.write_all(b"N").await.map_err(|_| Ended)?,
                 Ok(Some(Opening::Cancel)) => return Err(Ended),
-                Ok(None) => self.fill(true).await?,
+                Ok(None) => self.fill(true, None).await?,
                 Err(malformed) => return self.malformed(malformed).await,
             }
         }
     }
 
+    /// The next message. Danger: clients that let themselves in and say nothing, or never come to the end of what
+    /// they say, a byte at a time; both have the time of a greeting.
     async fn next(&mut self) -> Result<Asked, Ended> {
+        let greeting = self.front.limits.greeting;
+        let mut begun = None;
         loop {
             match Asked::take(&mut self.came, self.front.limits.message) {
-                Ok(Some(asked)) => return Ok(asked),
-                Ok(None) => self.fill(self.came.is_empty()).await?,
+                Ok(Some(asked)) => {
+                    self.asked = true;
+                    return Ok(asked);
+                }
+                Ok(None) if self.came.is_empty() => {
+                    let until = (!self.asked).then(|| self.accepted + greeting);
+                    self.fill(true, until).await?
+                }
+                Ok(None) => {
+                    let until = *begun.get_or_insert_with(|| Instant::now() + greeting);
+                    self.fill(false, Some(until)).await?
+                }
                 Err(malformed) => self.malformed(malformed).await?,
             }
         }
@@ -152,7 +170,7 @@
     /// Waits for more of a message. Danger: connections that say nothing, or never end what they say, leave no
     /// room for others, and the longest idle one closes. For the planned end alone only those do that have not
     /// begun to say something.
-    async fn fill(&mut self, may_close: bool) -> Result<(), Ended> {
+    async fn fill(&mut self, may_close: bool, until: Option<Instant>) -> Result<(), Ended> {
         let (front, mut stage) = (self.front.clone(), self.front.stage.clone());
         if self.came.is_empty() {
             // The room that a large op took is given back.
@@ -164,7 +182,7 @@
             read = self.read() => read,
             _ = stage.wait_for(|&stage| stage == Stage::Closing), if may_close => Err(Ended),
             _ = closed => Err(Ended),
-            () = sleep(front.limits.greeting), if !may_close => Err(Ended),
+            () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => Err(Ended),
         }
     }
 
--- a/crates/arrowyard-daemon/tests/sockets.rs
+++ b/crates/arrowyard-daemon/tests/sockets.rs
@@ -489,6 +489,29 @@
     drop(silent);
 }
 
+#[test]
+fn who_never_comes_to_an_end_is_let_go_soon_and_who_asked_once_may_stay() {
+    let (primary, router) = alone(Act::Serve);
+    let (mut stays, mut silent, mut let_in, mut slow) =
+        (router.client(), router.connect(), router.client(), router.client());
+    assert_eq!(stays.ask("put", 1000), value(&primary));
+    let came = Instant::now();
+    let dripping = slow.stream.try_clone().map(|mut stream| {
+        spawn(move || {
+            let bytes = message(b'Q', &[b'x'; 1000]);
+            bytes.chunks(1).all(|byte| {
+                sleep(Duration::from_millis(50));
+                stream.write_all(byte).is_ok()
+            })
+        })
+    });
+    let ended = |stream: &mut TcpStream| matches!(stream.read(&mut [0]), Ok(0) | Err(_));
+    assert!(ended(&mut silent) && ended(&mut let_in.stream) && ended(&mut slow.stream));
+    assert!(came.elapsed() < Duration::from_secs(3), "{:?}", came.elapsed());
+    assert!(!dripping.unwrap().join().unwrap(), "it was cut off");
+    assert_eq!(stays.ask("put", 1000), value(&primary));
+}
+
 #[test]
 fn a_send_that_broke_after_it_was_written_may_have_run() {
     let (primary, replica, router) = pair(Act::Break);
@@ -549,7 +572,7 @@
     let (primary, router) = alone(Act::ServeLate);
     let (mut first, mut second) = (router.client(), router.client());
     first.write(&statement("put", 1500));
-    second.write(&statement("put", 1500));
+    second.write(&statement("put", 1500).replace("id=9", "id=8"));
     assert_eq!((first.reply(), second.reply()), (value(&primary), value(&primary)));
     *primary.act.lock().unwrap() = Act::Hang;
     assert_eq!(first.ask("put", 300), error("XX000"));
--- a/crates/arrowyard-pg/src/statement.rs
+++ b/crates/arrowyard-pg/src/statement.rs
@@ -12,6 +12,8 @@
     text: String,
     /// Where the number of `d` stands in the text.
     wait_at: Range<usize>,
+    /// The number of its id.
+    pub id: u64,
     /// For so many milliseconds, from when it sent the statement, the client waits.
     pub wait_ms: u32,
     pub op_type: String,
@@ -32,7 +34,7 @@
         let start = start.ok_or(Malformed("a statement has no comment"))? + 2;
         let end = start + text[start..].find("*/").ok_or(Malformed("a comment has no end"))?;
         let (mut wait, mut op_type, mut tenant, mut group) = (None, None, None, 0);
-        let (mut after, mut again, mut marked, mut named) = (None, false, false, false);
+        let (mut after, mut again, mut marked, mut id) = (None, false, false, None);
         let mut at = start;
         for part in text[start..end].split(',') {
             let number = Malformed("a number of a comment is not one");
@@ -40,7 +42,7 @@
             let value_at = at + name.len() + 1;
             let (name, trimmed) = (name.trim(), value.trim());
             match name {
-                "id" => named = !trimmed.is_empty(),
+                "id" => id = Some(trimmed).filter(|id| !id.is_empty()).map(key),
                 "c" => op_type = Some(trimmed.to_string()),
                 "t" => tenant = Some(trimmed.to_string()),
                 "d" => {
@@ -55,13 +57,11 @@
             }
             at += part.len() + 1;
         }
-        if !named {
-            return Err(Malformed("a comment has no id"));
-        }
+        let id = id.ok_or(Malformed("a comment has no id"))?;
         let (wait_at, wait_ms) = wait.ok_or(Malformed("a comment has no d"))?;
         let op_type = op_type.ok_or(Malformed("a comment has no c"))?;
         let key = text[end..].split('\'').nth(1).map(key);
-        Ok(Statement { text, wait_at, wait_ms, op_type, tenant, group, after, again, marked, key })
+        Ok(Statement { text, wait_at, id, wait_ms, op_type, tenant, group, after, again, marked, key })
     }
 
     /// The bytes of its text.
