Values of hosts larger than clients may send are passed on, with a bound on them all

Checked: a log of each break says 'a message's length is out of range' 3512 times; the heads of the messages are rows of up to 400 KB, each filled by its value. At fault: limits.rs, answer, which was what a client may send (139 KB, from values of 64 KiB). Now a row may take a sixteenth of the memory limit, all large rows together a quarter, counted from the promise in a row's head to the write to the client; other messages of hosts 16 KiB. Harms: many large answers at once break off.

--- a/crates/arrowyard-daemon/src/book.rs
+++ b/crates/arrowyard-daemon/src/book.rs
@@ -3,10 +3,11 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use arrowyard_pg::{Answer, Statement};
+use arrowyard_pg::Statement;
 use arrowyard_types::{OpId, Outcome, SendNo};
 use tokio::sync::oneshot;
 
+use crate::link::Parcel;
 use crate::relay::Reply;
 
 struct Page {
@@ -76,7 +77,7 @@
 
     /// Takes the end of a send; the first acked one goes to the client. Tells whether the op is over; nothing for
     /// an end that was taken before. Danger: an end taken twice would end another send in the module's eyes.
-    pub fn end(&mut self, op: OpId, send: SendNo, outcome: Outcome, answer: Option<Answer>) -> Option<bool> {
+    pub fn end(&mut self, op: OpId, send: SendNo, outcome: Outcome, answer: Option<Parcel>) -> Option<bool> {
         let stand = self.stand(op, send).filter(|stand| !matches!(stand, Stand::Ended))?;
         *stand = Stand::Ended;
         self.tally.lost_sends += u32::from(!outcome.is_answer());
@@ -144,10 +145,10 @@
         let (mut book, mut answered) = open();
         let sends: Vec<_> = (0..2).filter_map(|_| book.send(OP)).collect();
         assert_eq!(book.end(OP, SendNo(0), Outcome::Reset, None), Some(false));
-        assert_eq!(book.end(OP, SendNo(0), Outcome::Acked, Some(Answer::default())), None);
-        assert_eq!(book.end(OP, SendNo(1), Outcome::Acked, Some(Answer::default())), Some(true));
+        assert_eq!(book.end(OP, SendNo(0), Outcome::Acked, Some(Parcel::default())), None);
+        assert_eq!(book.end(OP, SendNo(1), Outcome::Acked, Some(Parcel::default())), Some(true));
         book.answer(OP, Reply::Errored);
-        assert_eq!(answered.try_recv(), Ok(Reply::Acked(Answer::default())));
+        assert_eq!(answered.try_recv(), Ok(Reply::Acked(Parcel::default())));
         assert_eq!((book.len(), book.end(OP, SendNo(1), Outcome::Acked, None)), (0, None));
         assert!(book.send(OP).is_none());
         drop(sends);
@@ -190,11 +191,11 @@
                     },
                     1 | 2 => {
                         let (outcome, answer) = match step {
-                            1 => (Outcome::Acked, Some(Answer::default())),
+                            1 => (Outcome::Acked, Some(Parcel::default())),
                             _ => (Outcome::TimedOut, None),
                         };
                         if known && step == 1 {
-                            first.get_or_insert(Some(Reply::Acked(Answer::default())));
+                            first.get_or_insert(Some(Reply::Acked(Parcel::default())));
                         }
                         let told = book.end(OP, SendNo(number), outcome, answer);
                         prop_assert_eq!(told, known.then_some(first.is_some()));
--- a/crates/arrowyard-daemon/src/count.rs
+++ b/crates/arrowyard-daemon/src/count.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 /// So many more of something (connections, bytes) for as long as it is kept.
-#[derive(Debug)]
+#[derive(Debug, PartialEq)]
 pub struct Count(Rc<Cell<usize>>, usize);
 
 impl Count {
--- a/crates/arrowyard-daemon/src/limits.rs
+++ b/crates/arrowyard-daemon/src/limits.rs
@@ -23,6 +23,10 @@
     /// Bytes of one message of a client, and of a database host.
     pub message: usize,
     pub answer: usize,
+    /// Bytes of a host's message that is no row.
+    pub aside: usize,
+    /// Bytes of all answers together that are larger than a message of a client may be.
+    pub large: usize,
     /// Bytes of one line of discovery's answer, and of an HTTP head.
     pub list: usize,
     pub head: usize,
@@ -84,7 +88,10 @@
             held: waybill.memory_mb * 1024 * 1024 / 4,
             inbox: 1024,
             message,
-            answer: message,
+            // Danger: hosts' values are larger than a client may send. What bounds them is this router's memory.
+            answer: (waybill.memory_mb * 1024 * 1024 / 16).max(message),
+            aside: 16 * 1024,
+            large: waybill.memory_mb * 1024 * 1024 / 4,
             list: 4 * 1024 * 1024,
             head: 16 * 1024,
             read: 4 * 1024,
--- a/crates/arrowyard-daemon/src/link.rs
+++ b/crates/arrowyard-daemon/src/link.rs
@@ -1,11 +1,12 @@
 //! One connection to a database host: brought up once, then one command at a time.
 
+use std::cell::Cell;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use arrowyard_pg::{Answer, Heard, Malformed, Mode, Status, code, put_startup};
+use arrowyard_pg::{Answer, Heard, Malformed, Mode, Status, code, promised, put_startup};
 use arrowyard_types::{Outcome, Point, Role, Word};
 use bytes::BytesMut;
 use socket2::SockRef;
@@ -21,14 +22,24 @@
     pub idle_since: Instant,
     stream: TcpStream,
     came: BytesMut,
+    /// The bytes that large answers take, of all links together, and those of the one under way here.
+    large: Rc<Cell<usize>>,
+    room: Option<Count>,
     limits: Rc<Limits>,
     _count: Count,
 }
 
+/// An answer, with the room that it takes till it is written to its client.
+#[derive(Debug, Default, PartialEq)]
+pub struct Parcel {
+    pub answer: Answer,
+    pub room: Option<Count>,
+}
+
 /// What a host told about one command.
 #[derive(Debug, Default, PartialEq)]
 pub struct Told {
-    pub answer: Option<Answer>,
+    pub answer: Option<Parcel>,
     /// The code of an error.
     pub error: Option<String>,
     pub word: Word,
@@ -66,7 +77,12 @@
 
 impl Link {
     /// Dials the host and is let in; the outcome, if it is not, for a send that was never written.
-    pub async fn open(dial: SocketAddr, count: Count, limits: Rc<Limits>) -> Result<Link, Outcome> {
+    pub async fn open(
+        dial: SocketAddr,
+        count: Count,
+        large: Rc<Cell<usize>>,
+        limits: Rc<Limits>,
+    ) -> Result<Link, Outcome> {
         let failed = |why: Broken| {
             log::debug!("{dial} not connected: {}", why.0);
             Outcome::ConnectFailed
@@ -75,7 +91,16 @@
             let stream = TcpStream::connect(dial).await?;
             stream.set_nodelay(true)?;
             let (came, idle_since) = (BytesMut::new(), Instant::now());
-            let mut link = Link { dial, idle_since, stream, came, limits: limits.clone(), _count: count };
+            let mut link = Link {
+                dial,
+                idle_since,
+                stream,
+                came,
+                large,
+                room: None,
+                limits: limits.clone(),
+                _count: count,
+            };
             let mut out = BytesMut::new();
             put_startup(&mut out, "web", "orders");
             link.stream.write_all(&out).await?;
@@ -103,7 +128,7 @@
 
     /// Gives the room back that a large answer took.
     pub fn rest(&mut self) {
-        self.idle_since = Instant::now();
+        (self.idle_since, self.room) = (Instant::now(), None);
         if self.came.is_empty() {
             self.came = BytesMut::new();
         }
@@ -131,7 +156,8 @@
                 }
                 Ok(Heard::Columns(_) | Heard::Row(_)) => return Ok(told),
                 Ok(Heard::Complete(complete)) if !answer.columns.is_empty() && !answer.row.is_empty() => {
-                    told.answer = Some(Answer { complete, ..answer.clone() });
+                    let answer = Answer { complete, ..answer.clone() };
+                    told.answer = Some(Parcel { answer, room: self.room.take() });
                 }
                 Ok(Heard::Status(Status::Mode(mode))) => {
                     let role = if mode == Mode::ReadWrite { Role::Primary } else { Role::Replica };
@@ -167,10 +193,11 @@
 
     async fn next(&mut self) -> Result<Heard, Broken> {
         loop {
-            if let Some(heard) = Heard::take(&mut self.came, self.limits.answer)? {
+            if let Some(heard) = Heard::take(&mut self.came, self.limits.answer, self.limits.aside)? {
                 return Ok(heard);
             }
-            self.came.reserve(self.limits.read);
+            let missing = self.make_room()?;
+            self.came.reserve(missing.max(self.limits.read));
             if self.stream.read_buf(&mut self.came).await? == 0 {
                 return Err(Broken("the host ended the connection".to_string()));
             }
@@ -178,6 +205,26 @@
     }
 }
 
+impl Link {
+    /// The bytes that are missing of a large message. Danger: many large answers at once, each within its limit,
+    /// are more than the router's memory holds; one that finds no room breaks off.
+    fn make_room(&mut self) -> Result<usize, Broken> {
+        let length = promised(&self.came).unwrap_or_default() as usize;
+        if length <= self.limits.message {
+            return Ok(0);
+        }
+        if self.room.is_none() {
+            // Once as it came, and once as it goes out.
+            let bytes = 2 * length;
+            if self.large.get() + bytes > self.limits.large {
+                return Err(Broken("no room for a large answer".to_string()));
+            }
+            self.room = Some(Count::many(&self.large, bytes));
+        }
+        Ok(length.saturating_sub(self.came.len()))
+    }
+}
+
 /// Adds what a load report tells. Danger: its positions are Unix times in seconds, those of answers in
 /// milliseconds; one taken for the other lies decades back, and every replica seems behind.
 pub fn learn(word: &mut Word, report: &[(String, f64)]) {
@@ -201,6 +248,36 @@
 
     use super::*;
 
+    #[tokio::test]
+    async fn a_large_answer_needs_room_and_keeps_it_till_it_is_dropped() {
+        let value = vec![b'x'; 300_000];
+        let length = (value.len() as u32 + 10).to_be_bytes();
+        let row = [&b"D"[..], &length, &[0, 1], &(value.len() as u32).to_be_bytes(), &value].concat();
+        let columns = [&b"T\0\0\0\x1a\0\x01x\0"[..], &[0; 18]].concat();
+        let bytes = [columns, row, b"C\0\0\0\x06S\0Z\0\0\0\x05I".to_vec()].concat();
+        let limits = Limits { answer: 400_000, large: 700_000, ..Limits::told(serde_json::json!({})).2 };
+        for (taken, fits) in [(0, true), (200_000, false)] {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+            let dial = listener.local_addr().expect("it is bound");
+            let mut out = BytesMut::new();
+            greet(&mut out);
+            out.extend_from_slice(&bytes);
+            let host = std::thread::spawn(move || {
+                let (mut stream, _) = listener.accept()?;
+                let _ = (stream.read(&mut [0; 64])?, stream.write_all(&out));
+                std::io::Result::Ok(stream)
+            });
+            let large = Rc::new(Cell::new(taken));
+            let opened = Link::open(dial, Count::one(&Rc::default()), large.clone(), Rc::new(limits)).await;
+            let told = opened.expect("it is let in").answer().await;
+            assert_eq!(told.is_ok(), fits, "{told:?}");
+            assert_eq!(large.get() - taken, if fits { 2 * (value.len() + 10) } else { 0 });
+            drop(told);
+            assert_eq!(large.get(), taken);
+            drop(host);
+        }
+    }
+
     #[tokio::test]
     async fn a_connection_is_no_longer_good_once_anything_came_over_it_even_its_end() {
         for last in [&b""[..], b"noise"] {
@@ -215,7 +292,9 @@
                 stream.write_all(last)
             });
             let limits = Rc::new(Limits::told(serde_json::json!({})).2);
-            let link = Link::open(dial, Count::one(&Rc::default()), limits).await.expect("it is let in");
+            let link = Link::open(dial, Count::one(&Rc::default()), Rc::default(), limits)
+                .await
+                .expect("it is let in");
             assert!(link.is_good());
             // The runtime does not come round meanwhile.
             go.send(()).expect("the host waits");
--- a/crates/arrowyard-daemon/src/pool.rs
+++ b/crates/arrowyard-daemon/src/pool.rs
@@ -17,12 +17,15 @@
     /// When a host was last done with a command.
     heard: RefCell<BTreeMap<HostId, Instant>>,
     open: Rc<Cell<usize>>,
+    /// The bytes that large answers take.
+    large: Rc<Cell<usize>>,
     limits: Rc<Limits>,
 }
 
 impl Pool {
     pub fn new(limits: Rc<Limits>) -> Rc<Self> {
-        Rc::new(Pool { idle: RefCell::default(), heard: RefCell::default(), open: Rc::default(), limits })
+        let (idle, heard, open, large) = Default::default();
+        Rc::new(Pool { idle, heard, open, large, limits })
     }
 
     pub fn open(&self) -> usize {
@@ -39,7 +42,7 @@
         if self.open.get() >= self.limits.links && !self.close_oldest() {
             return Err(Outcome::ConnectFailed);
         }
-        Link::open(dial, Count::one(&self.open), self.limits.clone()).await
+        Link::open(dial, Count::one(&self.open), self.large.clone(), self.limits.clone()).await
     }
 
     pub fn put_back(&self, host: HostId, mut link: Link) {
--- a/crates/arrowyard-daemon/src/probe.rs
+++ b/crates/arrowyard-daemon/src/probe.rs
@@ -28,7 +28,7 @@
             pool.put_back(host, link);
         }
         let (outcome, mut word) = (told.outcome(), told.word);
-        let row = told.answer.as_ref().and_then(|answer| value(&answer.row));
+        let row = told.answer.as_ref().and_then(|parcel| value(&parcel.answer.row));
         let text = row.as_deref().map(String::from_utf8_lossy);
         log::trace!("{dial}: probe: {outcome:?} {text:?} {word:?}");
         let told = text.as_deref().and_then(report);
--- a/crates/arrowyard-daemon/src/relay.rs
+++ b/crates/arrowyard-daemon/src/relay.rs
@@ -1,16 +1,17 @@
 //! The final answer of an op, on its way to the client: one whole answer, written in one piece.
 
-use arrowyard_pg::{Answer, code, put_busy, put_error, put_fatal, put_ready};
+use arrowyard_pg::{code, put_busy, put_error, put_fatal, put_ready};
 use arrowyard_types::Span;
 use bytes::BytesMut;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::time::timeout;
 
 use crate::limits::Limits;
+use crate::link::Parcel;
 
 #[derive(Debug, PartialEq)]
 pub enum Reply {
-    Acked(Answer),
+    Acked(Parcel),
     /// Trying again is harmless, after this span if one is named.
     Busy(Option<Span>),
     Errored,
@@ -21,7 +22,7 @@
 impl Reply {
     pub fn put(&self, out: &mut BytesMut) {
         match self {
-            Reply::Acked(answer) => answer.put(out),
+            Reply::Acked(parcel) => parcel.answer.put(out),
             Reply::Busy(after) => put_busy(out, after.map(|span| (span.micros().max(0) / 1000) as u64)),
             Reply::Errored => put_error(out, code::INTERNAL, "not answered; it may have run"),
             Reply::Refused(why) => put_error(out, code::PROTOCOL_VIOLATION, why),
--- a/crates/arrowyard-daemon/src/send.rs
+++ b/crates/arrowyard-daemon/src/send.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use arrowyard_pg::{Answer, Statement};
+use arrowyard_pg::Statement;
 use arrowyard_types::{HostId, Outcome, Point, Span, Word};
 use bytes::BytesMut;
 use tokio::sync::oneshot::{self, error::TryRecvError};
 use tokio::time::sleep_until;
 
 use crate::clock::Clock;
+use crate::link::Parcel;
 use crate::pool::Pool;
 
 pub struct Order {
@@ -27,7 +28,7 @@
     pub outcome: Outcome,
     pub took: Span,
     pub word: Word,
-    pub answer: Option<Answer>,
+    pub answer: Option<Parcel>,
 }
 
 impl End {
@@ -70,7 +71,7 @@
     pool: &Pool,
     clock: Clock,
     written: &mut bool,
-) -> (Outcome, Word, Option<Answer>) {
+) -> (Outcome, Word, Option<Parcel>) {
     let mut link = match pool.take(host, dial).await {
         Ok(link) => link,
         Err(outcome) => return (outcome, Word::default(), None),
--- a/crates/arrowyard-daemon/tests/sockets.rs
+++ b/crates/arrowyard-daemon/tests/sockets.rs
@@ -41,6 +41,8 @@
     /// After a while.
     ServeLate,
     ServeTwice,
+    /// A value of so many bytes.
+    ServeLarge(usize),
     /// And, right after it, word that it never ran.
     ServeAndDeny,
     /// Ready without an answer, which comes a little later.
@@ -120,6 +122,9 @@
                     twice.splice(end..end, twice[data..end].to_vec());
                     stream.write_all(&[told, twice, ready.clone()].concat()).ok()?;
                 }
+                Act::ServeLarge(size) => {
+                    stream.write_all(&[told, row(&vec![b'x'; size]), ready.clone()].concat()).ok()?;
+                }
                 Act::ServeAndDeny => {
                     let denied = message(b'E', b"SERROR\0C53300\0Mno\0\0");
                     let bytes = [told, row(self.name.as_bytes()), denied, ready.clone()].concat();
@@ -440,6 +445,16 @@
     assert_eq!(primary.heard(), 1);
 }
 
+#[test]
+fn a_value_larger_than_any_that_clients_may_send_is_passed_on_whole() {
+    let (primary, router) = alone(Act::ServeLarge(400_000));
+    let mut client = router.client();
+    for _ in 0..3 {
+        assert_eq!(client.ask("look", 1000), Reply::Value("x".repeat(400_000)));
+    }
+    assert_eq!(primary.heard(), 3, "each was sent once");
+}
+
 #[test]
 fn what_belongs_to_no_command_is_neither_an_answer_nor_word_on_one() {
     let (primary, router) = alone(Act::ServeAndDeny);
--- a/crates/arrowyard-pg/src/frame.rs
+++ b/crates/arrowyard-pg/src/frame.rs
@@ -7,6 +7,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Malformed(pub &'static str);
 
+/// The length that the next message says it has, beside its letter.
+pub fn promised(came: &[u8]) -> Option<u32> {
+    came.get(1..5).and_then(|four| four.try_into().ok()).map(u32::from_be_bytes)
+}
+
 /// Takes the next whole message off what came; nothing while its end is missing. Danger: a hostile length. It is
 /// checked against the most before room is made for anything.
 pub fn take(came: &mut BytesMut, most: usize) -> Result<Option<(u8, Bytes)>, Malformed> {
--- a/crates/arrowyard-pg/src/host.rs
+++ b/crates/arrowyard-pg/src/host.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
-use crate::frame::{Malformed, put, put_text, take, take_text};
+use crate::frame::{Malformed, promised, put, put_text, take, take_text};
 
 /// A whole answer, each part as the host wrote it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -48,8 +48,10 @@
 }
 
 impl Heard {
-    pub fn take(came: &mut BytesMut, most: usize) -> Result<Option<Heard>, Malformed> {
-        check_head(came, most)?;
+    /// `row` is the most bytes of a row, `other` those of any other message.
+    pub fn take(came: &mut BytesMut, row: usize, other: usize) -> Result<Option<Heard>, Malformed> {
+        let most = if came.first() == Some(&b'D') { row } else { other };
+        check_head(came)?;
         let Some((letter, mut body)) = take(came, most)? else { return Ok(None) };
         Ok(Some(match letter {
             b'R' if body[..] == [0, 0, 0, 0] => Heard::Welcome,
@@ -77,18 +79,14 @@
 }
 
 /// What the first bytes of a message already show. Danger: noise that promises more than ever comes would be
-/// waited for till the time is up. Only rows are long, and a row's one value fills it.
-fn check_head(came: &[u8], most: usize) -> Result<(), Malformed> {
+/// waited for till the time is up. A row's one value fills it.
+fn check_head(came: &[u8]) -> Result<(), Malformed> {
     let Some(&letter) = came.first() else { return Ok(()) };
     if !b"RSTDCIEZNKA".contains(&letter) {
         return Err(Malformed("the host sent a message of another kind"));
     }
-    let Some(&[a, b, c, d]) = came.get(1..5) else { return Ok(()) };
-    let length = u32::from_be_bytes([a, b, c, d]);
-    if letter != b'D' && length as usize > most / 8 {
-        return Err(Malformed("a message's length is out of range"));
-    }
-    let Some(&[a, b, c, d, e, f]) = came.get(5..11).filter(|_| letter == b'D') else { return Ok(()) };
+    let Some(length) = promised(came).filter(|_| letter == b'D') else { return Ok(()) };
+    let Some(&[a, b, c, d, e, f]) = came.get(5..11) else { return Ok(()) };
     if [a, b] != [0, 1] || u32::from_be_bytes([c, d, e, f]).checked_add(10) != Some(length) {
         return Err(Malformed("a row is not of one column"));
     }
--- a/crates/arrowyard-pg/tests/codec.rs
+++ b/crates/arrowyard-pg/tests/codec.rs
@@ -15,7 +15,7 @@
     let (mut came, mut all) = (BytesMut::new(), Vec::new());
     for piece in [&bytes[..cut], &bytes[cut..]] {
         came.extend_from_slice(piece);
-        while let Some(one) = Heard::take(&mut came, MOST)? {
+        while let Some(one) = Heard::take(&mut came, MOST, MOST / 8)? {
             all.push(one);
         }
     }
@@ -89,7 +89,7 @@
     for length in [0, 3, MOST as u32 + 1, i32::MAX as u32, u32::MAX] {
         let bytes = [&b"Q"[..], &length.to_be_bytes()].concat();
         assert!(Asked::take(&mut BytesMut::from(&bytes[..]), MOST).is_err(), "{length}");
-        assert!(Heard::take(&mut BytesMut::from(&bytes[..]), MOST).is_err(), "{length}");
+        assert!(Heard::take(&mut BytesMut::from(&bytes[..]), MOST, MOST / 8).is_err(), "{length}");
         assert!(Opening::take(&mut BytesMut::from(&bytes[1..]), MOST).is_err(), "{length}");
     }
     // Of another kind, too long for its kind, or a row whose value does not fit it: known before all has come.
@@ -97,7 +97,7 @@
         |length: u32, inner: u32| [&b"D"[..], &length.to_be_bytes(), &[0, 1], &inner.to_be_bytes()].concat();
     for head in [b"x".to_vec(), [&b"T"[..], &(MOST as u32).to_be_bytes()].concat(), row(900, 3), row(14, 900)]
     {
-        assert!(Heard::take(&mut BytesMut::from(&head[..]), MOST).is_err(), "{head:?}");
+        assert!(Heard::take(&mut BytesMut::from(&head[..]), MOST, MOST / 8).is_err(), "{head:?}");
     }
     for (letter, body) in
         [(b'T', &b"\0\x02payload\0"[..]), (b'T', b"\0\x01payload\0\0"), (b'C', b"SELECT 1"), (b'C', b"")]
@@ -173,7 +173,7 @@
 
 fn heard_some(bytes: &[u8]) -> Result<usize, Malformed> {
     let (mut came, mut count) = (BytesMut::from(bytes), 0);
-    while Heard::take(&mut came, MOST)?.is_some() {
+    while Heard::take(&mut came, MOST, MOST / 8)?.is_some() {
         count += 1;
     }
     Ok(count)
