Idle connections make room before a client that asks as it comes is turned away

Checked: a log at each refusal: 181 clients of 180 places, 170 to 178 of them idle, the refused one 0.1 ms old, each time. At fault: take_in.rs, listen and query: the new client's task runs, and counts the clients, before the idle connection that was told to close has come round and given its place back; so with all places taken each new client is refused. Now a place is free once its connection is told to close, and who asks makes room once more before it is refused; lingering connections make room, too.

--- a/crates/arrowyard-daemon/src/take_in.rs
+++ b/crates/arrowyard-daemon/src/take_in.rs
@@ -34,31 +34,43 @@
     pub limits: Rc<Limits>,
 }
 
+/// A connection's place among those of all clients; empty once it was told to make room.
+type Place = Rc<RefCell<Option<Count>>>;
+
 /// Connections that wait for a message, the longest idle first. Those that are gone on are left in until there
 /// are too many.
 #[derive(Default)]
-pub struct Idlers(RefCell<VecDeque<oneshot::Sender<()>>>);
+pub struct Idlers(RefCell<VecDeque<(oneshot::Sender<()>, Place)>>);
 
 impl Idlers {
     /// Resolves when this connection is to make room; `most` is how many there can be.
-    fn wait(&self, most: usize) -> oneshot::Receiver<()> {
+    fn wait(&self, place: &Place, most: usize) -> oneshot::Receiver<()> {
         let (close, closed) = oneshot::channel();
         let mut waiting = self.0.borrow_mut();
         if waiting.len() >= most * 4 {
-            waiting.retain(|close| !close.is_closed());
+            waiting.retain(|(close, _)| !close.is_closed());
         }
-        waiting.push_back(close);
+        waiting.push_back((close, place.clone()));
         closed
     }
 
-    /// Whether there was one.
+    /// Whether there was one. Its place is free from now on, before its task has come round.
     fn close_oldest(&self) -> bool {
         let mut waiting = self.0.borrow_mut();
-        std::iter::from_fn(|| waiting.pop_front()).any(|close| close.send(()).is_ok())
+        let mut oldest = std::iter::from_fn(|| waiting.pop_front());
+        let closed = oldest.find_map(|(close, place)| close.send(()).is_ok().then_some(place));
+        closed.is_some_and(|place| place.take().is_some())
     }
 }
 
 impl Front {
+    /// Whether the clients fit; idle connections go first. Danger: a client that asks as it comes is turned away
+    /// while others hold places and say nothing.
+    fn make_room(&self) -> bool {
+        while self.clients.get() > self.limits.clients && self.idlers.close_oldest() {}
+        self.clients.get() <= self.limits.clients
+    }
+
     /// Accepts until the router closes.
     pub async fn listen(self: Rc<Self>, listener: TcpListener) {
         let mut stage = self.stage.clone();
@@ -74,8 +86,11 @@
             match accepted {
                 Ok((stream, _)) => {
                     let count = Count::one(&self.clients);
+                    let full = self.clients.get() > self.limits.clients;
+                    self.make_room();
                     drop(spawn_local(Client::new(self.clone(), stream, count).serve()));
-                    while self.clients.get() > self.limits.clients && self.idlers.close_oldest() {
+                    if full {
+                        // Those that were told to close give their descriptors back.
                         yield_now().await;
                     }
                 }
@@ -96,7 +111,7 @@
     accepted: Instant,
     /// Whether it ever sent a whole message after the first.
     asked: bool,
-    _count: Count,
+    place: Place,
 }
 
 /// The connection ends: the client left, broke the protocol, or the router closes it.
@@ -105,7 +120,8 @@
 impl Client {
     fn new(front: Rc<Front>, stream: TcpStream, count: Count) -> Self {
         let (came, out) = (BytesMut::new(), BytesMut::new());
-        Client { front, stream, came, out, accepted: Instant::now(), asked: false, _count: count }
+        let place = Rc::new(RefCell::new(Some(count)));
+        Client { front, stream, came, out, accepted: Instant::now(), asked: false, place }
     }
 
     async fn serve(mut self) {
@@ -176,14 +192,17 @@
             // The room that a large op took is given back.
             (self.came, self.out) = (BytesMut::new(), BytesMut::new());
         }
-        let closed = front.idlers.wait(front.limits.clients);
-        tokio::select! {
+        let closed = front.idlers.wait(&self.place, front.limits.clients);
+        let filled = tokio::select! {
             biased;
             read = self.read() => read,
             _ = stage.wait_for(|&stage| stage == Stage::Closing), if may_close => Err(Ended),
             _ = closed => Err(Ended),
             () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => Err(Ended),
-        }
+        };
+        // It spoke just as it was to make room.
+        self.place.borrow_mut().get_or_insert_with(|| Count::one(&front.clients));
+        filled
     }
 
     async fn query(&mut self, text: String) -> Result<(), Ended> {
@@ -194,7 +213,7 @@
             "" => put_empty(&mut self.out),
             "SET" | "RESET" => put_done(&mut self.out, &word),
             "DISCARD" => put_done(&mut self.out, "DISCARD ALL"),
-            _ if self.front.clients.get() > self.front.limits.clients => {
+            _ if !self.front.make_room() => {
                 relay::put_crowded(&mut self.out);
                 return self.end().await;
             }
@@ -252,13 +271,17 @@
     async fn end<T>(&mut self) -> Result<T, Ended> {
         self.write().await?;
         let _ = self.stream.shutdown().await;
-        let linger = self.front.limits.linger;
+        let (front, linger) = (self.front.clone(), self.front.limits.linger);
+        let closed = front.idlers.wait(&self.place, front.limits.clients);
         let rest = async {
             while self.read().await.is_ok() {
                 self.came.clear();
             }
         };
-        let _ = timeout(linger, rest).await;
+        tokio::select! {
+            _ = timeout(linger, rest) => {}
+            _ = closed => {}
+        }
         Err(Ended)
     }
 
--- a/crates/arrowyard-daemon/tests/sockets.rs
+++ b/crates/arrowyard-daemon/tests/sockets.rs
@@ -527,6 +527,26 @@
     assert_eq!(stays.ask("put", 1000), value(&primary));
 }
 
+#[test]
+fn a_client_that_asks_as_it_comes_is_served_though_idle_ones_hold_all_places() {
+    let (primary, router) = alone(Act::Serve);
+    // As many as a router of 256 descriptors has places for.
+    let idle = || {
+        let mut client = router.client();
+        client.write("");
+        assert_eq!(client.reply(), Reply::Empty);
+        client
+    };
+    let idlers: Vec<Client> = (0..120).map(|_| idle()).collect();
+    let query = message(b'Q', format!("{}\0", statement("put", 1000)).as_bytes());
+    for _ in 0..20 {
+        let mut client = Client { stream: router.connect() };
+        client.stream.write_all(&[&b"\0\0\0\x08\0\x03\0\0"[..], &query].concat()).unwrap();
+        assert_eq!((client.reply(), client.reply()), (Reply::Done, value(&primary)));
+    }
+    drop(idlers);
+}
+
 #[test]
 fn a_send_that_broke_after_it_was_written_may_have_run() {
     let (primary, replica, router) = pair(Act::Break);
