What is gone is forgotten: a host's id goes to a new host once no send can be under way

At fault: roster.rs, whose ids only grow. Now an id is given away when its host has been gone for four times the longest op timeout (12 s at least), and the module starts a place of another tag anew.

--- a/crates/arrowyard-daemon/src/limits.rs
+++ b/crates/arrowyard-daemon/src/limits.rs
@@ -54,6 +54,8 @@
     /// How long a router that is to end goes on accepting, and how long its last ops may take.
     pub accept: Duration,
     pub last: Duration,
+    /// How long a host that is gone is remembered: longer than any send, and than the end of one is on its way.
+    pub forget: Duration,
     /// How long is waited before something is tried once more.
     pub pause: Duration,
     /// How far a position may lie ahead of this router's clock.
@@ -79,6 +81,7 @@
             told => told,
         };
         let longest = OpType::rows(manifest).iter().map(|row| row.op_timeout).max().unwrap_or_default();
+        let last = duration(longest.max(Span::from_millis(3000)));
         Limits {
             // Danger: clients, too, hold only so many connections, a third of this router's descriptors; idle ones that
             // are kept here up to that number leave them none to ask over. So this is less than a third.
@@ -109,7 +112,8 @@
             fetch: Duration::from_secs(3),
             silence: Duration::from_millis(2500),
             accept: Duration::from_millis(450),
-            last: duration(longest.max(Span::from_millis(3000))),
+            last,
+            forget: last * 4,
             pause: Duration::from_millis(5),
             // Commits are told in whole milliseconds, rounded up.
             ahead: Span::from_millis(5),
--- a/crates/arrowyard-daemon/src/main.rs
+++ b/crates/arrowyard-daemon/src/main.rs
@@ -71,7 +71,7 @@
     }
 
     let gate = Gate::new(&waybill.settings, &told, limits.clone());
-    let roster = Roster::new(&waybill.settings);
+    let roster = Roster::new(&waybill.settings, limits.clone());
     let yard = Yard { roster, pool, clock, limits: limits.clone(), wishes, mail: mail.clone() };
     let route = spawn_local(Route::start(yard, waybill.seed, told, waybill.known.as_ref()).run(inbox));
 
--- a/crates/arrowyard-daemon/src/roster.rs
+++ b/crates/arrowyard-daemon/src/roster.rs
@@ -1,28 +1,34 @@
 //! The hosts that this router's lists have named: their ids, where to dial them, what was last said of them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use arrowyard_charter::{point, tag};
 use arrowyard_types::{Availability, Entry, GroupId, HostId, ListForm, Note, ZoneId};
 use serde_json::{Map, Value};
+use tokio::time::Instant;
 
+use crate::limits::Limits;
 use crate::list::{Line, List};
 
-#[derive(Default)]
 pub struct Roster {
     ids: HashMap<String, HostId>,
     dials: Vec<Option<SocketAddr>>,
     last: Vec<Entry>,
     zones: HashMap<String, ZoneId>,
+    /// Hosts that are gone, and since when; the longest first.
+    gone: VecDeque<(Instant, String)>,
+    limits: Rc<Limits>,
 }
 
 impl Roster {
-    pub fn new(settings: &Map<String, Value>) -> Self {
+    pub fn new(settings: &Map<String, Value>, limits: Rc<Limits>) -> Self {
         let sites = settings.get("dcs").and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
         let sites = sites.iter().filter_map(Value::as_str).enumerate();
         let zones = sites.map(|(n, site)| (site.to_string(), ZoneId(n as u32))).collect();
-        Roster { zones, ..Roster::default() }
+        let (ids, dials, last, gone) = Default::default();
+        Roster { ids, dials, last, zones, gone, limits }
     }
 
     pub fn dial(&self, host: HostId) -> Option<SocketAddr> {
@@ -39,26 +45,44 @@
         Note::Listed { form, entries: list.lines.iter().map(|line| self.entry(line)).collect() }
     }
 
-    fn entry(&mut self, line: &Line) -> Entry {
-        let next = HostId(self.dials.len() as u32);
-        let host = *self.ids.entry(line.host.clone()).or_insert(next);
-        if host == next {
-            self.dials.push(None);
-            self.last.push(Entry {
-                host,
-                tag: tag(&line.host),
-                availability: line.availability,
-                group: GroupId(0),
-                zone: ZoneId(0),
-                size: 1.0,
-                primary: false,
-                started: None,
-            });
+    /// The id of the host that is gone for longest, if none of its sends can be under way any more; it names another
+    /// from now on. Danger: hosts come and go for as long as the router runs, and what is kept of each adds up.
+    fn forget(&mut self) -> Option<HostId> {
+        let (since, _) = self.gone.front()?;
+        if since.elapsed() < self.limits.forget {
+            return None;
         }
+        let (_, name) = self.gone.pop_front()?;
+        self.ids.remove(&name)
+    }
+
+    fn entry(&mut self, line: &Line) -> Entry {
+        let known = self.ids.get(&line.host).copied();
+        let host = known.or_else(|| self.forget()).unwrap_or(HostId(self.dials.len() as u32));
         let place = host.0 as usize;
+        if known.is_none() {
+            self.ids.insert(line.host.clone(), host);
+            let (group, zone, availability) = (GroupId(0), ZoneId(0), line.availability);
+            let tag = tag(&line.host);
+            let blank =
+                Entry { host, tag, availability, group, zone, size: 1.0, primary: false, started: None };
+            if place == self.dials.len() {
+                self.dials.push(None);
+                self.last.push(blank);
+            } else {
+                (self.dials[place], self.last[place]) = (None, blank);
+            }
+        }
+        let left = line.availability == Availability::Gone
+            && (known.is_none() || self.last[place].availability != Availability::Gone);
+        if left {
+            self.gone.push_back((Instant::now(), line.host.clone()));
+        } else if line.availability != Availability::Gone {
+            self.gone.retain(|(_, name)| *name != line.host);
+        }
         self.dials[place] = line.dial.or(self.dials[place]);
         let last = &mut self.last[place];
-        if last.availability != line.availability || host == next {
+        if last.availability != line.availability || known.is_none() {
             log::info!("host {} is {:?}, dial {:?}", line.host, line.availability, self.dials[place]);
         }
         last.availability = line.availability;
@@ -72,3 +96,30 @@
         last.clone()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test(start_paused = true)]
+    async fn the_id_of_a_host_that_is_gone_is_given_away_once_its_sends_have_ended() {
+        let limits = Limits::told(serde_json::json!({})).2;
+        let mut roster = Roster::new(&Map::new(), Rc::new(limits));
+        let mut told = |host: &str, health: &str| {
+            let line = serde_json::json!({"host": host, "health": health, "dial": "127.0.0.1:9"});
+            let list = List::of(&serde_json::json!({"seq": 1, "hosts": [line]})).expect("it is whole");
+            match roster.note(&list, false) {
+                Note::Listed { entries, .. } => (entries[0].host.0, entries[0].tag),
+                other => panic!("{other:?}"),
+            }
+        };
+        assert_eq!((told("a", "SERVING").0, told("b", "SERVING").0), (0, 1));
+        assert_eq!((told("a", "DELETED").0, told("b", "DELETED").0), (0, 1));
+        assert_eq!(told("b", "SERVING").0, 1);
+        assert_eq!(told("c", "SERVING").0, 2, "sends to a may be under way");
+        tokio::time::advance(limits.forget).await;
+        assert_eq!(told("d", "SERVING"), (0, tag("d")));
+        assert_eq!(told("e", "SERVING").0, 3, "b is back");
+        assert_eq!(told("a", "SERVING").0, 4, "the old host is a new one now");
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -133,6 +133,9 @@
     }
 
     fn listed(&mut self, now: Point, entry: Entry, debt: f64, charter: &Manifest) {
+        // Danger: an id that names another host by now, with the old one's position, role and health.
+        let another = self.known && self.face.tag != entry.tag;
+        *self = if another { Host::new(charter) } else { std::mem::take(self) };
         // Danger: an entry without a start, or with an older one, would make a cold host look warm.
         let started = entry.started.max(self.started);
         if self.known && started != self.started {
@@ -169,10 +172,8 @@
         // cold one its share of that; each router sends it a safe part of the multiple that it bears.
         let safe = (charter.number_or("fall_multiple", 1.0) * OF_MULTIPLE).max(1.0);
         let allowed = safe * face.warmth * peers * face.size;
-        let saved = allowed * fall.as_secs_f64() * 0.1;
-        face.credit = (face.credit + allowed * passed.as_secs_f64()).min(saved);
-        let fades = charter.span("connect_timeout") * REST;
-        self.kept *= 1.0 - (passed / fades).min(1.0);
+        face.credit = (face.credit + allowed * passed.as_secs_f64()).min(allowed * fall.as_secs_f64() * 0.1);
+        self.kept *= 1.0 - (passed / (charter.span("connect_timeout") * REST)).min(1.0);
         face.trial = face.ill && now >= self.rest_until;
     }
 
@@ -344,14 +345,13 @@
     fn listed(&mut self, form: ListForm, entries: Vec<Entry>, post: &mut Post) {
         let missing = |host: &HostId| form != ListForm::Changes && !entries.iter().any(|e| e.host == *host);
         self.hosts().filter(missing).for_each(|host| post.hosts.put(host, HostNote::Dropped));
-        let weights = self.op_types.iter().map(|kind| self.weight(kind));
-        let mean = weights.sum::<f64>() / self.op_types.len() as f64;
+        let weights: f64 = self.op_types.iter().map(|kind| self.weight(kind)).sum();
         for entry in entries {
             self.groups.values_mut().for_each(|group| group.members.retain(|&host| host != entry.host));
             let members = &mut self.groups.entry(entry.group).or_default().members;
             members.push(entry.host);
             members.sort_unstable();
-            let debt = mean * self.rng.borrow_mut().f64();
+            let debt = weights / self.op_types.len() as f64 * self.rng.borrow_mut().f64();
             post.hosts.put(entry.host, HostNote::Listed(entry, debt));
         }
     }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -50,6 +50,22 @@
     assert_eq!((world.hosts_of(op), world.probes.len()), (vec![0], 3), "no replica answers its probe");
 }
 
+#[test]
+fn a_place_that_names_another_host_starts_anew() {
+    let mut world = World::settled(charter(true, false, false));
+    world.list(vec![entry(1, Availability::Gone, false, None)]);
+    world.list(vec![Entry { tag: 99, ..entry(1, Availability::Ready, false, None) }]);
+    let hosts: Vec<_> = (10..30)
+        .map(|op| {
+            let op = world.ask(op, BOUNDED, None);
+            let hosts = world.hosts_of(op);
+            world.end_all(Outcome::Acked);
+            hosts
+        })
+        .collect();
+    assert!(!hosts.concat().contains(&1), "the old host's position is not the new one's: {hosts:?}");
+}
+
 #[test]
 fn a_missed_write_leads_to_the_new_primary() {
     let mut world = World::settled(charter(true, false, false));
