--- a/crates/arrowyard-daemon/src/admit.rs
+++ b/crates/arrowyard-core/src/admit.rs
@@ -4,15 +4,15 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
-use arrowyard_pg::Statement;
 use arrowyard_types::{
     Ask, Effect, GroupId, Manifest, Need, OpId, OpType, OpTypeId, Point, SessionId, Span, TenantId,
 };
 use serde_json::{Map, Value};
 
+use crate::call::Call;
 use crate::count::Count;
 use crate::limits::Limits;
-use crate::relay::Reply;
+use crate::reply::Reply;
 
 pub struct Gate {
     op_types: HashMap<String, (OpTypeId, OpType)>,
@@ -63,41 +63,41 @@
         }
     }
 
-    /// The op that the statement asks for, with its place. Danger: more ops, or more bytes of them, than the
+    /// The op that the call asks for, with its place. Danger: more ops, or more bytes of them, than the
     /// router's memory holds.
-    pub fn admit(&self, statement: &Statement, arrived: Point) -> Result<(Ask, Place), Reply> {
-        let Some((op_type, row)) = self.op_types.get(&statement.op_type) else {
-            return Err(Reply::Refused("the statement's op type is not known"));
+    pub fn admit<A>(&self, call: Call<'_>, arrived: Point) -> Result<(Ask, Place), Reply<A>> {
+        let Some((op_type, row)) = self.op_types.get(call.op_type) else {
+            return Err(Reply::Refused("its op type is not known"));
         };
-        let tenant = match &statement.tenant {
+        let tenant = match call.tenant {
             Some(name) if !self.tenants.is_empty() => {
                 let known = self.tenants.get(name).copied();
-                Some(known.ok_or(Reply::Refused("the statement's tenant is not known"))?)
+                Some(known.ok_or(Reply::Refused("its tenant is not known"))?)
             }
             _ => None,
         };
-        if matches!(row.effect, Effect::Tokened { .. }) && !statement.marked {
+        if matches!(row.effect, Effect::Tokened { .. }) && call.token.is_none() {
             return Err(Reply::Refused("an op of this type needs its mark, k"));
         }
         let with_session = matches!(row.need, Need::Session | Need::Write);
-        let bytes = statement.bytes();
+        let bytes = call.bytes;
         if self.open.get() >= self.limits.ops || self.bytes.get() + bytes > self.limits.held {
             return Err(Reply::Busy(None));
         }
         // Danger: a client that names another's open op. Hosts turn the second away, or both.
-        if !self.ids.borrow_mut().insert(statement.id) {
+        if !self.ids.borrow_mut().insert(call.id) {
             return Err(Reply::Refused("an op of this id is open"));
         }
         let place = Place {
             _open: Count::one(&self.open),
             _bytes: Count::many(&self.bytes, bytes),
-            id: statement.id,
+            id: call.id,
             ids: self.ids.clone(),
         };
         let op = OpId(self.next.get());
         self.next.set(op.0 + 1);
         let commit = |millis: i64| Point::from_micros(millis.saturating_mul(1000));
-        let token_age = statement.after.map(|after| match after {
+        let token_age = call.after.map(|after| match after {
             0 => Span::ZERO,
             after => (arrived - commit(after)).max(Span::from_micros(1)),
         });
@@ -105,11 +105,11 @@
             op,
             op_type: *op_type,
             tenant,
-            group: GroupId(statement.group),
-            session: statement.key.filter(|_| with_session).map(SessionId),
-            again: statement.again,
+            group: GroupId(call.group),
+            session: call.session.filter(|_| with_session).map(SessionId),
+            again: call.again,
             token_age,
-            due: arrived + Span::from_millis(statement.wait_ms.into()),
+            due: arrived + Span::from_millis(call.wait_ms.into()),
         };
         Ok((ask, place))
     }
@@ -128,21 +128,20 @@
         Gate::new(&waybill.settings, &manifest, Rc::new(limits))
     }
 
-    fn statement(rest: &str, length: usize) -> Statement {
-        named(1, rest, length)
+    fn call(id: u64, bytes: usize) -> Call<'static> {
+        let (op_type, tenant, session) = ("look", Some("q"), Some(0xff));
+        let blank = (None, false, None);
+        let (after, again, token) = blank;
+        Call { id, op_type, tenant, group: 4, wait_ms: 80, after, again, token, session, bytes }
     }
 
-    fn named(id: u64, rest: &str, length: usize) -> Statement {
-        let text = format!(
-            "/* id={id},c=look,t=q,d=80,cluster=4{rest} */ SELECT payload WHERE ref = '00000000000000ff'"
-        );
-        Statement::parse(format!("{text:length$}")).expect("it has the form")
-    }
+    type Refusal = Reply<()>;
 
     #[test]
     fn names_become_ids_and_times_points() {
         let arrived = Point::from_micros(5_000_000);
-        let (ask, _place) = gate().admit(&statement(",after=4900,r=1", 0), arrived).expect("there is room");
+        let call = Call { after: Some(4900), again: true, ..call(1, 0) };
+        let (ask, _place) = gate().admit::<()>(call, arrived).expect("there is room");
         let wanted = Ask {
             op: OpId(0),
             op_type: OpTypeId(0),
@@ -159,22 +158,22 @@
     #[test]
     fn ops_beyond_the_count_or_the_bytes_are_busy_replied_till_a_place_is_free() {
         let (gate, now) = (gate(), Point::from_micros(0));
-        let admit = |id, length| gate.admit(&named(id, "", length), now).map(|(_, place)| place);
+        let admit = |id, length| gate.admit(call(id, length), now).map(|(_, place)| place);
         let (first, second) = (admit(1, 100), admit(2, 100));
         assert!(first.is_ok() && second.is_ok());
-        assert_eq!(admit(3, 100).err(), Some(Reply::Busy(None)));
+        assert_eq!(admit(3, 100).err(), Some(Refusal::Busy(None)));
         drop(first);
-        assert_eq!(admit(3, 101).err(), Some(Reply::Busy(None)));
+        assert_eq!(admit(3, 101).err(), Some(Refusal::Busy(None)));
         assert!(admit(3, 100).is_ok());
     }
 
     #[test]
     fn an_id_names_one_open_op_and_is_free_again_once_that_is_over() {
         let (gate, now) = (gate(), Point::from_micros(0));
-        let admit = || gate.admit(&statement("", 0), now).map(|(_, place)| place);
+        let admit = || gate.admit(call(1, 0), now).map(|(_, place)| place);
         let first = admit();
         assert!(first.is_ok());
-        assert!(matches!(admit().err(), Some(Reply::Refused(_))));
+        assert!(matches!(admit().err(), Some(Refusal::Refused(_))));
         drop(first);
         assert!(admit().is_ok());
     }
--- a/crates/arrowyard-daemon/src/book.rs
+++ b/crates/arrowyard-core/src/book.rs
@@ -3,17 +3,15 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use arrowyard_pg::Statement;
 use arrowyard_types::{OpId, Outcome, SendNo};
 use tokio::sync::oneshot;
 
-use crate::link::Parcel;
-use crate::relay::Reply;
+use crate::reply::Reply;
 
-struct Page {
-    statement: Rc<Statement>,
+struct Page<P, A> {
+    payload: Rc<P>,
     /// Until the final answer is given.
-    client: Option<oneshot::Sender<Reply>>,
+    client: Option<oneshot::Sender<Reply<A>>>,
     /// By number.
     sends: Vec<Stand>,
 }
@@ -37,29 +35,35 @@
     pub lost_sends: u32,
 }
 
-#[derive(Default)]
-pub struct Book {
-    pages: HashMap<OpId, Page>,
+/// `P` is what fronts hand in, `A` a host's answer.
+pub struct Book<P, A> {
+    pages: HashMap<OpId, Page<P, A>>,
     pub tally: Tally,
 }
 
-impl Book {
-    pub fn open(&mut self, op: OpId, statement: Rc<Statement>, client: oneshot::Sender<Reply>) {
-        self.pages.insert(op, Page { statement, client: Some(client), sends: Vec::new() });
+impl<P, A> Default for Book<P, A> {
+    fn default() -> Self {
+        Book { pages: HashMap::new(), tally: Tally::default() }
+    }
+}
+
+impl<P, A> Book<P, A> {
+    pub fn open(&mut self, op: OpId, payload: Rc<P>, client: oneshot::Sender<Reply<A>>) {
+        self.pages.insert(op, Page { payload, client: Some(client), sends: Vec::new() });
     }
 
-    pub fn len(&self) -> usize {
+    pub fn open_ops(&self) -> usize {
         self.pages.len()
     }
 
-    /// The number of the op's next send, its statement, and what tells it that it is called off; for an op that is
+    /// The number of the op's next send, its payload, and what tells it that it is called off; for an op that is
     /// over it is so at once. Nothing for an op whose page is closed.
-    pub fn send(&mut self, op: OpId) -> Option<(SendNo, Rc<Statement>, oneshot::Receiver<()>)> {
+    pub fn send(&mut self, op: OpId) -> Option<(SendNo, Rc<P>, oneshot::Receiver<()>)> {
         let page = self.pages.get_mut(&op)?;
         let (call_off, called_off) = oneshot::channel();
         page.sends.push(if page.client.is_some() { Stand::Out(call_off) } else { Stand::CalledOff });
         self.tally.sends += 1;
-        Some((SendNo(page.sends.len() as u32 - 1), page.statement.clone(), called_off))
+        Some((SendNo(page.sends.len() as u32 - 1), page.payload.clone(), called_off))
     }
 
     pub fn call_off(&mut self, op: OpId, send: SendNo) {
@@ -77,7 +81,7 @@
 
     /// Takes the end of a send; the first acked one goes to the client. Tells whether the op is over; nothing for
     /// an end that was taken before. Danger: an end taken twice would end another send in the module's eyes.
-    pub fn end(&mut self, op: OpId, send: SendNo, outcome: Outcome, answer: Option<Parcel>) -> Option<bool> {
+    pub fn end(&mut self, op: OpId, send: SendNo, outcome: Outcome, answer: Option<A>) -> Option<bool> {
         let stand = self.stand(op, send).filter(|stand| !matches!(stand, Stand::Ended))?;
         *stand = Stand::Ended;
         self.tally.lost_sends += u32::from(!outcome.is_answer());
@@ -90,7 +94,7 @@
     }
 
     /// The final answer, if the op has none yet.
-    pub fn answer(&mut self, op: OpId, reply: Reply) {
+    pub fn answer(&mut self, op: OpId, reply: Reply<A>) {
         let Some(client) = self.pages.get_mut(&op).and_then(|page| page.client.take()) else { return };
         let count = match reply {
             Reply::Acked(_) => &mut self.tally.acked,
@@ -113,7 +117,7 @@
     }
 
     fn tidy(&mut self, op: OpId) {
-        let done = |page: &Page| {
+        let done = |page: &Page<P, A>| {
             page.client.is_none() && page.sends.iter().all(|stand| matches!(stand, Stand::Ended))
         };
         if self.pages.get(&op).is_some_and(done) {
@@ -131,12 +135,10 @@
 
     const OP: OpId = OpId(7);
 
-    fn open() -> (Book, oneshot::Receiver<Reply>) {
-        let text = "/* id=1,c=a,d=5 */ SELECT 1".to_string();
-        let statement = Rc::new(Statement::parse(text).expect("it has the form"));
+    fn open() -> (Book<(), ()>, oneshot::Receiver<Reply<()>>) {
         let (client, answered) = oneshot::channel();
         let mut book = Book::default();
-        book.open(OP, statement, client);
+        book.open(OP, Rc::new(()), client);
         (book, answered)
     }
 
@@ -145,11 +147,11 @@
         let (mut book, mut answered) = open();
         let sends: Vec<_> = (0..2).filter_map(|_| book.send(OP)).collect();
         assert_eq!(book.end(OP, SendNo(0), Outcome::Reset, None), Some(false));
-        assert_eq!(book.end(OP, SendNo(0), Outcome::Acked, Some(Parcel::default())), None);
-        assert_eq!(book.end(OP, SendNo(1), Outcome::Acked, Some(Parcel::default())), Some(true));
+        assert_eq!(book.end(OP, SendNo(0), Outcome::Acked, Some(())), None);
+        assert_eq!(book.end(OP, SendNo(1), Outcome::Acked, Some(())), Some(true));
         book.answer(OP, Reply::Errored);
-        assert_eq!(answered.try_recv(), Ok(Reply::Acked(Parcel::default())));
-        assert_eq!((book.len(), book.end(OP, SendNo(1), Outcome::Acked, None)), (0, None));
+        assert_eq!(answered.try_recv(), Ok(Reply::Acked(())));
+        assert_eq!((book.open_ops(), book.end(OP, SendNo(1), Outcome::Acked, None)), (0, None));
         assert!(book.send(OP).is_none());
         drop(sends);
     }
@@ -168,7 +170,7 @@
         book.call_off(OP, number);
         assert_eq!(called_off.try_recv(), Ok(()));
         assert_eq!(book.end(OP, number, Outcome::Cancelled, None), Some(true));
-        assert_eq!(book.len(), 0);
+        assert_eq!(book.open_ops(), 0);
     }
 
     proptest! {
@@ -191,11 +193,11 @@
                     },
                     1 | 2 => {
                         let (outcome, answer) = match step {
-                            1 => (Outcome::Acked, Some(Parcel::default())),
+                            1 => (Outcome::Acked, Some(())),
                             _ => (Outcome::TimedOut, None),
                         };
                         if known && step == 1 {
-                            first.get_or_insert(Some(Reply::Acked(Parcel::default())));
+                            first.get_or_insert(Some(Reply::Acked(())));
                         }
                         let told = book.end(OP, SendNo(number), outcome, answer);
                         prop_assert_eq!(told, known.then_some(first.is_some()));
@@ -212,7 +214,7 @@
                     _ => book.call_off(OP, SendNo(number)),
                 }
                 let gone = first.is_some() && out.len() == ended.len();
-                prop_assert_eq!(book.len(), usize::from(!gone));
+                prop_assert_eq!(book.open_ops(), usize::from(!gone));
             }
             prop_assert_eq!(answered.try_recv().ok(), first.flatten());
         }
--- /dev/null
+++ b/crates/arrowyard-core/src/call.rs
@@ -0,0 +1,23 @@
+//! What a client says of its op, whatever protocol it says it in.
+
+/// An op before its admission: each front decodes its own form into this, once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Call<'a> {
+    /// The number of its id; it names one open op.
+    pub id: u64,
+    pub op_type: &'a str,
+    pub tenant: Option<&'a str>,
+    pub group: i64,
+    /// For so many milliseconds, from when it asked, the client waits.
+    pub wait_ms: u32,
+    /// The session's last commit, as Unix time in milliseconds; 0 for none.
+    pub after: Option<i64>,
+    /// Whether the client says that it asks again.
+    pub again: bool,
+    /// The token by which hosts know a repeat.
+    pub token: Option<u64>,
+    /// What names the session, in op types that have one.
+    pub session: Option<u64>,
+    /// The bytes that it takes while it is in hand.
+    pub bytes: usize,
+}
--- a/crates/arrowyard-daemon/src/discovery.rs
+++ b/crates/arrowyard-core/src/discovery.rs
@@ -11,29 +11,28 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, timeout_at};
 
+use crate::back::Back;
 use crate::http;
 use crate::limits::Limits;
 use crate::list::List;
-use crate::route::Mail;
+use crate::mail::{Mail, News, Wish};
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Wish {
-    Watch(bool),
-    Fetch,
-    /// It is reached at another address from now on.
-    Move(SocketAddr),
-}
-
-#[derive(Clone)]
-pub struct Discovery {
+pub struct Discovery<B: Back> {
     pub dial: SocketAddr,
     /// The version of the last list.
     pub version: Rc<Cell<Option<i64>>>,
-    pub mail: mpsc::Sender<Mail>,
+    pub mail: mpsc::Sender<Mail<B>>,
     pub limits: Rc<Limits>,
 }
 
-impl Discovery {
+impl<B: Back> Clone for Discovery<B> {
+    fn clone(&self) -> Self {
+        let Discovery { dial, version, mail, limits } = self;
+        Discovery { dial: *dial, version: version.clone(), mail: mail.clone(), limits: limits.clone() }
+    }
+}
+
+impl<B: Back> Discovery<B> {
     pub async fn run(mut self, mut wishes: mpsc::Receiver<Wish>) {
         let mut watch: Option<JoinHandle<()>> = None;
         while let Some(wish) = wishes.recv().await {
@@ -60,7 +59,7 @@
         if let Err(why) = self.read(watch).await {
             log::warn!("{} of the list failed: {why}", if watch { "watch" } else { "fetch" });
             // The route stage is gone only when the router ends.
-            let _ = self.mail.send(Mail::ListFailed).await;
+            let _ = self.mail.send(Mail::News(News::ListFailed)).await;
         }
     }
 
@@ -115,7 +114,7 @@
         // Lists of different calls may overtake each other; an older one must not undo a newer one.
         if list.whole || self.version.get().is_none_or(|version| list.version >= version) {
             self.version.set(Some(list.version));
-            let _ = self.mail.send(Mail::Listed(list)).await;
+            let _ = self.mail.send(Mail::News(News::Listed(list))).await;
         }
         Ok(())
     }
--- /dev/null
+++ b/crates/arrowyard-core/src/hatch.rs
@@ -0,0 +1,230 @@
+//! Where fronts of other threads hand their ops in. A front whose library wants futures that may move between
+//! threads cannot hold the core's counts; it puts a value that may move through a bounded channel, and a task on
+//! the core's thread takes it from there. No lock of this program's is held by either side.
+
+use std::rc::Rc;
+
+use arrowyard_types::Point;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+
+use crate::admit::Gate;
+use crate::back::Back;
+use crate::call::Call;
+use crate::clock::Clock;
+use crate::mail::Mail;
+use crate::reply::Reply;
+
+/// An op as it comes from another thread. `P` tells its own call; `R` is the answer in a form that may move.
+struct Errand<P, R> {
+    payload: P,
+    arrived: Point,
+    client: oneshot::Sender<Reply<R>>,
+}
+
+/// The side of the front; it may be cloned, sent and shared.
+pub struct Hatch<P, R> {
+    errands: mpsc::Sender<Errand<P, R>>,
+    clock: Clock,
+}
+
+impl<P, R> Clone for Hatch<P, R> {
+    fn clone(&self) -> Self {
+        Hatch { errands: self.errands.clone(), clock: self.clock }
+    }
+}
+
+/// Why there is no answer: the router has ended, or takes no more at this moment and nothing was done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shut {
+    Ended,
+    Full,
+}
+
+impl<P, R> Hatch<P, R> {
+    /// Hands an op in and waits for its final answer; dropping the future is a client that left. Danger: a front
+    /// that waits for room holds its clients past their time; with none left it is told so at once.
+    pub async fn ask(&self, payload: P) -> Result<Reply<R>, Shut> {
+        let (client, answer) = oneshot::channel();
+        let errand = Errand { payload, arrived: self.clock.now(), client };
+        self.errands.try_send(errand).map_err(|refused| match refused {
+            mpsc::error::TrySendError::Full(_) => Shut::Full,
+            mpsc::error::TrySendError::Closed(_) => Shut::Ended,
+        })?;
+        answer.await.map_err(|_| Shut::Ended)
+    }
+}
+
+/// The side of the core.
+pub struct Desk<B: Back, P, R> {
+    errands: mpsc::Receiver<Errand<P, R>>,
+    gate: Rc<Gate>,
+    mail: mpsc::Sender<Mail<B>>,
+}
+
+/// A hatch with room for so many ops that were not taken in yet.
+pub fn open<B: Back, P, R>(
+    room: usize,
+    clock: Clock,
+    gate: Rc<Gate>,
+    mail: mpsc::Sender<Mail<B>>,
+) -> (Hatch<P, R>, Desk<B, P, R>) {
+    let (errands, taken) = mpsc::channel(room);
+    (Hatch { errands, clock }, Desk { errands: taken, gate, mail })
+}
+
+impl<B: Back, P: 'static, R: 'static> Desk<B, P, R> {
+    /// Takes errands till every front has gone. `call` tells what the payload asks for, `load` makes of it what
+    /// the back carries, and `lift` makes of a host's answer what may move.
+    pub async fn run(
+        mut self,
+        call: impl Fn(&P) -> Call<'_> + 'static,
+        load: impl Fn(P) -> B::Payload + 'static,
+        lift: impl Fn(B::Answer) -> R + 'static,
+    ) {
+        let lift = Rc::new(lift);
+        while let Some(Errand { payload, arrived, mut client }) = self.errands.recv().await {
+            let (ask, place) = match self.gate.admit(call(&payload), arrived) {
+                Ok(admitted) => admitted,
+                Err(reply) => {
+                    // A front that left does not hear it.
+                    let _ = client.send(reply);
+                    continue;
+                }
+            };
+            let (answer, answered) = oneshot::channel();
+            let (op, mail, lift) = (ask.op, self.mail.clone(), lift.clone());
+            if mail.send(Mail::Asked(ask, Rc::new(load(payload)), answer)).await.is_err() {
+                return;
+            }
+            drop(spawn_local(async move {
+                let reply = tokio::select! {
+                    biased;
+                    reply = answered => reply.unwrap_or(Reply::Errored),
+                    // Danger: the front's client left, and hosts go on working for nobody.
+                    () = client.closed() => {
+                        let _ = mail.send(Mail::HungUp(op)).await;
+                        return;
+                    }
+                };
+                drop(place);
+                let _ = client.send(match reply {
+                    Reply::Acked(answer) => Reply::Acked(lift(answer)),
+                    Reply::Busy(after) => Reply::Busy(after),
+                    Reply::Errored => Reply::Errored,
+                    Reply::Refused(why) => Reply::Refused(why),
+                });
+            }));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::cell::Cell;
+    use std::net::SocketAddr;
+
+    use arrowyard_types::{HostId, Outcome, Word};
+    use tokio::runtime::Builder;
+    use tokio::task::LocalSet;
+    use tokio::time::Instant;
+
+    use super::*;
+    use crate::back::Told;
+    use crate::limits::Limits;
+
+    /// Never sent to: the test answers in the route stage's place.
+    struct Nowhere;
+
+    impl Back for Nowhere {
+        type Payload = u64;
+        type Answer = Rc<u64>;
+
+        async fn exchange(
+            &self,
+            _: HostId,
+            _: SocketAddr,
+            _: &u64,
+            _: Point,
+            _: Clock,
+            _: &Cell<bool>,
+        ) -> Told<Rc<u64>> {
+            (Outcome::Moot, Word::default(), None)
+        }
+
+        async fn probe(&self, _: HostId, _: SocketAddr) -> (Outcome, Word) {
+            (Outcome::Moot, Word::default())
+        }
+
+        fn unanswered(&self, _: HostId, _: Instant) {}
+
+        fn close_idle(&self, _: HostId) {}
+
+        fn open(&self) -> usize {
+            0
+        }
+    }
+
+    fn call(id: &u64) -> Call<'_> {
+        let (op_type, tenant, after, token, session) = ("look", None, None, None, None);
+        Call {
+            id: *id,
+            op_type,
+            tenant,
+            group: 1,
+            wait_ms: 80,
+            after,
+            again: false,
+            token,
+            session,
+            bytes: 9,
+        }
+    }
+
+    #[test]
+    fn ops_from_many_threads_get_their_own_answer_and_one_that_left_is_hung_up() {
+        let (waybill, manifest, limits) =
+            Limits::told(serde_json::json!({"grades": [{"name": "look", "objective": 5.0}]}));
+        let front = Builder::new_multi_thread().worker_threads(4).build().expect("threads can be had");
+        let core = Builder::new_current_thread().enable_all().build().expect("a runtime can be had");
+        let threads = front.handle().clone();
+        let hung = LocalSet::new().block_on(&core, async move {
+            let gate = Rc::new(Gate::new(&waybill.settings, &manifest, Rc::new(limits)));
+            let (mail, mut inbox) = mpsc::channel(64);
+            let (hatch, desk) = open::<Nowhere, u64, u64>(64, Clock::start(), gate, mail);
+            drop(spawn_local(desk.run(call, |payload| payload, |answer| *answer)));
+            let asked: Vec<_> = (0..32)
+                .map(|id| {
+                    let hatch = hatch.clone();
+                    threads.spawn(async move { (id, hatch.ask(id).await) })
+                })
+                .collect();
+            let leaver = threads.spawn({
+                let hatch = hatch.clone();
+                async move { hatch.ask(1000).await }
+            });
+            let (mut left, mut kept) = (None, Vec::new());
+            let hung = loop {
+                match inbox.recv().await.expect("the desk holds the other end") {
+                    Mail::Asked(ask, payload, client) if *payload == 1000 => {
+                        left = Some(ask.op);
+                        kept.push(client);
+                        leaver.abort();
+                    }
+                    Mail::Asked(_, payload, client) => {
+                        client.send(Reply::Acked(Rc::new(*payload * 2))).expect("its front waits");
+                    }
+                    Mail::HungUp(op) => break Some(op) == left,
+                    _ => panic!("nobody sends and nobody probes"),
+                }
+            };
+            for asked in asked {
+                let (id, reply) = asked.await.expect("its thread runs");
+                assert_eq!(reply, Ok(Reply::Acked(id * 2)));
+            }
+            hung
+        });
+        assert!(hung, "the one that left");
+        drop(front);
+    }
+}
--- a/crates/arrowyard-daemon/src/limits.rs
+++ b/crates/arrowyard-core/src/limits.rs
@@ -123,7 +123,7 @@
     }
 }
 
-#[cfg(test)]
+#[cfg(any(test, feature = "blank"))]
 impl Limits {
     /// Of a router that is told these settings and otherwise the least.
     pub fn told(settings: serde_json::Value) -> (Waybill, Manifest, Limits) {
--- a/crates/arrowyard-daemon/src/pool.rs
+++ b/crates/arrowyard-core/src/pool.rs
@@ -10,10 +10,31 @@
 
 use crate::count::Count;
 use crate::limits::Limits;
-use crate::link::Link;
 
-pub struct Pool {
-    idle: RefCell<BTreeMap<HostId, Vec<Link>>>,
+/// One connection to a host, as the pool sees it.
+pub trait Link: Sized {
+    /// Dials the host and is let in; the outcome, if it is not, for a send that was never written. `large` counts
+    /// the bytes that large answers of all connections take.
+    fn open(
+        dial: SocketAddr,
+        count: Count,
+        large: Rc<Cell<usize>>,
+        limits: Rc<Limits>,
+    ) -> impl Future<Output = Result<Self, Outcome>>;
+
+    fn dial(&self) -> SocketAddr;
+
+    fn idle_since(&self) -> Instant;
+
+    /// Whether it was not idle for too long, and nothing has come meanwhile, not even the end.
+    fn is_good(&self) -> bool;
+
+    /// It is idle from now on, and gives back the room that its last answer took.
+    fn rest(&mut self);
+}
+
+pub struct Pool<L> {
+    idle: RefCell<BTreeMap<HostId, Vec<L>>>,
     /// When a host was last done with a command.
     heard: RefCell<BTreeMap<HostId, Instant>>,
     open: Rc<Cell<usize>>,
@@ -22,7 +43,7 @@
     limits: Rc<Limits>,
 }
 
-impl Pool {
+impl<L: Link> Pool<L> {
     pub fn new(limits: Rc<Limits>) -> Rc<Self> {
         let (idle, heard, open, large) = Default::default();
         Rc::new(Pool { idle, heard, open, large, limits })
@@ -33,21 +54,21 @@
     }
 
     /// The connection to the host that was used last, else a new one; the outcome, if there is none to be had.
-    pub async fn take(&self, host: HostId, dial: SocketAddr) -> Result<Link, Outcome> {
+    pub async fn take(&self, host: HostId, dial: SocketAddr) -> Result<L, Outcome> {
         while let Some(link) = self.idle.borrow_mut().get_mut(&host).and_then(Vec::pop) {
-            if link.dial == dial && link.is_good() {
+            if link.dial() == dial && link.is_good() {
                 return Ok(link);
             }
         }
         if self.open.get() >= self.limits.links && !self.close_oldest() {
             return Err(Outcome::ConnectFailed);
         }
-        Link::open(dial, Count::one(&self.open), self.large.clone(), self.limits.clone()).await
+        L::open(dial, Count::one(&self.open), self.large.clone(), self.limits.clone()).await
     }
 
-    pub fn put_back(&self, host: HostId, mut link: Link) {
+    pub fn put_back(&self, host: HostId, mut link: L) {
         link.rest();
-        self.heard.borrow_mut().insert(host, link.idle_since);
+        self.heard.borrow_mut().insert(host, link.idle_since());
         self.idle.borrow_mut().entry(host).or_default().push(link);
     }
 
@@ -66,7 +87,7 @@
 
     fn close_oldest(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let oldest = idle.values_mut().filter(|links| !links.is_empty()).min_by_key(|l| l[0].idle_since);
+        let oldest = idle.values_mut().filter(|links| !links.is_empty()).min_by_key(|l| l[0].idle_since());
         oldest.map(|links| links.remove(0)).is_some()
     }
 
@@ -74,51 +95,60 @@
     pub async fn sweep(self: Rc<Self>) {
         loop {
             sleep(self.limits.idle / 8).await;
-            self.idle.borrow_mut().values_mut().for_each(|links| links.retain(Link::is_good));
+            self.idle.borrow_mut().values_mut().for_each(|links| links.retain(L::is_good));
         }
     }
 }
 
 #[cfg(test)]
 mod tests {
-    use arrowyard_pg::greet;
-    use bytes::BytesMut;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::TcpListener;
-    use tokio::task::{LocalSet, spawn_local};
-
     use super::*;
 
-    /// A host that lets everybody in and says nothing more.
-    async fn host() -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
-        let dial = listener.local_addr().expect("it is bound");
-        drop(spawn_local(async move {
-            let mut kept = Vec::new();
-            while let Ok((mut stream, _)) = listener.accept().await {
-                let mut out = BytesMut::new();
-                greet(&mut out);
-                let _ = (stream.read(&mut [0; 64]).await, stream.write_all(&out).await);
-                kept.push(stream);
-            }
-        }));
-        dial
+    /// A connection that is always good.
+    struct Fake {
+        dial: SocketAddr,
+        since: Instant,
+        _count: Count,
+    }
+
+    impl Link for Fake {
+        async fn open(
+            dial: SocketAddr,
+            count: Count,
+            _: Rc<Cell<usize>>,
+            _: Rc<Limits>,
+        ) -> Result<Self, Outcome> {
+            Ok(Fake { dial, since: Instant::now(), _count: count })
+        }
+
+        fn dial(&self) -> SocketAddr {
+            self.dial
+        }
+
+        fn idle_since(&self) -> Instant {
+            self.since
+        }
+
+        fn is_good(&self) -> bool {
+            true
+        }
+
+        fn rest(&mut self) {
+            self.since = Instant::now();
+        }
     }
 
     #[tokio::test]
     async fn with_no_descriptor_left_an_idle_connection_goes_first_and_then_a_dial_fails() {
         let limits = Limits { links: 2, ..Limits::told(serde_json::json!({})).2 };
-        LocalSet::new()
-            .run_until(async {
-                let (pool, one, two) = (Pool::new(Rc::new(limits)), host().await, host().await);
-                let first = pool.take(HostId(1), one).await.expect("there is room");
-                let second = pool.take(HostId(1), one).await.expect("there is room");
-                assert_eq!(pool.take(HostId(2), two).await.err(), Some(Outcome::ConnectFailed));
-                pool.put_back(HostId(1), first);
-                assert_eq!(pool.take(HostId(2), two).await.map(|link| link.dial), Ok(two));
-                assert_eq!(pool.open(), 1, "the idle one was closed, the third ended just now");
-                drop(second);
-            })
-            .await;
+        let [one, two] = [1, 2].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+        let pool: Rc<Pool<Fake>> = Pool::new(Rc::new(limits));
+        let first = pool.take(HostId(1), one).await.expect("there is room");
+        let second = pool.take(HostId(1), one).await.expect("there is room");
+        assert_eq!(pool.take(HostId(2), two).await.err(), Some(Outcome::ConnectFailed));
+        pool.put_back(HostId(1), first);
+        assert_eq!(pool.take(HostId(2), two).await.map(|link| link.dial), Ok(two));
+        assert_eq!(pool.open(), 1, "the idle one was closed, the third ended just now");
+        drop(second);
     }
 }
--- a/crates/arrowyard-daemon/src/reload.rs
+++ b/crates/arrowyard-core/src/reload.rs
@@ -6,8 +6,8 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use crate::discovery::Wish;
 use crate::limits::Limits;
+use crate::mail::Wish;
 use crate::waybill::Waybill;
 
 pub struct Reload {
--- a/crates/arrowyard-daemon/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -5,54 +5,42 @@
 use std::rc::Rc;
 
 use arrowyard::Router;
-use arrowyard_pg::Statement;
 use arrowyard_types::*;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
 
+use crate::back::Back;
 use crate::book::Book;
 use crate::clock::Clock;
-use crate::discovery::Wish;
 use crate::limits::Limits;
 use crate::list::List;
-use crate::pool::Pool;
-use crate::probe;
-use crate::relay::Reply;
+use crate::mail::{Mail, News, Wish};
+use crate::reply::Reply;
 use crate::roster::Roster;
 use crate::send::{self, End, Order};
 
-/// What the other tasks tell the one that owns the module.
-pub enum Mail {
-    Asked(Ask, Rc<Statement>, oneshot::Sender<Reply>),
-    HungUp(OpId),
-    SendEnded(OpId, SendNo, HostId, End),
-    Probed(HostId, Outcome, Word),
-    Listed(List),
-    ListFailed,
-}
-
-pub struct Yard {
+pub struct Yard<B: Back> {
     pub roster: Roster,
-    pub pool: Rc<Pool>,
+    pub back: Rc<B>,
     pub clock: Clock,
     pub limits: Rc<Limits>,
     pub wishes: mpsc::Sender<Wish>,
     /// For the tasks that it starts.
-    pub mail: mpsc::Sender<Mail>,
+    pub mail: mpsc::Sender<Mail<B>>,
 }
 
-pub struct Route {
-    yard: Yard,
+pub struct Route<B: Back> {
+    yard: Yard<B>,
     router: Router,
-    book: Book,
+    book: Book<B::Payload, B::Answer>,
     alarms: BinaryHeap<Reverse<(Point, u64, Cookie)>>,
     rung: u64,
     tallied: Instant,
 }
 
-impl Route {
-    pub fn start(mut yard: Yard, seed: u64, manifest: Manifest, known: Option<&List>) -> Self {
+impl<B: Back> Route<B> {
+    pub fn start(mut yard: Yard<B>, seed: u64, manifest: Manifest, known: Option<&List>) -> Self {
         let mut actions = Vec::new();
         let now = yard.clock.now();
         let mut router = Router::start(now, seed, manifest, &mut actions);
@@ -65,7 +53,7 @@
         route
     }
 
-    pub async fn run(mut self, mut inbox: mpsc::Receiver<Mail>) {
+    pub async fn run(mut self, mut inbox: mpsc::Receiver<Mail<B>>) {
         let mut actions = Vec::new();
         loop {
             let next = self.alarms.peek().map(|Reverse((at, ..))| self.yard.clock.when(*at));
@@ -97,10 +85,10 @@
     }
 
     /// What the mail tells the module; nothing where it is old news.
-    fn note(&mut self, mail: Mail) -> Option<Note> {
+    fn note(&mut self, mail: Mail<B>) -> Option<Note> {
         match mail {
-            Mail::Asked(ask, statement, client) => {
-                self.book.open(ask.op, statement, client);
+            Mail::Asked(ask, payload, client) => {
+                self.book.open(ask.op, payload, client);
                 Some(Note::Asked(ask))
             }
             Mail::HungUp(op) => self.book.hang_up(op).then_some(Note::HungUp { op }),
@@ -112,8 +100,8 @@
             Mail::Probed(host, outcome, word) => {
                 Some(Note::Probed { host, outcome, word: self.likely(word) })
             }
-            Mail::Listed(list) => Some(self.yard.roster.note(&list, false)),
-            Mail::ListFailed => Some(Note::ListFailed),
+            Mail::News(News::Listed(list)) => Some(self.yard.roster.note(&list, false)),
+            Mail::News(News::ListFailed) => Some(Note::ListFailed),
         }
     }
 
@@ -129,17 +117,17 @@
     }
 
     fn carry_out(&mut self, now: Point, action: Action) {
-        let Yard { roster, pool, clock, limits, wishes, mail } = &self.yard;
+        let Yard { roster, back, clock, wishes, mail, .. } = &self.yard;
         log::trace!("{} {action:?}", now.micros());
         match action {
             Action::Send { op, host, until } => {
-                let Some((send, statement, called_off)) = self.book.send(op) else { return };
-                let (pool, clock, mail, dial) = (pool.clone(), *clock, mail.clone(), roster.dial(host));
+                let Some((send, payload, called_off)) = self.book.send(op) else { return };
+                let (back, clock, mail, dial) = (back.clone(), *clock, mail.clone(), roster.dial(host));
                 drop(spawn_local(async move {
                     let end = match dial {
                         Some(dial) => {
-                            let order = Order { host, dial, statement, until, called_off };
-                            send::run(order, &pool, clock).await
+                            let order = Order { host, dial, payload, until, called_off };
+                            send::run(order, &*back, clock).await
                         }
                         None => End::unsent(),
                     };
@@ -151,11 +139,10 @@
             Action::BusyReply { op, retry_after } => self.book.answer(op, Reply::Busy(retry_after)),
             Action::ErrorReply { op } => self.book.answer(op, Reply::Errored),
             Action::Probe { host } => {
-                let (pool, limits, mail, dial) =
-                    (pool.clone(), limits.clone(), mail.clone(), roster.dial(host));
+                let (back, mail, dial) = (back.clone(), mail.clone(), roster.dial(host));
                 drop(spawn_local(async move {
                     let (outcome, word) = match dial {
-                        Some(dial) => probe::run(host, dial, &pool, &limits).await,
+                        Some(dial) => back.probe(host, dial).await,
                         None => (Outcome::Moot, Word::default()),
                     };
                     let _ = mail.send(Mail::Probed(host, outcome, word)).await;
@@ -167,7 +154,7 @@
             }
             Action::Subscribe { on } => wish(wishes, Wish::Watch(on)),
             Action::FetchList => wish(wishes, Wish::Fetch),
-            Action::CloseIdle { host } => pool.close_idle(host),
+            Action::CloseIdle { host } => back.close_idle(host),
             // Routers on sockets have no way to talk to each other yet.
             Action::Tell { .. } => {}
             Action::Log { text } => log::info!("{text}"),
@@ -185,8 +172,8 @@
             tally.gone,
             tally.sends,
             tally.lost_sends,
-            self.book.len(),
-            self.yard.pool.open()
+            self.book.open_ops(),
+            self.yard.back.open()
         );
     }
 }
--- a/crates/arrowyard-daemon/src/main.rs
+++ b/crates/arrowyard-daemon/src/main.rs
@@ -1,31 +1,23 @@
 //! The router on sockets: reads what it is told, starts the stages on one thread, and ends when told to.
 
-mod admit;
-mod book;
-mod clock;
-mod count;
-mod discovery;
-mod drain;
-mod http;
-mod limits;
-mod link;
-mod list;
-mod logger;
-mod pool;
-mod probe;
-mod relay;
-mod reload;
-mod roster;
-mod route;
-mod send;
-mod take_in;
-mod waybill;
-
 use std::cell::Cell;
 use std::process::ExitCode;
 use std::rc::Rc;
 
 use arrowyard_charter::manifest;
+use arrowyard_core::admit::Gate;
+use arrowyard_core::clock::{Beat, Clock};
+use arrowyard_core::discovery::Discovery;
+use arrowyard_core::drain::{self, Drain, Stage};
+use arrowyard_core::limits::Limits;
+use arrowyard_core::logger;
+use arrowyard_core::mail::Wish;
+use arrowyard_core::reload::Reload;
+use arrowyard_core::roster::Roster;
+use arrowyard_core::route::{Route, Yard};
+use arrowyard_core::waybill::Waybill;
+use arrowyard_front_pg::PgBack;
+use arrowyard_front_pg::take_in::{Front, Idlers};
 use arrowyard_types::Facts;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
@@ -33,18 +25,6 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 
-use crate::admit::Gate;
-use crate::clock::{Beat, Clock};
-use crate::discovery::{Discovery, Wish};
-use crate::drain::{Drain, Stage};
-use crate::limits::Limits;
-use crate::pool::Pool;
-use crate::reload::Reload;
-use crate::roster::Roster;
-use crate::route::{Route, Yard};
-use crate::take_in::{Front, Idlers};
-use crate::waybill::Waybill;
-
 async fn run(waybill: Waybill) -> Result<(), String> {
     let told = manifest(&waybill.settings)?;
     let limits = Rc::new(Limits::new(&waybill, &told));
@@ -58,8 +38,8 @@
 
     let beat = Beat::new(clock, limits.beat);
     drop(spawn_local(beat.clone().run()));
-    let pool = Pool::new(limits.clone());
-    drop(spawn_local(pool.clone().sweep()));
+    let back = Rc::new(PgBack::new(limits.clone()));
+    drop(spawn_local(back.sweep()));
     let version = Rc::new(Cell::new(waybill.known.as_ref().map(|list| list.version)));
     let discovery =
         Discovery { dial: waybill.discovery, version, mail: mail.clone(), limits: limits.clone() };
@@ -70,9 +50,9 @@
         wishes.send(Wish::Watch(true)).await.map_err(|e| e.to_string())?;
     }
 
-    let gate = Gate::new(&waybill.settings, &told, limits.clone());
+    let gate = Rc::new(Gate::new(&waybill.settings, &told, limits.clone()));
     let roster = Roster::new(&waybill.settings, limits.clone());
-    let yard = Yard { roster, pool, clock, limits: limits.clone(), wishes, mail: mail.clone() };
+    let yard = Yard { roster, back, clock, limits: limits.clone(), wishes, mail: mail.clone() };
     let route = spawn_local(Route::start(yard, waybill.seed, told, waybill.known.as_ref()).run(inbox));
 
     let listener = TcpListener::bind(waybill.listen).await.map_err(|e| format!("{}: {e}", waybill.listen))?;
--- /dev/null
+++ b/crates/arrowyard-front-pg/src/back.rs
@@ -0,0 +1,91 @@
+//! Sends and probes over connections of PostgreSQL's protocol.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use arrowyard_core::Limits;
+use arrowyard_core::back::{Back, Told};
+use arrowyard_core::clock::Clock;
+use arrowyard_core::pool::Pool;
+use arrowyard_pg::Statement;
+use arrowyard_types::{HostId, Outcome, Point, Word};
+use bytes::BytesMut;
+use tokio::time::Instant;
+
+use crate::link::{Parcel, PgLink};
+use crate::probe;
+
+pub struct PgBack {
+    pool: Rc<Pool<PgLink>>,
+    limits: Rc<Limits>,
+}
+
+impl PgBack {
+    pub fn new(limits: Rc<Limits>) -> Self {
+        PgBack { pool: Pool::new(limits.clone()), limits }
+    }
+
+    /// Closes what was idle for too long, for as long as the router runs.
+    pub fn sweep(&self) -> impl Future<Output = ()> + use<> {
+        self.pool.clone().sweep()
+    }
+}
+
+impl Back for PgBack {
+    type Payload = Statement;
+    type Answer = Parcel;
+
+    async fn exchange(
+        &self,
+        host: HostId,
+        dial: SocketAddr,
+        statement: &Statement,
+        until: Point,
+        clock: Clock,
+        written: &Cell<bool>,
+    ) -> Told<Parcel> {
+        let mut link = match self.pool.take(host, dial).await {
+            Ok(link) => link,
+            Err(outcome) => return (outcome, Word::default(), None),
+        };
+        let mut out = BytesMut::new();
+        // Whole milliseconds, and the host must not give up before the router does.
+        let wait = (until - clock.now()).micros().max(0) as u64;
+        statement.put(&mut out, wait.div_ceil(1000));
+        if let Err(broken) = link.write(&out).await {
+            log::debug!("{dial}: not written: {}", broken.0);
+            return (Outcome::ConnectFailed, Word::default(), None);
+        }
+        written.set(true);
+        match link.answer().await {
+            Ok(told) => {
+                if told.ready {
+                    self.pool.put_back(host, link);
+                }
+                let outcome = told.outcome();
+                (outcome, told.word, told.answer.filter(|_| outcome == Outcome::Acked))
+            }
+            Err(broken) => {
+                log::debug!("{dial}: broken: {}", broken.0);
+                (Outcome::Reset, Word::default(), None)
+            }
+        }
+    }
+
+    async fn probe(&self, host: HostId, dial: SocketAddr) -> (Outcome, Word) {
+        probe::run(host, dial, &self.pool, &self.limits).await
+    }
+
+    fn unanswered(&self, host: HostId, since: Instant) {
+        self.pool.unanswered(host, since);
+    }
+
+    fn close_idle(&self, host: HostId) {
+        self.pool.close_idle(host);
+    }
+
+    fn open(&self) -> usize {
+        self.pool.open()
+    }
+}
--- a/crates/arrowyard-daemon/src/link.rs
+++ b/crates/arrowyard-front-pg/src/link.rs
@@ -6,6 +6,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use arrowyard_core::Limits;
+use arrowyard_core::count::Count;
+use arrowyard_core::pool::Link;
 use arrowyard_pg::{Answer, Heard, Malformed, Mode, Status, code, promised, put_startup};
 use arrowyard_types::{Outcome, Point, Role, Word};
 use bytes::BytesMut;
@@ -14,12 +17,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
-use crate::count::Count;
-use crate::limits::Limits;
-
-pub struct Link {
-    pub dial: SocketAddr,
-    pub idle_since: Instant,
+pub struct PgLink {
+    dial: SocketAddr,
+    idle_since: Instant,
     stream: TcpStream,
     came: BytesMut,
     /// The bytes that large answers take, of all links together, and those of the one under way here.
@@ -75,14 +75,13 @@
     }
 }
 
-impl Link {
-    /// Dials the host and is let in; the outcome, if it is not, for a send that was never written.
-    pub async fn open(
+impl Link for PgLink {
+    async fn open(
         dial: SocketAddr,
         count: Count,
         large: Rc<Cell<usize>>,
         limits: Rc<Limits>,
-    ) -> Result<Link, Outcome> {
+    ) -> Result<Self, Outcome> {
         let failed = |why: Broken| {
             log::debug!("{dial} not connected: {}", why.0);
             Outcome::ConnectFailed
@@ -91,7 +90,7 @@
             let stream = TcpStream::connect(dial).await?;
             stream.set_nodelay(true)?;
             let (came, idle_since) = (BytesMut::new(), Instant::now());
-            let mut link = Link {
+            let mut link = PgLink {
                 dial,
                 idle_since,
                 stream,
@@ -116,9 +115,16 @@
         }
     }
 
-    /// Whether it was not idle for too long, and nothing has come meanwhile, not even the end. Danger: a send on a
-    /// dead connection. The socket itself is asked: the runtime only knows what it saw when it last waited.
-    pub fn is_good(&self) -> bool {
+    fn dial(&self) -> SocketAddr {
+        self.dial
+    }
+
+    fn idle_since(&self) -> Instant {
+        self.idle_since
+    }
+
+    /// Danger: a send on a dead connection. The socket itself is asked: the runtime only knows what it saw when it last waited.
+    fn is_good(&self) -> bool {
         let untouched = || {
             let looked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
             looked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
@@ -126,14 +132,15 @@
         self.idle_since.elapsed() < self.limits.idle && self.came.is_empty() && untouched()
     }
 
-    /// Gives the room back that a large answer took.
-    pub fn rest(&mut self) {
+    fn rest(&mut self) {
         (self.idle_since, self.room) = (Instant::now(), None);
         if self.came.is_empty() {
             self.came = BytesMut::new();
         }
     }
+}
 
+impl PgLink {
     pub async fn write(&mut self, command: &[u8]) -> Result<(), Broken> {
         Ok(self.stream.write_all(command).await?)
     }
@@ -205,7 +212,7 @@
     }
 }
 
-impl Link {
+impl PgLink {
     /// The bytes that are missing of a large message. Danger: many large answers at once, each within its limit,
     /// are more than the router's memory holds; one that finds no room breaks off.
     fn make_room(&mut self) -> Result<usize, Broken> {
@@ -268,7 +275,7 @@
                 std::io::Result::Ok(stream)
             });
             let large = Rc::new(Cell::new(taken));
-            let opened = Link::open(dial, Count::one(&Rc::default()), large.clone(), Rc::new(limits)).await;
+            let opened = PgLink::open(dial, Count::one(&Rc::default()), large.clone(), Rc::new(limits)).await;
             let told = opened.expect("it is let in").answer().await;
             assert_eq!(told.is_ok(), fits, "{told:?}");
             assert_eq!(large.get() - taken, if fits { 2 * (value.len() + 10) } else { 0 });
@@ -292,7 +299,7 @@
                 stream.write_all(last)
             });
             let limits = Rc::new(Limits::told(serde_json::json!({})).2);
-            let link = Link::open(dial, Count::one(&Rc::default()), Rc::default(), limits)
+            let link = PgLink::open(dial, Count::one(&Rc::default()), Rc::default(), limits)
                 .await
                 .expect("it is let in");
             assert!(link.is_good());
--- a/crates/arrowyard-daemon/src/probe.rs
+++ b/crates/arrowyard-front-pg/src/probe.rs
@@ -7,11 +7,12 @@
 use bytes::BytesMut;
 use tokio::time::timeout;
 
-use crate::limits::Limits;
-use crate::link::learn;
-use crate::pool::Pool;
+use arrowyard_core::Limits;
+use arrowyard_core::pool::Pool;
 
-pub async fn run(host: HostId, dial: SocketAddr, pool: &Pool, limits: &Limits) -> (Outcome, Word) {
+use crate::link::{PgLink, learn};
+
+pub async fn run(host: HostId, dial: SocketAddr, pool: &Pool<PgLink>, limits: &Limits) -> (Outcome, Word) {
     let none = Word::default();
     let asked = timeout(limits.connect, async {
         let mut link = match pool.take(host, dial).await {
--- a/crates/arrowyard-daemon/src/relay.rs
+++ b/crates/arrowyard-front-pg/src/relay.rs
@@ -1,34 +1,23 @@
 //! The final answer of an op, on its way to the client: one whole answer, written in one piece.
 
 use arrowyard_pg::{code, put_busy, put_error, put_fatal, put_ready};
-use arrowyard_types::Span;
 use bytes::BytesMut;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::time::timeout;
 
-use crate::limits::Limits;
-use crate::link::Parcel;
+use arrowyard_core::{Limits, Reply};
 
-#[derive(Debug, PartialEq)]
-pub enum Reply {
-    Acked(Parcel),
-    /// Trying again is harmless, after this span if one is named.
-    Busy(Option<Span>),
-    Errored,
-    /// The statement cannot be an op of this router.
-    Refused(&'static str),
-}
+use crate::link::Parcel;
 
-impl Reply {
-    pub fn put(&self, out: &mut BytesMut) {
-        match self {
-            Reply::Acked(parcel) => parcel.answer.put(out),
-            Reply::Busy(after) => put_busy(out, after.map(|span| (span.micros().max(0) / 1000) as u64)),
-            Reply::Errored => put_error(out, code::INTERNAL, "not answered; it may have run"),
-            Reply::Refused(why) => put_error(out, code::PROTOCOL_VIOLATION, why),
-        }
-        put_ready(out);
+/// Writes the final answer, and that the router is ready for another command.
+pub fn put(reply: &Reply<Parcel>, out: &mut BytesMut) {
+    match reply {
+        Reply::Acked(parcel) => parcel.answer.put(out),
+        Reply::Busy(after) => put_busy(out, after.map(|span| (span.micros().max(0) / 1000) as u64)),
+        Reply::Errored => put_error(out, code::INTERNAL, "not answered; it may have run"),
+        Reply::Refused(why) => put_error(out, code::PROTOCOL_VIOLATION, why),
     }
+    put_ready(out);
 }
 
 /// The client is told that the router is busy, and that the connection ends.
--- a/crates/arrowyard-daemon/src/take_in.rs
+++ b/crates/arrowyard-front-pg/src/take_in.rs
@@ -4,6 +4,12 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 
+use arrowyard_core::admit::Gate;
+use arrowyard_core::clock::Beat;
+use arrowyard_core::count::Count;
+use arrowyard_core::drain::Stage;
+use arrowyard_core::mail::Mail;
+use arrowyard_core::{Call, Limits, Reply};
 use arrowyard_pg::{
     Asked, Malformed, Opening, Statement, code, greet, put_done, put_empty, put_fatal, put_ready,
 };
@@ -15,18 +21,31 @@
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::admit::Gate;
-use crate::clock::Beat;
-use crate::count::Count;
-use crate::drain::Stage;
-use crate::limits::Limits;
-use crate::relay::{self, Reply};
-use crate::route::Mail;
+use crate::back::PgBack;
+use crate::link::Parcel;
+use crate::relay;
+
+/// What the statement's comment says of its op.
+fn call(statement: &Statement) -> Call<'_> {
+    let Statement { id, wait_ms, op_type, tenant, group, after, again, token, key, .. } = statement;
+    Call {
+        id: *id,
+        op_type,
+        tenant: tenant.as_deref(),
+        group: *group,
+        wait_ms: *wait_ms,
+        after: *after,
+        again: *again,
+        token: *token,
+        session: *key,
+        bytes: statement.bytes(),
+    }
+}
 
 /// What the connections of all clients share.
 pub struct Front {
-    pub gate: Gate,
-    pub mail: mpsc::Sender<Mail>,
+    pub gate: Rc<Gate>,
+    pub mail: mpsc::Sender<Mail<PgBack>>,
     pub clients: Rc<Cell<usize>>,
     pub idlers: Idlers,
     pub stage: watch::Receiver<Stage>,
@@ -226,7 +245,7 @@
                     Ok(statement) => self.op(statement, arrived).await?,
                     Err(Malformed(why)) => Reply::Refused(why),
                 };
-                reply.put(&mut self.out);
+                relay::put(&reply, &mut self.out);
                 return self.write().await;
             }
         }
@@ -235,8 +254,8 @@
     }
 
     /// One op, from its admission to its final answer.
-    async fn op(&mut self, statement: Statement, arrived: Point) -> Result<Reply, Ended> {
-        let (ask, _open) = match self.front.gate.admit(&statement, arrived) {
+    async fn op(&mut self, statement: Statement, arrived: Point) -> Result<Reply<Parcel>, Ended> {
+        let (ask, _open) = match self.front.gate.admit(call(&statement), arrived) {
             Ok(admitted) => admitted,
             Err(reply) => return Ok(reply),
         };
--- a/crates/arrowyard-pg/src/statement.rs
+++ b/crates/arrowyard-pg/src/statement.rs
@@ -22,8 +22,8 @@
     /// The session's last commit, as Unix time in milliseconds; 0 for none.
     pub after: Option<i64>,
     pub again: bool,
-    /// Whether it carries a mark by which a repeat is known.
-    pub marked: bool,
+    /// The token by which a repeat is known, if it carries one.
+    pub token: Option<u64>,
     /// The quoted key after the comment.
     pub key: Option<u64>,
 }
@@ -34,7 +34,7 @@
         let start = start.ok_or(Malformed("a statement has no comment"))? + 2;
         let end = start + text[start..].find("*/").ok_or(Malformed("a comment has no end"))?;
         let (mut wait, mut op_type, mut tenant, mut group) = (None, None, None, 0);
-        let (mut after, mut again, mut marked, mut id) = (None, false, false, None);
+        let (mut after, mut again, mut token, mut id) = (None, false, None, None);
         let mut at = start;
         for part in text[start..end].split(',') {
             let number = Malformed("a number of a comment is not one");
@@ -51,7 +51,7 @@
                 }
                 "cluster" => group = trimmed.parse().map_err(|_| number)?,
                 "after" => after = Some(trimmed.parse().map_err(|_| number)?),
-                "k" => marked = !trimmed.is_empty(),
+                "k" => token = Some(trimmed).filter(|mark| !mark.is_empty()).map(key),
                 "r" => again = trimmed == "1",
                 _ => {}
             }
@@ -61,7 +61,7 @@
         let (wait_at, wait_ms) = wait.ok_or(Malformed("a comment has no d"))?;
         let op_type = op_type.ok_or(Malformed("a comment has no c"))?;
         let key = text[end..].split('\'').nth(1).map(key);
-        Ok(Statement { text, wait_at, id, wait_ms, op_type, tenant, group, after, again, marked, key })
+        Ok(Statement { text, wait_at, id, wait_ms, op_type, tenant, group, after, again, token, key })
     }
 
     /// The bytes of its text.
