An operator's file with every fault in one report, a command line, structured logs

Need: subsystems to come are set in a file of the operator's own, faults of which must be told all at once with their places; one binary needs several commands; logs were free text by a hand-made logger.

Change: crates/arrowyard-yardbook reads protobuf text format by the schema in proto/ (protox and prost-build at build, prost-reflect for the values). A walk beside the schema finds unknown and repeated names and values of the wrong kind, all of them with line, column and field; a check finds values out of range and rows that contradict each other. Logs are events of tracing with named fields, as text or JSON lines, within the same bound on lines a second.

--- a/crates/arrowyard-core/src/discovery.rs
+++ b/crates/arrowyard-core/src/discovery.rs
@@ -57,7 +57,8 @@
 
     async fn call(self, watch: bool) {
         if let Err(why) = self.read(watch).await {
-            log::warn!("{} of the list failed: {why}", if watch { "watch" } else { "fetch" });
+            let call = if watch { "watch" } else { "fetch" };
+            tracing::warn!("{call} of the list failed: {why}");
             // The route stage is gone only when the router ends.
             let _ = self.mail.send(Mail::News(News::ListFailed)).await;
         }
--- a/crates/arrowyard-core/src/drain.rs
+++ b/crates/arrowyard-core/src/drain.rs
@@ -32,8 +32,8 @@
     /// Returns once a signal has come and no client is left, or the last ops have had their time.
     pub async fn run(&self, (mut terminate, mut interrupt): (Signal, Signal)) {
         tokio::select! {
-            _ = terminate.recv() => log::info!("SIGTERM: ending, {} clients", self.clients.get()),
-            _ = interrupt.recv() => log::info!("SIGINT: ending, {} clients", self.clients.get()),
+            _ = terminate.recv() => tracing::info!(clients = self.clients.get(), "SIGTERM: ending"),
+            _ = interrupt.recv() => tracing::info!(clients = self.clients.get(), "SIGINT: ending"),
         }
         sleep(self.limits.accept).await;
         self.stage.send_replace(Stage::Closing);
@@ -41,6 +41,6 @@
         while self.clients.get() > 0 && Instant::now() < last {
             sleep(self.limits.pause).await;
         }
-        log::info!("ended with {} clients", self.clients.get());
+        tracing::info!(clients = self.clients.get(), "ended");
     }
 }
--- a/crates/arrowyard-core/src/list.rs
+++ b/crates/arrowyard-core/src/list.rs
@@ -39,7 +39,7 @@
             // Danger: one line that makes no sense, and the news of all other hosts is lost with it.
             lines: lines
                 .iter()
-                .filter_map(|line| Line::of(line).map_err(|why| log::warn!("{why}")).ok())
+                .filter_map(|line| Line::of(line).map_err(|why| tracing::warn!("{why}")).ok())
                 .collect(),
         })
     }
--- a/crates/arrowyard-core/src/logger.rs
+++ b/crates/arrowyard-core/src/logger.rs
@@ -1,62 +1,209 @@
-//! The router's own logger: a line an event on standard error, and only so many a second.
+//! Structured logs: a line an event on standard error, as text or as JSON, and only so many a second. Fields are
+//! named alike wherever they stand: op, host, group, tenant, cell, send, outcome.
 
-use std::io::Write;
+use std::fmt::Write as _;
+use std::io::Write as _;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use log::{LevelFilter, Log, Metadata, Record};
+use serde_json::{Map, Value};
+use tracing::field::{Field, Visit};
+use tracing::level_filters::LevelFilter;
+use tracing::{Event, Subscriber};
+use tracing_subscriber::Layer;
+use tracing_subscriber::layer::{Context, SubscriberExt};
 
-struct Logger {
-    name: String,
-    most: u32,
+/// How lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Form {
+    /// For people.
+    #[default]
+    Text,
+    /// For programs, one object a line.
+    Json,
+}
+
+/// What is logged, and how.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Logbook {
+    /// Which router speaks.
+    pub name: String,
+    pub form: Form,
+    pub level: LevelFilter,
+    /// Lines of a second at most, up to the level `info`.
+    pub lines: u32,
+}
+
+impl Logbook {
+    /// Of a router without an operator's file: `ARROWYARD_LOG` names the level, `info` otherwise.
+    pub fn plain(name: &str, lines: u32) -> Self {
+        let told = std::env::var("ARROWYARD_LOG").ok().and_then(|level| level.parse().ok());
+        let level = told.unwrap_or(LevelFilter::INFO);
+        Logbook { name: name.to_string(), form: Form::Text, level, lines }
+    }
+}
+
+/// Starts logging; a second router in one process logs as the first.
+pub fn start(book: Logbook) {
+    let (level, lines) = (book.level, Lines { book, bound: Bound::default() });
+    let subscriber = tracing_subscriber::registry().with(lines.with_filter(level));
+    // Fails only where one was set before, as by a second router in one test.
+    let _ = tracing::subscriber::set_global_default(subscriber);
+}
+
+/// Counts the lines of a second.
+#[derive(Default)]
+struct Bound {
     second: AtomicU64,
     lines: AtomicU32,
     dropped: AtomicU32,
 }
 
-impl Log for Logger {
-    fn enabled(&self, metadata: &Metadata) -> bool {
-        metadata.level() <= log::max_level()
+impl Bound {
+    /// How many lines were not written since the last one that was; nothing if this one is not to be either.
+    fn pass(&self, second: u64, most: u32) -> Option<u32> {
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.lines.store(0, Ordering::Relaxed);
+        }
+        if self.lines.fetch_add(1, Ordering::Relaxed) >= most {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return None;
+        }
+        Some(self.dropped.swap(0, Ordering::Relaxed))
     }
+}
+
+struct Lines {
+    book: Logbook,
+    bound: Bound,
+}
 
-    fn log(&self, record: &Record) {
-        if !self.enabled(record.metadata()) {
-            return;
+/// What an event says: its message, and its fields in order.
+#[derive(Default)]
+struct Said {
+    message: String,
+    fields: Vec<(&'static str, Value)>,
+}
+
+impl Said {
+    fn put(&mut self, field: &Field, value: Value) {
+        self.fields.push((field.name(), value));
+    }
+}
+
+impl Visit for Said {
+    fn record_debug(&mut self, field: &Field, value: &dyn std::fmt::Debug) {
+        match field.name() {
+            "message" => drop(write!(self.message, "{value:?}")),
+            _ => self.put(field, Value::String(format!("{value:?}"))),
         }
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let second = now.as_secs();
-        if self.second.swap(second, Ordering::Relaxed) != second {
-            self.lines.store(0, Ordering::Relaxed);
+    }
+
+    fn record_str(&mut self, field: &Field, value: &str) {
+        match field.name() {
+            "message" => self.message.push_str(value),
+            _ => self.put(field, Value::String(value.to_string())),
         }
+    }
+
+    fn record_f64(&mut self, field: &Field, value: f64) {
+        self.put(field, value.into());
+    }
+
+    fn record_i64(&mut self, field: &Field, value: i64) {
+        self.put(field, value.into());
+    }
+
+    fn record_u64(&mut self, field: &Field, value: u64) {
+        self.put(field, value.into());
+    }
+
+    fn record_bool(&mut self, field: &Field, value: bool) {
+        self.put(field, value.into());
+    }
+}
+
+impl Said {
+    fn line(self, book: &Logbook, unix_ms: u128, level: &str, stage: &str, dropped: u32) -> String {
+        let (seconds, millis) = (unix_ms / 1000, unix_ms % 1000);
+        if book.form == Form::Json {
+            let mut object = Map::new();
+            object.insert("unix_ms".to_string(), Value::from(unix_ms as u64));
+            let head = [("router", book.name.as_str()), ("level", level), ("stage", stage)];
+            let head = head.map(|(name, text)| (name.to_string(), Value::from(text)));
+            object.extend(head);
+            object.insert("message".to_string(), self.message.into());
+            object.extend(self.fields.into_iter().map(|(name, value)| (name.to_string(), value)));
+            if dropped > 0 {
+                object.insert("not_written".to_string(), dropped.into());
+            }
+            return Value::Object(object).to_string();
+        }
+        let mut line = format!("{seconds}.{millis:03} {} {level} {stage}: {}", book.name, self.message);
+        for (name, value) in self.fields {
+            let _ = match value {
+                Value::String(text) => write!(line, " {name}={text}"),
+                other => write!(line, " {name}={other}"),
+            };
+        }
+        if dropped > 0 {
+            let _ = write!(line, " (and {dropped} lines not written)");
+        }
+        // Danger: what others sent is quoted, and a line end in it would begin a line of its own.
+        if line.contains(char::is_control) {
+            line = line.replace(char::is_control, " ");
+        }
+        line
+    }
+}
+
+impl<S: Subscriber> Layer<S> for Lines {
+    fn on_event(&self, event: &Event<'_>, _: Context<'_, S>) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         // Danger: whoever reads the log is slow, and a storm of lines stops the router. Who asks for a trace
         // wants all of it.
-        let bound = log::max_level() <= LevelFilter::Info;
-        if bound && self.lines.fetch_add(1, Ordering::Relaxed) >= self.most {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
-            return;
-        }
-        let dropped = self.dropped.swap(0, Ordering::Relaxed);
-        let stage = record.target().rsplit("::").next().unwrap_or_default();
-        let head = format!("{}.{:03} {}", second, now.subsec_millis(), self.name);
-        let more = if dropped > 0 { format!(" (and {dropped} lines not written)") } else { String::new() };
+        let most = if self.book.level <= LevelFilter::INFO { self.book.lines } else { u32::MAX };
+        let Some(dropped) = self.bound.pass(now.as_secs(), most) else { return };
+        let mut said = Said::default();
+        event.record(&mut said);
+        let (level, target) = (event.metadata().level().as_str(), event.metadata().target());
+        let stage = target.rsplit("::").next().unwrap_or_default();
+        let line = said.line(&self.book, now.as_millis(), level, stage, dropped);
         // A log that cannot be written is no reason to stop.
-        let _ = writeln!(std::io::stderr(), "{head} {} {stage}: {}{more}", record.level(), record.args());
+        let _ = writeln!(std::io::stderr(), "{line}");
     }
-
-    fn flush(&self) {}
 }
 
-/// `ARROWYARD_LOG` names the level; `info` otherwise.
-pub fn start(name: &str, most: u32) {
-    let told = std::env::var("ARROWYARD_LOG").ok().and_then(|level| level.parse().ok());
-    log::set_max_level(told.unwrap_or(LevelFilter::Info));
-    let logger = Logger {
-        name: name.to_string(),
-        most,
-        second: AtomicU64::new(0),
-        lines: AtomicU32::new(0),
-        dropped: AtomicU32::new(0),
-    };
-    // Fails only where a logger was set before, as by a second router in one test.
-    let _ = log::set_boxed_logger(Box::new(logger));
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_beyond_the_bound_are_counted_and_told_with_the_next_one() {
+        let bound = Bound::default();
+        assert_eq!(
+            [bound.pass(1, 2), bound.pass(1, 2), bound.pass(1, 2), bound.pass(1, 2)],
+            [Some(0), Some(0), None, None]
+        );
+        assert_eq!([bound.pass(2, 2), bound.pass(2, 2)], [Some(2), Some(0)]);
+    }
+
+    #[test]
+    fn a_line_is_one_line_whatever_is_quoted_and_json_can_be_read() {
+        for (form, wanted) in
+            [(Form::Text, "1.002 n0 WARN admit: no room cell=a tenant=x y z"), (Form::Json, "")]
+        {
+            let book = Logbook { name: "n0".to_string(), form, level: LevelFilter::INFO, lines: 9 };
+            let fields = vec![("cell", Value::from("a")), ("tenant", Value::from("x\ny\u{1b}z"))];
+            let line = Said { message: "no room".to_string(), fields }.line(&book, 1002, "WARN", "admit", 0);
+            assert!(!line.contains(char::is_control), "{line}");
+            match form {
+                Form::Text => assert_eq!(line, wanted),
+                Form::Json => {
+                    let told: Value = serde_json::from_str(&line).expect("it is JSON");
+                    assert_eq!((&told["tenant"], &told["unix_ms"]), (&"x\ny\u{1b}z".into(), &1002.into()));
+                }
+            }
+        }
+    }
 }
--- a/crates/arrowyard-core/src/reload.rs
+++ b/crates/arrowyard-core/src/reload.rs
@@ -21,11 +21,11 @@
         while hangup.recv().await.is_some() {
             match self.read().await {
                 Ok(waybill) => {
-                    log::info!("SIGHUP: discovery at {}", waybill.discovery);
+                    tracing::info!(discovery = %waybill.discovery, "SIGHUP: the file was read again");
                     // Discovery's task is gone only when the router ends.
                     let _ = self.wishes.send(Wish::Move(waybill.discovery)).await;
                 }
-                Err(why) => log::error!("SIGHUP: nothing changes: {why}"),
+                Err(why) => tracing::error!("SIGHUP: nothing changes: {why}"),
             }
         }
     }
--- a/crates/arrowyard-core/src/roster.rs
+++ b/crates/arrowyard-core/src/roster.rs
@@ -83,7 +83,8 @@
         self.dials[place] = line.dial.or(self.dials[place]);
         let last = &mut self.last[place];
         if last.availability != line.availability || known.is_none() {
-            log::info!("host {} is {:?}, dial {:?}", line.host, line.availability, self.dials[place]);
+            let dial = self.dials[place];
+            tracing::info!(host = line.host, dial = ?dial, "host is {:?}", line.availability);
         }
         last.availability = line.availability;
         last.group = line.group.map_or(last.group, GroupId);
--- a/crates/arrowyard-core/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -67,7 +67,7 @@
             };
             let Some(note) = note else { continue };
             let now = self.yard.clock.now();
-            log::trace!("{} {note:?}", now.micros());
+            tracing::trace!(at = now.micros(), "{note:?}");
             self.router.take(now, note, &mut actions);
             actions.drain(..).for_each(|action| self.carry_out(now, action));
         }
@@ -111,14 +111,14 @@
         let latest = self.yard.clock.now() + self.yard.limits.ahead;
         let position = word.position.filter(|&position| position <= latest);
         if position != word.position {
-            log::warn!("a position in the future is ignored: {word:?}");
+            tracing::warn!(?word, "a position in the future is ignored");
         }
         Word { position, ..word }
     }
 
     fn carry_out(&mut self, now: Point, action: Action) {
         let Yard { roster, back, clock, wishes, mail, .. } = &self.yard;
-        log::trace!("{} {action:?}", now.micros());
+        tracing::trace!(at = now.micros(), "{action:?}");
         match action {
             Action::Send { op, host, until } => {
                 let Some((send, payload, called_off)) = self.book.send(op) else { return };
@@ -157,23 +157,23 @@
             Action::CloseIdle { host } => back.close_idle(host),
             // Routers on sockets have no way to talk to each other yet.
             Action::Tell { .. } => {}
-            Action::Log { text } => log::info!("{text}"),
+            Action::Log { text } => tracing::info!("{text}"),
         }
     }
 
     fn tally(&mut self) {
         let tally = std::mem::take(&mut self.book.tally);
         self.tallied = Instant::now();
-        log::info!(
-            "acked {} busy {} errored {} gone {}; sends {} lost {}; open ops {} links {}",
-            tally.acked,
-            tally.busy,
-            tally.errored,
-            tally.gone,
-            tally.sends,
-            tally.lost_sends,
-            self.book.open_ops(),
-            self.yard.back.open()
+        tracing::info!(
+            acked = tally.acked,
+            busy = tally.busy,
+            errored = tally.errored,
+            gone = tally.gone,
+            sends = tally.sends,
+            lost = tally.lost_sends,
+            open_ops = self.book.open_ops(),
+            links = self.yard.back.open(),
+            "tally"
         );
     }
 }
@@ -181,6 +181,6 @@
 fn wish(wishes: &mpsc::Sender<Wish>, wish: Wish) {
     // Danger: discovery hangs, and the route stage with it. It never waits for room.
     if wishes.try_send(wish).is_err() {
-        log::warn!("discovery takes no more wishes, {wish:?} is dropped");
+        tracing::warn!(?wish, "discovery takes no more wishes, one is dropped");
     }
 }
--- a/crates/arrowyard-daemon/src/main.rs
+++ b/crates/arrowyard-daemon/src/main.rs
@@ -1,85 +1,94 @@
-//! The router on sockets: reads what it is told, starts the stages on one thread, and ends when told to.
+//! The command line of arrowyard.
 
-use std::cell::Cell;
+mod serve;
+
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::rc::Rc;
 
-use arrowyard_charter::manifest;
-use arrowyard_core::admit::Gate;
-use arrowyard_core::clock::{Beat, Clock};
-use arrowyard_core::discovery::Discovery;
-use arrowyard_core::drain::{self, Drain, Stage};
-use arrowyard_core::limits::Limits;
-use arrowyard_core::logger;
-use arrowyard_core::mail::Wish;
-use arrowyard_core::reload::Reload;
-use arrowyard_core::roster::Roster;
-use arrowyard_core::route::{Route, Yard};
-use arrowyard_core::waybill::Waybill;
-use arrowyard_front_pg::PgBack;
-use arrowyard_front_pg::take_in::{Front, Idlers};
-use arrowyard_types::Facts;
-use tokio::net::TcpListener;
-use tokio::runtime::Builder;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
-use tokio::task::{LocalSet, spawn_local};
+use clap::{Args, Parser, Subcommand};
+use serde_json::json;
 
-async fn run(waybill: Waybill) -> Result<(), String> {
-    let told = manifest(&waybill.settings)?;
-    let limits = Rc::new(Limits::new(&waybill, &told));
-    logger::start(&waybill.name, limits.log_lines);
-    let signals = drain::signals().map_err(|e| format!("signals: {e}"))?;
-    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
-    let clock = Clock::start();
-    let (mail, inbox) = mpsc::channel(limits.inbox);
-    let (wishes, wished) = mpsc::channel(limits.inbox);
-    let (stage, staged) = watch::channel(Stage::Serving);
+/// A router that spreads reads over database replicas and sends writes to the primary.
+///
+/// With no command it serves, as with `run`. What the platform tells it stands in the file that RELAY_CONFIG names.
+///
+/// Exit codes: 0 done; 1 a file that was to be checked has faults; 2 what was asked for could not be done, or the
+/// router could not start or go on.
+#[derive(Parser)]
+#[command(name = "arrowyard", version, max_term_width = 110)]
+struct Line {
+    #[command(subcommand)]
+    command: Option<Command>,
+    #[command(flatten)]
+    run: Run,
+}
 
-    let beat = Beat::new(clock, limits.beat);
-    drop(spawn_local(beat.clone().run()));
-    let back = Rc::new(PgBack::new(limits.clone()));
-    drop(spawn_local(back.sweep()));
-    let version = Rc::new(Cell::new(waybill.known.as_ref().map(|list| list.version)));
-    let discovery =
-        Discovery { dial: waybill.discovery, version, mail: mail.clone(), limits: limits.clone() };
-    drop(spawn_local(discovery.run(wished)));
-    drop(spawn_local(Reload { wishes: wishes.clone(), limits: limits.clone() }.run(hangup)));
-    if told.text("list") != "ask" {
-        // Where lists come unasked, the module does not ask.
-        wishes.send(Wish::Watch(true)).await.map_err(|e| e.to_string())?;
-    }
+#[derive(Subcommand)]
+enum Command {
+    /// Serve till SIGTERM; then finish the ops in hand and end.
+    Run(Run),
+    /// Check an operator's file and report every fault, each with its line and column.
+    Check(Check),
+}
 
-    let gate = Rc::new(Gate::new(&waybill.settings, &told, limits.clone()));
-    let roster = Roster::new(&waybill.settings, limits.clone());
-    let yard = Yard { roster, back, clock, limits: limits.clone(), wishes, mail: mail.clone() };
-    let route = spawn_local(Route::start(yard, waybill.seed, told, waybill.known.as_ref()).run(inbox));
+#[derive(Args)]
+struct Run {
+    /// The operator's own file, in protobuf's text format (see deploy/yardbook.txtpb); without one all that it can
+    /// set is off.
+    #[arg(long, value_name = "FILE", env = "ARROWYARD_BOOK")]
+    book: Option<PathBuf>,
+}
 
-    let listener = TcpListener::bind(waybill.listen).await.map_err(|e| format!("{}: {e}", waybill.listen))?;
-    let address = listener.local_addr().map_err(|e| e.to_string())?;
-    log::info!("serving at {address}, discovery at {}", waybill.discovery);
-    let clients = Rc::new(Cell::new(0));
-    let drain = Drain { stage, clients: clients.clone(), limits: limits.clone() };
-    let front = Front { gate, mail, clients, idlers: Idlers::default(), stage: staged, beat, limits };
-    drop(spawn_local(Rc::new(front).listen(listener)));
-    tokio::select! {
-        () = drain.run(signals) => Ok(()),
-        // Danger: a router that takes ops and answers none. Better that it ends and is started anew.
-        ended = route => Err(format!("the route stage ended: {ended:?}")),
-    }
+#[derive(Args)]
+struct Check {
+    /// The operator's file.
+    file: PathBuf,
+    /// Report as one JSON object: {"file", "ok", "faults": [{"line", "column", "field", "what"}]}.
+    #[arg(long)]
+    json: bool,
 }
 
-fn main() -> ExitCode {
-    let started = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string());
-    let ended = started.and_then(|runtime| {
-        let waybill = Waybill::read()?;
-        LocalSet::new().block_on(&runtime, run(waybill))
-    });
-    match ended {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            eprintln!("arrowyard: {}", why.replace('\n', " "));
-            ExitCode::from(2)
+const FAULTS: u8 = 1;
+const FAILED: u8 = 2;
+
+fn check(file: &Path, as_json: bool) -> Result<ExitCode, String> {
+    let text = std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+    let read = arrowyard_yardbook::read(&text);
+    let faults = read.as_ref().err().map(Vec::as_slice).unwrap_or_default();
+    if as_json {
+        let rows = faults.iter().map(|fault| {
+            json!({"line": fault.place.line, "column": fault.place.column, "field": fault.field, "what": fault.what})
+        });
+        let report = json!({"file": file, "ok": faults.is_empty(), "faults": rows.collect::<Vec<_>>()});
+        println!("{report}");
+    } else {
+        faults.iter().for_each(|fault| println!("{}:{fault}", file.display()));
+        match faults.len() {
+            0 => println!("{}: nothing is wrong with it", file.display()),
+            count => println!("{}: {count} faults; a router would refuse it whole", file.display()),
         }
     }
+    Ok(if faults.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(FAULTS) })
+}
+
+/// Nothing is asked for where the platform starts it: without a word, and without a file of the operator's. The
+/// command line's parser stays out of memory then.
+fn command() -> Option<Command> {
+    if std::env::args_os().len() == 1 && std::env::var_os("ARROWYARD_BOOK").is_none() {
+        return None;
+    }
+    let Line { command, run } = Line::parse();
+    Some(command.unwrap_or(Command::Run(run)))
+}
+
+fn main() -> ExitCode {
+    let done = match command() {
+        None => serve::serve(None).map(|()| ExitCode::SUCCESS),
+        Some(Command::Run(run)) => serve::serve(run.book.as_deref()).map(|()| ExitCode::SUCCESS),
+        Some(Command::Check(Check { file, json })) => check(&file, json),
+    };
+    done.unwrap_or_else(|why| {
+        eprintln!("arrowyard: {}", why.replace('\n', "\narrowyard: "));
+        ExitCode::from(FAILED)
+    })
 }
--- /dev/null
+++ b/crates/arrowyard-daemon/src/serve.rs
@@ -0,0 +1,94 @@
+//! One router in service: the stages are started on one thread, and end when told to.
+
+use std::cell::Cell;
+use std::path::Path;
+use std::rc::Rc;
+
+use arrowyard_charter::manifest;
+use arrowyard_core::admit::Gate;
+use arrowyard_core::clock::{Beat, Clock};
+use arrowyard_core::discovery::Discovery;
+use arrowyard_core::drain::{self, Drain, Stage};
+use arrowyard_core::limits::Limits;
+use arrowyard_core::logger::{self, Form, Logbook};
+use arrowyard_core::mail::Wish;
+use arrowyard_core::reload::Reload;
+use arrowyard_core::roster::Roster;
+use arrowyard_core::route::{Route, Yard};
+use arrowyard_core::waybill::Waybill;
+use arrowyard_front_pg::PgBack;
+use arrowyard_front_pg::take_in::{Front, Idlers};
+use arrowyard_types::Facts;
+use arrowyard_yardbook::{Yardbook, schema};
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+
+/// How the log is kept: as the operator's file says, else as without one.
+fn logbook(name: &str, lines: u32, book: Option<&Yardbook>) -> Logbook {
+    let plain = Logbook::plain(name, lines);
+    let Some(log) = book.and_then(|book| book.log.as_ref()) else { return plain };
+    Logbook {
+        form: if log.form() == schema::Form::Json { Form::Json } else { Form::Text },
+        level: log.level.as_ref().and_then(|level| level.parse().ok()).unwrap_or(plain.level),
+        lines: log.lines_a_second.unwrap_or(lines),
+        ..plain
+    }
+}
+
+async fn run(waybill: Waybill, book: Option<Yardbook>) -> Result<(), String> {
+    let told = manifest(&waybill.settings)?;
+    let limits = Rc::new(Limits::new(&waybill, &told));
+    logger::start(logbook(&waybill.name, limits.log_lines, book.as_ref()));
+    let signals = drain::signals().map_err(|e| format!("signals: {e}"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
+    let clock = Clock::start();
+    let (mail, inbox) = mpsc::channel(limits.inbox);
+    let (wishes, wished) = mpsc::channel(limits.inbox);
+    let (stage, staged) = watch::channel(Stage::Serving);
+
+    let beat = Beat::new(clock, limits.beat);
+    drop(spawn_local(beat.clone().run()));
+    let back = Rc::new(PgBack::new(limits.clone()));
+    drop(spawn_local(back.sweep()));
+    let version = Rc::new(Cell::new(waybill.known.as_ref().map(|list| list.version)));
+    let discovery =
+        Discovery { dial: waybill.discovery, version, mail: mail.clone(), limits: limits.clone() };
+    drop(spawn_local(discovery.run(wished)));
+    drop(spawn_local(Reload { wishes: wishes.clone(), limits: limits.clone() }.run(hangup)));
+    if told.text("list") != "ask" {
+        // Where lists come unasked, the module does not ask.
+        wishes.send(Wish::Watch(true)).await.map_err(|e| e.to_string())?;
+    }
+
+    let gate = Rc::new(Gate::new(&waybill.settings, &told, limits.clone()));
+    let roster = Roster::new(&waybill.settings, limits.clone());
+    let yard = Yard { roster, back, clock, limits: limits.clone(), wishes, mail: mail.clone() };
+    let route = spawn_local(Route::start(yard, waybill.seed, told, waybill.known.as_ref()).run(inbox));
+
+    let listener = TcpListener::bind(waybill.listen).await.map_err(|e| format!("{}: {e}", waybill.listen))?;
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    tracing::info!("serving at {address}, discovery at {}", waybill.discovery);
+    let clients = Rc::new(Cell::new(0));
+    let drain = Drain { stage, clients: clients.clone(), limits: limits.clone() };
+    let front = Front { gate, mail, clients, idlers: Idlers::default(), stage: staged, beat, limits };
+    drop(spawn_local(Rc::new(front).listen(listener)));
+    tokio::select! {
+        () = drain.run(signals) => Ok(()),
+        // Danger: a router that takes ops and answers none. Better that it ends and is started anew.
+        ended = route => Err(format!("the route stage ended: {ended:?}")),
+    }
+}
+
+/// Serves till it is told to end, with the operator's file if there is one.
+///
+/// # Errors
+/// What it could not start with, or why it ended.
+pub fn serve(book: Option<&Path>) -> Result<(), String> {
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let book = book.map(arrowyard_yardbook::load).transpose()?;
+    let waybill = Waybill::read()?;
+    LocalSet::new().block_on(&runtime, run(waybill, book))
+}
--- a/crates/arrowyard-front-pg/src/back.rs
+++ b/crates/arrowyard-front-pg/src/back.rs
@@ -54,7 +54,7 @@
         let wait = (until - clock.now()).micros().max(0) as u64;
         statement.put(&mut out, wait.div_ceil(1000));
         if let Err(broken) = link.write(&out).await {
-            log::debug!("{dial}: not written: {}", broken.0);
+            tracing::debug!(%dial, "not written: {}", broken.0);
             return (Outcome::ConnectFailed, Word::default(), None);
         }
         written.set(true);
@@ -67,7 +67,7 @@
                 (outcome, told.word, told.answer.filter(|_| outcome == Outcome::Acked))
             }
             Err(broken) => {
-                log::debug!("{dial}: broken: {}", broken.0);
+                tracing::debug!(%dial, "broken: {}", broken.0);
                 (Outcome::Reset, Word::default(), None)
             }
         }
--- a/crates/arrowyard-front-pg/src/link.rs
+++ b/crates/arrowyard-front-pg/src/link.rs
@@ -83,7 +83,7 @@
         limits: Rc<Limits>,
     ) -> Result<Self, Outcome> {
         let failed = |why: Broken| {
-            log::debug!("{dial} not connected: {}", why.0);
+            tracing::debug!(%dial, "not connected: {}", why.0);
             Outcome::ConnectFailed
         };
         let opened = timeout(limits.connect, async {
--- a/crates/arrowyard-front-pg/src/probe.rs
+++ b/crates/arrowyard-front-pg/src/probe.rs
@@ -31,7 +31,7 @@
         let (outcome, mut word) = (told.outcome(), told.word);
         let row = told.answer.as_ref().and_then(|parcel| value(&parcel.answer.row));
         let text = row.as_deref().map(String::from_utf8_lossy);
-        log::trace!("{dial}: probe: {outcome:?} {text:?} {word:?}");
+        tracing::trace!(%dial, ?outcome, "probe: {text:?} {word:?}");
         let told = text.as_deref().and_then(report);
         if outcome == Outcome::Acked && told.is_none() {
             // Danger: a report that cannot be read, taken for word that all is well.
--- a/crates/arrowyard-front-pg/src/take_in.rs
+++ b/crates/arrowyard-front-pg/src/take_in.rs
@@ -114,7 +114,7 @@
                     }
                 }
                 Err(error) => {
-                    log::warn!("a client could not be accepted: {error}");
+                    tracing::warn!("a client could not be accepted: {error}");
                     sleep(self.limits.pause).await;
                 }
             }
@@ -309,7 +309,7 @@
     }
 
     async fn malformed<T>(&mut self, Malformed(why): Malformed) -> Result<T, Ended> {
-        log::warn!("a client broke the protocol: {why}");
+        tracing::warn!("a client broke the protocol: {why}");
         self.fatal(code::PROTOCOL_VIOLATION, why).await
     }
 
--- /dev/null
+++ b/crates/arrowyard-yardbook/src/check.rs
@@ -0,0 +1,384 @@
+//! What a file says must be possible by itself and agree with the rest of it: values within their range, names that
+//! are there, rows that do not contradict each other. All faults are found, not only the first.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+
+use ipnet::IpNet;
+
+use crate::places::Places;
+use crate::schema::{Cell, Cells, Lease, Log, Move, Net, Pace, Release, Repeats, Rest, Step, Tenant};
+use crate::{Fault, Yardbook};
+
+/// Cells at most, and rows of hosts in each.
+const MOST_CELLS: usize = 4096;
+/// What a text may be at most, in bytes.
+const MOST_TEXT: usize = 256;
+/// 2200-01-01, in Unix milliseconds: a point later than this is a slip of units.
+const LATEST_MS: u64 = 7_258_118_400_000;
+
+struct Checker<'a> {
+    places: &'a Places,
+    faults: Vec<Fault>,
+}
+
+/// Every fault of the book.
+pub fn check(book: &Yardbook, places: &Places) -> Vec<Fault> {
+    let mut checker = Checker { places, faults: Vec::new() };
+    if book.epoch == Some(0) {
+        checker.fault("epoch", "it is 1 at least, and grows with each edit".to_string());
+    }
+    if let Some(log) = &book.log {
+        checker.log(log);
+    }
+    if let Some(cells) = &book.cells {
+        if book.epoch.is_none() {
+            checker
+                .fault("cells", "a file with cells has an epoch, by which an older one is told".to_string());
+        }
+        checker.cells(cells);
+    }
+    checker.faults
+}
+
+impl Checker<'_> {
+    fn fault(&mut self, field: &str, what: String) {
+        self.faults.push(Fault { place: self.places.of(field), field: field.to_string(), what });
+    }
+
+    fn number<T: PartialOrd + std::fmt::Display>(&mut self, field: &str, told: Option<T>, least: T, most: T) {
+        // A number that is none is in no range.
+        if let Some(number) = told.filter(|number| !(*number >= least && *number <= most)) {
+            self.fault(field, format!("{number} is out of range, {least} to {most}"));
+        }
+    }
+
+    fn name(&mut self, field: &str, told: Option<&str>) {
+        match told {
+            None => self.fault(field, "it has to be given".to_string()),
+            Some("") => self.fault(field, "it is empty".to_string()),
+            Some(text) if text.len() > MOST_TEXT => {
+                self.fault(field, format!("{} bytes, {MOST_TEXT} at most", text.len()));
+            }
+            Some(text) if text.chars().any(char::is_control) => {
+                self.fault(field, "it holds a control character".to_string());
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn log(&mut self, log: &Log) {
+        if let Some(level) = &log.level
+            && !["error", "warn", "info", "debug", "trace"].contains(&level.as_str())
+        {
+            self.fault("log.level", format!("{level:?} is none of error, warn, info, debug, trace"));
+        }
+        self.number("log.lines_a_second", log.lines_a_second, 1, 1_000_000);
+    }
+
+    fn cells(&mut self, cells: &Cells) {
+        if cells.cell.is_empty() {
+            self.fault("cells", "there is no cell; leave cells out to have none".to_string());
+        }
+        if cells.cell.len() > MOST_CELLS {
+            self.fault("cells", format!("{} cells, {MOST_CELLS} at most", cells.cell.len()));
+        }
+        self.number("cells.call_back_ms", cells.call_back_ms, 1, 60_000);
+        let mut names: HashMap<&str, usize> = HashMap::new();
+        for (row, cell) in cells.cell.iter().enumerate() {
+            let path = format!("cells.cell[{row}]");
+            self.cell(&path, cell);
+            if let Some(first) = names.insert(cell.name(), row) {
+                let line = self.places.of(&format!("cells.cell[{first}]")).line;
+                self.fault(
+                    &format!("{path}.name"),
+                    format!("{:?} is the cell in line {line}, too", cell.name()),
+                );
+            }
+        }
+        self.hosts(&cells.cell);
+        self.tenants(cells, &names);
+        for (row, net) in cells.net.iter().enumerate() {
+            self.net(&format!("cells.net[{row}]"), net, &names);
+        }
+        self.prefixes(&cells.net);
+        if let Some(Rest { each }) = cells.rest {
+            let placed = cells.cell.iter().filter(|cell| cell.placed.unwrap_or(true)).count();
+            if placed == 0 {
+                self.fault("cells.rest", "no cell takes tenants that are placed".to_string());
+            } else {
+                self.number("cells.rest.each", each, 1, placed as u32);
+            }
+        }
+        if let Some(Repeats { share, window_ms, .. }) = cells.repeats {
+            self.number("cells.repeats.share", share, 0.0, 10.0);
+            self.number("cells.repeats.window_ms", window_ms, 100, 3_600_000);
+        }
+        if let Some(release) = &cells.release {
+            self.release(release, &names);
+        }
+        if let Some(Lease { until_ms, skew_ms }) = cells.lease {
+            self.point("cells.lease.until_ms", until_ms);
+            if until_ms.is_none() {
+                self.fault("cells.lease.until_ms", "it has to be given".to_string());
+            }
+            self.number("cells.lease.skew_ms", skew_ms, 0, 60_000);
+        }
+        self.moves(cells, &names);
+    }
+
+    fn cell(&mut self, path: &str, cell: &Cell) {
+        self.name(&format!("{path}.name"), cell.name.as_deref());
+        self.number(&format!("{path}.weight"), cell.weight, 1e-6, 1e6);
+        self.number(&format!("{path}.guaranteed"), cell.guaranteed, 0.0, 1.0);
+        if let Some(Pace { first, least, most }) = cell.pace {
+            for (name, told) in [("first", first), ("least", least), ("most", most)] {
+                self.number(&format!("{path}.pace.{name}"), told, 1, 1_000_000);
+            }
+            let (first, least, most) = (first.unwrap_or(32), least.unwrap_or(4), most.unwrap_or(512));
+            if !(least <= first && first <= most) {
+                let what = format!("least {least}, first {first} and most {most} are not in this order");
+                self.fault(&format!("{path}.pace"), what);
+            }
+        }
+        for (row, host) in cell.host.iter().enumerate() {
+            let field = format!("{path}.host[{row}]");
+            self.name(&field, Some(host));
+            if host.find('*').is_some_and(|star| star + 1 != host.len()) {
+                self.fault(&field, "a * stands at the end only".to_string());
+            }
+        }
+        let mut groups = HashMap::new();
+        for (row, group) in cell.group.iter().enumerate() {
+            if let Some(first) = groups.insert(group, row) {
+                self.fault(
+                    &format!("{path}.group[{row}]"),
+                    format!("{group} is row {first} of the cell, too"),
+                );
+            }
+        }
+    }
+
+    /// Two cells may share a host; the same name twice in one cell is a slip.
+    fn hosts(&mut self, cells: &[Cell]) {
+        for (row, cell) in cells.iter().enumerate() {
+            let mut seen = HashMap::new();
+            for (place, host) in cell.host.iter().enumerate() {
+                if let Some(first) = seen.insert(host, place) {
+                    let what = format!("{host:?} is row {first} of the cell, too");
+                    self.fault(&format!("cells.cell[{row}].host[{place}]"), what);
+                }
+            }
+        }
+    }
+
+    fn known(&mut self, field: &str, told: Option<&str>, names: &HashMap<&str, usize>) {
+        self.name(field, told);
+        if let Some(name) = told.filter(|name| !name.is_empty() && !names.contains_key(name)) {
+            self.fault(field, format!("no cell is named {name:?}"));
+        }
+    }
+
+    fn tenants(&mut self, cells: &Cells, names: &HashMap<&str, usize>) {
+        let mut seen: HashMap<&str, usize> = HashMap::new();
+        for (row, Tenant { name, cell }) in cells.tenant.iter().enumerate() {
+            let path = format!("cells.tenant[{row}]");
+            self.name(&format!("{path}.name"), name.as_deref());
+            self.known(&format!("{path}.cell"), cell.as_deref(), names);
+            let name = name.as_deref().unwrap_or_default();
+            if let Some(first) = seen.insert(name, row) {
+                let (line, other) =
+                    (self.places.of(&format!("cells.tenant[{first}]")).line, cells.tenant[first].cell());
+                let what = format!("line {line} puts tenant {name:?} in {other:?} already; leave one row");
+                self.fault(&path, what);
+            }
+        }
+    }
+
+    fn net(&mut self, path: &str, net: &Net, names: &HashMap<&str, usize>) {
+        self.known(&format!("{path}.cell"), net.cell.as_deref(), names);
+        if net.prefix.is_some() != net.within.is_empty() {
+            self.fault(path, "a row has either prefix or within".to_string());
+        }
+        if net.within.is_empty() && !net.without.is_empty() {
+            self.fault(
+                &format!("{path}.without[0]"),
+                "it is taken from within, of which there is none".to_string(),
+            );
+        }
+        let mut prefixes = Vec::new();
+        prefixes.extend(net.prefix.as_ref().map(|prefix| (format!("{path}.prefix"), prefix)));
+        prefixes.extend(net.within.iter().enumerate().map(|(n, p)| (format!("{path}.within[{n}]"), p)));
+        prefixes.extend(net.without.iter().enumerate().map(|(n, p)| (format!("{path}.without[{n}]"), p)));
+        for (field, prefix) in prefixes {
+            match prefix.parse::<IpNet>() {
+                Ok(net) if net.addr() != net.network() => {
+                    self.fault(
+                        &field,
+                        format!("{prefix} has bits beyond its length; {} is meant?", net.trunc()),
+                    );
+                }
+                Ok(_) => {}
+                Err(_) if prefix.parse::<IpAddr>().is_ok() => {
+                    self.fault(&field, format!("{prefix} has no length; {prefix}/32 is meant (or /128)?"));
+                }
+                Err(_) => self.fault(&field, format!("{prefix:?} is no prefix, as in \"10.1.0.0/16\"")),
+            }
+        }
+    }
+
+    /// One prefix in two rows. One within another is no fault, the longest counts; of two sets that overlap, or a
+    /// set and an equal prefix, none is the longer.
+    fn prefixes(&mut self, nets: &[Net]) {
+        let mut seen: HashMap<IpNet, usize> = HashMap::new();
+        for (row, net) in nets.iter().enumerate() {
+            let Some(prefix) = net.prefix.as_ref().and_then(|prefix| prefix.parse::<IpNet>().ok()) else {
+                continue;
+            };
+            if let Some(first) = seen.insert(prefix, row) {
+                let line = self.places.of(&format!("cells.net[{first}]")).line;
+                self.fault(
+                    &format!("cells.net[{row}].prefix"),
+                    format!("{prefix} stands in line {line}, too"),
+                );
+            }
+        }
+        let sets: Vec<(usize, Vec<IpNet>, Vec<IpNet>)> = nets.iter().enumerate().filter_map(set).collect();
+        for (place, (row, within, without)) in sets.iter().enumerate() {
+            for (other, theirs, their_holes) in &sets[..place] {
+                let shared =
+                    within.iter().flat_map(|one| theirs.iter().filter_map(move |two| meet(*one, *two)));
+                let mut holes = without.iter().chain(their_holes);
+                let mut shared = shared.filter(|net| !holes.any(|hole| hole.contains(net)));
+                if let Some(net) = shared.next() {
+                    let line = self.places.of(&format!("cells.net[{other}]")).line;
+                    let what = format!("{net} is in the set of line {line}, too; leave it out of one");
+                    self.fault(&format!("cells.net[{row}]"), what);
+                }
+            }
+        }
+    }
+
+    fn release(&mut self, release: &Release, names: &HashMap<&str, usize>) {
+        let mut seen = HashMap::new();
+        for (row, name) in release.order.iter().enumerate() {
+            let field = format!("cells.release.order[{row}]");
+            self.known(&field, Some(name), names);
+            if let Some(first) = seen.insert(name, row) {
+                self.fault(&field, format!("{name:?} is row {first}, too"));
+            }
+        }
+        if release.order.len() < 2 {
+            self.fault("cells.release.order", "an order has two cells at least".to_string());
+        }
+        self.number("cells.release.worse", release.worse, 1.1, 1000.0);
+        self.number("cells.release.wrong", release.wrong, 1e-9, 0.2);
+    }
+
+    fn point(&mut self, field: &str, told: Option<u64>) {
+        // Seconds for milliseconds would lie before 1971.
+        self.number(field, told, 31_536_000_000, LATEST_MS);
+    }
+
+    fn moves(&mut self, cells: &Cells, names: &HashMap<&str, usize>) {
+        let mut seen: HashMap<&str, usize> = HashMap::new();
+        for (row, one) in cells.r#move.iter().enumerate() {
+            let path = format!("cells.move[{row}]");
+            self.name(&format!("{path}.tenant"), one.tenant.as_deref());
+            self.known(&format!("{path}.from"), one.from.as_deref(), names);
+            self.known(&format!("{path}.to"), one.to.as_deref(), names);
+            if one.from == one.to {
+                self.fault(&path, "it goes from a cell to the same".to_string());
+            }
+            if let Some(first) = seen.insert(one.tenant(), row) {
+                let line = self.places.of(&format!("cells.move[{first}]")).line;
+                let what = format!("tenant {:?} moves in line {line} already; end that first", one.tenant());
+                self.fault(&path, what);
+            }
+            let home = cells.tenant.iter().find(|tenant| tenant.name == one.tenant);
+            let wanted = match one.step() {
+                Step::Done => one.to(),
+                _ => one.from(),
+            };
+            if home.is_none_or(|home| home.cell() != wanted) {
+                let what = format!("the tenant's row has to put it in {wanted:?} at step {:?}", one.step());
+                self.fault(&path, what);
+            }
+            if cells.rest.is_some_and(|rest| rest.each.unwrap_or(1) > 1) && home.is_none() {
+                self.fault(&path, "a tenant that is placed in several cells cannot be moved".to_string());
+            }
+            self.step(&path, one, cells);
+        }
+    }
+
+    fn step(&mut self, path: &str, one: &Move, cells: &Cells) {
+        let field = |name: &str| format!("{path}.{name}");
+        let mut needed = Vec::new();
+        match one.step() {
+            Step::Unknown => {
+                let what = "one of PLANNED, COPYING, FENCED, SWITCHED, DONE, CANCELLED has to be given";
+                self.fault(&field("step"), what.to_string());
+            }
+            Step::Planned | Step::Copying | Step::Cancelled => {}
+            Step::Fenced => needed.extend([("fence_at_ms", one.fence_at_ms)]),
+            Step::Switched | Step::Done => needed.extend([
+                ("fence_at_ms", one.fence_at_ms),
+                ("copied_through_ms", one.copied_through_ms),
+                ("target_floor_ms", one.target_floor_ms),
+            ]),
+        }
+        if one.from_group.is_some() != one.to_group.is_some() {
+            self.fault(path, "from_group and to_group stand together".to_string());
+        }
+        let Some((from, to)) = one.from_group.zip(one.to_group) else { return };
+        if from == to {
+            self.fault(
+                &field("to_group"),
+                "it is from_group; leave both out where the group stays".to_string(),
+            );
+        }
+        for (name, told) in needed {
+            if told.is_none() {
+                self.fault(&field(name), format!("it has to be given at step {:?}", one.step()));
+            }
+        }
+        for (name, told) in [
+            ("fence_at_ms", one.fence_at_ms),
+            ("switch_at_ms", one.switch_at_ms),
+            ("copied_through_ms", one.copied_through_ms),
+            ("target_floor_ms", one.target_floor_ms),
+        ] {
+            self.point(&field(name), told);
+        }
+        if one.memory_ms.is_none() {
+            self.fault(&field("memory_ms"), "it has to be given where the group changes".to_string());
+        }
+        if let Some((fence, switch)) = one.fence_at_ms.zip(one.switch_at_ms)
+            && switch < fence
+        {
+            self.fault(&field("switch_at_ms"), "it lies before fence_at_ms".to_string());
+        }
+        if let Some((copied, floor)) = one.copied_through_ms.zip(one.target_floor_ms)
+            && floor < copied
+        {
+            // A copy that the target held before the source had written it is a slip of two fields.
+            self.fault(&field("target_floor_ms"), "it lies before copied_through_ms".to_string());
+        }
+        let early = one.step() == Step::Fenced || one.step() == Step::Copying || one.step() == Step::Planned;
+        if early && cells.lease.is_none() && one.fence_at_ms.is_some() {
+            let what = "routers that share nothing need a lease: without one, a router that never hears of the \
+                        move goes on writing to the source";
+            self.fault(path, what.to_string());
+        }
+    }
+}
+
+fn set((row, net): (usize, &Net)) -> Option<(usize, Vec<IpNet>, Vec<IpNet>)> {
+    let all = |texts: &[String]| texts.iter().filter_map(|text| text.parse().ok()).collect::<Vec<IpNet>>();
+    (!net.within.is_empty()).then(|| (row, all(&net.within), all(&net.without)))
+}
+
+/// The smaller one of two prefixes, if one holds the other.
+fn meet(one: IpNet, two: IpNet) -> Option<IpNet> {
+    if one.contains(&two) { Some(two) } else { two.contains(&one).then_some(one) }
+}
