--- a/crates/arrowyard-adapter/src/router.rs
+++ b/crates/arrowyard-adapter/src/router.rs
@@ -74,6 +74,7 @@
                 again: fields.whole_or_none(5)?.unwrap_or(0) & 2 != 0,
                 token_age: fields.number_or_none(7)?.map(span),
                 due: point(fields.number(8)?),
+                ..Ask::default()
             }),
             "AttemptEnd" => Note::SendEnded(Ended {
                 op: OpId(fields.whole(1)?),
@@ -123,7 +124,8 @@
                 "OUT" => Availability::Gone,
                 _ => return Err(fields.wrong(1, "a kind of availability")),
             },
-            group: GroupId(fields.number_or_none(2)?.unwrap_or(0.0) as i64),
+            parts: [Part { group: GroupId(fields.number_or_none(2)?.unwrap_or(0.0) as i64), guest: false }]
+                .into(),
             host: self.hosts.id(fields.text(3)?),
             tag: tag(fields.text(3)?),
             primary: fields.number_or_none(4)? == Some(1.0),
--- a/crates/arrowyard-core/src/admit.rs
+++ b/crates/arrowyard-core/src/admit.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use arrowyard_types::{
-    Ask, Effect, GroupId, Manifest, Need, OpId, OpType, OpTypeId, Point, SessionId, Span, TenantId,
+    Ask, CellId, Effect, GroupId, Manifest, Need, OpId, OpType, OpTypeId, Point, SessionId, Span, TenantId,
 };
 use serde_json::{Map, Value};
 
@@ -13,6 +13,7 @@
 use crate::count::Count;
 use crate::limits::Limits;
 use crate::reply::Reply;
+use crate::ward::Claim;
 
 pub struct Gate {
     op_types: HashMap<String, (OpTypeId, OpType)>,
@@ -22,6 +23,16 @@
     bytes: Rc<Cell<usize>>,
     ids: Rc<RefCell<HashSet<u64>>>,
     limits: Rc<Limits>,
+    /// Whether there are cells, which want to know more of an op.
+    cells: bool,
+}
+
+/// An op that was admitted.
+#[derive(Debug)]
+pub struct Admitted {
+    pub ask: Ask,
+    pub claim: Option<Box<Claim>>,
+    pub place: Place,
 }
 
 /// An op's place among those in hand, for as long as it is kept.
@@ -46,7 +57,7 @@
 }
 
 impl Gate {
-    pub fn new(settings: &Map<String, Value>, manifest: &Manifest, limits: Rc<Limits>) -> Self {
+    pub fn new(settings: &Map<String, Value>, manifest: &Manifest, limits: Rc<Limits>, cells: bool) -> Self {
         let rows = names(settings, "grades").into_iter().zip(OpType::rows(manifest));
         let tenants = names(settings, "parties").into_iter().enumerate();
         Gate {
@@ -60,12 +71,17 @@
             bytes: Rc::default(),
             ids: Rc::default(),
             limits,
+            cells,
         }
     }
 
+    pub fn has_cells(&self) -> bool {
+        self.cells
+    }
+
     /// The op that the call asks for, with its place. Danger: more ops, or more bytes of them, than the
     /// router's memory holds.
-    pub fn admit<A>(&self, call: Call<'_>, arrived: Point) -> Result<(Ask, Place), Reply<A>> {
+    pub fn admit<A>(&self, call: Call<'_>, arrived: Point) -> Result<Admitted, Reply<A>> {
         let Some((op_type, row)) = self.op_types.get(call.op_type) else {
             return Err(Reply::Refused("its op type is not known"));
         };
@@ -76,7 +92,8 @@
             }
             _ => None,
         };
-        if matches!(row.effect, Effect::Tokened { .. }) && call.token.is_none() {
+        let tokened = matches!(row.effect, Effect::Tokened { .. });
+        if tokened && call.token.is_none() {
             return Err(Reply::Refused("an op of this type needs its mark, k"));
         }
         let with_session = matches!(row.need, Need::Session | Need::Write);
@@ -105,13 +122,19 @@
             op,
             op_type: *op_type,
             tenant,
+            cell: CellId::default(),
             group: GroupId(call.group),
             session: call.session.filter(|_| with_session).map(SessionId),
             again: call.again,
             token_age,
+            floor: None,
             due: arrived + Span::from_millis(call.wait_ms.into()),
         };
-        Ok((ask, place))
+        let claim = self.cells.then(|| {
+            let (tenant, address) = (call.tenant.map(Box::from), call.address);
+            Box::new(Claim { tenant, address, bytes: bytes as u64, token: call.token.filter(|_| tokened) })
+        });
+        Ok(Admitted { ask, claim, place })
     }
 }
 
@@ -125,14 +148,26 @@
             "grades": [{"name": "look", "objective": 5.0}], "parties": [{"name": "p"}, {"name": "q"}],
             "domain": {"read_level": ["own_writes"]}, "caps": {"open_cap": 2}}));
         let limits = Limits { held: 200, ..limits };
-        Gate::new(&waybill.settings, &manifest, Rc::new(limits))
+        Gate::new(&waybill.settings, &manifest, Rc::new(limits), false)
     }
 
     fn call(id: u64, bytes: usize) -> Call<'static> {
         let (op_type, tenant, session) = ("look", Some("q"), Some(0xff));
         let blank = (None, false, None);
         let (after, again, token) = blank;
-        Call { id, op_type, tenant, group: 4, wait_ms: 80, after, again, token, session, bytes }
+        Call {
+            id,
+            op_type,
+            tenant,
+            group: 4,
+            wait_ms: 80,
+            after,
+            again,
+            token,
+            session,
+            address: None,
+            bytes,
+        }
     }
 
     type Refusal = Reply<()>;
@@ -141,15 +176,17 @@
     fn names_become_ids_and_times_points() {
         let arrived = Point::from_micros(5_000_000);
         let call = Call { after: Some(4900), again: true, ..call(1, 0) };
-        let (ask, _place) = gate().admit::<()>(call, arrived).expect("there is room");
+        let Admitted { ask, .. } = gate().admit::<()>(call, arrived).expect("there is room");
         let wanted = Ask {
             op: OpId(0),
             op_type: OpTypeId(0),
             tenant: Some(TenantId(1)),
+            cell: CellId(0),
             group: GroupId(4),
             session: Some(SessionId(0xff)),
             again: true,
             token_age: Some(Span::from_millis(100)),
+            floor: None,
             due: Point::from_micros(5_080_000),
         };
         assert_eq!(ask, wanted);
@@ -158,7 +195,7 @@
     #[test]
     fn ops_beyond_the_count_or_the_bytes_are_busy_replied_till_a_place_is_free() {
         let (gate, now) = (gate(), Point::from_micros(0));
-        let admit = |id, length| gate.admit(call(id, length), now).map(|(_, place)| place);
+        let admit = |id, length| gate.admit(call(id, length), now).map(|admitted| admitted.place);
         let (first, second) = (admit(1, 100), admit(2, 100));
         assert!(first.is_ok() && second.is_ok());
         assert_eq!(admit(3, 100).err(), Some(Refusal::Busy(None)));
@@ -170,7 +207,7 @@
     #[test]
     fn an_id_names_one_open_op_and_is_free_again_once_that_is_over() {
         let (gate, now) = (gate(), Point::from_micros(0));
-        let admit = || gate.admit(call(1, 0), now).map(|(_, place)| place);
+        let admit = || gate.admit(call(1, 0), now).map(|admitted| admitted.place);
         let first = admit();
         assert!(first.is_ok());
         assert!(matches!(admit().err(), Some(Refusal::Refused(_))));
--- a/crates/arrowyard-core/src/book.rs
+++ b/crates/arrowyard-core/src/book.rs
@@ -39,11 +39,13 @@
 pub struct Book<P, A> {
     pages: HashMap<OpId, Page<P, A>>,
     pub tally: Tally,
+    /// Ops whose pages are closed, where somebody wants to know.
+    pub closed: Option<Vec<OpId>>,
 }
 
 impl<P, A> Default for Book<P, A> {
     fn default() -> Self {
-        Book { pages: HashMap::new(), tally: Tally::default() }
+        Book { pages: HashMap::new(), tally: Tally::default(), closed: None }
     }
 }
 
@@ -122,6 +124,7 @@
         };
         if self.pages.get(&op).is_some_and(done) {
             self.pages.remove(&op);
+            self.closed.iter_mut().for_each(|closed| closed.push(op));
         }
     }
 }
--- a/crates/arrowyard-core/src/call.rs
+++ b/crates/arrowyard-core/src/call.rs
@@ -1,5 +1,7 @@
 //! What a client says of its op, whatever protocol it says it in.
 
+use std::net::IpAddr;
+
 /// An op before its admission: each front decodes its own form into this, once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Call<'a> {
@@ -18,6 +20,8 @@
     pub token: Option<u64>,
     /// What names the session, in op types that have one.
     pub session: Option<u64>,
+    /// Where the client is, if that is known.
+    pub address: Option<IpAddr>,
     /// The bytes that it takes while it is in hand.
     pub bytes: usize,
 }
--- a/crates/arrowyard-core/src/hatch.rs
+++ b/crates/arrowyard-core/src/hatch.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
-use crate::admit::Gate;
+use crate::admit::{Admitted, Gate};
 use crate::back::Back;
 use crate::call::Call;
 use crate::clock::Clock;
@@ -84,7 +84,7 @@
     ) {
         let lift = Rc::new(lift);
         while let Some(Errand { payload, arrived, mut client }) = self.errands.recv().await {
-            let (ask, place) = match self.gate.admit(call(&payload), arrived) {
+            let Admitted { ask, claim, place } = match self.gate.admit(call(&payload), arrived) {
                 Ok(admitted) => admitted,
                 Err(reply) => {
                     // A front that left does not hear it.
@@ -94,7 +94,7 @@
             };
             let (answer, answered) = oneshot::channel();
             let (op, mail, lift) = (ask.op, self.mail.clone(), lift.clone());
-            if mail.send(Mail::Asked(ask, Rc::new(load(payload)), answer)).await.is_err() {
+            if mail.send(Mail::Asked(ask, claim, Rc::new(load(payload)), answer)).await.is_err() {
                 return;
             }
             drop(spawn_local(async move {
@@ -177,6 +177,7 @@
             again: false,
             token,
             session,
+            address: None,
             bytes: 9,
         }
     }
@@ -189,7 +190,7 @@
         let core = Builder::new_current_thread().enable_all().build().expect("a runtime can be had");
         let threads = front.handle().clone();
         let hung = LocalSet::new().block_on(&core, async move {
-            let gate = Rc::new(Gate::new(&waybill.settings, &manifest, Rc::new(limits)));
+            let gate = Rc::new(Gate::new(&waybill.settings, &manifest, Rc::new(limits), false));
             let (mail, mut inbox) = mpsc::channel(64);
             let (hatch, desk) = open::<Nowhere, u64, u64>(64, Clock::start(), gate, mail);
             drop(spawn_local(desk.run(call, |payload| payload, |answer| *answer)));
@@ -206,12 +207,12 @@
             let (mut left, mut kept) = (None, Vec::new());
             let hung = loop {
                 match inbox.recv().await.expect("the desk holds the other end") {
-                    Mail::Asked(ask, payload, client) if *payload == 1000 => {
+                    Mail::Asked(ask, _, payload, client) if *payload == 1000 => {
                         left = Some(ask.op);
                         kept.push(client);
                         leaver.abort();
                     }
-                    Mail::Asked(_, payload, client) => {
+                    Mail::Asked(_, _, payload, client) => {
                         client.send(Reply::Acked(Rc::new(*payload * 2))).expect("its front waits");
                     }
                     Mail::HungUp(op) => break Some(op) == left,
--- a/crates/arrowyard-core/src/lib.rs
+++ b/crates/arrowyard-core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod roster;
 pub mod route;
 pub mod send;
+pub mod ward;
 pub mod waybill;
 
 pub use back::Back;
--- a/crates/arrowyard-core/src/limits.rs
+++ b/crates/arrowyard-core/src/limits.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use arrowyard_cells::desk::Totals;
 use arrowyard_types::{Facts, Manifest, OpType, Span};
 
 use crate::clock::duration;
@@ -62,6 +63,8 @@
     pub ahead: Span,
     /// How often the thread notes that it comes round.
     pub beat: Duration,
+    /// How often cells are asked what time has changed.
+    pub tick: Duration,
     /// How often the tally is logged.
     pub tally: Duration,
 }
@@ -118,9 +121,15 @@
             // Commits are told in whole milliseconds, rounded up.
             ahead: Span::from_millis(5),
             beat: Duration::from_millis(5),
+            tick: Duration::from_millis(25),
             tally: Duration::from_secs(5),
         }
     }
+
+    /// What cells divide. Each op in hand holds a client's connection, so that there are never more of them.
+    pub fn of_cells(&self) -> Totals {
+        Totals { ops: self.ops.min(self.clients * 7 / 8).max(1) as u64, bytes: self.held as u64 }
+    }
 }
 
 #[cfg(any(test, feature = "blank"))]
--- a/crates/arrowyard-core/src/mail.rs
+++ b/crates/arrowyard-core/src/mail.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use arrowyard_cells::Layout;
 use arrowyard_types::{Ask, HostId, OpId, Outcome, SendNo, Word};
 use tokio::sync::oneshot;
 
@@ -10,13 +11,21 @@
 use crate::list::List;
 use crate::reply::Reply;
 use crate::send::End;
+use crate::ward::Claim;
 
 /// What the other tasks tell the one that owns the module.
 pub enum Mail<B: Back> {
-    Asked(Ask, Rc<B::Payload>, oneshot::Sender<Reply<B::Answer>>),
+    /// With what cells want to know of it, where there are any.
+    Asked(Ask, Option<Box<Claim>>, Rc<B::Payload>, oneshot::Sender<Reply<B::Answer>>),
     HungUp(OpId),
     SendEnded(OpId, SendNo, HostId, End<B::Answer>),
     Probed(HostId, Outcome, Word),
+    /// A host was asked for its position since a tenant moves there.
+    Watched(HostId, Word),
+    /// The operator's file was read anew.
+    Relayout(Box<Layout>),
+    /// Somebody wants to see the cells.
+    Show(oneshot::Sender<String>),
     /// Of discovery.
     News(News),
 }
--- a/crates/arrowyard-core/src/reload.rs
+++ b/crates/arrowyard-core/src/reload.rs
@@ -2,20 +2,27 @@
 
 use std::rc::Rc;
 
+use arrowyard_cells::Layout;
 use tokio::signal::unix::Signal;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
+use crate::back::Back;
 use crate::limits::Limits;
-use crate::mail::Wish;
+use crate::mail::{Mail, Wish};
 use crate::waybill::Waybill;
 
-pub struct Reload {
+/// Reads the operator's file; nothing if it says nothing of cells.
+pub type Reread = Box<dyn Fn() -> Result<Option<Layout>, String>>;
+
+pub struct Reload<B: Back> {
     pub wishes: mpsc::Sender<Wish>,
     pub limits: Rc<Limits>,
+    /// The operator's file, if there is one, and who takes what it says.
+    pub book: Option<(Reread, mpsc::Sender<Mail<B>>)>,
 }
 
-impl Reload {
+impl<B: Back> Reload<B> {
     /// Goes on for as long as signals can come. All but discovery's address holds from the start to the end.
     pub async fn run(self, mut hangup: Signal) {
         while hangup.recv().await.is_some() {
@@ -27,6 +34,17 @@
                 }
                 Err(why) => tracing::error!("SIGHUP: nothing changes: {why}"),
             }
+            self.reread().await;
+        }
+    }
+
+    /// Danger: a file that cannot be used is taken in part. It is refused whole, and all stays as it was.
+    async fn reread(&self) {
+        let Some((read, mail)) = &self.book else { return };
+        match read() {
+            Ok(Some(layout)) => drop(mail.send(Mail::Relayout(Box::new(layout))).await),
+            Ok(None) => tracing::error!("SIGHUP: the operator's file has no cells; they stay as they are"),
+            Err(why) => why.lines().for_each(|line| tracing::error!("SIGHUP: nothing changes: {line}")),
         }
     }
 
--- a/crates/arrowyard-core/src/roster.rs
+++ b/crates/arrowyard-core/src/roster.rs
@@ -4,19 +4,32 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use arrowyard_cells::Layout;
 use arrowyard_charter::{point, tag};
-use arrowyard_types::{Availability, Entry, GroupId, HostId, ListForm, Note, ZoneId};
+use arrowyard_types::{
+    Availability, CellId, Entry, GroupId, HostId, ListForm, Note, Part, Parts, Point, Span, ZoneId,
+};
 use serde_json::{Map, Value};
 use tokio::time::Instant;
 
 use crate::limits::Limits;
 use crate::list::{Line, List};
 
+/// A group that is nobody's cell.
+fn whole(group: GroupId) -> Parts {
+    [Part { group, guest: false }].into()
+}
+
 pub struct Roster {
     ids: HashMap<String, HostId>,
     dials: Vec<Option<SocketAddr>>,
     last: Vec<Entry>,
     zones: HashMap<String, ZoneId>,
+    /// By host: its name, its group as lists name it, and its size without what trust makes of it.
+    raw: Vec<(String, GroupId, f64)>,
+    /// A group as a cell sees it, by the lists' group and the cell. Numbers that no list has: they begin where the
+    /// least one ends.
+    views: HashMap<(GroupId, CellId), GroupId>,
     /// Hosts that are gone, and since when; the longest first.
     gone: VecDeque<(Instant, String)>,
     limits: Rc<Limits>,
@@ -27,8 +40,8 @@
         let sites = settings.get("dcs").and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
         let sites = sites.iter().filter_map(Value::as_str).enumerate();
         let zones = sites.map(|(n, site)| (site.to_string(), ZoneId(n as u32))).collect();
-        let (ids, dials, last, gone) = Default::default();
-        Roster { ids, dials, last, zones, gone, limits }
+        let (ids, dials, last, raw, views, gone) = Default::default();
+        Roster { ids, dials, last, zones, raw, views, gone, limits }
     }
 
     pub fn dial(&self, host: HostId) -> Option<SocketAddr> {
@@ -56,21 +69,71 @@
         self.ids.remove(&name)
     }
 
+    /// The group as the cell sees it.
+    pub fn view(&mut self, group: GroupId, cell: CellId) -> GroupId {
+        let next = GroupId(i64::MIN + self.views.len() as i64);
+        *self.views.entry((group, cell)).or_insert(next)
+    }
+
+    /// The entries as cells divide them: each host in the views of its cells, and in those of the others as their
+    /// primary only. `trust` tells for a cell how much of its size a host that started so lately is trusted with.
+    pub fn divide(
+        &mut self,
+        entries: &mut [Entry],
+        layout: &Layout,
+        mut trust: impl FnMut(CellId, Point) -> f64,
+    ) {
+        for entry in entries {
+            let (name, group, size) = self.raw[entry.host.0 as usize].clone();
+            let mut part = 1.0_f64;
+            entry.parts = layout
+                .parts(group, &name)
+                .map(|(cell, guest)| {
+                    if let Some(started) = entry.started.filter(|_| !guest) {
+                        part = part.min(trust(cell, started));
+                    }
+                    Part { group: self.view(group, cell), guest }
+                })
+                .collect();
+            entry.size = size * part;
+        }
+    }
+
+    /// All hosts that are there, as they were listed last.
+    pub fn all(&self) -> Vec<Entry> {
+        self.last.iter().filter(|entry| entry.availability != Availability::Gone).cloned().collect()
+    }
+
+    /// The hosts of a group, as lists name it.
+    pub fn members(&self, group: GroupId) -> Vec<HostId> {
+        let of = |entry: &&Entry| self.raw[entry.host.0 as usize].1 == group;
+        let there = self.last.iter().filter(|entry| entry.availability != Availability::Gone);
+        there.filter(of).map(|entry| entry.host).collect()
+    }
+
+    /// Whether the host started within this span.
+    pub fn is_new(&self, host: HostId, now: Point, within: Span) -> bool {
+        let started = self.last.get(host.0 as usize).and_then(|entry| entry.started);
+        started.is_some_and(|started| now - started < within)
+    }
+
     fn entry(&mut self, line: &Line) -> Entry {
         let known = self.ids.get(&line.host).copied();
         let host = known.or_else(|| self.forget()).unwrap_or(HostId(self.dials.len() as u32));
         let place = host.0 as usize;
         if known.is_none() {
             self.ids.insert(line.host.clone(), host);
-            let (group, zone, availability) = (GroupId(0), ZoneId(0), line.availability);
+            let (parts, zone, availability) = (whole(GroupId(0)), ZoneId(0), line.availability);
             let tag = tag(&line.host);
             let blank =
-                Entry { host, tag, availability, group, zone, size: 1.0, primary: false, started: None };
+                Entry { host, tag, availability, parts, zone, size: 1.0, primary: false, started: None };
             if place == self.dials.len() {
                 self.dials.push(None);
                 self.last.push(blank);
+                self.raw.push((line.host.clone(), GroupId(0), 1.0));
             } else {
                 (self.dials[place], self.last[place]) = (None, blank);
+                self.raw[place] = (line.host.clone(), GroupId(0), 1.0);
             }
         }
         let left = line.availability == Availability::Gone
@@ -87,9 +150,11 @@
             tracing::info!(host = line.host, dial = ?dial, "host is {:?}", line.availability);
         }
         last.availability = line.availability;
-        last.group = line.group.map_or(last.group, GroupId);
+        let raw = &mut self.raw[place];
+        raw.1 = line.group.map_or(raw.1, GroupId);
+        raw.2 = line.size.unwrap_or(raw.2);
+        (last.parts, last.size) = (whole(raw.1), raw.2);
         last.zone = line.site.as_ref().and_then(|site| self.zones.get(site).copied()).unwrap_or(last.zone);
-        last.size = line.size.unwrap_or(last.size);
         last.primary = line.primary.unwrap_or(last.primary && line.availability != Availability::Gone);
         if let Some(born) = line.born_ms {
             last.started = (born > 0.0).then(|| point(born));
--- a/crates/arrowyard-core/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -1,13 +1,16 @@
 //! The task that owns the decision module: mail becomes notes, actions are carried out in their order.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, HashSet};
 use std::rc::Rc;
 
 use arrowyard::Router;
+use arrowyard_cells::Layout;
+use arrowyard_cells::desk::{News, Why};
 use arrowyard_types::*;
-use tokio::sync::mpsc;
-use tokio::task::spawn_local;
+use tokio::sync::mpsc::error::TryRecvError;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep_until};
 
 use crate::back::Back;
@@ -15,10 +18,11 @@
 use crate::clock::Clock;
 use crate::limits::Limits;
 use crate::list::List;
-use crate::mail::{Mail, News, Wish};
+use crate::mail::{self, Mail, Wish};
 use crate::reply::Reply;
 use crate::roster::Roster;
 use crate::send::{self, End, Order};
+use crate::ward::{NEW, Turn, Ward, stage_name};
 
 pub struct Yard<B: Back> {
     pub roster: Roster,
@@ -30,8 +34,17 @@
     pub mail: mpsc::Sender<Mail<B>>,
 }
 
+/// What goes with an op that waits for its cell.
+type Rest<B> = (Rc<<B as Back>::Payload>, oneshot::Sender<Reply<<B as Back>::Answer>>);
+
 pub struct Route<B: Back> {
     yard: Yard<B>,
+    ward: Option<Ward<Mail<B>, Rest<B>>>,
+    ticked: Instant,
+    /// Hosts that are being asked where they are since a tenant moves there.
+    watched: HashSet<HostId>,
+    retry_after: bool,
+    cold: Span,
     router: Router,
     book: Book<B::Payload, B::Answer>,
     alarms: BinaryHeap<Reverse<(Point, u64, Cookie)>>,
@@ -40,22 +53,62 @@
 }
 
 impl<B: Back> Route<B> {
-    pub fn start(mut yard: Yard<B>, seed: u64, manifest: Manifest, known: Option<&List>) -> Self {
+    pub fn start(
+        yard: Yard<B>,
+        seed: u64,
+        manifest: Manifest,
+        known: Option<&List>,
+        cells: Option<Layout>,
+    ) -> Self {
         let mut actions = Vec::new();
         let now = yard.clock.now();
-        let mut router = Router::start(now, seed, manifest, &mut actions);
+        let (retry_after, cold) = (manifest.flag("retry_after"), manifest.span("cold"));
+        let ward = cells.map(|layout| {
+            let (rows, marks) = (OpType::rows(&manifest), manifest.flag("marks_retry"));
+            Ward::new(now, layout, yard.limits.of_cells(), rows, marks)
+        });
+        let router = Router::start(now, seed, manifest, &mut actions);
+        let mut book = Book::default();
+        book.closed = ward.is_some().then(Vec::new);
+        let (alarms, moment) = (BinaryHeap::new(), Instant::now());
+        let (ticked, tallied, rung) = (moment, moment, 0);
+        let mut route = Route {
+            yard,
+            ward,
+            ticked,
+            watched: HashSet::new(),
+            retry_after,
+            cold,
+            router,
+            book,
+            alarms,
+            rung,
+            tallied,
+        };
         if let Some(list) = known {
-            router.take(now, yard.roster.note(list, true), &mut actions);
+            let note = route.listed(list, true);
+            route.router.take(now, note, &mut actions);
         }
-        let (book, alarms) = (Book::default(), BinaryHeap::new());
-        let mut route = Route { yard, router, book, alarms, rung: 0, tallied: Instant::now() };
         actions.into_iter().for_each(|action| route.carry_out(now, action));
         route
     }
 
     pub async fn run(mut self, mut inbox: mpsc::Receiver<Mail<B>>) {
         let mut actions = Vec::new();
+        let mut turns = 0_u32;
         loop {
+            if self.ward.is_some() {
+                let Some(note) = self.fair_turn(&mut inbox).await else { return };
+                if let Some(note) = note {
+                    self.hand_over(note, &mut actions);
+                }
+                turns = turns.wrapping_add(1);
+                if turns.is_multiple_of(32) {
+                    // Danger: a queue that never empties keeps the thread from its sockets.
+                    yield_now().await;
+                }
+                continue;
+            }
             let next = self.alarms.peek().map(|Reverse((at, ..))| self.yard.clock.when(*at));
             let tally = self.tallied + self.yard.limits.tally;
             let note = tokio::select! {
@@ -66,10 +119,222 @@
                 () = sleep_until(next.unwrap_or(tally).min(tally)) => self.rung(),
             };
             let Some(note) = note else { continue };
-            let now = self.yard.clock.now();
-            tracing::trace!(at = now.micros(), "{note:?}");
-            self.router.take(now, note, &mut actions);
-            actions.drain(..).for_each(|action| self.carry_out(now, action));
+            self.hand_over(note, &mut actions);
+        }
+    }
+
+    fn hand_over(&mut self, note: Note, actions: &mut Vec<Action>) {
+        let now = self.yard.clock.now();
+        tracing::trace!(at = now.micros(), "{note:?}");
+        if let Some(ward) = &mut self.ward {
+            let cell = match &note {
+                Note::Asked(ask) => Some(ask.cell),
+                Note::SendEnded(end) => ward.cell_of(end.op),
+                _ => None,
+            };
+            if let Some(spare) = cell.and_then(|cell| ward.spare(now, cell)) {
+                self.router.take(now, spare, actions);
+            }
+        }
+        self.router.take(now, note, actions);
+        actions.drain(..).for_each(|action| self.carry_out(now, action));
+        if let Some(ward) = &mut self.ward {
+            self.book
+                .closed
+                .iter_mut()
+                .flat_map(|closed| closed.drain(..))
+                .for_each(|op| ward.closed(now, op));
+        }
+    }
+
+    /// The next note where there are cells: an alarm that is due, mail that concerns all, else the mail whose cell's
+    /// turn it is. Nothing at all once nobody can send mail.
+    async fn fair_turn(&mut self, inbox: &mut mpsc::Receiver<Mail<B>>) -> Option<Option<Note>> {
+        // All that has come gets its place in its cell's line first, so that a full channel delays nobody.
+        loop {
+            match inbox.try_recv() {
+                Ok(mail) => {
+                    if let Some(note) = self.sort(mail) {
+                        return Some(Some(note));
+                    }
+                }
+                Err(TryRecvError::Empty) => break,
+                Err(TryRecvError::Disconnected) => return None,
+            }
+        }
+        self.tick();
+        if let Some(note) = self.rung() {
+            return Some(Some(note));
+        }
+        if let Some(mail) = self.ward.as_mut().and_then(Ward::take) {
+            return Some(self.note(mail));
+        }
+        let next = self.alarms.peek().map(|Reverse((at, ..))| self.yard.clock.when(*at));
+        let tick = self.ticked + self.yard.limits.tick;
+        tokio::select! {
+            mail = inbox.recv() => mail.map(|mail| self.sort(mail)),
+            () = sleep_until(next.unwrap_or(tick).min(tick)) => Some(None),
+        }
+    }
+
+    /// Mail of an op goes into its cell's line; what concerns all is taken at once.
+    fn sort(&mut self, mail: Mail<B>) -> Option<Note> {
+        let now = self.yard.clock.now();
+        let ward = self.ward.as_mut()?;
+        let waits = match mail {
+            Mail::Asked(ask, Some(claim), payload, client) => {
+                let turn = ward.place(now, ask, claim, (payload, client));
+                self.turn(turn);
+                return None;
+            }
+            Mail::SendEnded(op, ..) | Mail::HungUp(op) => {
+                if matches!(mail, Mail::HungUp(_)) {
+                    ward.hung_up(now, op);
+                }
+                ward.queue(op, mail)
+            }
+            mail => Some(mail),
+        };
+        waits.and_then(|mail| self.note(mail))
+    }
+
+    fn turn(&mut self, turn: Turn<Rest<B>>) {
+        let Some(ward) = &mut self.ward else { return };
+        match turn {
+            Turn::Go(ask, (payload, client)) => {
+                let group = self.yard.roster.view(ask.group, ask.cell);
+                let asked = Mail::Asked(Ask { group, ..ask }, None, payload, client);
+                // It has its place, so that it is known.
+                let _ = ward.queue(ask.op, asked);
+            }
+            Turn::Held => {}
+            // What is given up is answered at once, and says when to come back where the settings allow that.
+            Turn::Busy(after, (_, client)) => {
+                self.book.tally.busy += 1;
+                let _ = client.send(Reply::Busy(after.filter(|_| self.retry_after)));
+            }
+            Turn::Error(Why::Unsure, (_, client)) => {
+                self.book.tally.errored += 1;
+                let _ = client.send(Reply::Errored);
+            }
+            Turn::Error(why, (_, client)) => {
+                self.book.tally.errored += 1;
+                let _ = client.send(Reply::Refused(why.text()));
+            }
+        }
+    }
+
+    /// What cells do as time passes.
+    fn tick(&mut self) {
+        if self.ticked.elapsed() < self.yard.limits.tick {
+            return;
+        }
+        self.ticked = Instant::now();
+        let now = self.yard.clock.now();
+        let Some(ward) = &mut self.ward else { return };
+        let turns = ward.tick(now);
+        turns.into_iter().for_each(|turn| self.turn(turn));
+        self.tell();
+        self.watch();
+    }
+
+    /// Logs what operators want to know.
+    fn tell(&mut self) {
+        let Some(ward) = &mut self.ward else { return };
+        let news = ward.news();
+        let name = |cell: CellId| ward.layout().cell(cell).name.to_string();
+        let mut judged = false;
+        for news in news {
+            match news {
+                News::Release(verdict) => {
+                    judged = true;
+                    tracing::warn!(cell = name(verdict.cell), "the release is judged {:?}", verdict.judged);
+                }
+                News::HeldBack(cell, held) => {
+                    let (by, why) = (name(held.by), if held.bad { "bad" } else { "not judged yet" });
+                    tracing::warn!(
+                        cell = name(cell),
+                        by,
+                        "new hosts are trusted little: the release there is {why}"
+                    );
+                }
+                News::Moved(tenant, stage) => {
+                    tracing::info!(tenant = &*tenant, stage = stage_name(stage), "the move goes on");
+                }
+                News::Stuck(tenant, stuck) => tracing::warn!(tenant = &*tenant, "the move waits: {stuck:?}"),
+            }
+        }
+        if judged {
+            self.redivide();
+        }
+    }
+
+    /// Asks the hosts to which a tenant moves where they are.
+    fn watch(&mut self) {
+        let Some(ward) = &mut self.ward else { return };
+        for group in ward.watched() {
+            let hosts = self.yard.roster.members(group);
+            ward.members(group, &hosts);
+            for host in hosts {
+                let (back, mail) = (self.yard.back.clone(), self.yard.mail.clone());
+                let Some(dial) = self.yard.roster.dial(host) else { continue };
+                if !self.watched.insert(host) {
+                    continue;
+                }
+                drop(spawn_local(async move {
+                    let (outcome, word) = back.probe(host, dial).await;
+                    let word = if outcome == Outcome::Acked { word } else { Word::default() };
+                    let _ = mail.send(Mail::Watched(host, word)).await;
+                }));
+            }
+        }
+    }
+
+    /// The list as a note, as cells divide it.
+    fn listed(&mut self, list: &List, saved: bool) -> Note {
+        let note = self.yard.roster.note(list, saved);
+        match note {
+            Note::Listed { form, entries } if self.ward.is_some() => {
+                Note::Listed { form, entries: self.divided(entries) }
+            }
+            note => note,
+        }
+    }
+
+    fn divided(&mut self, mut entries: Vec<Entry>) -> Vec<Entry> {
+        let Some(ward) = &mut self.ward else { return entries };
+        let (now, within) = (self.yard.clock.now(), self.cold * NEW);
+        let layout = ward.layout().clone();
+        self.yard.roster.divide(&mut entries, &layout, |cell, started| {
+            if now - started >= within {
+                return 1.0;
+            }
+            ward.renewed(cell, started, within);
+            ward.trust(cell)
+        });
+        entries
+    }
+
+    /// All hosts are listed anew: cells or their trust have changed.
+    fn redivide(&mut self) {
+        let entries = self.divided(self.yard.roster.all());
+        let (now, mut actions) = (self.yard.clock.now(), Vec::new());
+        self.router.take(now, Note::Listed { form: ListForm::Changes, entries }, &mut actions);
+        actions.into_iter().for_each(|action| self.carry_out(now, action));
+    }
+
+    fn relayout(&mut self, layout: Layout) {
+        let (now, epoch) = (self.yard.clock.now(), layout.epoch);
+        let Some(ward) = &mut self.ward else {
+            tracing::error!("cells begin with a restart; nothing changes");
+            return;
+        };
+        match ward.relayout(now, layout) {
+            Ok(()) => {
+                tracing::info!(epoch, "the operator's file holds");
+                self.redivide();
+            }
+            Err(why) => tracing::error!(epoch, "the operator's file is refused whole: {why:?}"),
         }
     }
 
@@ -87,7 +352,7 @@
     /// What the mail tells the module; nothing where it is old news.
     fn note(&mut self, mail: Mail<B>) -> Option<Note> {
         match mail {
-            Mail::Asked(ask, payload, client) => {
+            Mail::Asked(ask, _, payload, client) => {
                 self.book.open(ask.op, payload, client);
                 Some(Note::Asked(ask))
             }
@@ -95,13 +360,33 @@
             Mail::SendEnded(op, send, host, End { outcome, took, word, answer }) => {
                 let finished = self.book.end(op, send, outcome, answer)?;
                 let word = self.likely(word);
+                if let Some(ward) = &mut self.ward {
+                    let new = self.yard.roster.is_new(host, self.yard.clock.now(), self.cold * NEW);
+                    ward.send_ended(op, outcome, took, &word, new);
+                    ward.learnt(host, &word);
+                }
                 Some(Note::SendEnded(Ended { op, send, host, outcome, took, finished, word }))
             }
             Mail::Probed(host, outcome, word) => {
                 Some(Note::Probed { host, outcome, word: self.likely(word) })
             }
-            Mail::News(News::Listed(list)) => Some(self.yard.roster.note(&list, false)),
-            Mail::News(News::ListFailed) => Some(Note::ListFailed),
+            Mail::Watched(host, word) => {
+                self.watched.remove(&host);
+                let word = self.likely(word);
+                self.ward.iter_mut().for_each(|ward| ward.learnt(host, &word));
+                None
+            }
+            Mail::Relayout(layout) => {
+                self.relayout(*layout);
+                None
+            }
+            Mail::Show(client) => {
+                let report = self.ward.as_mut().map(|ward| ward.report().to_string());
+                let _ = client.send(report.unwrap_or_default());
+                None
+            }
+            Mail::News(mail::News::Listed(list)) => Some(self.listed(&list, false)),
+            Mail::News(mail::News::ListFailed) => Some(Note::ListFailed),
         }
     }
 
@@ -122,6 +407,7 @@
         match action {
             Action::Send { op, host, until } => {
                 let Some((send, payload, called_off)) = self.book.send(op) else { return };
+                self.ward.iter_mut().for_each(|ward| ward.sent(now, op, send));
                 let (back, clock, mail, dial) = (back.clone(), *clock, mail.clone(), roster.dial(host));
                 drop(spawn_local(async move {
                     let end = match dial {
--- /dev/null
+++ b/crates/arrowyard-core/src/ward.rs
@@ -0,0 +1,264 @@
+//! The route stage's side of cells: each op gets its cell before it waits for its turn, turns are fair over cells,
+//! and what the module is told of an op names groups as its cell sees them. What is decided is decided in
+//! `arrowyard-cells` and the module.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+
+use arrowyard_cells::desk::Pass;
+use arrowyard_cells::desk::{News, Stale, Totals, Why};
+use arrowyard_cells::fair::Fair;
+use arrowyard_cells::moving::{Ran, Stage, Terms};
+use arrowyard_cells::{Cells, Facts, Fate, Layout, Verdict};
+use arrowyard_types::{
+    Ask, CellId, GroupId, HostId, Need, Note, OpId, OpType, Outcome, Point, SendNo, Span, Word,
+};
+use serde_json::{Value, json};
+
+/// What an op's client says beyond its `Ask`, for cells.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    pub tenant: Option<Box<str>>,
+    pub address: Option<IpAddr>,
+    pub bytes: u64,
+    /// The token, if the op type's repeats have one effect.
+    pub token: Option<u64>,
+}
+
+/// What is kept of an op that has a place.
+struct Kept {
+    pass: Pass,
+    op_type: usize,
+    ran: Ran,
+    position: Option<Point>,
+}
+
+/// Where an op goes next.
+pub enum Turn<T> {
+    /// To the module, when its cell's turn comes.
+    Go(Ask, T),
+    Held,
+    Busy(Option<Span>, T),
+    Error(Why, T),
+}
+
+struct Held<T> {
+    ask: Ask,
+    claim: Box<Claim>,
+    pass: Pass,
+    until: Point,
+    rest: T,
+}
+
+/// `M` is mail that waits for its turn, `T` what goes with an op that is held.
+pub struct Ward<M, T> {
+    cells: Cells,
+    fair: Fair<M>,
+    kept: HashMap<OpId, Kept>,
+    held: Vec<Held<T>>,
+    /// By cell: how many further sends the module believes that it has.
+    spares: HashMap<CellId, Option<u32>>,
+    op_types: Vec<OpType>,
+}
+
+/// A host that started within so many spans in which it is cold belongs to a release that is judged.
+pub const NEW: f64 = 10.0;
+
+impl<M, T> Ward<M, T> {
+    pub fn new(now: Point, layout: Layout, totals: Totals, op_types: Vec<OpType>, marks: bool) -> Self {
+        let settle = op_types.iter().map(|row| row.op_timeout).max().unwrap_or_default();
+        let skew = layout.lease.map_or(Span::ZERO, |lease| lease.skew);
+        let fair = Fair::new(layout.cells.iter().map(|cell| cell.weight));
+        let cells = Cells::new(now, layout, totals, Terms { marks, settle, skew });
+        let (kept, held, spares) = Default::default();
+        Ward { cells, fair, kept, held, spares, op_types }
+    }
+
+    pub fn layout(&self) -> &Layout {
+        self.cells.layout()
+    }
+
+    /// The op's cell is found, and its place taken; `rest` comes back with the verdict, or later if it is held.
+    pub fn place(&mut self, now: Point, ask: Ask, claim: Box<Claim>, rest: T) -> Turn<T> {
+        let row = &self.op_types[ask.op_type.0 as usize];
+        let facts = Facts {
+            tenant: claim.tenant.as_deref(),
+            address: claim.address,
+            group: ask.group,
+            bytes: claim.bytes,
+            need: row.need,
+            session: ask.session.map(|session| session.0),
+            token: claim.token,
+            again: ask.again,
+            due: ask.due,
+        };
+        match self.cells.admit(now, &facts) {
+            Verdict::Go { pass, group, floor } => {
+                let (op_type, ran, position) = (ask.op_type.0 as usize, Ran::Never, None);
+                self.kept.insert(ask.op, Kept { pass, op_type, ran, position });
+                Turn::Go(Ask { cell: pass.cell, group, floor, ..ask }, rest)
+            }
+            Verdict::Hold { pass, until } => {
+                self.held.push(Held { ask, claim, pass, until, rest });
+                Turn::Held
+            }
+            Verdict::Busy { after, .. } => Turn::Busy(after, rest),
+            Verdict::Error { why } => Turn::Error(why, rest),
+        }
+    }
+
+    /// Mail of an op waits for its cell's turn; back if the op is not known here.
+    pub fn queue(&mut self, op: OpId, mail: M) -> Option<M> {
+        match self.kept.get(&op) {
+            Some(kept) => {
+                self.fair.put(kept.pass.cell, mail);
+                None
+            }
+            None => Some(mail),
+        }
+    }
+
+    pub fn take(&mut self) -> Option<M> {
+        self.fair.take()
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.fair.len()
+    }
+
+    /// What the module has to be told before it hears of this cell again.
+    pub fn spare(&mut self, now: Point, cell: CellId) -> Option<Note> {
+        let sends = self.cells.spare(now, cell);
+        let told = self.spares.insert(cell, sends).unwrap_or(None);
+        (told != sends).then_some(Note::Spare { cell, sends })
+    }
+
+    pub fn cell_of(&self, op: OpId) -> Option<CellId> {
+        self.kept.get(&op).map(|kept| kept.pass.cell)
+    }
+
+    pub fn sent(&mut self, now: Point, op: OpId, send: SendNo) {
+        let Some(kept) = self.kept.get(&op) else { return };
+        self.cells.sent(now, &kept.pass, send.0 == 0);
+        if let Some(Some(spare)) = self.spares.get_mut(&kept.pass.cell).filter(|_| send.0 > 0) {
+            // As the module counts.
+            *spare = spare.saturating_sub(1);
+        }
+    }
+
+    pub fn send_ended(&mut self, op: OpId, outcome: Outcome, took: Span, word: &Word, new: bool) {
+        let Some(kept) = self.kept.get_mut(&op) else { return };
+        let row = &self.op_types[kept.op_type];
+        let (ran, fate) = match outcome {
+            Outcome::Acked => (Ran::Acked, Fate::Acked),
+            outcome if outcome.never_ran() => (Ran::Never, Fate::Never),
+            Outcome::Cancelled => (Ran::Maybe, Fate::Never),
+            _ => (Ran::Maybe, Fate::Bad),
+        };
+        // Turned away tells of load as a time-out does, though it never ran.
+        let fate = if outcome == Outcome::Full { Fate::Bad } else { fate };
+        kept.ran = kept.ran.max(ran);
+        if ran == Ran::Acked && row.need == Need::Write {
+            kept.position = word.position;
+        }
+        self.cells.send_ended(&kept.pass, fate, took / row.latency_target, new);
+    }
+
+    /// The op is answered and none of its sends is out.
+    pub fn closed(&mut self, now: Point, op: OpId) {
+        if let Some(kept) = self.kept.remove(&op) {
+            self.cells.ended(now, kept.pass, kept.ran, kept.position);
+        }
+    }
+
+    /// The client of an op that may be held went away.
+    pub fn hung_up(&mut self, now: Point, op: OpId) {
+        if let Some(place) = self.held.iter().position(|held| held.ask.op == op) {
+            let held = self.held.swap_remove(place);
+            self.cells.ended(now, held.pass, Ran::Never, None);
+        }
+    }
+
+    /// Time has passed: held ops whose time it is, or all if something changed, are placed anew.
+    pub fn tick(&mut self, now: Point) -> Vec<Turn<T>> {
+        let changed = self.cells.tick(now);
+        let (due, rest) = self.held.drain(..).partition(|held| changed || now >= held.until);
+        self.held = rest;
+        let due: Vec<Held<T>> = due;
+        let turn = |Held { ask, claim, pass, rest, .. }: Held<T>| {
+            self.cells.ended(now, pass, Ran::Never, None);
+            self.place(now, ask, claim, rest)
+        };
+        due.into_iter().map(turn).collect()
+    }
+
+    pub fn news(&mut self) -> Vec<News> {
+        self.cells.news()
+    }
+
+    /// Takes a new layout, or says why not.
+    pub fn relayout(&mut self, now: Point, layout: Layout) -> Result<(), Stale> {
+        self.cells.relayout(now, layout)?;
+        self.fair.divide(self.cells.layout().cells.iter().map(|cell| cell.weight));
+        Ok(())
+    }
+
+    /// Groups whose hosts have to be asked for their positions.
+    pub fn watched(&self) -> Vec<GroupId> {
+        self.cells.watched().to_vec()
+    }
+
+    pub fn members(&mut self, group: GroupId, hosts: &[HostId]) {
+        self.cells.members(group, hosts);
+    }
+
+    pub fn learnt(&mut self, host: HostId, word: &Word) {
+        if let Some(position) = word.position {
+            self.cells.learnt(host, position);
+        }
+    }
+
+    pub fn renewed(&mut self, cell: CellId, at: Point, within: Span) {
+        self.cells.renewed(cell, at, within);
+    }
+
+    pub fn trust(&mut self, cell: CellId) -> f64 {
+        self.cells.trust(cell)
+    }
+
+    /// For `SHOW cells`.
+    pub fn report(&mut self) -> Value {
+        let epoch = self.cells.layout().epoch;
+        let cells: Vec<Value> = self
+            .cells
+            .report()
+            .into_iter()
+            .map(|state| {
+                json!({"cell": state.name, "ops": state.ops, "share": state.share, "guaranteed": state.guaranteed,
+                    "borrowed": state.borrowed, "bytes": state.bytes, "limit": state.limit,
+                    "release": state.judged.map(|judged| format!("{judged:?}").to_lowercase()),
+                    "taken": state.tally.taken, "busy": state.tally.busy, "errors": state.tally.errors,
+                    "first_sends": state.tally.first, "further_sends": state.tally.further})
+            })
+            .collect();
+        let moves: Vec<Value> = self
+            .cells
+            .moves()
+            .map(|(tenant, stage, out, tokens)| {
+                json!({"tenant": tenant, "stage": stage_name(stage), "out": out, "tokens": tokens})
+            })
+            .collect();
+        json!({"epoch": epoch, "held": self.held.len(), "cells": cells, "moves": moves})
+    }
+}
+
+/// As logs and reports name it.
+pub fn stage_name(stage: Stage) -> &'static str {
+    match stage {
+        Stage::Open => "open",
+        Stage::Fenced => "fenced",
+        Stage::Drained => "drained",
+        Stage::Switched => "switched",
+        Stage::Done => "done",
+    }
+}
--- a/crates/arrowyard-daemon/src/main.rs
+++ b/crates/arrowyard-daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! The command line of arrowyard.
 
+mod cells;
 mod serve;
 
 use std::path::{Path, PathBuf};
@@ -12,7 +13,7 @@
 ///
 /// With no command it serves, as with `run`. What the platform tells it stands in the file that RELAY_CONFIG names.
 ///
-/// Exit codes: 0 done; 1 a file that was to be checked has faults; 2 what was asked for could not be done, or the
+/// Exit codes: 0 done; 1 a file that was to be checked has faults, or what was compared differs; 2 what was asked for could not be done, or the
 /// router could not start or go on.
 #[derive(Parser)]
 #[command(name = "arrowyard", version, max_term_width = 110)]
@@ -29,6 +30,9 @@
     Run(Run),
     /// Check an operator's file and report every fault, each with its line and column.
     Check(Check),
+    /// Cells: who belongs where, what an edit would move, how a router's cells stand.
+    #[command(subcommand)]
+    Cells(cells::Command),
 }
 
 #[derive(Args)]
@@ -84,8 +88,9 @@
 fn main() -> ExitCode {
     let done = match command() {
         None => serve::serve(None).map(|()| ExitCode::SUCCESS),
-        Some(Command::Run(run)) => serve::serve(run.book.as_deref()).map(|()| ExitCode::SUCCESS),
+        Some(Command::Run(run)) => serve::serve(run.book).map(|()| ExitCode::SUCCESS),
         Some(Command::Check(Check { file, json })) => check(&file, json),
+        Some(Command::Cells(command)) => cells::run(command),
     };
     done.unwrap_or_else(|why| {
         eprintln!("arrowyard: {}", why.replace('\n', "\narrowyard: "));
--- a/crates/arrowyard-daemon/src/serve.rs
+++ b/crates/arrowyard-daemon/src/serve.rs
@@ -1,7 +1,7 @@
 //! One router in service: the stages are started on one thread, and end when told to.
 
 use std::cell::Cell;
-use std::path::Path;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 use arrowyard_charter::manifest;
@@ -12,14 +12,14 @@
 use arrowyard_core::limits::Limits;
 use arrowyard_core::logger::{self, Form, Logbook};
 use arrowyard_core::mail::Wish;
-use arrowyard_core::reload::Reload;
+use arrowyard_core::reload::{Reload, Reread};
 use arrowyard_core::roster::Roster;
 use arrowyard_core::route::{Route, Yard};
 use arrowyard_core::waybill::Waybill;
 use arrowyard_front_pg::PgBack;
 use arrowyard_front_pg::take_in::{Front, Idlers};
 use arrowyard_types::Facts;
-use arrowyard_yardbook::{Yardbook, schema};
+use arrowyard_yardbook::{Yardbook, layout, schema};
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
@@ -38,7 +38,7 @@
     }
 }
 
-async fn run(waybill: Waybill, book: Option<Yardbook>) -> Result<(), String> {
+async fn run(waybill: Waybill, path: Option<PathBuf>, book: Option<Yardbook>) -> Result<(), String> {
     let told = manifest(&waybill.settings)?;
     let limits = Rc::new(Limits::new(&waybill, &told));
     logger::start(logbook(&waybill.name, limits.log_lines, book.as_ref()));
@@ -57,16 +57,21 @@
     let discovery =
         Discovery { dial: waybill.discovery, version, mail: mail.clone(), limits: limits.clone() };
     drop(spawn_local(discovery.run(wished)));
-    drop(spawn_local(Reload { wishes: wishes.clone(), limits: limits.clone() }.run(hangup)));
+    let cells = book.as_ref().and_then(layout);
+    let reread = path.map(|path| -> (Reread, _) {
+        (Box::new(move || Ok(layout(&arrowyard_yardbook::load(&path)?))), mail.clone())
+    });
+    let reload = Reload { wishes: wishes.clone(), limits: limits.clone(), book: reread };
+    drop(spawn_local(reload.run(hangup)));
     if told.text("list") != "ask" {
         // Where lists come unasked, the module does not ask.
         wishes.send(Wish::Watch(true)).await.map_err(|e| e.to_string())?;
     }
 
-    let gate = Rc::new(Gate::new(&waybill.settings, &told, limits.clone()));
+    let gate = Rc::new(Gate::new(&waybill.settings, &told, limits.clone(), cells.is_some()));
     let roster = Roster::new(&waybill.settings, limits.clone());
     let yard = Yard { roster, back, clock, limits: limits.clone(), wishes, mail: mail.clone() };
-    let route = spawn_local(Route::start(yard, waybill.seed, told, waybill.known.as_ref()).run(inbox));
+    let route = spawn_local(Route::start(yard, waybill.seed, told, waybill.known.as_ref(), cells).run(inbox));
 
     let listener = TcpListener::bind(waybill.listen).await.map_err(|e| format!("{}: {e}", waybill.listen))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
@@ -86,9 +91,9 @@
 ///
 /// # Errors
 /// What it could not start with, or why it ended.
-pub fn serve(book: Option<&Path>) -> Result<(), String> {
+pub fn serve(path: Option<PathBuf>) -> Result<(), String> {
     let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    let book = book.map(arrowyard_yardbook::load).transpose()?;
+    let book = path.as_deref().map(arrowyard_yardbook::load).transpose()?;
     let waybill = Waybill::read()?;
-    LocalSet::new().block_on(&runtime, run(waybill, book))
+    LocalSet::new().block_on(&runtime, run(waybill, path, book))
 }
--- /dev/null
+++ b/crates/arrowyard-daemon/tests/cells.rs
@@ -0,0 +1,274 @@
+//! Cells in a router as a process: tenants keep to their hosts, a flood or bad hosts stay in their cell, a tenant
+//! moves between two groups, and files that cannot be used change nothing.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+
+use arrowyard_standins::client::Ask;
+use arrowyard_standins::load::{Stream, play};
+use arrowyard_standins::router::{OP_TYPES, waybill};
+use arrowyard_standins::town::unix_ms;
+use arrowyard_standins::{Act, Client, Process, Reply, Spec, Town};
+use tokio::runtime::Runtime;
+
+const BOOK: &str = r#"epoch: 1
+cells {
+  cell { name: "a" host: "a-*" }
+  cell { name: "b" host: "b-*" }
+  tenant { name: "ann" cell: "a" }
+  tenant { name: "bob" cell: "b" }
+}"#;
+
+fn town() -> Town {
+    let host = |name: &str| Spec { slots: 16, ..Spec::new(name, 7, name == "p-0") };
+    Town::start(&["p-0", "a-0", "a-1", "b-0", "b-1"].map(host))
+}
+
+fn start(town: &Town, book: Option<&str>) -> Process {
+    let program = Path::new(env!("CARGO_BIN_EXE_arrowyard"));
+    Process::start(program, &waybill(town, &OP_TYPES, 512), book).expect("it starts")
+}
+
+fn runtime() -> Runtime {
+    Runtime::new().expect("threads can be had")
+}
+
+struct Asker {
+    client: Client,
+    next: u64,
+}
+
+impl Asker {
+    async fn new(router: &Process) -> Asker {
+        Asker { client: Client::connect(router.address).await.expect("it lets clients in"), next: 1 }
+    }
+
+    async fn ask(
+        &mut self,
+        tenant: Option<&str>,
+        kind: usize,
+        token: Option<u64>,
+        again: bool,
+        group: i64,
+    ) -> Reply {
+        self.next += 1;
+        let row = OP_TYPES[kind];
+        let (wait_ms, writes) = (row.timeout_ms, row.read == "update");
+        let ask = Ask {
+            id: self.next,
+            op_type: row.name,
+            tenant,
+            group,
+            wait_ms,
+            token: token.or(writes.then_some(self.next)),
+            again,
+            session: 5,
+            writes,
+        };
+        self.client.ask(&ask.statement()).await.expect("one answer")
+    }
+}
+
+#[test]
+fn tenants_keep_to_the_hosts_of_their_cell_and_all_write_to_the_primary() {
+    let town = town();
+    let router = start(&town, Some(BOOK));
+    runtime().block_on(async {
+        let mut asker = Asker::new(&router).await;
+        let mut served: BTreeMap<(String, bool), Vec<String>> = BTreeMap::new();
+        for turn in 0..60 {
+            for tenant in ["ann", "bob"] {
+                let kind = [0, 1, 2, 3][turn % 4];
+                match asker.ask(Some(tenant), kind, None, false, 7).await {
+                    Reply::Value(value) => {
+                        let host = value.split(' ').next().unwrap_or_default().to_string();
+                        served.entry((tenant.to_string(), kind == 2)).or_default().push(host);
+                    }
+                    other => panic!("{tenant} {kind}: {other:?}"),
+                }
+            }
+        }
+        for ((tenant, writes), hosts) in served {
+            let own = format!("{}-", &tenant[..1]);
+            // With no replica of its own that is known to be fresh, a bounded read goes to the primary.
+            let wrong = hosts.iter().find(|host| !(host.starts_with(&own) && !writes || *host == "p-0"));
+            assert_eq!(wrong, None, "{tenant}, writes: {writes}");
+            assert!(writes || hosts.iter().filter(|host| host.starts_with(&own)).count() > hosts.len() / 2);
+        }
+        // An op without a cell is an error that says so, and nothing of it reaches a host.
+        let before = town.ledger().commands.values().sum::<u64>();
+        for tenant in [Some("eve"), None] {
+            let reply = asker.ask(tenant, 0, None, false, 7).await;
+            assert!(matches!(&reply, Reply::Error(why) if why.contains("cell")), "{reply:?}");
+        }
+        assert_eq!(town.ledger().commands.values().sum::<u64>(), before);
+    });
+}
+
+#[test]
+fn a_flood_before_hosts_that_hang_stays_in_its_cell() {
+    let host = |name: &str| {
+        let service = Duration::from_millis(5);
+        Spec { slots: 2, service, queue: 50, ..Spec::new(name, 7, name == "p-0") }
+    };
+    let town = Town::start(&["p-0", "a-0", "a-1", "b-0", "b-1"].map(host));
+    let router = start(&town, Some(BOOK));
+    ["a-0", "a-1"].into_iter().for_each(|name| town.act(name, Act::Hang));
+    let (from, till) = (Duration::ZERO, Duration::from_millis(1500));
+    let mix = vec![(0, 2), (3, 3)];
+    let stream = |tenant, rate| Stream { tenant, group: 7, rate, mix: mix.clone(), from, till, sessions: 9 };
+    let outcome = play(router.address, &OP_TYPES, &[stream("ann", 1000.0), stream("bob", 60.0)], 3, |_| {});
+    let (ann, bob) = (outcome.of_tenant("ann"), outcome.of_tenant("bob"));
+    assert!(ann.sent > 1000, "{}", ann.sent);
+    assert_eq!((ann.unanswered, bob.unanswered), (0, 0), "each op has one answer in time");
+    assert!(bob.share() > 0.9, "{} of {}", bob.good, bob.sent);
+    let commands = town.ledger().commands;
+    let others = commands["b-0"] + commands["b-1"];
+    assert!(
+        others < bob.sent * 2,
+        "{others} commands reached the hosts of the other cell, whose ops were {}",
+        bob.sent
+    );
+}
+
+#[test]
+fn a_file_with_faults_or_of_an_older_epoch_changes_nothing_and_a_newer_one_holds_at_once() {
+    let town = town();
+    let router = start(&town, Some(BOOK));
+    runtime().block_on(async {
+        let mut asker = Asker::new(&router).await;
+        let within = Duration::from_secs(10);
+        router.rebook(&BOOK.replace("epoch: 1", "epoch: 2").replace("cell: \"b\"", "cell: \"c\""));
+        assert!(router.said("no cell is named \"c\"", within));
+        router.rebook(&BOOK.replace("\"bob\"", "\"eve\""));
+        assert!(router.said("refused whole", within));
+        assert!(matches!(asker.ask(Some("eve"), 3, None, false, 7).await, Reply::Error(_)));
+        router.rebook(&BOOK.replace("epoch: 1", "epoch: 3").replace("\"bob\"", "\"eve\""));
+        assert!(router.said("the operator's file holds epoch=3", within));
+        assert!(matches!(asker.ask(Some("eve"), 3, None, false, 7).await, Reply::Value(_)));
+        assert!(matches!(asker.ask(Some("bob"), 3, None, false, 7).await, Reply::Error(_)));
+    });
+}
+
+#[test]
+fn a_cells_budget_of_repeats_is_its_own() {
+    let town = town();
+    let book = BOOK.replace(
+        "  tenant { name: \"ann\"",
+        "  repeats { share: 0.0 least: 6 window_ms: 60000 }\n  tenant { name: \"ann\"",
+    );
+    let router = start(&town, Some(&book));
+    runtime().block_on(async {
+        let mut asker = Asker::new(&router).await;
+        let mut replies = Vec::new();
+        for _ in 0..10 {
+            replies.push(asker.ask(Some("ann"), 3, None, true, 7).await);
+        }
+        let busy = |reply: &&Reply| matches!(reply, Reply::Busy(Some(after)) if *after > 0);
+        assert_eq!(replies.iter().filter(busy).count(), 4, "{replies:?}");
+        // Hosts that fail draw no further sends any more.
+        ["a-0", "a-1", "p-0"].into_iter().for_each(|name| town.act(name, Act::Fail));
+        let before = town.ledger().commands.values().sum::<u64>();
+        assert!(!matches!(asker.ask(Some("ann"), 3, None, false, 7).await, Reply::Value(_)));
+        assert_eq!(town.ledger().commands.values().sum::<u64>(), before + 1);
+        ["p-0"].into_iter().for_each(|name| town.act(name, Act::Serve));
+        // The other cell's is untouched.
+        for _ in 0..6 {
+            assert!(matches!(asker.ask(Some("bob"), 3, None, true, 7).await, Reply::Value(_)));
+        }
+    });
+}
+
+/// The file at a step of the move of `ann` from group 7 to group 8.
+fn moving(epoch: u64, step: &str, fence: i64, home: &str) -> String {
+    let (copied, switch, lease) =
+        (fence + 700, fence + 900, if epoch < 3 { fence - 100 } else { fence + 600_000 });
+    let end = match step {
+        "SWITCHED" | "DONE" => format!("copied_through_ms: {copied} target_floor_ms: {}", copied + 1),
+        _ => String::new(),
+    };
+    let times =
+        if epoch < 3 { String::new() } else { format!("fence_at_ms: {fence} switch_at_ms: {switch}") };
+    let row = format!(
+        "move {{ tenant: \"ann\" from: \"a\" to: \"b\" from_group: 7 to_group: 8 step: {step} {times} {end} memory_ms: 2000 }}"
+    );
+    let row = if step.is_empty() { String::new() } else { row };
+    format!(
+        "epoch: {epoch}\ncells {{\n cell {{ name: \"a\" }}\n cell {{ name: \"b\" }}\n \
+         tenant {{ name: \"ann\" cell: \"{home}\" }}\n tenant {{ name: \"bob\" cell: \"b\" }}\n \
+         lease {{ until_ms: {lease} skew_ms: 20 }}\n {row}\n}}\n"
+    )
+}
+
+#[test]
+fn a_tenant_moves_under_load_and_no_turn_is_lost_or_doubled() {
+    let host = |name: &str| Spec::new(name, if name.starts_with('s') { 7 } else { 8 }, name.ends_with('0'));
+    let town = Town::start(&["s-0", "s-1", "s-2", "t-0", "t-1", "t-2"].map(host));
+    let fence = unix_ms() + 1500;
+    let router = start(&town, Some(&moving(1, "PLANNED", fence, "a")));
+    let (from, till) = (Duration::ZERO, Duration::from_millis(4200));
+    let stream = |tenant, group| Stream {
+        tenant,
+        group,
+        rate: 80.0,
+        mix: vec![(2, 2), (1, 1), (0, 1)],
+        from,
+        till,
+        sessions: 9,
+    };
+    let (mut fenced, mut copied) = (false, false);
+    let outcome = play(router.address, &OP_TYPES, &[stream("ann", 7), stream("bob", 8)], 5, |_| {
+        if !fenced && unix_ms() > fence - 600 {
+            router.rebook(&moving(3, "FENCED", fence, "a"));
+            fenced = true;
+        }
+        if !copied && unix_ms() > fence + 720 {
+            town.copy(7, 8, fence + 700);
+            router.rebook(&moving(4, "SWITCHED", fence, "a"));
+            copied = true;
+        }
+    });
+    assert!(router.said("stage=switched", Duration::ZERO), "{:#?}", router.log.lock());
+    let (ann, bob) = (outcome.of_tenant("ann"), outcome.of_tenant("bob"));
+    assert_eq!((ann.unanswered, bob.unanswered), (0, 0));
+    assert!(ann.busy > 20, "writes at the fence are given back: {}", ann.busy);
+    assert!(bob.share() > 0.97, "{} of {}", bob.good, bob.sent);
+    let target: BTreeMap<String, usize> = town.log(8).into_iter().fold(BTreeMap::new(), |mut all, record| {
+        *all.entry(record.turn).or_default() += 1;
+        all
+    });
+    let missing = outcome.acked.iter().find(|turn| !target.contains_key(&format!("{turn:016x}")));
+    assert_eq!(missing, None, "an acked turn is not at the target");
+    assert!(target.values().all(|times| *times == 1));
+    // Writes were made at the target, too, in the name of the source's group.
+    let at_target = town.ledger().applied.values().flatten().filter(|(host, _)| host == "t-0").count();
+    assert!(at_target > 100, "{at_target}");
+}
+
+#[test]
+fn a_library_nobody_here_wrote_is_served_and_can_see_the_cells() {
+    let town = town();
+    let router = start(&town, Some(BOOK));
+    runtime().block_on(async {
+        let mut told = tokio_postgres::Config::new();
+        told.host("127.0.0.1").port(router.address.port()).user("web").dbname("orders");
+        let (client, connection) = told.connect(tokio_postgres::NoTls).await.expect("it lets the library in");
+        let talk = tokio::spawn(connection);
+        let statement = "/* id=9b1f03aa5c7e2d41,c=standings,t=ann,d=600,cluster=7 */ SELECT payload FROM entries WHERE ref = '7f3a9c21e0b4d655'";
+        let answer = client.simple_query(statement).await.expect("it is served");
+        let row = answer.iter().find_map(|message| match message {
+            tokio_postgres::SimpleQueryMessage::Row(row) => row.get(0).map(str::to_string),
+            _ => None,
+        });
+        assert!(row.is_some_and(|value| value.starts_with("a-") || value.starts_with("p-")));
+        let shown = client.simple_query("SHOW cells").await.expect("it is told");
+        let shown = shown.iter().find_map(|message| match message {
+            tokio_postgres::SimpleQueryMessage::Row(row) => row.get("cells").map(str::to_string),
+            _ => None,
+        });
+        assert!(shown.is_some_and(|text| text.contains(r#""cell":"a""#) && text.contains(r#""taken":1"#)));
+        drop(client);
+        let _ = talk.await;
+    });
+}
--- a/crates/arrowyard-front-pg/src/take_in.rs
+++ b/crates/arrowyard-front-pg/src/take_in.rs
@@ -2,16 +2,17 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::net::IpAddr;
 use std::rc::Rc;
 
-use arrowyard_core::admit::Gate;
+use arrowyard_core::admit::{Admitted, Gate};
 use arrowyard_core::clock::Beat;
 use arrowyard_core::count::Count;
 use arrowyard_core::drain::Stage;
 use arrowyard_core::mail::Mail;
 use arrowyard_core::{Call, Limits, Reply};
 use arrowyard_pg::{
-    Asked, Malformed, Opening, Statement, code, greet, put_done, put_empty, put_fatal, put_ready,
+    Asked, Malformed, Opening, Statement, code, greet, put_done, put_empty, put_fatal, put_ready, put_value,
 };
 use arrowyard_types::Point;
 use bytes::BytesMut;
@@ -26,7 +27,7 @@
 use crate::relay;
 
 /// What the statement's comment says of its op.
-fn call(statement: &Statement) -> Call<'_> {
+fn call(statement: &Statement, address: Option<IpAddr>) -> Call<'_> {
     let Statement { id, wait_ms, op_type, tenant, group, after, again, token, key, .. } = statement;
     Call {
         id: *id,
@@ -38,6 +39,7 @@
         again: *again,
         token: *token,
         session: *key,
+        address,
         bytes: statement.bytes(),
     }
 }
@@ -130,6 +132,7 @@
     accepted: Instant,
     /// Whether it ever sent a whole message after the first.
     asked: bool,
+    address: Option<IpAddr>,
     place: Place,
 }
 
@@ -140,7 +143,8 @@
     fn new(front: Rc<Front>, stream: TcpStream, count: Count) -> Self {
         let (came, out) = (BytesMut::new(), BytesMut::new());
         let place = Rc::new(RefCell::new(Some(count)));
-        Client { front, stream, came, out, accepted: Instant::now(), asked: false, place }
+        let address = stream.peer_addr().ok().map(|address| address.ip());
+        Client { front, stream, came, out, accepted: Instant::now(), asked: false, address, place }
     }
 
     async fn serve(mut self) {
@@ -236,6 +240,11 @@
             "" => put_empty(&mut self.out),
             "SET" | "RESET" => put_done(&mut self.out, &word),
             "DISCARD" => put_done(&mut self.out, "DISCARD ALL"),
+            "SHOW" if self.front.gate.has_cells() && command.eq_ignore_ascii_case("show cells") => {
+                let (client, answer) = oneshot::channel();
+                self.front.mail.send(Mail::Show(client)).await.map_err(|_| Ended)?;
+                put_value(&mut self.out, "cells", &answer.await.map_err(|_| Ended)?);
+            }
             _ if !self.front.make_room() => {
                 relay::put_crowded(&mut self.out);
                 return self.end().await;
@@ -255,14 +264,15 @@
 
     /// One op, from its admission to its final answer.
     async fn op(&mut self, statement: Statement, arrived: Point) -> Result<Reply<Parcel>, Ended> {
-        let (ask, _open) = match self.front.gate.admit(call(&statement), arrived) {
-            Ok(admitted) => admitted,
-            Err(reply) => return Ok(reply),
-        };
+        let Admitted { ask, claim, place: _open } =
+            match self.front.gate.admit(call(&statement, self.address), arrived) {
+                Ok(admitted) => admitted,
+                Err(reply) => return Ok(reply),
+            };
         let (answer, mut answered) = oneshot::channel();
         let mail = self.front.mail.clone();
         let op = ask.op;
-        mail.send(Mail::Asked(ask, Rc::new(statement), answer)).await.map_err(|_| Ended)?;
+        mail.send(Mail::Asked(ask, claim, Rc::new(statement), answer)).await.map_err(|_| Ended)?;
         loop {
             let room = self.came.len() < self.front.limits.message;
             tokio::select! {
--- a/crates/arrowyard-pg/src/client.rs
+++ b/crates/arrowyard-pg/src/client.rs
@@ -79,6 +79,22 @@
     put(out, Some(b'I'), |_| ());
 }
 
+/// An answer of the router's own: one row of one column, as text.
+pub fn put_value(out: &mut BytesMut, column: &str, value: &str) {
+    put(out, Some(b'T'), |out| {
+        out.put_u16(1);
+        put_text(out, column);
+        // No table, no column number; text (25), of any length, in text form.
+        out.put_slice(&[0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 0]);
+    });
+    put(out, Some(b'D'), |out| {
+        out.put_u16(1);
+        out.put_u32(value.len() as u32);
+        out.put_slice(value.as_bytes());
+    });
+    put_done(out, "SHOW");
+}
+
 /// The end of a command without rows.
 pub fn put_done(out: &mut BytesMut, command: &str) {
     put(out, Some(b'C'), |out| put_text(out, command));
--- a/crates/arrowyard-pg/src/lib.rs
+++ b/crates/arrowyard-pg/src/lib.rs
@@ -7,7 +7,9 @@
 mod host;
 mod statement;
 
-pub use client::{Asked, Opening, greet, put_busy, put_done, put_empty, put_error, put_fatal, put_ready};
+pub use client::{
+    Asked, Opening, greet, put_busy, put_done, put_empty, put_error, put_fatal, put_ready, put_value,
+};
 pub use frame::{Malformed, promised};
 pub use host::{Answer, Heard, Mode, Status, put_plain, put_startup, report, value};
 pub use statement::Statement;
--- /dev/null
+++ b/crates/arrowyard-standins/src/discovery.rs
@@ -0,0 +1,73 @@
+//! Discovery: the whole list, and watches that tell what changed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::town::{Shared, State, lock};
+
+/// The list; with `since`, what changed after that version.
+pub(crate) fn list(state: &State, since: Option<u64>) -> Value {
+    let changed = state.hosts.values().filter(|host| since.is_none_or(|since| host.changed > since));
+    let rows = changed.map(|host| {
+        json!({"host": host.spec.name, "dial": host.address.to_string(), "site": "a", "class": "m",
+            "block": host.spec.group, "health": host.health, "share": 1.0, "born_ms": host.born_ms,
+            "mode": if host.spec.primary { "read-write" } else { "read-only" }})
+    });
+    json!({"seq": state.version, "whole": since.is_none(), "hosts": rows.collect::<Vec<_>>()})
+}
+
+pub(crate) async fn start(state: Shared, news: watch::Receiver<u64>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            if !lock(&state).undiscovered {
+                tokio::spawn(answer(state.clone(), news.clone(), stream));
+            }
+        }
+    });
+    address
+}
+
+async fn answer(state: Shared, mut news: watch::Receiver<u64>, stream: TcpStream) -> Option<()> {
+    let mut stream = BufReader::new(stream);
+    let mut call = String::new();
+    stream.read_line(&mut call).await.ok()?;
+    let mut line = String::new();
+    while stream.read_line(&mut line).await.ok()? > 2 {
+        line.clear();
+    }
+    if !call.contains("watch=1") {
+        let body = list(&lock(&state), None).to_string();
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        return stream.write_all([head, body].concat().as_bytes()).await.ok();
+    }
+    let from = call.split("from=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.ok()?;
+    let (mut told, mut first): (Option<u64>, bool) = (from, true);
+    loop {
+        let (text, version) = {
+            let state = lock(&state);
+            if state.undiscovered {
+                return None;
+            }
+            (list(&state, told), state.version)
+        };
+        if first || told != Some(version) {
+            let text = text.to_string();
+            let chunk = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
+            stream.write_all(chunk.as_bytes()).await.ok()?;
+            (told, first) = (Some(version), false);
+        }
+        match timeout(Duration::from_secs(2), news.changed()).await {
+            Ok(changed) => changed.ok()?,
+            Err(_) => stream.write_all(b"1\r\n\n\r\n").await.ok()?,
+        }
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-standins/src/town.rs
@@ -0,0 +1,296 @@
+//! The state behind all stand-ins: groups with their logs, hosts with their roles and scripts, and the ledger.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+use crate::{discovery, host};
+
+pub fn unix_ms() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as i64)
+}
+
+/// What a host does with a command.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    Serve,
+    /// Serves after so long, each command.
+    Slow(Duration),
+    /// Reads, and never answers; nothing runs.
+    Hang,
+    /// 53300: queue full.
+    TurnAway,
+    /// XX000, and nothing ran.
+    Fail,
+    /// Closes the connection in place of an answer, and nothing ran.
+    Break,
+    /// Closes the connection in place of an answer, after it ran.
+    LoseAnswer,
+    /// Answers with noise, after it ran.
+    Spoil,
+}
+
+/// One host, as it is started.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    pub name: String,
+    pub group: i64,
+    pub primary: bool,
+    /// How far behind the primary it applies.
+    pub lag: Duration,
+    /// How long a command takes, and how many it works on at once; more wait in a queue, and beyond its length they are
+    /// turned away.
+    pub service: Duration,
+    pub slots: usize,
+    pub queue: usize,
+}
+
+impl Spec {
+    pub fn new(name: &str, group: i64, primary: bool) -> Self {
+        let (lag, service) = (Duration::from_millis(10), Duration::ZERO);
+        Spec { name: name.to_string(), group, primary, lag, service, slots: 1024, queue: 1024 }
+    }
+}
+
+/// A write that a group holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    pub position: i64,
+    pub turn: String,
+    pub session: String,
+}
+
+#[derive(Default)]
+pub(crate) struct Group {
+    pub log: Vec<Record>,
+    /// By token: when it was first seen, and the record's position.
+    pub tokens: HashMap<String, (i64, i64)>,
+}
+
+pub(crate) struct HostState {
+    pub spec: Spec,
+    pub address: SocketAddr,
+    pub act: Act,
+    pub born_ms: i64,
+    pub health: &'static str,
+    /// Positions stand still from here on.
+    pub stalled_at: Option<i64>,
+    pub busy: usize,
+    pub waiting: usize,
+    /// When it was told that it drains, and commands that were sent to it since.
+    pub commands: u64,
+    pub tasks: Vec<AbortHandle>,
+    pub changed: u64,
+}
+
+/// What was applied, and what was answered.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    /// By turn: where it was applied, each time.
+    pub applied: HashMap<String, Vec<(String, i64)>>,
+    /// Commands by host.
+    pub commands: BTreeMap<String, u64>,
+}
+
+pub(crate) struct State {
+    pub groups: BTreeMap<i64, Group>,
+    pub hosts: BTreeMap<String, HostState>,
+    pub ledger: Ledger,
+    pub memory: Duration,
+    pub version: u64,
+    /// Discovery neither accepts nor answers.
+    pub undiscovered: bool,
+}
+
+impl State {
+    /// What a host of the group has applied at this time: up to here.
+    pub fn position(&self, name: &str, now: i64) -> i64 {
+        let host = &self.hosts[name];
+        let lag = if host.spec.primary { 0 } else { host.spec.lag.as_millis() as i64 };
+        host.stalled_at.unwrap_or(now).min(now) - lag
+    }
+}
+
+/// Hosts, discovery and the ledger, on threads of their own till it is dropped.
+pub struct Town {
+    state: Arc<Mutex<State>>,
+    news: watch::Sender<u64>,
+    pub discovery: SocketAddr,
+    runtime: Option<Runtime>,
+}
+
+pub(crate) type Shared = Arc<Mutex<State>>;
+
+pub(crate) fn lock(state: &Shared) -> MutexGuard<'_, State> {
+    state.lock().expect("no stand-in panics while it holds the state")
+}
+
+impl Town {
+    pub fn start(specs: &[Spec]) -> Town {
+        let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build();
+        let runtime = runtime.expect("threads can be had");
+        let state = State {
+            groups: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            ledger: Ledger::default(),
+            memory: Duration::from_millis(2000),
+            version: 1,
+            undiscovered: false,
+        };
+        let state = Arc::new(Mutex::new(state));
+        let (news, heard) = watch::channel(1);
+        let discovery = runtime.block_on(discovery::start(state.clone(), heard));
+        let town = Town { state, news, discovery, runtime: Some(runtime) };
+        specs.iter().for_each(|spec| town.add(spec.clone(), 0));
+        town
+    }
+
+    fn runtime(&self) -> &Runtime {
+        self.runtime.as_ref().expect("it is there till the town is dropped")
+    }
+
+    /// Starts a host; `born_ms` 0 is long ago.
+    pub fn add(&self, spec: Spec, born_ms: i64) {
+        let name = spec.name.clone();
+        let listener = self.runtime().block_on(host::bind(None));
+        let address = listener.local_addr().expect("it is bound");
+        {
+            let mut state = lock(&self.state);
+            state.groups.entry(spec.group).or_default();
+            let (act, health, stalled_at, tasks) = (Act::Serve, "SERVING", None, Vec::new());
+            let (busy, waiting, commands, changed) = (0, 0, 0, state.version);
+            let one = HostState {
+                spec,
+                address,
+                act,
+                born_ms,
+                health,
+                stalled_at,
+                busy,
+                waiting,
+                commands,
+                tasks,
+                changed,
+            };
+            state.hosts.insert(name.clone(), one);
+        }
+        self.runtime().block_on(async { host::serve(self.state.clone(), name, listener) });
+        self.tell();
+    }
+
+    /// Discovery's list has changed.
+    fn tell(&self) {
+        let version = lock(&self.state).version;
+        self.news.send_replace(version);
+    }
+
+    fn change(&self, name: &str, change: impl FnOnce(&mut HostState)) {
+        {
+            let mut state = lock(&self.state);
+            state.version += 1;
+            let version = state.version;
+            let host = state.hosts.get_mut(name).expect("a host of this town");
+            change(host);
+            host.changed = version;
+        }
+        self.tell();
+    }
+
+    pub fn act(&self, name: &str, act: Act) {
+        lock(&self.state).hosts.get_mut(name).expect("a host of this town").act = act;
+    }
+
+    pub fn drain(&self, name: &str) {
+        self.change(name, |host| host.health = "DRAINING");
+    }
+
+    pub fn stall(&self, name: &str) {
+        lock(&self.state).hosts.get_mut(name).expect("a host of this town").stalled_at = Some(unix_ms());
+    }
+
+    /// The process dies: connections end, new ones are refused.
+    pub fn kill(&self, name: &str) {
+        let tasks = {
+            let mut state = lock(&self.state);
+            let host = state.hosts.get_mut(name).expect("a host of this town");
+            (host.busy, host.waiting) = (0, 0);
+            std::mem::take(&mut host.tasks)
+        };
+        tasks.iter().for_each(AbortHandle::abort);
+    }
+
+    /// It starts anew at its address, as a replica.
+    pub fn revive(&self, name: &str) {
+        let address = self.address(name);
+        let listener = self.runtime().block_on(host::bind(Some(address)));
+        self.change(name, |host| {
+            (host.spec.primary, host.born_ms, host.act) = (false, unix_ms(), Act::Serve);
+        });
+        self.runtime().block_on(async { host::serve(self.state.clone(), name.to_string(), listener) });
+    }
+
+    /// A replica takes over; what it had not applied is lost.
+    pub fn promote(&self, name: &str) {
+        let now = unix_ms();
+        {
+            let mut state = lock(&self.state);
+            let position = state.position(name, now);
+            let group = state.hosts[name].spec.group;
+            let of = state.groups.entry(group).or_default();
+            of.log.retain(|record| record.position <= position);
+            of.tokens.retain(|_, (_, at)| *at <= position);
+        }
+        let group = lock(&self.state).hosts[name].spec.group;
+        let others: Vec<String> = {
+            let state = lock(&self.state);
+            let members = state.hosts.values().filter(|host| host.spec.group == group && host.spec.primary);
+            members.map(|host| host.spec.name.clone()).collect()
+        };
+        others.iter().for_each(|other| self.change(other, |host| host.spec.primary = false));
+        self.change(name, |host| host.spec.primary = true);
+    }
+
+    /// The records of one group are put into another, as a copy of the operator's would.
+    pub fn copy(&self, from: i64, to: i64, through: i64) {
+        let mut state = lock(&self.state);
+        let source = state.groups.get(&from).map(|group| group.log.clone()).unwrap_or_default();
+        let now = unix_ms();
+        let target = state.groups.entry(to).or_default();
+        let copied = source.into_iter().filter(|record| record.position <= through);
+        target.log.extend(copied.map(|record| Record { position: now, ..record }));
+    }
+
+    pub fn undiscovered(&self, down: bool) {
+        lock(&self.state).undiscovered = down;
+    }
+
+    pub fn address(&self, name: &str) -> SocketAddr {
+        lock(&self.state).hosts[name].address
+    }
+
+    pub fn ledger(&self) -> Ledger {
+        lock(&self.state).ledger.clone()
+    }
+
+    pub fn log(&self, group: i64) -> Vec<Record> {
+        lock(&self.state).groups.get(&group).map(|group| group.log.clone()).unwrap_or_default()
+    }
+
+    /// The list as a router is handed it at its start.
+    pub fn known(&self) -> serde_json::Value {
+        discovery::list(&lock(&self.state), None)
+    }
+}
+
+impl Drop for Town {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
--- a/crates/arrowyard-types/src/interface.rs
+++ b/crates/arrowyard-types/src/interface.rs
@@ -1,7 +1,9 @@
 use std::collections::BTreeMap;
 
+use smallvec::SmallVec;
+
 use crate::{
-    Cookie, GroupId, HostId, OpId, OpTypeId, PeerId, Point, SendNo, SessionId, Span, TenantId, ZoneId,
+    CellId, Cookie, GroupId, HostId, OpId, OpTypeId, PeerId, Point, SendNo, SessionId, Span, TenantId, ZoneId,
 };
 
 /// What a router is told when it starts: names to values. Rows carry their number in the name, as in
@@ -56,6 +58,17 @@
     Gone,
 }
 
+/// A group that a host takes part in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    pub group: GroupId,
+    /// It takes part as the group's primary only, and never as one of the replicas that take its reads.
+    pub guest: bool,
+}
+
+/// One group, but where cells divide hosts.
+pub type Parts = SmallVec<[Part; 1]>;
+
 /// One line of the list of database hosts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
@@ -63,7 +76,7 @@
     /// What all routers call it; a `HostId` is this router's own number.
     pub tag: u32,
     pub availability: Availability,
-    pub group: GroupId,
+    pub parts: Parts,
     pub zone: ZoneId,
     pub size: f64,
     pub primary: bool,
@@ -124,10 +137,14 @@
     pub op: OpId,
     pub op_type: OpTypeId,
     pub tenant: Option<TenantId>,
+    /// Whose budget of further sends it spends; 0 where there are no cells.
+    pub cell: CellId,
     pub group: GroupId,
     pub session: Option<SessionId>,
     /// How long ago the session's last write was committed; zero for none, absent where it is not told.
     pub token_age: Option<Span>,
+    /// What a read must see at least, whatever its session; nothing but for a tenant that moved.
+    pub floor: Option<Point>,
     /// Whether the client said that it asks again.
     pub again: bool,
     /// When the client gives up.
@@ -151,14 +168,33 @@
 /// What reaches a router.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Note {
-    Listed { form: ListForm, entries: Vec<Entry> },
+    Listed {
+        form: ListForm,
+        entries: Vec<Entry>,
+    },
     ListFailed,
+    /// How many further sends a cell may make from now on; none: as many as it likes.
+    Spare {
+        cell: CellId,
+        sends: Option<u32>,
+    },
     Asked(Ask),
     SendEnded(Ended),
-    HungUp { op: OpId },
-    Rang { cookie: Cookie },
-    Probed { host: HostId, outcome: Outcome, word: Word },
-    Told { from: PeerId, bytes: Vec<u8> },
+    HungUp {
+        op: OpId,
+    },
+    Rang {
+        cookie: Cookie,
+    },
+    Probed {
+        host: HostId,
+        outcome: Outcome,
+        word: Word,
+    },
+    Told {
+        from: PeerId,
+        bytes: Vec<u8>,
+    },
 }
 
 /// What a router wants done; in this order.
--- /dev/null
+++ b/crates/arrowyard-yardbook/src/layout.rs
@@ -0,0 +1,97 @@
+//! What a checked book says of cells, in the types of the package that decides on it.
+
+use arrowyard_cells::layout::{Cell, Layout, Lease, Net, Pace, Release, Repeats};
+use arrowyard_cells::moving::{Row, Step};
+use arrowyard_types::{CellId, GroupId, Point, Span};
+use ipnet::IpNet;
+
+use crate::schema;
+
+fn millis(millis: u64) -> Point {
+    Point::from_micros(millis as i64 * 1000)
+}
+
+fn span(millis: Option<u32>, otherwise: u32) -> Span {
+    Span::from_millis(millis.unwrap_or(otherwise).into())
+}
+
+fn cell(told: &schema::Cell) -> Cell {
+    let pace = told.pace.map(|pace| Pace {
+        first: pace.first.unwrap_or(32).into(),
+        least: pace.least.unwrap_or(4).into(),
+        most: pace.most.unwrap_or(512).into(),
+    });
+    Cell {
+        name: told.name().into(),
+        weight: told.weight.unwrap_or(1.0),
+        groups: told.group.iter().copied().map(GroupId).collect(),
+        hosts: told.host.iter().map(|host| host.as_str().into()).collect(),
+        guaranteed: told.guaranteed.unwrap_or(0.5),
+        placed: told.placed.unwrap_or(true),
+        pace,
+        gone: false,
+    }
+}
+
+/// The layout of a book that was checked; nothing if it has no cells. What does not refer to a cell of the book is
+/// left out, which the check does not let through.
+pub fn layout(book: &schema::Yardbook) -> Option<Layout> {
+    let told = book.cells.as_ref()?;
+    let ids: std::collections::HashMap<&str, CellId> =
+        told.cell.iter().map(schema::Cell::name).zip((0..).map(CellId)).collect();
+    let id = |name: &str| ids.get(name).copied();
+    let net = |row: &schema::Net| {
+        let all =
+            |texts: &[String]| texts.iter().filter_map(|text| text.parse().ok()).collect::<Vec<IpNet>>();
+        let prefix = row.prefix.as_ref().and_then(|prefix| prefix.parse().ok());
+        let within = prefix.map_or_else(|| all(&row.within), |prefix| vec![prefix]);
+        Some(Net { within, without: all(&row.without), cell: id(row.cell())? })
+    };
+    let moving = |row: &schema::Move| {
+        let step = match row.step() {
+            schema::Step::Unknown => return None,
+            schema::Step::Planned => Step::Planned,
+            schema::Step::Copying => Step::Copying,
+            schema::Step::Fenced => Step::Fenced,
+            schema::Step::Switched => Step::Switched,
+            schema::Step::Done => Step::Done,
+            schema::Step::Cancelled => Step::Cancelled,
+        };
+        Some(Row {
+            tenant: row.tenant().into(),
+            from: id(row.from())?,
+            to: id(row.to())?,
+            groups: row.from_group.zip(row.to_group).map(|(from, to)| (GroupId(from), GroupId(to))),
+            step,
+            fence_at: row.fence_at_ms.map(millis),
+            switch_at: row.switch_at_ms.map(millis),
+            copied_through: row.copied_through_ms.map(millis),
+            target_floor: row.target_floor_ms.map(millis),
+            memory: span(row.memory_ms, 0),
+        })
+    };
+    let tenants = told.tenant.iter().filter_map(|row| Some((row.name().into(), id(row.cell())?)));
+    let release = told.release.as_ref().map(|release| Release {
+        order: release.order.iter().filter_map(|name| id(name)).collect(),
+        worse: release.worse.unwrap_or(3.0),
+        wrong: release.wrong.unwrap_or(0.001),
+    });
+    Some(Layout {
+        epoch: book.epoch(),
+        cells: told.cell.iter().map(cell).collect(),
+        tenants: tenants.collect(),
+        nets: told.net.iter().filter_map(net).collect(),
+        rest: told.rest.map(|rest| rest.each.unwrap_or(1) as usize),
+        call_back: span(told.call_back_ms, 100),
+        repeats: told.repeats.map(|repeats| Repeats {
+            share: repeats.share.unwrap_or(0.2),
+            least: repeats.least.unwrap_or(8),
+            window: span(repeats.window_ms, 10_000),
+        }),
+        release,
+        lease: told
+            .lease
+            .and_then(|lease| Some(Lease { until: millis(lease.until_ms?), skew: span(lease.skew_ms, 50) })),
+        moves: told.r#move.iter().filter_map(moving).collect(),
+    })
+}
--- a/crates/arrowyard-yardbook/src/lib.rs
+++ b/crates/arrowyard-yardbook/src/lib.rs
@@ -3,6 +3,7 @@
 //! would be right. No I/O beyond reading the one file.
 
 mod check;
+mod layout;
 mod places;
 mod scan;
 
@@ -13,6 +14,7 @@
 use prost_reflect::{DescriptorPool, DynamicMessage, MessageDescriptor};
 
 pub use check::check;
+pub use layout::layout;
 pub use places::{Place, Places};
 
 /// The types of the schema.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -298,6 +298,8 @@
     pub fn take(&mut self, note: Note, post: &mut Post) {
         match note {
             Note::Listed { form, entries } => self.listed(form, entries, post),
+            Note::Spare { cell, sends: Some(sends) } => drop(self.spares.insert(cell, sends)),
+            Note::Spare { cell, sends: None } => drop(self.spares.remove(&cell)),
             Note::ListFailed => {
                 let wait = self.charter.span("ask_within") * (0.1 + 0.2 * self.rng.borrow_mut().f64());
                 post.actions.push(Action::Ring { after: wait, cookie: ASK_LIST });
@@ -347,10 +349,19 @@
         self.hosts().filter(missing).for_each(|host| post.hosts.put(host, HostNote::Dropped));
         let weights: f64 = self.op_types.iter().map(|kind| self.weight(kind)).sum();
         for entry in entries {
-            self.groups.values_mut().for_each(|group| group.members.retain(|&host| host != entry.host));
-            let members = &mut self.groups.entry(entry.group).or_default().members;
-            members.push(entry.host);
-            members.sort_unstable();
+            let place = entry.host.0 as usize;
+            self.parts.resize_with(self.parts.len().max(place + 1), Parts::new);
+            for part in std::mem::replace(&mut self.parts[place], entry.parts.clone()) {
+                let group = self.groups.entry(part.group).or_default();
+                group.members.retain(|&host| host != entry.host);
+                group.guests.retain(|&host| host != entry.host);
+            }
+            for part in &entry.parts {
+                let group = self.groups.entry(part.group).or_default();
+                group.members.push(entry.host);
+                group.members.sort_unstable();
+                group.guests.extend(part.guest.then_some(entry.host));
+            }
             let debt = weights / self.op_types.len() as f64 * self.rng.borrow_mut().f64();
             post.hosts.put(entry.host, HostNote::Listed(entry, debt));
         }
@@ -366,6 +377,7 @@
         } else {
             self.commits.last(ask.session)
         };
+        let floor = floor.max(ask.floor);
         let back = self.groups.get(&ask.group).map_or(0.0, |group| match need {
             Need::Write => group.held_back,
             _ => (group.back * if self.over_share(&ask) { OVER_FIRST } else { 1.0 }).min(MOST_BACK),
@@ -388,7 +400,9 @@
     /// Rule 2: whether the op may go out again, to this host if one is named.
     fn may_send(&self, op: &Op, host: Option<HostId>) -> bool {
         let most = self.charter.number_or("max_sends", 1.0) as usize;
-        if op.sends.len() >= most {
+        // Danger: further sends of a cell in trouble, spent by all. What its budget leaves is told.
+        let spent = op.sends.len() > 0 && self.spares.get(&op.ask.cell) == Some(&0);
+        if op.sends.len() >= most || spent {
             return false;
         }
         match (self.op_type(op).effect, op.sends.may_have_run()) {
@@ -428,6 +442,9 @@
         let (weight, until) = (self.weight(self.op_type(op)), self.pays_until(op));
         self.held.retain(|&held| held != place);
         let op = &mut self.ops[place];
+        if let Some(spare) = self.spares.get_mut(&op.ask.cell).filter(|_| op.sends.len() > 0) {
+            *spare = spare.saturating_sub(1);
+        }
         op.sends.begin(host, self.now);
         for (row, (_, used)) in self.tenants.iter_mut().enumerate() {
             *used = *used * 0.99 + f64::from(op.ask.tenant.is_some_and(|tenant| tenant.0 as usize == row));
@@ -509,7 +526,8 @@
         let tells = acked || matches!(outcome, Outcome::TimedOut | Outcome::Full);
         let Some(group) = self.groups.get_mut(&group).filter(|_| tells) else { return };
         let slow = (EASY + 1.0) * 0.5;
-        let faces = group.members.iter().map(|host| &self.faces[host.0 as usize]);
+        let own = group.members.iter().filter(|host| !group.guests.contains(host));
+        let faces = own.map(|host| &self.faces[host.0 as usize]);
         let paces = faces.filter(|face| face.open).filter_map(|face| face.pace);
         let (all, far) = (paces.clone().count(), paces.filter(|&pace| pace > slow).count());
         if (used > slow || !acked) && far * 2 > all {
@@ -578,7 +596,9 @@
             }
             return among;
         }
-        let open = |host: &HostId| Some(*host) != primary && self.face(*host).open;
+        // A guest is there for its writes alone: reads of the group are not its to take.
+        let own = |host: &HostId| Some(*host) != primary && !group.guests.contains(host);
+        let open = |host: &HostId| own(host) && self.face(*host).open;
         let replicas: Hosts = group.members.iter().copied().filter(open).collect();
         // Danger: trouble that all share has every host judged ill. Harms when most replicas really are lost.
         let most = replicas.iter().filter(|&&host| self.face(host).sound()).count() * 2 < replicas.len();
@@ -614,10 +634,13 @@
     /// Rule 5: a position is a lower bound learnt some time ago; it need not have moved since.
     fn qualifies(&self, op: &Op, host: HostId) -> bool {
         let position = self.face(host).position;
+        if op.floor.is_some_and(|floor| position < floor) {
+            return false;
+        }
         match self.op_type(op).need {
             Need::Any => true,
             Need::Bounded(bound) => position >= self.now - bound,
-            Need::Session => op.floor.is_none_or(|floor| position >= floor),
+            Need::Session => true,
             Need::Fresh | Need::Write => false,
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,7 +64,7 @@
 pub struct Op {
     pub ask: Ask,
     pub arrived: Point,
-    /// What a session read must see.
+    /// What a read must see at least: of its session, or of a tenant that moved.
     pub floor: Option<Point>,
     pub sends: Sends,
     pub over: bool,
@@ -73,6 +73,8 @@
 #[derive(Default)]
 pub struct Group {
     pub members: Vec<HostId>,
+    /// Those of them that belong to it as its primary only.
+    pub guests: Vec<HostId>,
     /// When the first op came and all members were asked who they are.
     pub asked_at: Option<Point>,
     /// Some op waits for a primary.
@@ -95,6 +97,10 @@
     pub tenants: Vec<(f64, f64)>,
     pub faces: Vec<Face>,
     pub groups: FxHashMap<GroupId, Group>,
+    /// By host: the groups that it takes part in.
+    pub parts: Vec<Parts>,
+    /// By cell: how many further sends it may make.
+    pub spares: FxHashMap<CellId, u32>,
     pub ops: Slab<Op>,
     pub places: FxHashMap<OpId, usize>,
     pub held: Vec<usize>,
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -61,7 +61,7 @@
         host: HostId(host),
         tag: host,
         availability,
-        group,
+        parts: [Part { group, guest: false }].into(),
         zone: ZoneId(host % 2),
         size: 1.0,
         primary,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -333,3 +333,115 @@
     let ops = (10..40).map(|op| world.ask(op, ANY, None)).collect::<Vec<_>>();
     assert!(ops.into_iter().all(|op| world.hosts_of(op) != [1]));
 }
+
+#[test]
+fn an_unanswered_send_weighs_on_after_its_end() {
+    let mut world = World::settled(charter(true, false, false));
+    // One read at each replica; host 1's alone is never answered.
+    for op in 10..13 {
+        world.ask(op, ANY, None);
+    }
+    while let Some(place) = world.sends.iter().position(|send| send.host.0 != 1) {
+        world.end(place, Outcome::Acked, Word::default());
+    }
+    world.wait(TIMEOUT + 1);
+    assert!(world.sends.is_empty());
+    let hosts: Vec<_> = (20..50)
+        .flat_map(|op| {
+            let op = world.ask(op, ANY, None);
+            world.end_all(Outcome::Acked);
+            world.hosts_of(op)
+        })
+        .collect();
+    assert!(
+        hosts.len() == 30 && !hosts.contains(&1),
+        "one send lost does not make it ill, yet it weighs: {hosts:?}"
+    );
+}
+
+#[test]
+fn a_primary_that_started_again_is_a_replica_whatever_the_list_calls_it() {
+    let mut world = World::settled(charter(true, false, false));
+    world.wait(50);
+    let word = Word { role: Some(Role::Replica), position: Some(world.now), ..Word::default() };
+    world.feed(Note::Probed { host: HostId(2), outcome: Outcome::Acked, word });
+    world.list(vec![entry(0, Availability::Ready, true, Some(world.now))]);
+    let op = world.ask(10, NON_RETRYABLE, Some(1));
+    assert_eq!(world.hosts_of(op), [2], "the most advanced member, which takes over if any does");
+}
+
+#[test]
+fn a_guest_takes_writes_as_primary_and_never_reads_as_a_replica() {
+    let mut world = World::settled(charter(true, false, false));
+    // Hosts 0 and 1 in a group of their own with 3, of which 3 is a guest; and 0, the primary, a guest as well.
+    let view = |host, guest| {
+        let parts = [GroupId(0), GroupId(9)].map(|group| Part { group, guest: guest && group == GroupId(9) });
+        Entry { parts: parts.as_slice().into(), ..entry(host, Availability::Ready, host == 0, None) }
+    };
+    world.list(vec![view(0, true), view(1, false), view(3, true)]);
+    let ask = |world: &mut World, op: u64, op_type: u32| {
+        let (op, due) = (OpId(op), world.now + ms(TIMEOUT));
+        let group = GroupId(9);
+        world.feed(Note::Asked(Ask { op, op_type: OpTypeId(op_type), group, due, ..Ask::default() }));
+        world.answer_probes(0);
+        world.wait(5);
+        op
+    };
+    for op in 0..40 {
+        let read = ask(&mut world, 10 + op, ANY);
+        assert_eq!(world.hosts_of(read), [1]);
+        world.end_all(Outcome::Acked);
+    }
+    let write = ask(&mut world, 100, NON_RETRYABLE);
+    assert_eq!(world.hosts_of(write), [0]);
+    world.end_all(Outcome::Acked);
+    // One that takes over is the primary as any other.
+    world.wait(50);
+    let word = Word { role: Some(Role::Primary), position: Some(world.now), ..Word::default() };
+    world.feed(Note::Probed { host: HostId(3), outcome: Outcome::Acked, word });
+    let write = ask(&mut world, 101, NON_RETRYABLE);
+    assert_eq!(world.hosts_of(write), [3]);
+    // A host that leaves the group takes nothing of it any more.
+    world.end_all(Outcome::Acked);
+    world.list(vec![entry(1, Availability::Ready, false, None)]);
+    let read = ask(&mut world, 102, ANY);
+    assert!(!world.hosts_of(read).contains(&1));
+}
+
+#[test]
+fn a_read_with_a_floor_sees_that_much_whatever_its_op_type() {
+    for op_type in [ANY, BOUNDED, SESSION] {
+        let mut world = World::settled(charter(true, false, false));
+        let word = Word { role: Some(Role::Replica), position: Some(world.now + ms(500)), ..Word::default() };
+        world.feed(Note::Probed { host: HostId(3), outcome: Outcome::Acked, word });
+        let (op, due) = (OpId(10), world.now + ms(TIMEOUT));
+        let floor = Some(world.now + ms(400));
+        world.feed(Note::Asked(Ask { op, op_type: OpTypeId(op_type), due, floor, ..Ask::default() }));
+        assert_eq!(world.hosts_of(op), [3], "{op_type}");
+    }
+}
+
+#[test]
+fn further_sends_end_with_the_cells_budget_and_no_other_cell_pays() {
+    let tries = |ops: &[u32]| {
+        let mut world = World::settled(charter(true, false, false));
+        for (cell, sends) in [(1, Some(1)), (2, Some(5)), (3, None)] {
+            world.feed(Note::Spare { cell: CellId(cell), sends });
+        }
+        let mut sends = Vec::new();
+        for (op, &cell) in (10..).map(OpId).zip(ops) {
+            let (cell, due) = (CellId(cell), world.now + ms(TIMEOUT));
+            world.feed(Note::Asked(Ask { op, op_type: OpTypeId(ANY), cell, due, ..Ask::default() }));
+            for _ in 0..200 {
+                world.end_all(Outcome::ConnectFailed);
+                world.wait(1);
+            }
+            assert!(world.answered(op));
+            sends.push(world.hosts_of(op).len());
+        }
+        sends
+    };
+    assert_eq!(tries(&[1, 1]), [2, 1], "one further send, and then none");
+    let alone = tries(&[2])[0];
+    assert!(alone > 2 && tries(&[3])[0] == alone, "{alone}");
+}
