--- a/crates/arrowyard-cells/src/desk.rs
+++ b/crates/arrowyard-cells/src/desk.rs
@@ -486,18 +486,18 @@
         drained.filter_map(|moving| moving.row.groups.map(|(_, to)| to)).collect()
     }
 
-    /// The hosts of a group.
-    pub fn members(&mut self, group: GroupId, hosts: &[HostId]) {
+    /// The hosts of a group, with their names in the lists.
+    pub fn members(&mut self, group: GroupId, hosts: &[(HostId, &str)]) {
         for moving in self.moves.values_mut() {
             if moving.row.groups.is_some_and(|(_, to)| to == group) {
-                moving.target(hosts.iter().copied());
+                moving.target(hosts);
             }
         }
     }
 
     /// A host said where it is.
-    pub fn learnt(&mut self, host: HostId, position: Point) {
-        self.moves.values_mut().for_each(|moving| moving.learnt(host, position));
+    pub fn learnt(&mut self, host: HostId, position: Point, primary: bool) {
+        self.moves.values_mut().for_each(|moving| moving.learnt(host, position, primary));
     }
 
     /// Time has passed. Whether held ops should be asked about again.
--- a/crates/arrowyard-cells/src/moving.rs
+++ b/crates/arrowyard-cells/src/moving.rs
@@ -49,6 +49,8 @@
     /// The source's position up to which all was copied, and the target's from which on it holds that.
     pub copied_through: Option<Point>,
     pub target_floor: Option<Point>,
+    /// The target's primary whose position that is, by its name in the lists.
+    pub target_host: Option<Box<str>>,
     /// How long the source remembers tokens.
     pub memory: Span,
 }
@@ -125,6 +127,8 @@
     Early(Point),
     /// Fewer than most of the target's hosts are known to hold the copy.
     Target { hold: usize, hosts: usize },
+    /// The target's primary is not known, or is not the host that the file names: the copy has to be looked at again.
+    Lead,
     /// The file has not said that it is switched.
     File,
     /// Repeats may still be asked for.
@@ -156,6 +160,9 @@
     last_acked: Option<Point>,
     /// Positions of the target's hosts, as learnt.
     positions: SmallVec<[(HostId, Point); 4]>,
+    /// The target's primary, as learnt last, and the host whose position the file's floor is.
+    lead: Option<HostId>,
+    floor_of: Option<HostId>,
 }
 
 impl Moving {
@@ -163,7 +170,9 @@
     pub fn new(now: Point, row: Row, terms: Terms) -> Self {
         let (tokens, order, positions) = Default::default();
         let (stage, out, held, last_acked) = (Stage::Open, 0, 0, None);
-        let mut moving = Moving { row, terms, stage, tokens, order, out, held, last_acked, positions };
+        let (lead, floor_of) = (None, None);
+        let mut moving =
+            Moving { row, terms, stage, tokens, order, out, held, last_acked, positions, lead, floor_of };
         moving.tick(now);
         moving
     }
@@ -216,6 +225,10 @@
 
     /// Takes what was accepted, of the same move.
     pub fn take(&mut self, now: Point, row: Row) {
+        if row.target_host != self.row.target_host {
+            // Till the target's hosts are named anew.
+            self.floor_of = None;
+        }
         self.row = row;
         if self.row.step == Step::Cancelled {
             self.stage = Stage::Open;
@@ -275,6 +288,12 @@
         if now < switch {
             return Some(Stuck::Early(switch));
         }
+        // Danger: the target's primary dies before the switch, and with it its newest records, the copy's among them.
+        // Positions of the one that takes over run on, and say nothing of that. So it has to be the host that the
+        // copy was confirmed by.
+        if self.floor_of.is_none() || self.lead != self.floor_of {
+            return Some(Stuck::Lead);
+        }
         // Danger: the target's primary dies right after the switch, and a host without the newest records takes
         // over. Most of its hosts have to hold the copy, as this router has learnt itself.
         let hold = self.positions.iter().filter(|(_, position)| *position >= floor).count();
@@ -287,19 +306,26 @@
         self.row.fence_at.is_some_and(|at| now < at + self.row.memory + self.terms.skew)
     }
 
-    /// The hosts of the target, with what is known of their positions; a host that is not known has none.
-    pub fn target(&mut self, hosts: impl Iterator<Item = HostId>) {
+    /// The hosts of the target with their names, and what is known of their positions; a host that is not known has
+    /// none.
+    pub fn target(&mut self, hosts: &[(HostId, &str)]) {
+        let named = |(_, name): &&(HostId, &str)| self.row.target_host.as_deref() == Some(*name);
+        self.floor_of = hosts.iter().find(named).map(|(host, _)| *host);
         let old = std::mem::take(&mut self.positions);
         let known =
             |host: HostId| old.iter().find(|(other, _)| *other == host).map(|(_, position)| *position);
-        self.positions = hosts.map(|host| (host, known(host).unwrap_or_default())).collect();
+        self.positions = hosts.iter().map(|&(host, _)| (host, known(host).unwrap_or_default())).collect();
     }
 
-    /// A host said where it is. Danger: after a failover of the target its newest records are lost, and positions go
-    /// back; the last word counts here, not the highest.
-    pub fn learnt(&mut self, host: HostId, position: Point) {
-        if let Some(known) = self.positions.iter_mut().find(|(other, _)| *other == host) {
-            known.1 = position;
+    /// A host said where it is, and whether it is the primary. Danger: after a failover of the target its newest
+    /// records are lost, and positions go back; the last word counts here, not the highest.
+    pub fn learnt(&mut self, host: HostId, position: Point, primary: bool) {
+        let Some(known) = self.positions.iter_mut().find(|(other, _)| *other == host) else { return };
+        known.1 = position;
+        match self.lead {
+            _ if primary => self.lead = Some(host),
+            Some(lead) if lead == host => self.lead = None,
+            _ => {}
         }
     }
 
--- a/crates/arrowyard-cells/tests/moves.rs
+++ b/crates/arrowyard-cells/tests/moves.rs
@@ -46,6 +46,7 @@
         switch_at: announced.then_some(ms(SWITCH)),
         copied_through: copied.then_some(ms(COPIED)),
         target_floor: copied.then_some(ms(COPIED + 50)),
+        target_host: copied.then(|| "x".into()),
         memory: span(MEMORY),
     }
 }
@@ -82,7 +83,7 @@
 fn desk(now: i64, layout: Layout, marks: bool) -> Cells {
     let terms = Terms { marks, settle: span(TIMEOUT), skew: span(SKEW) };
     let mut cells = Cells::new(ms(now), layout, Totals { ops: 400, bytes: 1 << 20 }, terms);
-    cells.members(GroupId(TARGET), &[HostId(1), HostId(2), HostId(3)]);
+    cells.members(GroupId(TARGET), &[(HostId(1), "x"), (HostId(2), "y"), (HostId(3), "z")]);
     cells
 }
 
@@ -269,7 +270,7 @@
                 let (cells, off, _) = &mut self.routers[router];
                 let now = ms(now + *off);
                 if cells.relayout(now, file(Some(step))).is_ok() {
-                    cells.members(GroupId(TARGET), &[HostId(1), HostId(2), HostId(3)]);
+                    cells.members(GroupId(TARGET), &[(HostId(1), "x"), (HostId(2), "y"), (HostId(3), "z")]);
                 }
             }
             Event::Restart(router, step) => {
@@ -279,8 +280,8 @@
         }
         // Two of three hosts of the target follow, the third stands still.
         for (cells, off, _) in &mut self.routers {
-            cells.learnt(HostId(1), ms(now));
-            cells.learnt(HostId(2), ms(now - 10));
+            cells.learnt(HostId(1), ms(now), true);
+            cells.learnt(HostId(2), ms(now - 10), false);
             cells.tick(ms(now + *off));
         }
     }
@@ -403,8 +404,8 @@
     assert_eq!(fenced, Ok(()));
     if step >= Step::Switched {
         assert_eq!(cells.relayout(ms(now.min(SWITCH)), file(Some(step))), Ok(()));
-        cells.members(GroupId(TARGET), &[HostId(1), HostId(2), HostId(3)]);
-        [1, 2].into_iter().for_each(|host| cells.learnt(HostId(host), ms(COPIED + 60)));
+        cells.members(GroupId(TARGET), &[(HostId(1), "x"), (HostId(2), "y"), (HostId(3), "z")]);
+        [1, 2].into_iter().for_each(|host| cells.learnt(HostId(host), ms(COPIED + 60), host == 1));
     }
     cells.tick(ms(now));
     cells
@@ -473,12 +474,25 @@
     // The target's newest records are lost with its primary before the switch: what was learnt last counts.
     let mut lost = noted(Ran::Acked, Step::Switched, SWITCH - 5);
     assert_eq!(stage(&lost), Some(Stage::Drained));
-    lost.learnt(HostId(1), ms(COPIED - 500));
+    lost.learnt(HostId(1), ms(COPIED - 500), true);
     lost.tick(ms(SWITCH + 5));
     assert_eq!(stage(&lost), Some(Stage::Drained));
-    lost.learnt(HostId(3), ms(COPIED + 70));
+    lost.learnt(HostId(3), ms(COPIED + 70), false);
     lost.tick(ms(SWITCH + 6));
     assert_eq!(stage(&lost), Some(Stage::Switched));
+    // Another host took over at the target before the switch: its positions run on, without the copy.
+    let mut over = noted(Ran::Acked, Step::Switched, SWITCH - 5);
+    over.learnt(HostId(2), ms(SWITCH), true);
+    over.learnt(HostId(1), ms(SWITCH), false);
+    over.tick(ms(SWITCH + 5));
+    assert_eq!(stage(&over), Some(Stage::Drained));
+    // The copy was looked at again.
+    let mut again = Layout { epoch: 9, ..file(Some(Step::Switched)) };
+    again.moves[0].target_host = Some("y".into());
+    assert_eq!(over.relayout(ms(SWITCH + 6), again), Ok(()));
+    over.members(GroupId(TARGET), &[(HostId(1), "x"), (HostId(2), "y"), (HostId(3), "z")]);
+    over.tick(ms(SWITCH + 7));
+    assert_eq!(stage(&over), Some(Stage::Switched));
 }
 
 #[test]
--- a/crates/arrowyard-core/src/roster.rs
+++ b/crates/arrowyard-core/src/roster.rs
@@ -104,11 +104,11 @@
         self.last.iter().filter(|entry| entry.availability != Availability::Gone).cloned().collect()
     }
 
-    /// The hosts of a group, as lists name it.
-    pub fn members(&self, group: GroupId) -> Vec<HostId> {
+    /// The hosts of a group, as lists name it, and their names.
+    pub fn members(&self, group: GroupId) -> Vec<(HostId, &str)> {
         let of = |entry: &&Entry| self.raw[entry.host.0 as usize].1 == group;
         let there = self.last.iter().filter(|entry| entry.availability != Availability::Gone);
-        there.filter(of).map(|entry| entry.host).collect()
+        there.filter(of).map(|entry| (entry.host, &*self.raw[entry.host.0 as usize].0)).collect()
     }
 
     /// Whether the host started within this span.
--- a/crates/arrowyard-core/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -275,7 +275,7 @@
         for group in ward.watched() {
             let hosts = self.yard.roster.members(group);
             ward.members(group, &hosts);
-            for host in hosts {
+            for (host, _) in hosts {
                 let (back, mail) = (self.yard.back.clone(), self.yard.mail.clone());
                 let Some(dial) = self.yard.roster.dial(host) else { continue };
                 if !self.watched.insert(host) {
--- a/crates/arrowyard-core/src/ward.rs
+++ b/crates/arrowyard-core/src/ward.rs
@@ -11,7 +11,7 @@
 use arrowyard_cells::moving::{Ran, Stage, Terms};
 use arrowyard_cells::{Cells, Facts, Fate, Layout, Verdict};
 use arrowyard_types::{
-    Ask, CellId, GroupId, HostId, Need, Note, OpId, OpType, Outcome, Point, SendNo, Span, Word,
+    Ask, CellId, GroupId, HostId, Need, Note, OpId, OpType, Outcome, Point, Role, SendNo, Span, Word,
 };
 use serde_json::{Value, json};
 
@@ -208,13 +208,13 @@
         self.cells.watched().to_vec()
     }
 
-    pub fn members(&mut self, group: GroupId, hosts: &[HostId]) {
+    pub fn members(&mut self, group: GroupId, hosts: &[(HostId, &str)]) {
         self.cells.members(group, hosts);
     }
 
     pub fn learnt(&mut self, host: HostId, word: &Word) {
         if let Some(position) = word.position {
-            self.cells.learnt(host, position);
+            self.cells.learnt(host, position, word.role == Some(Role::Primary));
         }
     }
 
--- a/crates/arrowyard-daemon/tests/cells.rs
+++ b/crates/arrowyard-daemon/tests/cells.rs
@@ -185,7 +185,9 @@
     let (copied, switch, lease) =
         (fence + 700, fence + 900, if epoch < 3 { fence - 100 } else { fence + 600_000 });
     let end = match step {
-        "SWITCHED" | "DONE" => format!("copied_through_ms: {copied} target_floor_ms: {}", copied + 1),
+        "SWITCHED" | "DONE" => {
+            format!("copied_through_ms: {copied} target_floor_ms: {} target_host: \"t-0\"", copied + 1)
+        }
         _ => String::new(),
     };
     let times =
--- a/crates/arrowyard-standins/src/bin/moves.rs
+++ b/crates/arrowyard-standins/src/bin/moves.rs
@@ -1,7 +1,7 @@
 //! Moves of a tenant under load, each with a fault script drawn from a seed, and what the ledger says of them.
 
 use std::collections::HashMap;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -56,7 +56,7 @@
     Fault::LateFile,
 ];
 
-fn book(epoch: u64, step: &str, fence: i64) -> String {
+fn book(epoch: u64, step: &str, fence: i64, floor: i64, host: &str) -> String {
     let (copied, switch) = (fence + 640, fence + 900);
     let lease = if epoch < 3 { fence - 100 } else { fence + 600_000 };
     let times =
@@ -64,7 +64,7 @@
     let end = if epoch < 4 {
         String::new()
     } else {
-        format!("copied_through_ms: {copied} target_floor_ms: {}", copied + 60)
+        format!("copied_through_ms: {copied} target_floor_ms: {floor} target_host: {host:?}")
     };
     format!(
         "epoch: {epoch}\ncells {{\n cell {{ name: \"a\" }}\n cell {{ name: \"b\" }}\n \
@@ -88,7 +88,7 @@
 }
 
 /// One move; whether it was switched, acked turns that are missing at its end, turns that were applied twice.
-fn one(program: &PathBuf, seed: u64) -> (Fault, Told) {
+fn one(program: &Path, seed: u64) -> (Fault, Told) {
     let mut rng = Rng::with_seed(seed);
     let fault = FAULTS[rng.usize(0..FAULTS.len())];
     let spec = |name: &str| Spec {
@@ -98,7 +98,7 @@
     let town = Town::start(&["s-0", "s-1", "s-2", "t-0", "t-1", "t-2"].map(spec));
     let fence = unix_ms() + 1200;
     let told = waybill(&town, &OP_TYPES, 512);
-    let mut text = book(1, "PLANNED", fence);
+    let mut text = book(1, "PLANNED", fence, 0, "");
     let router = Mutex::new(Some(Process::start(program, &told, Some(&text)).expect("the router starts")));
     let address = router.lock().expect("no panic").as_ref().map(|router| router.address).expect("it runs");
     let (from, till) = (Duration::ZERO, Duration::from_millis(4200));
@@ -118,13 +118,14 @@
     let outcome = play(address, &OP_TYPES, &[stream("ann", 7), stream("bob", 8)], seed, |_| {
         let now = unix_ms();
         if !fenced && now > fence + late {
-            text = book(3, "FENCED", fence);
+            text = book(3, "FENCED", fence, 0, "");
             rebook(&text);
             fenced = true;
         }
         if !copied && now > fence + 660 {
-            town.copy(7, 8, fence + 640);
-            text = book(4, "SWITCHED", fence);
+            let floor = town.copy(7, 8, fence + 640);
+            let lead = if healed && fault == Fault::TargetDies { "t-1" } else { "t-0" };
+            text = book(4, "SWITCHED", fence, floor, lead);
             rebook(&text);
             copied = true;
         }
@@ -150,7 +151,15 @@
             healed = true;
             match fault {
                 Fault::SourceDies => town.promote("s-1"),
-                Fault::TargetDies => town.promote("t-1"),
+                Fault::TargetDies => {
+                    town.promote("t-1");
+                    if copied {
+                        // The copy is looked at again, as an operator has to after a failover there.
+                        let floor = town.copy(7, 8, fence + 640);
+                        text = book(5, "SWITCHED", fence, floor, "t-1");
+                        rebook(&text);
+                    }
+                }
                 Fault::AnswersLost | Fault::Hangs => town.act("s-0", Act::Serve),
                 _ => {}
             }
--- a/crates/arrowyard-standins/src/town.rs
+++ b/crates/arrowyard-standins/src/town.rs
@@ -255,14 +255,19 @@
         self.change(name, |host| host.spec.primary = true);
     }
 
-    /// The records of one group are put into another, as a copy of the operator's would.
-    pub fn copy(&self, from: i64, to: i64, through: i64) {
+    /// The records of one group are put into another, those that are not there yet, as a copy of the operator's would.
+    /// The target's position from which on it holds them.
+    pub fn copy(&self, from: i64, to: i64, through: i64) -> i64 {
         let mut state = lock(&self.state);
         let source = state.groups.get(&from).map(|group| group.log.clone()).unwrap_or_default();
         let now = unix_ms();
         let target = state.groups.entry(to).or_default();
-        let copied = source.into_iter().filter(|record| record.position <= through);
+        let held: std::collections::HashSet<String> =
+            target.log.iter().map(|record| record.turn.clone()).collect();
+        let copied =
+            source.into_iter().filter(|record| record.position <= through && !held.contains(&record.turn));
         target.log.extend(copied.map(|record| Record { position: now, ..record }));
+        now
     }
 
     pub fn undiscovered(&self, down: bool) {
--- a/crates/arrowyard-yardbook/src/check.rs
+++ b/crates/arrowyard-yardbook/src/check.rs
@@ -337,6 +337,10 @@
                 "it is from_group; leave both out where the group stays".to_string(),
             );
         }
+        if one.step() == Step::Switched && one.target_host.is_none() {
+            let what = "the target's primary that holds the copy has to be named at step Switched";
+            self.fault(&field("target_host"), what.to_string());
+        }
         for (name, told) in needed {
             if told.is_none() {
                 self.fault(&field(name), format!("it has to be given at step {:?}", one.step()));
--- a/crates/arrowyard-yardbook/src/layout.rs
+++ b/crates/arrowyard-yardbook/src/layout.rs
@@ -67,6 +67,7 @@
             switch_at: row.switch_at_ms.map(millis),
             copied_through: row.copied_through_ms.map(millis),
             target_floor: row.target_floor_ms.map(millis),
+            target_host: row.target_host.as_deref().map(Box::from),
             memory: span(row.memory_ms, 0),
         })
     };
