--- a/crates/arrowyard-cells/src/moving.rs
+++ b/crates/arrowyard-cells/src/moving.rs
@@ -219,7 +219,7 @@
         // Danger: the fence moves to later while another router has begun to copy behind the old one.
         let fence = |row: &Row| row.fence_at.filter(|_| row.step != Step::Cancelled);
         let later = fence(row) > fence(&self.row) || fence(row).is_none() && row.step != Step::Cancelled;
-        if self.stage >= Stage::Fenced && later && self.row.step != Step::Cancelled {
+        if self.stage >= Stage::Fenced && later && row.groups.is_some() && self.row.step != Step::Cancelled {
             return Err(Refused::Fence);
         }
         Ok(())
--- a/crates/arrowyard-cells/tests/moves.rs
+++ b/crates/arrowyard-cells/tests/moves.rs
@@ -621,3 +621,110 @@
         .for_each(|(host, primary)| cells.learnt(HostId(host), ms(7790), primary));
     assert_eq!(go(&mut cells, 7801), SOURCE);
 }
+
+fn place(cells: &mut Cells, now: i64, wanted: Facts) -> &'static str {
+    match cells.admit(ms(now), &wanted) {
+        Verdict::Go { pass, group, .. } => {
+            cells.ended(ms(now), pass, Ran::Never, None);
+            if group.0 == SOURCE { "source" } else { "target" }
+        }
+        Verdict::Hold { pass, .. } => {
+            cells.ended(ms(now), pass, Ran::Never, None);
+            "held"
+        }
+        Verdict::Busy { .. } => "busy",
+        Verdict::Error { .. } => "unsure",
+    }
+}
+
+#[test]
+fn what_a_router_never_saw_is_asked_for_only_while_the_copy_goes_on() {
+    let repeat = |now: i64| facts(Need::Write, Some(50), true, now + 300);
+    let fenced = || noted(Ran::Acked, Step::Fenced, FENCE + 5);
+    assert_eq!(place(&mut fenced(), FENCE + 10, repeat(FENCE + 10)), "source");
+    assert_eq!(place(&mut fenced(), COPIED + 10, repeat(COPIED + 10)), "unsure");
+    // Before the fence, a client that waits for longer than any op type: its write could end behind the copy.
+    let long = |due| facts(Need::Write, Some(51), false, due);
+    assert_eq!(place(&mut noted(Ran::Acked, Step::Fenced, 2995), 2995, long(FENCE + TIMEOUT)), "source");
+    assert_eq!(place(&mut noted(Ran::Acked, Step::Fenced, 2995), 2995, long(FENCE + TIMEOUT + SKEW)), "busy");
+    let mut cancelled = noted(Ran::Acked, Step::Fenced, FENCE + 5);
+    let row = Layout { epoch: 9, ..file(Some(Step::Cancelled)) };
+    assert_eq!(cancelled.relayout(ms(FENCE + 6), row), Ok(()));
+    assert_eq!(place(&mut cancelled, FENCE + 7, long(FENCE + 7 + 5000)), "source");
+}
+
+#[test]
+fn a_move_within_one_group_needs_no_copy_and_sends_repeats_on() {
+    let alone = |epoch, step| {
+        let mut layout = Layout { epoch, ..file(Some(step)) };
+        (layout.moves[0].groups, layout.moves[0].named) = (None, None);
+        (layout.moves[0].fence_at, layout.moves[0].switch_at) = (None, None);
+        layout
+    };
+    let mut cells = desk(0, alone(2, Step::Planned), true);
+    let go = cells.admit(ms(10), &facts(Need::Write, Some(1), false, 400));
+    let Verdict::Go { pass, .. } = go else { panic!("{go:?}") };
+    assert_eq!(pass.cell, CellId(0));
+    assert_eq!(cells.relayout(ms(20), alone(3, Step::Fenced)), Ok(()));
+    assert_eq!(place(&mut cells, 30, facts(Need::Write, Some(1), true, 400)), "busy");
+    assert_eq!(cells.relayout(ms(40), alone(4, Step::Switched)), Ok(()));
+    assert_eq!(
+        cells.moves().map(|(_, stage, out, tokens)| (stage, out, tokens)).next(),
+        Some((Stage::Fenced, 1, 1))
+    );
+    cells.ended(ms(50), pass, Ran::Maybe, None);
+    let again = cells.admit(ms(60), &facts(Need::Write, Some(1), true, 400));
+    assert!(
+        matches!(again, Verdict::Go { pass, group: GroupId(SOURCE), .. } if pass.cell == CellId(1)),
+        "{again:?}"
+    );
+}
+
+#[test]
+fn a_move_is_over_once_the_source_has_forgotten_and_tokens_are_forgotten_with_it() {
+    let mut cells = noted(Ran::Acked, Step::Switched, SWITCH + 5);
+    let stage = |cells: &Cells| cells.moves().next().map(|(_, stage, _, tokens)| (stage, tokens));
+    assert_eq!(cells.relayout(ms(SWITCH + 6), file(Some(Step::Done))), Ok(()));
+    assert!(!cells.tick(ms(SWITCH + 7)), "a stage is news once");
+    cells.tick(ms(FENCE + MEMORY + SKEW - 1));
+    assert_eq!(stage(&cells), Some((Stage::Switched, 1)), "the source remembers");
+    assert!(cells.tick(ms(FENCE + MEMORY + SKEW)));
+    assert_eq!(stage(&cells), Some((Stage::Done, 1)));
+    cells.tick(ms(2900 + 2 * MEMORY + TIMEOUT + 1));
+    assert_eq!(stage(&cells), Some((Stage::Done, 0)));
+    // What is told of a stuck move is told once.
+    let mut stuck = noted(Ran::Out, Step::Fenced, FENCE + 5);
+    let told = |cells: &mut Cells| cells.news().len();
+    told(&mut stuck);
+    stuck.tick(ms(FENCE + 6));
+    assert_eq!(told(&mut stuck), 0);
+}
+
+#[test]
+fn a_primary_that_ceases_to_be_one_no_longer_confirms_the_copy() {
+    let mut cells = noted(Ran::Acked, Step::Switched, SWITCH - 5);
+    cells.learnt(HostId(1), ms(SWITCH), false);
+    cells.tick(ms(SWITCH + 5));
+    assert_eq!(cells.moves().next().map(|(_, stage, ..)| stage), Some(Stage::Drained));
+    cells.learnt(HostId(1), ms(SWITCH), true);
+    cells.tick(ms(SWITCH + 6));
+    assert_eq!(cells.moves().next().map(|(_, stage, ..)| stage), Some(Stage::Switched));
+}
+
+#[test]
+fn held_ops_give_their_places_back() {
+    let mut cells = noted(Ran::Never, Step::Fenced, SWITCH - 100);
+    for round in 0..5 {
+        // Each round fills what the fence holds at most.
+        let wanted = |token| facts(Need::Write, Some(token), false, SWITCH + 400);
+        let verdicts: Vec<Verdict> =
+            (100..160).map(|token| cells.admit(ms(SWITCH - 100), &wanted(token))).collect();
+        let passes = verdicts
+            .iter()
+            .filter_map(|v| if let Verdict::Hold { pass, .. } = v { Some(*pass) } else { None });
+        let passes: Vec<Pass> = passes.collect();
+        assert_eq!(passes.len(), 50, "round {round}");
+        passes.into_iter().for_each(|pass| cells.ended(ms(SWITCH - 90), pass, Ran::Never, None));
+    }
+    assert_eq!(cells.moves().next().map(|(.., out, _)| out), Some(0), "what is held is not out");
+}
--- a/crates/arrowyard-daemon/tests/cells.rs
+++ b/crates/arrowyard-daemon/tests/cells.rs
@@ -180,6 +180,36 @@
     });
 }
 
+#[test]
+fn new_hosts_of_a_later_cell_are_trusted_little_and_a_bad_canary_is_judged() {
+    let town = town();
+    let release = "  release { order: [\"a\", \"b\"] wrong: 0.19 }\n  tenant { name: \"ann\"";
+    let router = start(&town, Some(&BOOK.replace("  tenant { name: \"ann\"", release)));
+    // Both cells get hosts that started anew; the canary's fail.
+    for name in ["a-2", "a-3", "b-2"] {
+        town.add(Spec::new(name, 7, false), unix_ms());
+        town.act(name, if name == "b-2" { Act::Serve } else { Act::Fail });
+    }
+    let within = Duration::from_secs(10);
+    assert!(
+        router.said("the release there is not judged yet cell=b by=a", within),
+        "{:#?}",
+        router.log.lock()
+    );
+    let (from, till) = (Duration::ZERO, Duration::from_millis(1500));
+    let stream =
+        |tenant| Stream { tenant, group: 7, rate: 150.0, mix: vec![(3, 1)], from, till, sessions: 9 };
+    // Cold hosts get little, and two that failed are needed: as many rounds as that takes.
+    let mut rounds =
+        (0..8).map(|seed| play(router.address, &OP_TYPES, &[stream("ann"), stream("bob")], seed, |_| {}));
+    let outcome =
+        rounds.find(|_| router.said("the release is judged Bad cell=a", Duration::from_millis(100)));
+    let outcome = outcome.expect("a canary that fails is judged bad");
+    assert!(router.said("the release there is bad cell=b by=a", within), "{:#?}", router.log.lock());
+    let bob = outcome.of_tenant("bob");
+    assert!(bob.share() > 0.9, "{} of {}", bob.good, bob.sent);
+}
+
 /// The file at a step of the move of `ann` from group 7 to group 8.
 fn moving(epoch: u64, step: &str, fence: i64, home: &str) -> String {
     let (copied, switch, lease) =
--- a/crates/arrowyard-standins/src/town.rs
+++ b/crates/arrowyard-standins/src/town.rs
@@ -161,6 +161,7 @@
         let address = listener.local_addr().expect("it is bound");
         {
             let mut state = lock(&self.state);
+            state.version += 1;
             state.groups.entry(spec.group).or_default();
             let (act, health, stalled_at, tasks) = (Act::Serve, "SERVING", None, Vec::new());
             let (busy, waiting, commands, changed) = (0, 0, 0, state.version);
