--- a/crates/arrowyard-cells/tests/moves.rs
+++ b/crates/arrowyard-cells/tests/moves.rs
@@ -70,7 +70,7 @@
     Layout {
         epoch,
         cells: vec![cell("a"), cell("b")],
-        tenants: [("t".into(), home)].into_iter().collect(),
+        tenants: [("t".into(), home), ("u".into(), CellId(1))].into_iter().collect(),
         nets: Vec::new(),
         rest: None,
         call_back: span(100),
@@ -728,3 +728,39 @@
     }
     assert_eq!(cells.moves().next().map(|(.., out, _)| out), Some(0), "what is held is not out");
 }
+
+#[test]
+fn a_target_that_is_full_gives_writes_back_and_the_source_gets_none_of_them() {
+    let mut switched = noted(Ran::Acked, Step::Switched, SWITCH + 5);
+    // Another tenant fills the target's cell: its own room, and all that is lent.
+    let other = |cells: &mut Cells, token| {
+        let wanted = facts(Need::Write, Some(token), false, SWITCH + 400);
+        let wanted = Facts { tenant: Some("u"), group: GroupId(TARGET), ..wanted };
+        cells.admit(ms(SWITCH + 6), &wanted)
+    };
+    let filled =
+        (1000..1400).filter(|&token| matches!(other(&mut switched, token), Verdict::Go { .. })).count();
+    assert!(filled > 0);
+    let write = switched.admit(ms(SWITCH + 7), &facts(Need::Write, Some(2000), false, SWITCH + 400));
+    assert!(matches!(write, Verdict::Busy { why: Why::Ops, after: Some(_), .. }), "{write:?}");
+    // A repeat of what the source acked is still the source's, within the room of its cell.
+    let repeat = switched.admit(ms(SWITCH + 7), &facts(Need::Write, Some(1), true, SWITCH + 400));
+    assert!(matches!(repeat, Verdict::Go { group: GroupId(SOURCE), .. }), "{repeat:?}");
+}
+
+#[test]
+fn a_move_to_a_group_without_a_known_primary_or_hosts_waits_and_can_be_cancelled() {
+    let mut cells = desk(0, file(Some(Step::Planned)), true);
+    assert_eq!(cells.relayout(ms(2990), file(Some(Step::Fenced))), Ok(()));
+    assert_eq!(cells.relayout(ms(SWITCH), file(Some(Step::Switched))), Ok(()));
+    // Its hosts are gone, or drain and were taken off the list; then some are back, and none says that it is primary.
+    for hosts in [&[][..], &[(HostId(1), "x"), (HostId(2), "y")]] {
+        cells.members(GroupId(TARGET), hosts);
+        hosts.iter().for_each(|(host, _)| cells.learnt(*host, ms(SWITCH), false));
+        cells.tick(ms(SWITCH + 5));
+        assert_eq!(cells.moves().next().map(|(_, stage, ..)| stage), Some(Stage::Drained));
+        assert_eq!(place(&mut cells, SWITCH + 6, facts(Need::Write, Some(9), false, SWITCH + 400)), "busy");
+    }
+    assert_eq!(cells.relayout(ms(SWITCH + 7), Layout { epoch: 9, ..file(Some(Step::Cancelled)) }), Ok(()));
+    assert_eq!(place(&mut cells, SWITCH + 8, facts(Need::Write, Some(9), false, SWITCH + 400)), "source");
+}
