With cells, clients are told to come back no later than the platform allows

Cause, found on reading the change again: a busy reply for a fence named the time to the switch however far that was, and one for an ended lease named none, while the settings bound what clients may be told (max_retry_after).

Change: the route stage bounds what cells say by that setting, and says the bound itself where cells know no time. A test over sockets asks a router whose lease has ended. A comment in the desk said something else than its constant.

--- a/crates/arrowyard-cells/src/desk.rs
+++ b/crates/arrowyard-cells/src/desk.rs
@@ -179,7 +179,7 @@
     layout.cells.iter().map(|cell| (cell.weight, cell.guaranteed))
 }
 
-/// After this part of its time an op that is to be repeated had better not wait.
+/// When a client had better come back whose cell had no room: a few ops have ended by then.
 const COME_BACK: Span = Span::from_millis(20);
 
 impl Cells {
--- a/crates/arrowyard-core/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -47,7 +47,8 @@
     /// Hosts that are being asked where they are since a tenant moves there.
     watched: HashSet<HostId>,
     watched_at: Instant,
-    retry_after: bool,
+    /// The most that a client may be told to wait before it comes back; nothing where it may not be told.
+    most_after: Option<Span>,
     cold: Span,
     router: Router,
     book: Book<B::Payload, B::Answer>,
@@ -66,7 +67,8 @@
     ) -> Self {
         let mut actions = Vec::new();
         let now = yard.clock.now();
-        let (retry_after, cold) = (manifest.flag("retry_after"), manifest.span("cold"));
+        let most_after = manifest.flag("retry_after").then(|| manifest.span("max_retry_after"));
+        let cold = manifest.span("cold");
         let ward = cells.map(|layout| {
             let (rows, marks) = (OpType::rows(&manifest), manifest.flag("marks_retry"));
             Ward::new(now, layout, yard.limits.of_cells(), rows, marks)
@@ -82,7 +84,7 @@
             ticked,
             watched: HashSet::new(),
             watched_at: moment,
-            retry_after,
+            most_after,
             cold,
             router,
             book,
@@ -216,7 +218,9 @@
             // What is given up is answered at once, and says when to come back where the settings allow that.
             Turn::Busy(after, (_, client)) => {
                 self.book.tally.busy += 1;
-                let _ = client.send(Reply::Busy(after.filter(|_| self.retry_after)));
+                // Danger: a fence or a lease is further away than clients may be told; they would take it for nonsense.
+                let after = self.most_after.map(|most| after.map_or(most, |after| after.min(most)));
+                let _ = client.send(Reply::Busy(after));
             }
             Turn::Error(Why::Unsure, (_, client)) => {
                 self.book.tally.errored += 1;
--- a/crates/arrowyard-daemon/tests/cells.rs
+++ b/crates/arrowyard-daemon/tests/cells.rs
@@ -304,3 +304,17 @@
         let _ = talk.await;
     });
 }
+
+#[test]
+fn a_client_is_told_to_come_back_no_later_than_the_platform_allows() {
+    let town = town();
+    // The lease has ended, and nobody knows when a newer file comes.
+    let ended = format!("  lease {{ until_ms: {} }}\n  tenant {{ name: \"ann\"", unix_ms() - 1000);
+    let router = start(&town, Some(&BOOK.replace("  tenant { name: \"ann\"", &ended)));
+    runtime().block_on(async {
+        let mut asker = Asker::new(&router).await;
+        assert_eq!(asker.ask(Some("ann"), 2, None, false, 7).await, Reply::Busy(Some(2000)));
+        assert!(matches!(asker.ask(Some("ann"), 3, None, false, 7).await, Reply::Value(_)));
+    });
+    assert!(town.ledger().applied.is_empty());
+}
