--- a/crates/arrowyard-cells/src/desk.rs
+++ b/crates/arrowyard-cells/src/desk.rs
@@ -23,6 +23,8 @@
     /// Ops in hand, and the bytes of their statements.
     pub ops: u64,
     pub bytes: u64,
+    /// Probes under way.
+    pub probes: u64,
 }
 
 /// What an op's client says, as far as cells care.
@@ -165,6 +167,7 @@
     assign: Assign,
     ops: Room,
     bytes: Room,
+    probes: Room,
     cells: Vec<Cell>,
     moves: BTreeMap<MoveId, Moving>,
     next_move: u32,
@@ -190,6 +193,7 @@
             assign: Assign::new(&layout),
             ops: room(totals.ops),
             bytes: room(totals.bytes),
+            probes: room(totals.probes),
             cells: Vec::new(),
             moves: BTreeMap::new(),
             next_move: 0,
@@ -252,7 +256,8 @@
     /// # Errors
     /// Why it is refused; nothing has changed then.
     pub fn relayout(&mut self, now: Point, layout: Layout) -> Result<(), Stale> {
-        let aligned = layout.clone().aligned(&self.layout, |id| self.ops.used(id) == 0);
+        let aligned =
+            layout.clone().aligned(&self.layout, |id| self.ops.used(id) == 0 && self.probes.used(id) == 0);
         if aligned == self.layout {
             return Ok(());
         }
@@ -260,6 +265,7 @@
         let old = std::mem::replace(&mut self.layout, aligned);
         self.ops.divide(parts(&self.layout), self.layout.call_back);
         self.bytes.divide(parts(&self.layout), self.layout.call_back);
+        self.probes.divide(parts(&self.layout), self.layout.call_back);
         (self.index, self.assign) = (Index::new(&self.layout), Assign::new(&self.layout));
         if old.release != self.layout.release {
             self.widen = self.layout.release.clone().map(Widen::new);
@@ -469,6 +475,17 @@
         }
     }
 
+    /// Whether a host of the cell may be probed now. Danger: a cell whose hosts all hang has a probe at each of them
+    /// for as long as a probe may last, and they take the connections of all others.
+    pub fn probe(&mut self, now: Point, cell: CellId) -> bool {
+        self.probes.take(now, cell, 1).is_ok()
+    }
+
+    /// Such a probe ended.
+    pub fn probed(&mut self, cell: CellId) {
+        self.probes.give(cell, 1);
+    }
+
     /// A host of a cell started anew.
     pub fn renewed(&mut self, cell: CellId, at: Point, within: Span) {
         if let Some(widen) = &mut self.widen {
@@ -542,6 +559,7 @@
             guaranteed: self.ops.share(id).1,
             borrowed: self.ops.borrowed(id),
             bytes: self.bytes.used(id),
+            probes: self.probes.used(id),
             limit: cell.pace.map(|pace| pace.limit()),
             judged: self.widen.as_ref().map(|widen| widen.judged(id)),
             tally: std::mem::take(&mut cell.tally),
@@ -564,6 +582,7 @@
     pub guaranteed: u64,
     pub borrowed: u64,
     pub bytes: u64,
+    pub probes: u64,
     pub limit: Option<u64>,
     pub judged: Option<Judged>,
     pub tally: Tally,
--- a/crates/arrowyard-cells/tests/desk.rs
+++ b/crates/arrowyard-cells/tests/desk.rs
@@ -43,7 +43,7 @@
 
 fn desk(layout: Layout) -> Cells {
     let terms = Terms { marks: true, settle: Span::from_millis(500), skew: Span::ZERO };
-    Cells::new(ms(0), layout, Totals { ops: 40, bytes: 1000 }, terms)
+    Cells::new(ms(0), layout, Totals { ops: 40, bytes: 1000, probes: 8 }, terms)
 }
 
 fn ask(
@@ -231,3 +231,16 @@
         known.moves().map(|(name, stage, ..)| (name.to_string(), stage)).collect();
     assert_eq!(stages, [("ann".to_string(), Stage::Open), ("bob".to_string(), Stage::Drained)]);
 }
+
+#[test]
+fn a_cells_probes_leave_the_others_theirs() {
+    let mut cells = desk(layout(1));
+    let begun = (0..8).filter(|_| cells.probe(ms(0), A)).count();
+    assert_eq!(begun, 6, "its 4, and the 2 of the other's that are not guaranteed");
+    assert!(cells.probe(ms(0), B) && cells.probe(ms(0), B), "what is guaranteed was never lent");
+    assert!(!cells.probe(ms(0), B), "the rest is lent, and called back");
+    cells.probed(A);
+    assert!(!cells.probe(ms(1), A), "it comes back to its owner");
+    assert!(cells.probe(ms(1), B));
+    assert_eq!(cells.report().iter().map(|state| state.probes).collect::<Vec<_>>(), [5, 3]);
+}
--- a/crates/arrowyard-cells/tests/moves.rs
+++ b/crates/arrowyard-cells/tests/moves.rs
@@ -83,7 +83,7 @@
 
 fn desk(now: i64, layout: Layout, marks: bool) -> Cells {
     let terms = Terms { marks, settle: span(TIMEOUT), skew: span(SKEW) };
-    let mut cells = Cells::new(ms(now), layout, Totals { ops: 400, bytes: 1 << 20 }, terms);
+    let mut cells = Cells::new(ms(now), layout, Totals { ops: 400, bytes: 1 << 20, probes: 8 }, terms);
     cells.members(GroupId(TARGET), &[(HostId(1), "x"), (HostId(2), "y"), (HostId(3), "z")]);
     cells
 }
--- a/crates/arrowyard-core/src/limits.rs
+++ b/crates/arrowyard-core/src/limits.rs
@@ -128,7 +128,10 @@
 
     /// What cells divide. Each op in hand holds a client's connection, so that there are never more of them.
     pub fn of_cells(&self) -> Totals {
-        Totals { ops: self.ops.min(self.clients * 7 / 8).max(1) as u64, bytes: self.held as u64 }
+        let ops = self.ops.min(self.clients * 7 / 8).max(1);
+        // Of the connections to hosts, those that ops in hand cannot take.
+        let probes = self.links.saturating_sub(ops).max(1);
+        Totals { ops: ops as u64, bytes: self.held as u64, probes: probes as u64 }
     }
 }
 
--- a/crates/arrowyard-core/src/mail.rs
+++ b/crates/arrowyard-core/src/mail.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use arrowyard_cells::Layout;
-use arrowyard_types::{Ask, HostId, OpId, Outcome, SendNo, Word};
+use arrowyard_types::{Ask, CellId, HostId, OpId, Outcome, SendNo, Word};
 use tokio::sync::oneshot;
 
 use crate::back::Back;
@@ -19,7 +19,8 @@
     Asked(Ask, Option<Box<Claim>>, Rc<B::Payload>, oneshot::Sender<Reply<B::Answer>>),
     HungUp(OpId),
     SendEnded(OpId, SendNo, HostId, End<B::Answer>),
-    Probed(HostId, Outcome, Word),
+    /// In the name of the cell, where there are any.
+    Probed(HostId, Option<CellId>, Outcome, Word),
     /// A host was asked for its position since a tenant moves there.
     Watched(HostId, Word),
     /// The operator's file was read anew.
--- a/crates/arrowyard-core/src/roster.rs
+++ b/crates/arrowyard-core/src/roster.rs
@@ -111,6 +111,15 @@
         there.filter(of).map(|entry| (entry.host, &*self.raw[entry.host.0 as usize].0)).collect()
     }
 
+    /// The cell in whose name the host is probed: the first whose own it is, else the first that it serves.
+    pub fn cell(&self, host: HostId, index: &Index) -> Option<CellId> {
+        let (name, group, _) = self.raw.get(host.0 as usize)?;
+        let mut parts = index.parts(*group, name);
+        let first = parts.next()?;
+        let own = std::iter::once(first).chain(parts).find(|(_, guest)| !guest);
+        Some(own.unwrap_or(first).0)
+    }
+
     /// Whether the host started within this span.
     pub fn is_new(&self, host: HostId, now: Point, within: Span) -> bool {
         let started = self.last.get(host.0 as usize).and_then(|entry| entry.started);
--- a/crates/arrowyard-core/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -379,7 +379,10 @@
                 }
                 Some(Note::SendEnded(Ended { op, send, host, outcome, took, finished, word }))
             }
-            Mail::Probed(host, outcome, word) => {
+            Mail::Probed(host, cell, outcome, word) => {
+                if let (Some(ward), Some(cell)) = (&mut self.ward, cell) {
+                    ward.probed(cell);
+                }
                 Some(Note::Probed { host, outcome, word: self.likely(word) })
             }
             Mail::Watched(host, word) => {
@@ -438,12 +441,23 @@
             Action::ErrorReply { op } => self.book.answer(op, Reply::Errored),
             Action::Probe { host } => {
                 let (back, mail, dial) = (back.clone(), mail.clone(), roster.dial(host));
+                let (mut cell, mut full) = (None, None);
+                if let Some(ward) = &mut self.ward
+                    && let Some(of) = roster.cell(host, ward.index())
+                {
+                    let may = ward.probe(now, of);
+                    (cell, full) = (may.then_some(of), (!may).then_some(self.yard.limits.connect));
+                }
                 drop(spawn_local(async move {
-                    let (outcome, word) = match dial {
-                        Some(dial) => back.probe(host, dial).await,
-                        None => (Outcome::Moot, Word::default()),
+                    let (outcome, word) = match (dial, full) {
+                        (Some(dial), None) => back.probe(host, dial).await,
+                        (_, full) => {
+                            // Danger: the module asks again at once. A probe that found no room takes as long as one that is lost.
+                            sleep_until(Instant::now() + full.unwrap_or_default()).await;
+                            (Outcome::Moot, Word::default())
+                        }
                     };
-                    let _ = mail.send(Mail::Probed(host, outcome, word)).await;
+                    let _ = mail.send(Mail::Probed(host, cell, outcome, word)).await;
                 }));
             }
             Action::Ring { after, cookie } => {
--- a/crates/arrowyard-core/src/ward.rs
+++ b/crates/arrowyard-core/src/ward.rs
@@ -208,6 +208,15 @@
         Ok(())
     }
 
+    /// Whether a host of the cell may be probed now; if so it counts till it is told to have ended.
+    pub fn probe(&mut self, now: Point, cell: CellId) -> bool {
+        self.cells.probe(now, cell)
+    }
+
+    pub fn probed(&mut self, cell: CellId) {
+        self.cells.probed(cell);
+    }
+
     /// Groups whose hosts have to be asked for their positions.
     pub fn watched(&self) -> Vec<GroupId> {
         self.cells.watched().to_vec()
@@ -240,7 +249,7 @@
             .into_iter()
             .map(|state| {
                 json!({"cell": state.name, "ops": state.ops, "share": state.share, "guaranteed": state.guaranteed,
-                    "borrowed": state.borrowed, "bytes": state.bytes, "limit": state.limit,
+                    "borrowed": state.borrowed, "bytes": state.bytes, "probes": state.probes, "limit": state.limit,
                     "release": state.judged.map(|judged| format!("{judged:?}").to_lowercase()),
                     "taken": state.tally.taken, "busy": state.tally.busy, "errors": state.tally.errors,
                     "first_sends": state.tally.first, "further_sends": state.tally.further})
--- a/crates/arrowyard-daemon/tests/cells.rs
+++ b/crates/arrowyard-daemon/tests/cells.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use arrowyard_standins::client::Ask;
-use arrowyard_standins::load::{Stream, play};
+use arrowyard_standins::load::{Outcome, Stream, play};
 use arrowyard_standins::router::{OP_TYPES, waybill};
 use arrowyard_standins::town::unix_ms;
 use arrowyard_standins::{Act, Client, Process, Reply, Spec, Town};
@@ -228,7 +228,8 @@
     let row = if step.is_empty() { String::new() } else { row };
     format!(
         "epoch: {epoch}\ncells {{\n cell {{ name: \"a\" }}\n cell {{ name: \"b\" }}\n \
-         tenant {{ name: \"ann\" cell: \"{home}\" }}\n tenant {{ name: \"bob\" cell: \"b\" }}\n \
+         tenant {{ name: \"ann\" cell: \"{home}\" }}\n tenant {{ name: \"bob\" cell: \"b\" }}\n tenant {{ name: \"eve\" cell: \"b\" }}\n \
+         tenant {{ name: \"cat\" cell: \"a\" }}\n \
          lease {{ until_ms: {lease} skew_ms: 20 }}\n {row}\n}}\n"
     )
 }
@@ -278,6 +279,82 @@
     assert!(at_target > 100, "{at_target}");
 }
 
+/// Plays the move of `ann` from group 7 to 8, while `cat` goes on in 7 in the source's cell. `trouble` is called with
+/// the time from the fence.
+fn move_into_trouble(more: Option<Stream>, mut trouble: impl FnMut(&Town, i64)) -> (Town, Process, Outcome) {
+    let host = |name: &str| Spec::new(name, if name.starts_with('s') { 7 } else { 8 }, name.ends_with('0'));
+    let town = Town::start(&["s-0", "s-1", "s-2", "t-0", "t-1"].map(host));
+    let fence = unix_ms() + 1200;
+    let router = start(&town, Some(&moving(1, "PLANNED", fence, "a")));
+    let (from, till, mix) = (Duration::ZERO, Duration::from_millis(3800), vec![(2, 2), (1, 1)]);
+    let stream = |tenant| Stream { tenant, group: 7, rate: 60.0, mix: mix.clone(), from, till, sessions: 9 };
+    let streams: Vec<Stream> = ["ann", "cat"].map(stream).into_iter().chain(more).collect();
+    let (mut fenced, mut copied) = (false, false);
+    let outcome = play(router.address, &OP_TYPES, &streams, 5, |_| {
+        let now = unix_ms() - fence;
+        if !fenced && now > -600 {
+            router.rebook(&moving(3, "FENCED", fence, "a"));
+            fenced = true;
+        }
+        if !copied && now > 720 {
+            town.copy(7, 8, fence + 700);
+            router.rebook(&moving(4, "SWITCHED", fence, "a"));
+            copied = true;
+        }
+        trouble(&town, now);
+    });
+    (town, router, outcome)
+}
+
+/// Each acked turn is held once by the group that owns its tenant in the end, and no turn was applied twice.
+fn none_lost_or_doubled(town: &Town, outcome: &Outcome) {
+    let held: Vec<String> =
+        [7, 8].iter().flat_map(|&group| town.log(group)).map(|record| record.turn).collect();
+    for turn in &outcome.acked {
+        assert!(held.contains(&format!("{turn:016x}")), "an acked turn is nowhere");
+    }
+    assert!(town.ledger().applied.values().all(|places| places.len() == 1), "a turn was applied twice");
+}
+
+#[test]
+fn a_move_to_hosts_that_all_drain_gives_writes_back_and_loses_none() {
+    let mut drained = false;
+    let (town, _router, outcome) = move_into_trouble(None, |town, now| {
+        if !drained && now > 300 {
+            ["t-0", "t-1"].into_iter().for_each(|name| town.drain(name));
+            drained = true;
+        }
+    });
+    let (ann, cat) = (outcome.of_tenant("ann"), outcome.of_tenant("cat"));
+    assert_eq!((ann.unanswered, cat.unanswered), (0, 0), "each op has one answer in time");
+    assert!(ann.busy > 50, "its writes are given back: {} of {}", ann.busy, ann.sent);
+    assert!(cat.share() > 0.97, "{} of {}", cat.good, cat.sent);
+    // Nothing new goes to a host that drains, be it a tenant's new home.
+    assert!(town.ledger().applied.values().flatten().all(|(host, _)| host.starts_with('s')));
+    none_lost_or_doubled(&town, &outcome);
+}
+
+#[test]
+fn a_move_to_hosts_that_are_full_gives_writes_back_and_the_source_gets_none_of_them() {
+    // The target's own tenant fills it from before the switch on.
+    let (from, till) = (Duration::from_millis(1600), Duration::from_millis(3800));
+    let eve = Stream { tenant: "eve", group: 8, rate: 600.0, mix: vec![(2, 1)], from, till, sessions: 9 };
+    let mut full = false;
+    let (town, router, outcome) = move_into_trouble(Some(eve), |town, now| {
+        if !full && now > 300 {
+            ["t-0", "t-1"].into_iter().for_each(|name| town.act(name, Act::TurnAway));
+            full = true;
+        }
+    });
+    assert!(router.said("stage=switched", Duration::ZERO), "{:#?}", router.log.lock());
+    let (ann, cat) = (outcome.of_tenant("ann"), outcome.of_tenant("cat"));
+    assert_eq!((ann.unanswered, cat.unanswered), (0, 0), "each op has one answer in time");
+    assert!(ann.busy > 50, "its writes are given back: {} of {}", ann.busy, ann.sent);
+    assert!(cat.share() > 0.97, "{} of {}", cat.good, cat.sent);
+    assert!(town.ledger().applied.values().flatten().all(|(host, _)| host.starts_with('s')));
+    none_lost_or_doubled(&town, &outcome);
+}
+
 #[test]
 fn a_library_nobody_here_wrote_is_served_and_can_see_the_cells() {
     let town = town();
--- a/crates/arrowyard-standins/src/discovery.rs
+++ b/crates/arrowyard-standins/src/discovery.rs
@@ -39,6 +39,8 @@
     let mut stream = BufReader::new(stream);
     let mut call = String::new();
     stream.read_line(&mut call).await.ok()?;
+    let at = stream.get_ref().local_addr().ok()?;
+    lock(&state).calls.push((at, call.trim().to_string()));
     let mut line = String::new();
     while stream.read_line(&mut line).await.ok()? > 2 {
         line.clear();
@@ -50,6 +52,11 @@
     }
     let from = call.split("from=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.ok()?;
+    if lock(&state).mute {
+        // Till the router gives up.
+        let _ = stream.read_line(&mut line).await;
+        return None;
+    }
     let (mut told, mut first): (Option<u64>, bool) = (from, true);
     loop {
         let (text, version) = {
--- a/crates/arrowyard-standins/src/host.rs
+++ b/crates/arrowyard-standins/src/host.rs
@@ -7,7 +7,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-use crate::town::{Act, Record, Shared, lock, unix_ms};
+use crate::town::{Act, KEPT, Record, Shared, lock, unix_ms};
 
 /// Bytes of one message that it reads.
 const MOST: usize = 1 << 20;
@@ -29,11 +29,19 @@
     let (owner, host) = (state.clone(), name.clone());
     let task = tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let task = tokio::spawn(talk(state.clone(), name.clone(), stream));
             let mut locked = lock(&state);
-            let tasks = &mut locked.hosts.get_mut(&name).expect("it is in the town").tasks;
-            tasks.retain(|task| !task.is_finished());
-            tasks.push(task.abort_handle());
+            let host = locked.hosts.get_mut(&name).expect("it is in the town");
+            let number = host.accepted;
+            host.accepted += 1;
+            let (of, who) = (state.clone(), name.clone());
+            let task = tokio::spawn(async move {
+                talk(&of, &who, number, stream).await;
+                if let Some(host) = lock(&of).hosts.get_mut(&who).filter(|host| host.ended.len() < KEPT) {
+                    host.ended.push(number);
+                }
+            });
+            host.tasks.retain(|task| !task.is_finished());
+            host.tasks.push(task.abort_handle());
         }
     });
     lock(&owner).hosts.get_mut(&host).expect("it is in the town").tasks.push(task.abort_handle());
@@ -47,10 +55,20 @@
     message(b'S', format!("{name}\0{value}\0").as_bytes())
 }
 
+fn columns() -> Vec<u8> {
+    message(b'T', &[b"\0\x01payload\0".as_slice(), &[0; 16], &[0, 1]].concat())
+}
+
+fn data(value: &[u8]) -> Vec<u8> {
+    message(b'D', &[&[0, 1][..], &(value.len() as u32).to_be_bytes(), value].concat())
+}
+
+fn complete() -> Vec<u8> {
+    message(b'C', b"SELECT 1\0")
+}
+
 fn row(value: &[u8]) -> Vec<u8> {
-    let columns = [b"\0\x01payload\0".as_slice(), &[0; 16], &[0, 1]].concat();
-    let data = [&[0, 1][..], &(value.len() as u32).to_be_bytes(), value].concat();
-    [message(b'T', &columns), message(b'D', &data), message(b'C', b"SELECT 1\0")].concat()
+    [columns(), data(value), complete()].concat()
 }
 
 fn error(code: &str) -> Vec<u8> {
@@ -97,7 +115,7 @@
     }
 }
 
-async fn talk(state: Shared, name: String, mut stream: TcpStream) -> Option<()> {
+async fn talk(state: &Shared, name: &str, number: usize, mut stream: TcpStream) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     let mut length = [0; 4];
     stream.read_exact(&mut length).await.ok()?;
@@ -113,11 +131,14 @@
         let text = String::from_utf8(body).ok()?;
         let text = text.trim_end_matches('\0');
         if text == "SHOW stats" {
-            let answer = report(&state, &name);
+            let answer = report(state, name);
             stream.write_all(&[answer, ready.clone()].concat()).await.ok()?;
             continue;
         }
-        let Some(answer) = command(&state, &name, text, &mut stream).await else {
+        if let Some(host) = lock(state).hosts.get_mut(name).filter(|host| host.heard.len() < KEPT) {
+            host.heard.push((number, text.to_string()));
+        }
+        let Some(answer) = command(state, name, text, &mut stream).await else {
             let _ = stream.shutdown().await;
             return None;
         };
@@ -147,6 +168,7 @@
     match act {
         Act::TurnAway => return Some(error("53300")),
         Act::Fail => return Some(error("XX000")),
+        Act::Miss => return Some(error("25006")),
         Act::Break => return None,
         Act::Hang => {
             // Till the router gives up.
@@ -160,12 +182,25 @@
     if !(service + slow).is_zero() {
         sleep(service + slow).await;
     }
-    let answer = apply(state, name, text);
+    let (told, value) = apply(state, name, text);
     drop(place);
+    let Some(value) = value else { return Some(told) };
     match act {
         Act::LoseAnswer => None,
         Act::Spoil => Some(b"\x01\x02noise that nobody can read".to_vec()),
-        _ => Some(answer),
+        Act::ServeTwice => Some([told, columns(), data(&value), data(&value), complete()].concat()),
+        Act::ServeLarge(size) => Some([told, row(&vec![b'x'; size])].concat()),
+        Act::ServeAndDeny => Some([told, row(&value), error("53300")].concat()),
+        Act::ServeAndBreak => {
+            let _ = stream.write_all(&[told, row(&value)].concat()).await;
+            None
+        }
+        Act::ReadyEarly => {
+            stream.write_all(&message(b'Z', b"I")).await.ok()?;
+            sleep(Duration::from_millis(20)).await;
+            Some([told, row(&value)].concat())
+        }
+        _ => Some([told, row(&value)].concat()),
     }
 }
 
@@ -193,8 +228,9 @@
     place
 }
 
-/// Runs the statement on the group's state, as this host has it.
-fn apply(state: &Shared, name: &str, text: &str) -> Vec<u8> {
+/// Runs the statement on the group's state, as this host has it: what it tells of itself, and the value; without one
+/// an error stands with the rest.
+fn apply(state: &Shared, name: &str, text: &str) -> (Vec<u8>, Option<Vec<u8>>) {
     let mut state = lock(state);
     let (now, memory) = (unix_ms(), state.memory.as_millis() as i64);
     let position = state.position(name, now);
@@ -204,7 +240,7 @@
     let of = state.groups.get_mut(&group).expect("each host has its group");
     if text.contains("INSERT") {
         if !primary {
-            return [mode, error("25006")].concat();
+            return ([mode, error("25006")].concat(), None);
         }
         let turn = told(text, "k").or(told(text, "id")).unwrap_or_default().to_string();
         let held = of.tokens.get(&turn).filter(|(first, _)| now < first + memory).map(|(_, at)| *at);
@@ -218,10 +254,11 @@
         if held.is_none() {
             state.ledger.applied.entry(turn).or_default().push((name.to_string(), commit));
         }
-        return [mode, status("wal_time", &commit.to_string()), row(name.as_bytes())].concat();
+        let told = [mode, status("wal_time", &commit.to_string())].concat();
+        return (told, Some(name.as_bytes().to_vec()));
     }
     // The newest turn of the session that this host has applied.
     let seen = of.log.iter().rev().find(|record| record.position <= position && record.session == session);
     let value = format!("{name} {}", seen.map_or("-", |record| &record.turn));
-    [mode, status("wal_time", &position.to_string()), row(value.as_bytes())].concat()
+    ([mode, status("wal_time", &position.to_string())].concat(), Some(value.into_bytes()))
 }
--- a/crates/arrowyard-standins/src/router.rs
+++ b/crates/arrowyard-standins/src/router.rs
@@ -129,6 +129,18 @@
         self.signal("HUP");
     }
 
+    /// Writes the platform's file anew, whatever it says, and sends SIGHUP.
+    pub fn retell(&self, text: &str) {
+        std::fs::write(self.folder.join("config.json"), text).expect("its folder can be written");
+        self.signal("HUP");
+    }
+
+    /// Tells it to end, and waits till it has; its exit code.
+    pub fn terminate(&mut self) -> Option<i32> {
+        self.signal("TERM");
+        self.child.wait().ok().and_then(|status| status.code())
+    }
+
     pub fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
         let status = Command::new("sh").args(["-c", &kill]).status();
--- a/crates/arrowyard-standins/src/town.rs
+++ b/crates/arrowyard-standins/src/town.rs
@@ -33,6 +33,18 @@
     LoseAnswer,
     /// Answers with noise, after it ran.
     Spoil,
+    /// 25006, whatever its role, and nothing ran.
+    Miss,
+    /// A whole answer, and the connection ends before the word that the host is ready.
+    ServeAndBreak,
+    /// An answer with its row twice.
+    ServeTwice,
+    /// A value of so many bytes.
+    ServeLarge(usize),
+    /// A whole answer and, right after it, word that it never ran.
+    ServeAndDeny,
+    /// Ready without an answer, which comes a little later.
+    ReadyEarly,
 }
 
 /// One host, as it is started.
@@ -86,8 +98,18 @@
     pub commands: u64,
     pub tasks: Vec<AbortHandle>,
     pub changed: u64,
+    /// How many milliseconds ahead of the clock its positions are.
+    pub ahead: i64,
+    pub accepted: usize,
+    /// The first statements that it read, each with the number of its connection.
+    pub heard: Vec<(usize, String)>,
+    /// The numbers of the connections that ended.
+    pub ended: Vec<usize>,
 }
 
+/// Statements, and ends of connections, that are kept of a host.
+pub(crate) const KEPT: usize = 4096;
+
 /// What was applied, and what was answered.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
@@ -105,6 +127,10 @@
     pub version: u64,
     /// Discovery neither accepts nor answers.
     pub undiscovered: bool,
+    /// Watches are opened, and say nothing.
+    pub mute: bool,
+    /// The first lines of calls to discovery, and where they came.
+    pub calls: Vec<(SocketAddr, String)>,
 }
 
 impl State {
@@ -112,7 +138,7 @@
     pub fn position(&self, name: &str, now: i64) -> i64 {
         let host = &self.hosts[name];
         let lag = if host.spec.primary { 0 } else { host.spec.lag.as_millis() as i64 };
-        host.stalled_at.unwrap_or(now).min(now) - lag
+        host.stalled_at.unwrap_or(now).min(now) - lag + host.ahead
     }
 }
 
@@ -141,6 +167,8 @@
             memory: Duration::from_millis(2000),
             version: 1,
             undiscovered: false,
+            mute: false,
+            calls: Vec::new(),
         };
         let state = Arc::new(Mutex::new(state));
         let (news, heard) = watch::channel(1);
@@ -165,6 +193,7 @@
             state.groups.entry(spec.group).or_default();
             let (act, health, stalled_at, tasks) = (Act::Serve, "SERVING", None, Vec::new());
             let (busy, waiting, commands, changed) = (0, 0, 0, state.version);
+            let (ahead, accepted, heard, ended) = Default::default();
             let one = HostState {
                 spec,
                 address,
@@ -177,6 +206,10 @@
                 commands,
                 tasks,
                 changed,
+                ahead,
+                accepted,
+                heard,
+                ended,
             };
             state.hosts.insert(name.clone(), one);
         }
@@ -275,6 +308,43 @@
         lock(&self.state).undiscovered = down;
     }
 
+    /// Watches are opened from now on, and say nothing.
+    pub fn mute(&self) {
+        lock(&self.state).mute = true;
+    }
+
+    /// The first lines of the calls that discovery had at the address.
+    pub fn calls(&self, at: SocketAddr) -> Vec<String> {
+        let state = lock(&self.state);
+        state.calls.iter().filter(|(to, _)| *to == at).map(|(_, call)| call.clone()).collect()
+    }
+
+    /// Starts discovery at one more address.
+    pub fn discover(&self) -> SocketAddr {
+        let (state, news) = (self.state.clone(), self.news.subscribe());
+        self.runtime().block_on(discovery::start(state, news))
+    }
+
+    /// The host's positions are so many milliseconds ahead of the clock.
+    pub fn ahead(&self, name: &str, millis: i64) {
+        lock(&self.state).hosts.get_mut(name).expect("a host of this town").ahead = millis;
+    }
+
+    /// The statements that the host read, each with the number of its connection.
+    pub fn heard(&self, name: &str) -> Vec<(usize, String)> {
+        lock(&self.state).hosts[name].heard.clone()
+    }
+
+    /// The numbers of the host's connections that ended.
+    pub fn ended(&self, name: &str) -> Vec<usize> {
+        lock(&self.state).hosts[name].ended.clone()
+    }
+
+    /// The version of discovery's list.
+    pub fn version(&self) -> u64 {
+        lock(&self.state).version
+    }
+
     pub fn address(&self, name: &str) -> SocketAddr {
         lock(&self.state).hosts[name].address
     }
--- a/crates/arrowyard-yardbook/examples/size.rs
+++ b/crates/arrowyard-yardbook/examples/size.rs
@@ -71,7 +71,8 @@
         black_box(index.parts(GroupId((n % groups) as i64), "host-12345").count());
     });
     let terms = Terms { marks: true, settle: Span::ZERO, skew: Span::ZERO };
-    let mut desk = Cells::new(Point::DAWN, taken.clone(), Totals { ops: 1000, bytes: 1 << 20 }, terms);
+    let mut desk =
+        Cells::new(Point::DAWN, taken.clone(), Totals { ops: 1000, bytes: 1 << 20, probes: 8 }, terms);
     let mut next = Layout { epoch: 2, ..taken.clone() };
     next.cells[0].weight = 2.0;
     let (held_up, again) = timed(|| desk.relayout(Point::DAWN, next));
