Arrow Flight SQL: a front and a back on the core, decisions without I/O, one safety suite

Change: what is decided of the protocol stands in arrowyard-flight, without I/O: what a call says in its comment and metadata, sealed tickets that are good once, prepared statements whose bound handles hold their values, what a result may be made of, how much of it is held so that a cut can be repaired, what the frames of a connection prove of a send, how a client's connection behaves, and one table of statuses. arrowyard-front-flight has the front on the library's server and the back on h2; both stand on the core, whose backs may hand an answer on before their send has ended: it counts as unfinished till the host is done, and is never sent again. The daemon became a library, so that arrowyard-flight is a program of its own, with the same command line, and arrowyard links none of it. Stand-in hosts and clients speak Flight SQL by the library's traits and ready-made client.

Measured: one suite of seeded faults passes for PostgreSQL before PostgreSQL, Flight SQL before Flight SQL and Flight SQL before PostgreSQL: no acked write missing, none twice, nothing given back that ran, no own read that misses a write, nothing to a draining host behind the grace, one answer in time each. Hard cases of streams, frames written by hand, floods and noise at both sides have tests of their own. Found by the suite: a stand-in primary that did not show writes whose positions ran ahead of its clock; mended.

--- a/crates/arrowyard-core/src/back.rs
+++ b/crates/arrowyard-core/src/back.rs
@@ -1,10 +1,11 @@
 //! What the core asks of a kind of host connection.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
 
 use arrowyard_types::{HostId, Outcome, Point, Word};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::clock::Clock;
@@ -12,6 +13,64 @@
 /// One send or probe: how it ended, what the host said of itself, and the answer if it is whole.
 pub type Told<A> = (Outcome, Word, Option<A>);
 
+/// How far a send is, as its back tells while it goes on.
+#[derive(Debug)]
+pub struct Progress<A> {
+    written: Cell<bool>,
+    begun: RefCell<Option<A>>,
+    begins: Notify,
+    client_waits: Cell<bool>,
+}
+
+impl<A> Default for Progress<A> {
+    fn default() -> Self {
+        Progress {
+            written: Cell::new(false),
+            begun: RefCell::new(None),
+            begins: Notify::new(),
+            client_waits: Cell::new(false),
+        }
+    }
+}
+
+impl<A> Progress<A> {
+    /// The payload's last byte is written: before that the send never ran, whatever happens; from now on it may have.
+    pub fn written(&self) {
+        self.written.set(true);
+    }
+
+    pub fn is_written(&self) -> bool {
+        self.written.get()
+    }
+
+    /// The answer goes to the client now, though the host is not done with it: what is still to come goes by a way
+    /// that the answer itself holds. The op is over with that, and the send goes on till the back ends it.
+    pub fn begin(&self, answer: A) {
+        self.begun.replace(Some(answer));
+        self.begins.notify_one();
+    }
+
+    /// Whether it is the client that keeps the send from going on. Danger: a client that reads slowly makes a host that
+    /// answered in time look ill.
+    pub fn held_up(&self, by_client: bool) {
+        self.client_waits.set(by_client);
+    }
+
+    pub(crate) fn is_held_up(&self) -> bool {
+        self.client_waits.get()
+    }
+
+    /// Waits for an answer that begins.
+    pub(crate) async fn begun(&self) -> A {
+        loop {
+            self.begins.notified().await;
+            if let Some(answer) = self.begun.take() {
+                return answer;
+            }
+        }
+    }
+}
+
 /// Carries sends and probes to hosts, over connections of one protocol. It decides nothing: the module chose the
 /// host, and the core ends what takes too long by dropping the future.
 pub trait Back: 'static {
@@ -19,8 +78,7 @@
     type Payload: 'static;
     type Answer: 'static;
 
-    /// Sends the payload once. `written` is set with its last byte: before that the send never ran, whatever
-    /// happens; from then on it may have. Dropping the future gives the send up, and its connection with it.
+    /// Sends the payload once, and tells how far it is. Dropping the future gives the send up.
     fn exchange(
         &self,
         host: HostId,
@@ -28,7 +86,7 @@
         payload: &Self::Payload,
         until: Point,
         clock: Clock,
-        written: &Cell<bool>,
+        progress: &Progress<Self::Answer>,
     ) -> impl Future<Output = Told<Self::Answer>>;
 
     /// Asks the host for its report.
--- a/crates/arrowyard-core/src/book.rs
+++ b/crates/arrowyard-core/src/book.rs
@@ -95,6 +95,12 @@
         Some(over)
     }
 
+    /// An answer of one of its sends begins, and goes to the client. Danger: it comes as the op was given up, and the
+    /// client would be answered twice; then it is dropped, which ends its send.
+    pub fn begin(&mut self, op: OpId, answer: A) {
+        self.answer(op, Reply::Acked(answer));
+    }
+
     /// The final answer, if the op has none yet.
     pub fn answer(&mut self, op: OpId, reply: Reply<A>) {
         let Some(client) = self.pages.get_mut(&op).and_then(|page| page.client.take()) else { return };
--- a/crates/arrowyard-core/src/hatch.rs
+++ b/crates/arrowyard-core/src/hatch.rs
@@ -2,6 +2,7 @@
 //! threads cannot hold the core's counts; it puts a value that may move through a bounded channel, and a task on
 //! the core's thread takes it from there. No lock of this program's is held by either side.
 
+use std::any::Any;
 use std::rc::Rc;
 
 use arrowyard_types::Point;
@@ -22,6 +23,13 @@
     client: oneshot::Sender<Reply<R>>,
 }
 
+/// What an answer keeps here while its client is not done with it: its op's place, and the room that it takes.
+pub struct Tail {
+    /// Resolves once the front is done with the answer, or has dropped it.
+    pub done: oneshot::Receiver<()>,
+    pub keep: Box<dyn Any>,
+}
+
 /// The side of the front; it may be cloned, sent and shared.
 pub struct Hatch<P, R> {
     errands: mpsc::Sender<Errand<P, R>>,
@@ -75,12 +83,12 @@
 
 impl<B: Back, P: 'static, R: 'static> Desk<B, P, R> {
     /// Takes errands till every front has gone. `call` tells what the payload asks for, `load` makes of it what
-    /// the back carries, and `lift` makes of a host's answer what may move.
+    /// the back carries, and `lift` makes of a host's answer what may move, and what stays here till that is used up.
     pub async fn run(
         mut self,
         call: impl Fn(&P) -> Call<'_> + 'static,
         load: impl Fn(P) -> B::Payload + 'static,
-        lift: impl Fn(B::Answer) -> R + 'static,
+        lift: impl Fn(B::Answer) -> (R, Option<Tail>) + 'static,
     ) {
         let lift = Rc::new(lift);
         while let Some(Errand { payload, arrived, mut client }) = self.errands.recv().await {
@@ -107,13 +115,25 @@
                         return;
                     }
                 };
-                drop(place);
-                let _ = client.send(match reply {
-                    Reply::Acked(answer) => Reply::Acked(lift(answer)),
+                let mut tail = None;
+                let reply = match reply {
+                    Reply::Acked(answer) => {
+                        let (lifted, rest) = lift(answer);
+                        tail = rest;
+                        Reply::Acked(lifted)
+                    }
                     Reply::Busy(after) => Reply::Busy(after),
                     Reply::Errored => Reply::Errored,
                     Reply::Refused(why) => Reply::Refused(why),
-                });
+                };
+                if client.send(reply).is_ok()
+                    && let Some(Tail { done, keep }) = tail
+                {
+                    // Danger: a client that reads slowly gives its op's place away and takes the next, without end.
+                    let _ = done.await;
+                    drop(keep);
+                }
+                drop(place);
             }));
         }
     }
@@ -121,7 +141,6 @@
 
 #[cfg(test)]
 mod tests {
-    use std::cell::Cell;
     use std::net::SocketAddr;
 
     use arrowyard_types::{HostId, Outcome, Word};
@@ -130,7 +149,7 @@
     use tokio::time::Instant;
 
     use super::*;
-    use crate::back::Told;
+    use crate::back::{Progress, Told};
     use crate::limits::Limits;
 
     /// Never sent to: the test answers in the route stage's place.
@@ -147,7 +166,7 @@
             _: &u64,
             _: Point,
             _: Clock,
-            _: &Cell<bool>,
+            _: &Progress<Rc<u64>>,
         ) -> Told<Rc<u64>> {
             (Outcome::Moot, Word::default(), None)
         }
@@ -193,7 +212,7 @@
             let gate = Rc::new(Gate::new(&waybill.settings, &manifest, Rc::new(limits), false));
             let (mail, mut inbox) = mpsc::channel(64);
             let (hatch, desk) = open::<Nowhere, u64, u64>(64, Clock::start(), gate, mail);
-            drop(spawn_local(desk.run(call, |payload| payload, |answer| *answer)));
+            drop(spawn_local(desk.run(call, |payload| payload, |answer| (*answer, None))));
             let asked: Vec<_> = (0..32)
                 .map(|id| {
                     let hatch = hatch.clone();
--- a/crates/arrowyard-core/src/mail.rs
+++ b/crates/arrowyard-core/src/mail.rs
@@ -18,6 +18,8 @@
     /// With what cells want to know of it, where there are any.
     Asked(Ask, Option<Box<Claim>>, Rc<B::Payload>, oneshot::Sender<Reply<B::Answer>>),
     HungUp(OpId),
+    /// The answer goes to the client, and the send goes on.
+    Begun(OpId, B::Answer),
     SendEnded(OpId, SendNo, HostId, End<B::Answer>),
     /// In the name of the cell, where there are any.
     Probed(HostId, Option<CellId>, Outcome, Word),
--- a/crates/arrowyard-core/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -194,7 +194,7 @@
                 self.turn(turn);
                 return None;
             }
-            Mail::SendEnded(op, ..) | Mail::HungUp(op) => {
+            Mail::SendEnded(op, ..) | Mail::HungUp(op) | Mail::Begun(op, _) => {
                 if matches!(mail, Mail::HungUp(_)) {
                     ward.hung_up(now, op);
                 }
@@ -368,6 +368,11 @@
                 self.book.open(ask.op, payload, client);
                 Some(Note::Asked(ask))
             }
+            // The module hears of it when the send has ended, as of any other: till then it works at its host.
+            Mail::Begun(op, answer) => {
+                self.book.begin(op, answer);
+                None
+            }
             Mail::HungUp(op) => self.book.hang_up(op).then_some(Note::HungUp { op }),
             Mail::SendEnded(op, send, host, End { outcome, took, word, answer }) => {
                 let finished = self.book.end(op, send, outcome, answer)?;
@@ -428,7 +433,8 @@
                     let end = match dial {
                         Some(dial) => {
                             let order = Order { host, dial, payload, until, called_off };
-                            send::run(order, &*back, clock).await
+                            let begun = async |answer| drop(mail.send(Mail::Begun(op, answer)).await);
+                            send::run(order, &*back, clock, begun).await
                         }
                         None => End::unsent(),
                     };
--- a/crates/arrowyard-core/src/send.rs
+++ b/crates/arrowyard-core/src/send.rs
@@ -1,14 +1,14 @@
 //! One send of an op to a host, from the moment it is ordered to its end.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 
 use arrowyard_types::{HostId, Outcome, Point, Span, Word};
 use tokio::sync::oneshot::{self, error::TryRecvError};
 use tokio::time::sleep_until;
 
-use crate::back::Back;
+use crate::back::{Back, Progress};
 use crate::clock::Clock;
 
 pub struct Order<P> {
@@ -37,22 +37,33 @@
 }
 
 /// Carries the order out. Until the payload is wholly written it never ran, whatever happens; from then on it may
-/// have. Giving up closes the connection.
-pub async fn run<B: Back>(mut order: Order<B::Payload>, back: &B, clock: Clock) -> End<B::Answer> {
-    let (started, written) = (clock.now(), Cell::new(false));
+/// have. Giving up closes the connection. `begun` is handed an answer that begins before the send has ended.
+pub async fn run<B: Back>(
+    mut order: Order<B::Payload>,
+    back: &B,
+    clock: Clock,
+    begun: impl AsyncFn(B::Answer),
+) -> End<B::Answer> {
+    let (started, progress) = (clock.now(), Progress::default());
     if started >= order.until || order.called_off.try_recv() != Err(TryRecvError::Empty) {
         return End::unsent();
     }
-    let Order { host, dial, payload, until, called_off } = order;
-    let (outcome, word, answer) = tokio::select! {
-        biased;
-        told = back.exchange(host, dial, &payload, until, clock, &written) => told,
-        _ = called_off => (Outcome::Cancelled, Word::default(), None),
-        () = sleep_until(clock.when(until)) => (Outcome::TimedOut, Word::default(), None),
+    let Order { host, dial, payload, until, mut called_off } = order;
+    let mut exchange = pin!(back.exchange(host, dial, &payload, until, clock, &progress));
+    let (outcome, word, answer) = loop {
+        tokio::select! {
+            biased;
+            told = &mut exchange => break told,
+            answer = progress.begun() => begun(answer).await,
+            _ = &mut called_off => break (Outcome::Cancelled, Word::default(), None),
+            () = sleep_until(clock.when(until)) => break (Outcome::TimedOut, Word::default(), None),
+        }
     };
+    let written = progress.is_written();
     let outcome = match outcome {
-        Outcome::Cancelled if !written.get() => Outcome::Moot,
-        Outcome::TimedOut if !written.get() => Outcome::ConnectFailed,
+        Outcome::Cancelled if !written => Outcome::Moot,
+        Outcome::TimedOut if !written => Outcome::ConnectFailed,
+        Outcome::TimedOut if progress.is_held_up() => Outcome::Cancelled,
         outcome => outcome,
     };
     if outcome == Outcome::TimedOut {
--- /dev/null
+++ b/crates/arrowyard-daemon/src/base.rs
@@ -0,0 +1,132 @@
+//! What every router in service has, whatever fronts it has and whatever its hosts speak: the stages are started on one
+//! thread, and end when told to.
+
+use std::cell::Cell;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use arrowyard_charter::manifest;
+use arrowyard_core::Back;
+use arrowyard_core::admit::Gate;
+use arrowyard_core::clock::{Beat, Clock};
+use arrowyard_core::discovery::Discovery;
+use arrowyard_core::drain::{self, Drain, Stage};
+use arrowyard_core::limits::Limits;
+use arrowyard_core::logger::{self, Form, Logbook};
+use arrowyard_core::mail::{Mail, Wish};
+use arrowyard_core::reload::{Reload, Reread};
+use arrowyard_core::roster::Roster;
+use arrowyard_core::route::{Route, Yard};
+use arrowyard_core::waybill::Waybill;
+use arrowyard_types::Facts;
+use arrowyard_yardbook::{Yardbook, layout, schema};
+use tokio::runtime::Builder;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+
+/// How the log is kept: as the operator's file says, else as without one.
+fn logbook(name: &str, lines: u32, book: Option<&Yardbook>) -> Logbook {
+    let plain = Logbook::plain(name, lines);
+    let Some(log) = book.and_then(|book| book.log.as_ref()) else { return plain };
+    Logbook {
+        form: if log.form() == schema::Form::Json { Form::Json } else { Form::Text },
+        level: log.level.as_ref().and_then(|level| level.parse().ok()).unwrap_or(plain.level),
+        lines: log.lines_a_second.unwrap_or(lines),
+        ..plain
+    }
+}
+
+/// The stages of a router that is to serve: fronts hand their ops in here.
+pub struct Base<B: Back> {
+    pub gate: Rc<Gate>,
+    pub mail: mpsc::Sender<Mail<B>>,
+    /// Connections of clients, of every front.
+    pub clients: Rc<Cell<usize>>,
+    pub stage: watch::Receiver<Stage>,
+    pub beat: Rc<Beat>,
+    pub clock: Clock,
+    pub limits: Rc<Limits>,
+    drain: Drain,
+    signals: (Signal, Signal),
+    route: JoinHandle<()>,
+}
+
+impl<B: Back> Base<B> {
+    /// Starts them; `back` makes what carries sends to hosts.
+    ///
+    /// # Errors
+    /// What it could not start with.
+    pub async fn start(
+        waybill: &Waybill,
+        path: Option<PathBuf>,
+        book: Option<&Yardbook>,
+        back: impl FnOnce(&Rc<Limits>) -> Rc<B>,
+    ) -> Result<Self, String> {
+        let told = manifest(&waybill.settings)?;
+        let limits = Rc::new(Limits::new(waybill, &told));
+        logger::start(logbook(&waybill.name, limits.log_lines, book));
+        let signals = drain::signals().map_err(|e| format!("signals: {e}"))?;
+        let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
+        let clock = Clock::start();
+        let (mail, inbox) = mpsc::channel(limits.inbox);
+        let (wishes, wished) = mpsc::channel(limits.inbox);
+        let (stage, staged) = watch::channel(Stage::Serving);
+
+        let beat = Beat::new(clock, limits.beat);
+        drop(spawn_local(beat.clone().run()));
+        let back = back(&limits);
+        let version = Rc::new(Cell::new(waybill.known.as_ref().map(|list| list.version)));
+        let discovery =
+            Discovery { dial: waybill.discovery, version, mail: mail.clone(), limits: limits.clone() };
+        drop(spawn_local(discovery.run(wished)));
+        let cells = book.and_then(layout);
+        let reread = path.map(|path| -> (Reread, _) {
+            (Arc::new(move || Ok(layout(&arrowyard_yardbook::load(&path)?))), mail.clone())
+        });
+        let reload = Reload { wishes: wishes.clone(), limits: limits.clone(), book: reread };
+        drop(spawn_local(reload.run(hangup)));
+        if told.text("list") != "ask" {
+            // Where lists come unasked, the module does not ask.
+            wishes.send(Wish::Watch(true)).await.map_err(|e| e.to_string())?;
+        }
+
+        let gate = Rc::new(Gate::new(&waybill.settings, &told, limits.clone(), cells.is_some()));
+        let roster = Roster::new(&waybill.settings, limits.clone());
+        let yard = Yard { roster, back, clock, limits: limits.clone(), wishes, mail: mail.clone() };
+        let route = Route::start(yard, waybill.seed, told, waybill.known.as_ref(), cells);
+        let route = spawn_local(route.run(inbox));
+        let clients = Rc::new(Cell::new(0));
+        let drain = Drain { stage, clients: clients.clone(), limits: limits.clone() };
+        Ok(Base { gate, mail, clients, stage: staged, beat, clock, limits, drain, signals, route })
+    }
+
+    /// Serves till it is told to end, or a front does, which never should.
+    ///
+    /// # Errors
+    /// Why it ended untold.
+    pub async fn run(self, front: impl Future<Output = String>) -> Result<(), String> {
+        tokio::select! {
+            biased;
+            () = self.drain.run(self.signals) => Ok(()),
+            // Danger: a router that takes ops and answers none. Better that it ends and is started anew.
+            ended = self.route => Err(format!("the route stage ended: {ended:?}")),
+            why = front => Err(why),
+        }
+    }
+}
+
+/// Runs a router on the one thread that it has. What the platform tells it is read once the operator's file was.
+///
+/// # Errors
+/// What it could not start with, or why it ended.
+pub fn serve_with<F: Future<Output = Result<(), String>>>(
+    path: Option<PathBuf>,
+    run: impl FnOnce(Waybill, Option<PathBuf>, Option<Yardbook>) -> F,
+) -> Result<(), String> {
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let book = path.as_deref().map(arrowyard_yardbook::load).transpose()?;
+    let waybill = Waybill::read()?;
+    LocalSet::new().block_on(&runtime, run(waybill, path, book))
+}
--- /dev/null
+++ b/crates/arrowyard-daemon/src/lib.rs
@@ -0,0 +1,102 @@
+//! The command line of arrowyard, and one router in service, for each program that serves: what they share is here,
+//! what fronts they have is their own.
+
+pub mod base;
+mod cells;
+pub mod serve;
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand};
+use serde_json::json;
+
+/// A router that spreads reads over database replicas and sends writes to the primary.
+///
+/// With no command it serves, as with `run`. What the platform tells it stands in the file that RELAY_CONFIG names.
+///
+/// Exit codes: 0 done; 1 a file that was to be checked has faults, or what was compared differs; 2 what was asked for could not be done, or the
+/// router could not start or go on.
+#[derive(Parser)]
+#[command(name = "arrowyard", version, max_term_width = 110)]
+struct Line {
+    #[command(subcommand)]
+    command: Option<Command>,
+    #[command(flatten)]
+    run: Run,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve till SIGTERM; then finish the ops in hand and end.
+    Run(Run),
+    /// Check an operator's file and report every fault, each with its line and column.
+    Check(Check),
+    /// Cells: who belongs where, what an edit would move, how a router's cells stand.
+    #[command(subcommand)]
+    Cells(cells::Command),
+}
+
+#[derive(Args)]
+struct Run {
+    /// The operator's own file, in protobuf's text format (see deploy/yardbook.txtpb); without one all that it can
+    /// set is off.
+    #[arg(long, value_name = "FILE", env = "ARROWYARD_BOOK")]
+    book: Option<PathBuf>,
+}
+
+#[derive(Args)]
+struct Check {
+    /// The operator's file.
+    file: PathBuf,
+    /// Report as one JSON object: {"file", "ok", "faults": [{"line", "column", "field", "what"}]}.
+    #[arg(long)]
+    json: bool,
+}
+
+const FAULTS: u8 = 1;
+const FAILED: u8 = 2;
+
+fn check(file: &Path, as_json: bool) -> Result<ExitCode, String> {
+    let text = std::fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))?;
+    let read = arrowyard_yardbook::read(&text);
+    let faults = read.as_ref().err().map(Vec::as_slice).unwrap_or_default();
+    if as_json {
+        let rows = faults.iter().map(|fault| {
+            json!({"line": fault.place.line, "column": fault.place.column, "field": fault.field, "what": fault.what})
+        });
+        let report = json!({"file": file, "ok": faults.is_empty(), "faults": rows.collect::<Vec<_>>()});
+        println!("{report}");
+    } else {
+        faults.iter().for_each(|fault| println!("{}:{fault}", file.display()));
+        match faults.len() {
+            0 => println!("{}: nothing is wrong with it", file.display()),
+            count => println!("{}: {count} faults; a router would refuse it whole", file.display()),
+        }
+    }
+    Ok(if faults.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(FAULTS) })
+}
+
+/// Nothing is asked for where the platform starts it: without a word, and without a file of the operator's. The
+/// command line's parser stays out of memory then.
+fn command() -> Option<Command> {
+    if std::env::args_os().len() == 1 && std::env::var_os("ARROWYARD_BOOK").is_none() {
+        return None;
+    }
+    let Line { command, run } = Line::parse();
+    Some(command.unwrap_or(Command::Run(run)))
+}
+
+/// Does what the command line says; `serve` is how this program serves, with the operator's file if there is one.
+pub fn run(serve: impl FnOnce(Option<PathBuf>) -> Result<(), String>) -> ExitCode {
+    let done = match command() {
+        None => serve(None).map(|()| ExitCode::SUCCESS),
+        Some(Command::Run(run)) => serve(run.book).map(|()| ExitCode::SUCCESS),
+        Some(Command::Check(Check { file, json })) => check(&file, json),
+        Some(Command::Cells(command)) => cells::run(command),
+    };
+    done.unwrap_or_else(|why| {
+        eprintln!("arrowyard: {}", why.replace('\n', "\narrowyard: "));
+        ExitCode::from(FAILED)
+    })
+}
--- a/crates/arrowyard-daemon/src/serve.rs
+++ b/crates/arrowyard-daemon/src/serve.rs
@@ -1,91 +1,56 @@
-//! One router in service: the stages are started on one thread, and end when told to.
+//! A router whose clients and hosts speak PostgreSQL's protocol.
 
-use std::cell::Cell;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::sync::Arc;
 
-use arrowyard_charter::manifest;
-use arrowyard_core::admit::Gate;
-use arrowyard_core::clock::{Beat, Clock};
-use arrowyard_core::discovery::Discovery;
-use arrowyard_core::drain::{self, Drain, Stage};
 use arrowyard_core::limits::Limits;
-use arrowyard_core::logger::{self, Form, Logbook};
-use arrowyard_core::mail::Wish;
-use arrowyard_core::reload::{Reload, Reread};
-use arrowyard_core::roster::Roster;
-use arrowyard_core::route::{Route, Yard};
 use arrowyard_core::waybill::Waybill;
 use arrowyard_front_pg::PgBack;
 use arrowyard_front_pg::take_in::{Front, Idlers};
-use arrowyard_types::Facts;
-use arrowyard_yardbook::{Yardbook, layout, schema};
+use arrowyard_yardbook::Yardbook;
 use tokio::net::TcpListener;
-use tokio::runtime::Builder;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 
-/// How the log is kept: as the operator's file says, else as without one.
-fn logbook(name: &str, lines: u32, book: Option<&Yardbook>) -> Logbook {
-    let plain = Logbook::plain(name, lines);
-    let Some(log) = book.and_then(|book| book.log.as_ref()) else { return plain };
-    Logbook {
-        form: if log.form() == schema::Form::Json { Form::Json } else { Form::Text },
-        level: log.level.as_ref().and_then(|level| level.parse().ok()).unwrap_or(plain.level),
-        lines: log.lines_a_second.unwrap_or(lines),
-        ..plain
-    }
-}
-
-async fn run(waybill: Waybill, path: Option<PathBuf>, book: Option<Yardbook>) -> Result<(), String> {
-    let told = manifest(&waybill.settings)?;
-    let limits = Rc::new(Limits::new(&waybill, &told));
-    logger::start(logbook(&waybill.name, limits.log_lines, book.as_ref()));
-    let signals = drain::signals().map_err(|e| format!("signals: {e}"))?;
-    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
-    let clock = Clock::start();
-    let (mail, inbox) = mpsc::channel(limits.inbox);
-    let (wishes, wished) = mpsc::channel(limits.inbox);
-    let (stage, staged) = watch::channel(Stage::Serving);
+use crate::base::{Base, serve_with};
 
-    let beat = Beat::new(clock, limits.beat);
-    drop(spawn_local(beat.clone().run()));
+/// What carries sends to hosts of PostgreSQL's protocol.
+#[must_use]
+pub fn back(limits: &Rc<Limits>) -> Rc<PgBack> {
     let back = Rc::new(PgBack::new(limits.clone()));
     drop(spawn_local(back.sweep()));
-    let version = Rc::new(Cell::new(waybill.known.as_ref().map(|list| list.version)));
-    let discovery =
-        Discovery { dial: waybill.discovery, version, mail: mail.clone(), limits: limits.clone() };
-    drop(spawn_local(discovery.run(wished)));
-    let cells = book.as_ref().and_then(layout);
-    let reread = path.map(|path| -> (Reread, _) {
-        (Arc::new(move || Ok(layout(&arrowyard_yardbook::load(&path)?))), mail.clone())
-    });
-    let reload = Reload { wishes: wishes.clone(), limits: limits.clone(), book: reread };
-    drop(spawn_local(reload.run(hangup)));
-    if told.text("list") != "ask" {
-        // Where lists come unasked, the module does not ask.
-        wishes.send(Wish::Watch(true)).await.map_err(|e| e.to_string())?;
-    }
-
-    let gate = Rc::new(Gate::new(&waybill.settings, &told, limits.clone(), cells.is_some()));
-    let roster = Roster::new(&waybill.settings, limits.clone());
-    let yard = Yard { roster, back, clock, limits: limits.clone(), wishes, mail: mail.clone() };
-    let route = spawn_local(Route::start(yard, waybill.seed, told, waybill.known.as_ref(), cells).run(inbox));
+    back
+}
 
-    let listener = TcpListener::bind(waybill.listen).await.map_err(|e| format!("{}: {e}", waybill.listen))?;
+/// Opens the front of PostgreSQL's protocol.
+///
+/// # Errors
+/// The address cannot be listened at.
+pub async fn listen(base: &Base<PgBack>, at: SocketAddr, discovery: SocketAddr) -> Result<(), String> {
+    let listener = TcpListener::bind(at).await.map_err(|e| format!("{at}: {e}"))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
-    tracing::info!("serving at {address}, discovery at {}", waybill.discovery);
-    let clients = Rc::new(Cell::new(0));
-    let drain = Drain { stage, clients: clients.clone(), limits: limits.clone() };
-    let front = Front { gate, mail, clients, idlers: Idlers::default(), stage: staged, beat, limits };
+    tracing::info!("serving at {address}, discovery at {discovery}");
+    let Base { gate, mail, clients, stage, beat, limits, .. } = base;
+    let front = Front {
+        gate: gate.clone(),
+        mail: mail.clone(),
+        clients: clients.clone(),
+        idlers: Idlers::default(),
+        stage: stage.clone(),
+        beat: beat.clone(),
+        limits: limits.clone(),
+    };
     drop(spawn_local(Rc::new(front).listen(listener)));
-    tokio::select! {
-        () = drain.run(signals) => Ok(()),
-        // Danger: a router that takes ops and answers none. Better that it ends and is started anew.
-        ended = route => Err(format!("the route stage ended: {ended:?}")),
+    Ok(())
+}
+
+async fn run(waybill: Waybill, path: Option<PathBuf>, book: Option<Yardbook>) -> Result<(), String> {
+    if book.as_ref().is_some_and(|book| book.flight.is_some()) {
+        return Err("the operator's file has flight, which the program arrowyard-flight serves".to_string());
     }
+    let base = Base::start(&waybill, path, book.as_ref(), back).await?;
+    listen(&base, waybill.listen, waybill.discovery).await?;
+    base.run(std::future::pending()).await
 }
 
 /// Serves till it is told to end, with the operator's file if there is one.
@@ -93,8 +58,5 @@
 /// # Errors
 /// What it could not start with, or why it ended.
 pub fn serve(path: Option<PathBuf>) -> Result<(), String> {
-    let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    let book = path.as_deref().map(arrowyard_yardbook::load).transpose()?;
-    let waybill = Waybill::read()?;
-    LocalSet::new().block_on(&runtime, run(waybill, path, book))
+    serve_with(path, run)
 }
--- a/crates/arrowyard-front-pg/src/back.rs
+++ b/crates/arrowyard-front-pg/src/back.rs
@@ -1,11 +1,10 @@
 //! Sends and probes over connections of PostgreSQL's protocol.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use arrowyard_core::Limits;
-use arrowyard_core::back::{Back, Told};
+use arrowyard_core::back::{Back, Progress, Told};
 use arrowyard_core::clock::Clock;
 use arrowyard_core::pool::Pool;
 use arrowyard_pg::Statement;
@@ -43,7 +42,7 @@
         statement: &Statement,
         until: Point,
         clock: Clock,
-        written: &Cell<bool>,
+        progress: &Progress<Parcel>,
     ) -> Told<Parcel> {
         let mut link = match self.pool.take(host, dial).await {
             Ok(link) => link,
@@ -57,7 +56,7 @@
             tracing::debug!(%dial, "not written: {}", broken.0);
             return (Outcome::ConnectFailed, Word::default(), None);
         }
-        written.set(true);
+        progress.written();
         match link.answer().await {
             Ok(told) => {
                 if told.ready {
--- a/crates/arrowyard-pg/src/statement.rs
+++ b/crates/arrowyard-pg/src/statement.rs
@@ -64,11 +64,22 @@
         Ok(Statement { text, wait_at, id, wait_ms, op_type, tenant, group, after, again, token, key })
     }
 
+    /// The number of an id as a comment writes it.
+    pub fn id_of(text: &str) -> u64 {
+        key(text)
+    }
+
     /// The bytes of its text.
     pub fn bytes(&self) -> usize {
         self.text.len()
     }
 
+    /// Its text, with the time that the sender will wait.
+    pub fn timed(&self, wait_ms: u64) -> String {
+        let (before, after) = (&self.text[..self.wait_at.start], &self.text[self.wait_at.end..]);
+        format!("{before}{wait_ms}{after}")
+    }
+
     /// Writes it as a query, with the time that the sender will wait.
     pub fn put(&self, out: &mut BytesMut, wait_ms: u64) {
         put(out, Some(b'Q'), |out| {
--- a/crates/arrowyard-standins/src/host.rs
+++ b/crates/arrowyard-standins/src/host.rs
@@ -7,7 +7,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-use crate::town::{Act, KEPT, Record, Shared, lock, unix_ms};
+use crate::town::{Act, GRACE_MS, KEPT, Record, Shared, lock, unix_ms};
 
 /// Bytes of one message that it reads.
 const MOST: usize = 1 << 20;
@@ -85,16 +85,16 @@
 }
 
 /// A name of the statement's comment.
-fn told<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+pub(crate) fn told<'a>(text: &'a str, name: &str) -> Option<&'a str> {
     let comment = text.split_once("/*")?.1.split_once("*/")?.0;
     comment.split(',').find_map(|part| part.trim().strip_prefix(name)?.strip_prefix('='))
 }
 
 /// A place among those that it works on; given back when it is dropped, by an aborted command too.
-struct Place(Shared, String);
+pub(crate) struct Place(Shared, String);
 
 impl Place {
-    fn take(state: &Shared, name: &str) -> Option<Place> {
+    pub(crate) fn take(state: &Shared, name: &str) -> Option<Place> {
         let mut locked = lock(state);
         let host = locked.hosts.get_mut(name)?;
         if host.busy >= host.spec.slots {
@@ -155,16 +155,7 @@
 
 /// The answer to a statement; nothing where the connection ends instead.
 async fn command(state: &Shared, name: &str, text: &str, stream: &mut TcpStream) -> Option<Vec<u8>> {
-    let (act, service) = {
-        let mut state = lock(state);
-        *state.ledger.commands.entry(name.to_string()).or_default() += 1;
-        let host = state.hosts.get_mut(name)?;
-        host.commands += 1;
-        if host.waiting >= host.spec.queue || host.health == "DRAINING" && host.act == Act::TurnAway {
-            return Some(error("53300"));
-        }
-        (host.act, host.spec.service)
-    };
+    let (act, service) = arrive(state, name)?;
     match act {
         Act::TurnAway => return Some(error("53300")),
         Act::Fail => return Some(error("XX000")),
@@ -228,22 +219,43 @@
     place
 }
 
-/// Runs the statement on the group's state, as this host has it: what it tells of itself, and the value; without one
-/// an error stands with the rest.
-fn apply(state: &Shared, name: &str, text: &str) -> (Vec<u8>, Option<Vec<u8>>) {
+/// What running a statement came to.
+pub(crate) struct Ran {
+    pub primary: bool,
+    /// The host's position, or that of the commit.
+    pub position: Option<i64>,
+    /// Nothing where it never ran: a write at a replica.
+    pub value: Option<String>,
+}
+
+/// A command has come to the host; what it is to do with it, and how long it takes.
+pub(crate) fn arrive(state: &Shared, name: &str) -> Option<(Act, Duration)> {
+    let mut state = lock(state);
+    *state.ledger.commands.entry(name.to_string()).or_default() += 1;
+    let host = state.hosts.get_mut(name)?;
+    host.commands += 1;
+    host.late += u64::from(host.drained_at.is_some_and(|at| unix_ms() > at + GRACE_MS));
+    let full = host.waiting >= host.spec.queue || host.health == "DRAINING" && host.act == Act::TurnAway;
+    Some((if full { Act::TurnAway } else { host.act }, host.spec.service))
+}
+
+/// Runs the statement on the group's state, as this host has it.
+pub(crate) fn run(state: &Shared, name: &str, text: &str) -> Ran {
     let mut state = lock(state);
     let (now, memory) = (unix_ms(), state.memory.as_millis() as i64);
     let position = state.position(name, now);
     let (group, primary) = (state.hosts[name].spec.group, state.hosts[name].spec.primary);
-    let mode = status("mode", if primary { "read-write" } else { "read-only" });
     let session = text.split('\'').nth(1).unwrap_or_default().to_string();
     let of = state.groups.get_mut(&group).expect("each host has its group");
     if text.contains("INSERT") {
         if !primary {
-            return ([mode, error("25006")].concat(), None);
+            return Ran { primary, position: None, value: None };
         }
-        let turn = told(text, "k").or(told(text, "id")).unwrap_or_default().to_string();
-        let held = of.tokens.get(&turn).filter(|(first, _)| now < first + memory).map(|(_, at)| *at);
+        let token = told(text, "k");
+        let turn = token.or(told(text, "id")).unwrap_or_default().to_string();
+        // What carries no token has its effect as often as it comes.
+        let held = token.and_then(|_| of.tokens.get(&turn)).filter(|(first, _)| now < first + memory);
+        let held = held.map(|(_, at)| *at);
         let commit = held.unwrap_or_else(|| {
             // Two writes never share a position.
             let commit = of.log.last().map_or(now, |last| now.max(last.position + 1));
@@ -254,11 +266,19 @@
         if held.is_none() {
             state.ledger.applied.entry(turn).or_default().push((name.to_string(), commit));
         }
-        let told = [mode, status("wal_time", &commit.to_string())].concat();
-        return (told, Some(name.as_bytes().to_vec()));
+        return Ran { primary, position: Some(commit), value: Some(name.to_string()) };
     }
     // The newest turn of the session that this host has applied.
     let seen = of.log.iter().rev().find(|record| record.position <= position && record.session == session);
     let value = format!("{name} {}", seen.map_or("-", |record| &record.turn));
-    ([mode, status("wal_time", &position.to_string())].concat(), Some(value.into_bytes()))
+    Ran { primary, position: Some(position), value: Some(value) }
+}
+
+/// What it tells of itself, and the value; without one an error stands with the rest.
+fn apply(state: &Shared, name: &str, text: &str) -> (Vec<u8>, Option<Vec<u8>>) {
+    let Ran { primary, position, value } = run(state, name, text);
+    let mode = status("mode", if primary { "read-write" } else { "read-only" });
+    let Some(value) = value else { return ([mode, error("25006")].concat(), None) };
+    let position = position.map_or(Vec::new(), |position| status("wal_time", &position.to_string()));
+    ([mode, position].concat(), Some(value.into_bytes()))
 }
--- a/crates/arrowyard-standins/src/lib.rs
+++ b/crates/arrowyard-standins/src/lib.rs
@@ -5,11 +5,15 @@
 
 pub mod client;
 pub mod discovery;
+#[cfg(feature = "flight")]
+pub mod flight;
 mod host;
 pub mod load;
 pub mod router;
+pub mod speaks;
 pub mod town;
 
 pub use client::{Client, Reply};
 pub use router::Process;
+pub use speaks::Speaks;
 pub use town::{Act, Spec, Town};
--- a/crates/arrowyard-standins/src/router.rs
+++ b/crates/arrowyard-standins/src/router.rs
@@ -69,6 +69,8 @@
 pub struct Process {
     child: Child,
     pub address: SocketAddr,
+    /// Where it serves Flight SQL, if it does.
+    pub flight: Option<SocketAddr>,
     folder: PathBuf,
     pub log: Arc<Mutex<Vec<String>>>,
 }
@@ -100,8 +102,11 @@
         let mut child =
             command.spawn().map_err(|error| format!("{} cannot be started: {error}", program.display()))?;
         let mut lines = BufReader::new(child.stderr.take().expect("it is piped")).lines();
-        let mut said = Vec::new();
+        let (mut said, mut flight) = (Vec::new(), None);
         let address = lines.by_ref().map_while(Result::ok).find_map(|line| {
+            if let Some((_, at)) = line.split_once("Flight SQL at ") {
+                flight = at.trim().parse().ok();
+            }
             let at = line.split_once("serving at ").and_then(|(_, at)| at.split(',').next()?.parse().ok());
             said.push(line);
             at
@@ -117,7 +122,7 @@
                 kept.lock().expect("nobody panics with the log").push(line);
             }
         });
-        Ok(Process { child, address, folder, log })
+        Ok(Process { child, address, flight, folder, log })
     }
 
     /// Writes the operator's file anew and sends SIGHUP.
--- a/crates/arrowyard-standins/src/town.rs
+++ b/crates/arrowyard-standins/src/town.rs
@@ -45,6 +45,10 @@
     ServeAndDeny,
     /// Ready without an answer, which comes a little later.
     ReadyEarly,
+    /// Of a result in batches: the connection ends after so many of them, after it ran.
+    CutAfter(usize),
+    /// Answers each call with what the one before asked for.
+    Mixed,
 }
 
 /// One host, as it is started.
@@ -60,12 +64,17 @@
     pub service: Duration,
     pub slots: usize,
     pub queue: usize,
+    /// Whether it speaks Arrow Flight SQL, and then of how many batches of how many bytes a result is.
+    pub flight: bool,
+    pub batches: usize,
+    pub batch_bytes: usize,
 }
 
 impl Spec {
     pub fn new(name: &str, group: i64, primary: bool) -> Self {
         let (lag, service) = (Duration::from_millis(10), Duration::ZERO);
-        Spec { name: name.to_string(), group, primary, lag, service, slots: 1024, queue: 1024 }
+        let (name, flight, batches, batch_bytes) = (name.to_string(), false, 1, 0);
+        Spec { name, group, primary, lag, service, slots: 1024, queue: 1024, flight, batches, batch_bytes }
     }
 }
 
@@ -105,8 +114,17 @@
     pub heard: Vec<(usize, String)>,
     /// The numbers of the connections that ended.
     pub ended: Vec<usize>,
+    /// When it was told to drain, and commands that came later than the grace after that.
+    pub drained_at: Option<i64>,
+    pub late: u64,
+    #[cfg(feature = "flight")]
+    pub cuts: Vec<std::sync::Arc<crate::flight::host::Cut>>,
 }
 
+/// How long after a drain was told a command may still come, in milliseconds: the grace that routers are given, and
+/// some for the way of the word.
+pub(crate) const GRACE_MS: i64 = 500 + 100;
+
 /// Statements, and ends of connections, that are kept of a host.
 pub(crate) const KEPT: usize = 4096;
 
@@ -137,6 +155,11 @@
     /// What a host of the group has applied at this time: up to here.
     pub fn position(&self, name: &str, now: i64) -> i64 {
         let host = &self.hosts[name];
+        if host.spec.primary && host.stalled_at.is_none() {
+            // Of many writes in one millisecond the last ones have positions ahead of the clock; it holds them.
+            let last = self.groups.get(&host.spec.group).and_then(|group| group.log.last());
+            return last.map_or(now, |last| now.max(last.position)) + host.ahead;
+        }
         let lag = if host.spec.primary { 0 } else { host.spec.lag.as_millis() as i64 };
         host.stalled_at.unwrap_or(now).min(now) - lag + host.ahead
     }
@@ -194,6 +217,7 @@
             let (act, health, stalled_at, tasks) = (Act::Serve, "SERVING", None, Vec::new());
             let (busy, waiting, commands, changed) = (0, 0, 0, state.version);
             let (ahead, accepted, heard, ended) = Default::default();
+            let (drained_at, late) = (None, 0);
             let one = HostState {
                 spec,
                 address,
@@ -210,10 +234,14 @@
                 accepted,
                 heard,
                 ended,
+                drained_at,
+                late,
+                #[cfg(feature = "flight")]
+                cuts: Vec::new(),
             };
             state.hosts.insert(name.clone(), one);
         }
-        self.runtime().block_on(async { host::serve(self.state.clone(), name, listener) });
+        self.serve(name, listener);
         self.tell();
     }
 
@@ -240,7 +268,7 @@
     }
 
     pub fn drain(&self, name: &str) {
-        self.change(name, |host| host.health = "DRAINING");
+        self.change(name, |host| (host.health, host.drained_at) = ("DRAINING", Some(unix_ms())));
     }
 
     pub fn stall(&self, name: &str) {
@@ -253,6 +281,8 @@
             let mut state = lock(&self.state);
             let host = state.hosts.get_mut(name).expect("a host of this town");
             (host.busy, host.waiting) = (0, 0);
+            #[cfg(feature = "flight")]
+            std::mem::take(&mut host.cuts).iter().for_each(|cut| cut.now());
             std::mem::take(&mut host.tasks)
         };
         tasks.iter().for_each(AbortHandle::abort);
@@ -264,8 +294,23 @@
         let listener = self.runtime().block_on(host::bind(Some(address)));
         self.change(name, |host| {
             (host.spec.primary, host.born_ms, host.act) = (false, unix_ms(), Act::Serve);
+            (host.health, host.drained_at) = ("SERVING", None);
         });
-        self.runtime().block_on(async { host::serve(self.state.clone(), name.to_string(), listener) });
+        self.serve(name.to_string(), listener);
+    }
+
+    fn serve(&self, name: String, listener: tokio::net::TcpListener) {
+        let _guard = self.runtime().enter();
+        #[cfg(feature = "flight")]
+        if lock(&self.state).hosts[&name].spec.flight {
+            return crate::flight::host::serve(self.state.clone(), name, listener);
+        }
+        host::serve(self.state.clone(), name, listener);
+    }
+
+    /// A replica takes over, and nothing is lost: it had applied all.
+    pub fn hand_over(&self, name: &str) {
+        self.lead(name);
     }
 
     /// A replica takes over; what it had not applied is lost.
@@ -279,6 +324,10 @@
             of.log.retain(|record| record.position <= position);
             of.tokens.retain(|_, (_, at)| *at <= position);
         }
+        self.lead(name);
+    }
+
+    fn lead(&self, name: &str) {
         let group = lock(&self.state).hosts[name].spec.group;
         let others: Vec<String> = {
             let state = lock(&self.state);
@@ -340,11 +389,25 @@
         lock(&self.state).hosts[name].ended.clone()
     }
 
+    pub fn is_primary(&self, name: &str) -> bool {
+        lock(&self.state).hosts[name].spec.primary
+    }
+
+    /// Commands that came to the host later than the grace after it was told to drain.
+    pub fn late(&self, name: &str) -> u64 {
+        lock(&self.state).hosts[name].late
+    }
+
     /// The version of discovery's list.
     pub fn version(&self) -> u64 {
         lock(&self.state).version
     }
 
+    /// Discovery names another address for the host from now on: of a peer that a test plays itself.
+    pub fn stand_in(&self, name: &str, address: SocketAddr) {
+        self.change(name, |host| host.address = address);
+    }
+
     pub fn address(&self, name: &str) -> SocketAddr {
         lock(&self.state).hosts[name].address
     }
--- a/crates/arrowyard-yardbook/src/check.rs
+++ b/crates/arrowyard-yardbook/src/check.rs
@@ -2,12 +2,12 @@
 //! are there, rows that do not contradict each other. All faults are found, not only the first.
 
 use std::collections::HashMap;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use ipnet::IpNet;
 
 use crate::places::Places;
-use crate::schema::{Cell, Cells, Lease, Log, Move, Net, Pace, Release, Repeats, Rest, Step, Tenant};
+use crate::schema::{Cell, Cells, Flight, Lease, Log, Move, Net, Pace, Release, Repeats, Rest, Step, Tenant};
 use crate::{Fault, Yardbook};
 
 /// Cells at most, and rows of hosts in each.
@@ -38,6 +38,9 @@
         }
         checker.cells(cells);
     }
+    if let Some(flight) = &book.flight {
+        checker.flight(flight);
+    }
     checker.faults
 }
 
@@ -76,6 +79,23 @@
         self.number("log.lines_a_second", log.lines_a_second, 1, 1_000_000);
     }
 
+    fn flight(&mut self, flight: &Flight) {
+        match flight.listen.as_deref().map(str::parse::<SocketAddr>) {
+            None => self.fault("flight.listen", "it has to be given".to_string()),
+            Some(Err(_)) => {
+                let what = "it is no address with a port, as in \"127.0.0.1:32010\"";
+                self.fault("flight.listen", what.to_string());
+            }
+            Some(Ok(_)) => {}
+        }
+        self.number("flight.connections", flight.connections, 1, 100_000);
+        self.number("flight.calls", flight.calls, 1, 100_000);
+        self.number("flight.held_bytes", flight.held_bytes, 0, 1 << 30);
+        self.number("flight.message_bytes", flight.message_bytes, 64 * 1024, 1 << 30);
+        self.number("flight.ticket_ms", flight.ticket_ms, 1, 3_600_000);
+        self.number("flight.handles", flight.handles, 1, 1_000_000);
+    }
+
     fn cells(&mut self, cells: &Cells) {
         if cells.cell.is_empty() {
             self.fault("cells", "there is no cell; leave cells out to have none".to_string());
