--- a/crates/arrowyard-core/src/back.rs
+++ b/crates/arrowyard-core/src/back.rs
@@ -1,11 +1,10 @@
 //! What the core asks of a kind of host connection.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 
 use arrowyard_types::{HostId, Outcome, Point, Word};
-use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::clock::Clock;
@@ -14,22 +13,15 @@
 pub type Told<A> = (Outcome, Word, Option<A>);
 
 /// How far a send is, as its back tells while it goes on.
-#[derive(Debug)]
 pub struct Progress<A> {
     written: Cell<bool>,
-    begun: RefCell<Option<A>>,
-    begins: Notify,
+    begun: Cell<Option<A>>,
     client_waits: Cell<bool>,
 }
 
 impl<A> Default for Progress<A> {
     fn default() -> Self {
-        Progress {
-            written: Cell::new(false),
-            begun: RefCell::new(None),
-            begins: Notify::new(),
-            client_waits: Cell::new(false),
-        }
+        Progress { written: Cell::new(false), begun: Cell::new(None), client_waits: Cell::new(false) }
     }
 }
 
@@ -46,8 +38,7 @@
     /// The answer goes to the client now, though the host is not done with it: what is still to come goes by a way
     /// that the answer itself holds. The op is over with that, and the send goes on till the back ends it.
     pub fn begin(&self, answer: A) {
-        self.begun.replace(Some(answer));
-        self.begins.notify_one();
+        self.begun.set(Some(answer));
     }
 
     /// Whether it is the client that keeps the send from going on. Danger: a client that reads slowly makes a host that
@@ -60,14 +51,9 @@
         self.client_waits.get()
     }
 
-    /// Waits for an answer that begins.
-    pub(crate) async fn begun(&self) -> A {
-        loop {
-            self.begins.notified().await;
-            if let Some(answer) = self.begun.take() {
-                return answer;
-            }
-        }
+    /// An answer that began since this was last asked.
+    pub(crate) fn begun(&self) -> Option<A> {
+        self.begun.take()
     }
 }
 
--- a/crates/arrowyard-core/src/send.rs
+++ b/crates/arrowyard-core/src/send.rs
@@ -1,8 +1,10 @@
 //! One send of an op to a host, from the moment it is ordered to its end.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 
 use arrowyard_types::{HostId, Outcome, Point, Span, Word};
 use tokio::sync::oneshot::{self, error::TryRecvError};
@@ -54,11 +56,15 @@
         tokio::select! {
             biased;
             told = &mut exchange => break told,
-            answer = progress.begun() => begun(answer).await,
+            // An answer begins while the exchange is polled, just before this; nobody has to be woken for it.
+            answer = poll_fn(|_| progress.begun().map_or(Poll::Pending, Poll::Ready)) => begun(answer).await,
             _ = &mut called_off => break (Outcome::Cancelled, Word::default(), None),
             () = sleep_until(clock.when(until)) => break (Outcome::TimedOut, Word::default(), None),
         }
     };
+    if let Some(answer) = progress.begun() {
+        begun(answer).await;
+    }
     let written = progress.is_written();
     let outcome = match outcome {
         Outcome::Cancelled if !written => Outcome::Moot,
--- a/crates/arrowyard-front-flight/src/answer.rs
+++ b/crates/arrowyard-front-flight/src/answer.rs
@@ -2,6 +2,8 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use arrow_flight::FlightData;
 use arrowyard_core::hatch::Tail;
@@ -9,7 +11,7 @@
 use arrowyard_front_pg::link::Parcel;
 use arrowyard_pg::{Statement, value};
 use bytes::Bytes;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 /// An op's payload: its statement, and whether its client wants a count of rows in place of rows.
 #[derive(Clone, Debug)]
@@ -19,10 +21,60 @@
     pub address: Option<std::net::IpAddr>,
 }
 
+/// The room that large messages take, of all results together.
+#[derive(Debug)]
+pub struct Large {
+    used: AtomicUsize,
+    most: usize,
+    freed: Notify,
+}
+
+/// A large message's part of it.
+#[derive(Debug)]
+pub struct Taken {
+    of: Arc<Large>,
+    bytes: usize,
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.of.used.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.of.freed.notify_waiters();
+    }
+}
+
+impl Large {
+    #[must_use]
+    pub fn new(most: usize) -> Arc<Self> {
+        Arc::new(Large { used: AtomicUsize::new(0), most, freed: Notify::new() })
+    }
+
+    /// Waits for room for a message of so many bytes: once as it came, and once as it goes out. Nothing where there is
+    /// never enough. Danger: many large messages at once, each within its bound, are more than the memory that there is.
+    /// Who waits holds no room itself but for what its client is about to read, so that all come on.
+    pub async fn take(self: &Arc<Self>, message: usize) -> Option<Taken> {
+        let bytes = message.saturating_mul(2);
+        if bytes > self.most {
+            return None;
+        }
+        loop {
+            let freed = self.freed.notified();
+            if self.used.load(Ordering::Relaxed) + bytes <= self.most {
+                self.used.fetch_add(bytes, Ordering::Relaxed);
+                return Some(Taken { of: self.clone(), bytes });
+            }
+            freed.await;
+        }
+    }
+}
+
+/// A message of a result, with the room that it takes if it is large.
+pub type Message = (FlightData, Option<Taken>);
+
 /// What follows the held part of a result.
 #[derive(Debug)]
 pub enum Piece {
-    Data(FlightData),
+    Data(Message),
     /// The result was whole. Without this it was not, whatever came before.
     End,
 }
@@ -53,7 +105,7 @@
 pub enum Answer {
     /// Schema, dictionaries and batches; `rest` where the result goes on.
     Flow {
-        held: Vec<FlightData>,
+        held: Vec<Message>,
         rest: Option<mpsc::Receiver<Piece>>,
         room: Room,
     },
@@ -64,7 +116,7 @@
 #[derive(Debug)]
 pub enum Served {
     Flow {
-        held: Vec<FlightData>,
+        held: Vec<Message>,
         rest: Option<mpsc::Receiver<Piece>>,
         /// Dropped once the client is done with it.
         done: oneshot::Sender<()>,
--- a/crates/arrowyard-front-flight/src/back.rs
+++ b/crates/arrowyard-front-flight/src/back.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use arrow_flight::sql::{CommandStatementQuery, CommandStatementUpdate, DoPutUpdateResult, ProstMessageExt};
 use arrow_flight::{Action, FlightData, FlightDescriptor, FlightInfo, PutResult};
@@ -19,10 +20,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request};
 use prost::Message;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::answer::{Answer, Errand, Piece, Room};
+use crate::answer::{Answer, Errand, Large, Piece, Room};
 use crate::limits::FlightLimits;
 use crate::link::{Body, Broken, Call, Line, Next};
 
@@ -36,6 +37,10 @@
 
 pub struct FlightBack {
     lines: RefCell<BTreeMap<HostId, Vec<Rc<Line>>>>,
+    /// Dials under way.
+    dials: RefCell<BTreeMap<HostId, Rc<Dial>>>,
+    /// The bytes that large messages take.
+    large: Arc<Large>,
     /// When a host was last done with a call.
     heard: RefCell<BTreeMap<HostId, Instant>>,
     open: Rc<Cell<usize>>,
@@ -44,6 +49,27 @@
     flight: FlightLimits,
 }
 
+/// A dial that others wait for.
+#[derive(Default)]
+struct Dial {
+    failed: Cell<bool>,
+    done: Notify,
+}
+
+/// A dial under way is over with this, whether it came to its end or was called off.
+struct Dialing<'a> {
+    back: &'a FlightBack,
+    host: HostId,
+    dial: Rc<Dial>,
+}
+
+impl Drop for Dialing<'_> {
+    fn drop(&mut self) {
+        self.back.dials.borrow_mut().remove(&self.host);
+        self.dial.done.notify_waiters();
+    }
+}
+
 /// How a call ended that is no answer.
 enum Fail {
     /// With this outcome, and what the host said of itself.
@@ -63,9 +89,10 @@
 
 impl FlightBack {
     pub fn new(limits: Rc<Limits>, flight: FlightLimits) -> Self {
-        let (lines, heard, open) = Default::default();
+        let (lines, dials, heard, open) = Default::default();
+        let large = Large::new(limits.large / 2);
         let holds = Rc::new(RefCell::new(Holds::new(flight.held_each, flight.held_all)));
-        FlightBack { lines, heard, open, holds, limits, flight }
+        FlightBack { lines, dials, large, heard, open, holds, limits, flight }
     }
 
     /// Closes what was idle for too long, for as long as the router runs.
@@ -82,24 +109,41 @@
         }
     }
 
-    /// A connection with room for one more stream.
+    /// A connection with room for one more stream. Danger: a burst of sends dials its host as often as there are sends;
+    /// one dial at a time is under way, and the others wait for it. If it fails it does for all that waited.
     async fn line(&self, host: HostId, dial: SocketAddr) -> Result<Rc<Line>, Broken> {
-        if let Some(lines) = self.lines.borrow_mut().get_mut(&host) {
-            // One that is going away is let go; its streams hold it till they end.
-            lines.retain(|line| line.is_open() && line.dial() == dial);
-            let free = lines.iter().filter(|line| line.streams() < self.flight.streams_out);
-            if let Some(line) = free.max_by_key(|line| line.streams()) {
-                return Ok(line.clone());
+        loop {
+            if let Some(line) = self.free(host, dial) {
+                return Ok(line);
+            }
+            let under_way = self.dials.borrow().get(&host).cloned();
+            let Some(other) = under_way else { break };
+            other.done.notified().await;
+            if other.failed.get() {
+                return Err(Broken("the dial that was waited for failed".to_string()));
             }
         }
         if self.open.get() >= self.limits.links && !self.close_oldest() {
             return Err(Broken("no connection to hosts is left".to_string()));
         }
-        let line = Rc::new(Line::open(dial, Count::one(&self.open), self.flight.window, &self.limits).await?);
+        let dialing = Dialing { back: self, host, dial: Rc::default() };
+        self.dials.borrow_mut().insert(host, dialing.dial.clone());
+        let opened = Line::open(dial, Count::one(&self.open), self.flight.window, &self.limits).await;
+        dialing.dial.failed.set(opened.is_err());
+        let line = Rc::new(opened?);
         self.lines.borrow_mut().entry(host).or_default().push(line.clone());
         Ok(line)
     }
 
+    fn free(&self, host: HostId, dial: SocketAddr) -> Option<Rc<Line>> {
+        let mut lines = self.lines.borrow_mut();
+        let lines = lines.get_mut(&host)?;
+        // One that is going away is let go; its streams hold it till they end.
+        lines.retain(|line| line.is_open() && line.dial() == dial);
+        let free = lines.iter().filter(|line| line.streams() < self.flight.streams_out);
+        free.max_by_key(|line| line.streams()).cloned()
+    }
+
     fn close_oldest(&self) -> bool {
         let mut lines = self.lines.borrow_mut();
         let idle = lines.iter().flat_map(|(host, lines)| lines.iter().map(move |line| (*host, line)));
@@ -151,9 +195,9 @@
     async fn only(&self, mut word: Word, body: &mut Body) -> Result<(Bytes, Word), Fail> {
         let mut only = None;
         loop {
-            match body.next(self.limits.message).await? {
-                Next::Message(message) if only.is_none() => only = Some(message),
-                Next::Message(_) => return Err(Fail::Spoilt("a second message")),
+            match body.next(self.limits.message, self.limits.message, &self.large).await? {
+                Next::Message(message, _) if only.is_none() => only = Some(message),
+                Next::Message(..) => return Err(Fail::Spoilt("a second message")),
                 Next::End(trailers) => {
                     learn(&mut word, &trailers);
                     ended(&trailers, word)?;
@@ -228,18 +272,19 @@
         let mut checker = Checker::new(Bounds { fields, unpacked });
         let (mut held, mut room) = (Vec::new(), Room::new(self.holds.clone()));
         let mut client: Option<mpsc::Sender<Piece>> = None;
+        let (small, large) = (self.limits.message, &self.large);
         loop {
             let next = match &client {
-                None => body.next(message).await?,
+                None => body.next(message, small, large).await?,
                 Some(client) => tokio::select! {
                     biased;
-                    next = body.next(message) => next?,
+                    next = body.next(message, small, large) => next?,
                     // Danger: the client left, and the host goes on sending for nobody.
                     () = client.closed() => return Err(Fail::Left),
                 },
             };
             match next {
-                Next::Message(bytes) => {
+                Next::Message(bytes, room_of) => {
                     let size = bytes.len();
                     let data = FlightData::decode(bytes)
                         .map_err(|_| Fail::Spoilt("a message that cannot be read"))?;
@@ -252,12 +297,12 @@
                         .map_err(|spoilt| Fail::Spoilt(spoilt.0))?;
                     if let Some(client) = &client {
                         progress.held_up(true);
-                        client.send(Piece::Data(data)).await.map_err(|_| Fail::Left)?;
+                        client.send(Piece::Data((data, room_of))).await.map_err(|_| Fail::Left)?;
                         progress.held_up(false);
                         continue;
                     }
                     let passes = room.batch(size) != Held::Hold;
-                    held.push(data);
+                    held.push((data, room_of));
                     if passes {
                         let (more, rest) = mpsc::channel(ahead);
                         let (held, room) = (
--- a/crates/arrowyard-front-flight/src/link.rs
+++ b/crates/arrowyard-front-flight/src/link.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll, Waker, ready};
 
 use arrowyard_core::Limits;
@@ -20,6 +21,11 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, timeout};
 
+use crate::answer::{Large, Taken};
+
+/// Bytes of a frame that a host may send: of the window, so that no stream waits for the whole of another's.
+const FRAME: u32 = 64 * 1024;
+
 /// What the frames of a connection have told, and who waits for it.
 #[derive(Default)]
 struct Seen {
@@ -109,6 +115,7 @@
                 .enable_push(false)
                 .initial_window_size(window)
                 .initial_connection_window_size(window.saturating_mul(4).min(1 << 30))
+                .max_frame_size(FRAME)
                 .max_header_list_size(limits.head as u32)
                 .max_concurrent_reset_streams(64)
                 .handshake::<_, Bytes>(io)
@@ -226,7 +233,7 @@
             return Err(Broken(format!("HTTP status {}", response.status())));
         }
         let (head, stream) = response.into_parts();
-        Ok((head.headers, Body { stream, came: BytesMut::new() }))
+        Ok((head.headers, Body { stream, came: BytesMut::new(), room: None }))
     }
 
     /// What is proven of a call that broke: whether it never ran. Danger: while its connection stands, what was given
@@ -245,22 +252,34 @@
 pub struct Body {
     stream: RecvStream,
     came: BytesMut,
+    /// Of the message under way, if it is large.
+    room: Option<Taken>,
 }
 
 /// What comes next of an answer.
 #[derive(Debug)]
 pub enum Next {
-    Message(Bytes),
+    /// With the room that it takes, if it is large.
+    Message(Bytes, Option<Taken>),
     /// The end, with what stands there.
     End(HeaderMap),
 }
 
 impl Body {
-    /// The next message, of `most` bytes. The host may send as much more as was taken.
-    pub async fn next(&mut self, most: usize) -> Result<Next, Broken> {
+    /// The next message, of `most` bytes; one of more than `small` takes its room first. The host may send as much more
+    /// as was taken.
+    pub async fn next(&mut self, most: usize, small: usize, large: &Arc<Large>) -> Result<Next, Broken> {
         loop {
-            if let Some(message) = self.take(most)? {
-                return Ok(Next::Message(message));
+            if let Some(length) = self.promised(most)? {
+                if length > small && self.room.is_none() {
+                    let room = large.take(length).await;
+                    self.room = Some(room.ok_or_else(|| Broken("no room for a large message".to_string()))?);
+                }
+                if self.came.len() >= 5 + length {
+                    self.came.advance(5);
+                    return Ok(Next::Message(self.came.split_to(length).freeze(), self.room.take()));
+                }
+                self.came.reserve(5 + length - self.came.len());
             }
             match self.stream.data().await {
                 Some(data) => {
@@ -279,18 +298,14 @@
         }
     }
 
-    fn take(&mut self, most: usize) -> Result<Option<Bytes>, Broken> {
+    /// The length of the message that comes, once its head is there. Danger: it is what the host says; memory is taken
+    /// for it only within the bound.
+    fn promised(&self, most: usize) -> Result<Option<usize>, Broken> {
         let Some(&[packed, a, b, c, d]) = self.came.get(..5) else { return Ok(None) };
         let length = u32::from_be_bytes([a, b, c, d]) as usize;
-        // Danger: a length is what the host says; memory is taken for it only within the bound.
         if packed != 0 || length > most {
             return Err(Broken("a message that is packed or too long".to_string()));
         }
-        if self.came.len() < 5 + length {
-            self.came.reserve(5 + length - self.came.len());
-            return Ok(None);
-        }
-        self.came.advance(5);
-        Ok(Some(self.came.split_to(length).freeze()))
+        Ok(Some(length))
     }
 }
--- a/crates/arrowyard-front-flight/src/service.rs
+++ b/crates/arrowyard-front-flight/src/service.rs
@@ -36,11 +36,12 @@
 use bytes::Bytes;
 use futures::{Stream, StreamExt, TryStreamExt, stream};
 use prost::Message;
+use tokio::sync::{mpsc, oneshot};
 use tonic::metadata::{KeyAndValueRef, MetadataMap};
 use tonic::{Request, Response, Status};
 use tonic_types::{ErrorDetails, StatusExt};
 
-use crate::answer::{Errand, Piece, Served};
+use crate::answer::{Errand, Piece, Served, Taken};
 use crate::clerk::{Chore, Counter, Open};
 use crate::limits::FlightLimits;
 use crate::listen::Peer;
@@ -218,30 +219,44 @@
             }
             Served::Flow { held, rest, done } => {
                 open.answered = rest.is_none();
-                let held = stream::iter(held.into_iter().map(Ok));
+                let held = stream::iter(held.into_iter().map(|(data, _)| Ok(data)));
                 Ok(match rest {
                     None => Box::pin(held.chain(held_till_here((done, open)))),
-                    Some(rest) => Box::pin(held.chain(stream::unfold(Some((rest, (done, open))), go_on))),
+                    Some(rest) => {
+                        let going = Going { rest, open, last: None, _done: done };
+                        Box::pin(held.chain(stream::unfold(Some(going), go_on)))
+                    }
                 })
             }
         }
     }
 }
 
+/// A result that goes on.
+struct Going {
+    rest: mpsc::Receiver<Piece>,
+    open: Open,
+    /// The room of the message that went out last, till the next is asked for.
+    last: Option<Taken>,
+    _done: oneshot::Sender<()>,
+}
+
 /// The next message of a result that goes on; the end only if the host said so.
-async fn go_on<K>(
-    state: Option<(tokio::sync::mpsc::Receiver<Piece>, (K, Open))>,
-) -> Option<(Result<FlightData, Status>, Option<(tokio::sync::mpsc::Receiver<Piece>, (K, Open))>)> {
-    let (mut rest, (kept, mut open)) = state?;
-    match rest.recv().await {
-        Some(Piece::Data(data)) => Some((Ok(data), Some((rest, (kept, open))))),
+async fn go_on(state: Option<Going>) -> Option<(Result<FlightData, Status>, Option<Going>)> {
+    let mut going = state?;
+    going.last = None;
+    match going.rest.recv().await {
+        Some(Piece::Data((data, room))) => {
+            going.last = room;
+            Some((Ok(data), Some(going)))
+        }
         Some(Piece::End) => {
-            open.answered = true;
+            going.open.answered = true;
             None
         }
         // Danger: a result that broke off, taken for a shorter one.
         None => {
-            open.answered = true;
+            going.open.answered = true;
             Some((Err(status(&Fault::Cut)), None))
         }
     }
