--- a/crates/arrowyard-standins/src/bin/streams.rs
+++ b/crates/arrowyard-standins/src/bin/streams.rs
@@ -320,6 +320,7 @@
             ROUNDS.to_string(),
             format!("{:.3}", core(which) / core(0)),
             idle[which].to_string(),
+            format!("{:.2}", starts[which] / starts[0]),
         ]);
     }
     Ok(table)
