Flight SQL: a malformed call is an answered one; tests that bite for tickets, held-up sends

Cause, found on reading the whole change again: calls that were refused early, for a transaction or a contradiction, counted as taken back by their client, so that 128 of them in a second ended its connection. The check that a ticket given back as busy is good again passed without the code that gives it back. Nothing tested that a slow client's time is not its host's, nor that an answer which begins just as its send ends reaches the client.

Change: one place counts a call, does its work and marks it answered, in the stead of nine copies; statuses take gRPC's own number; what a statement says of its op is PostgreSQL's front's one mapping, not a second one. Tests for the three.

--- a/crates/arrowyard-core/src/send.rs
+++ b/crates/arrowyard-core/src/send.rs
@@ -77,3 +77,95 @@
     }
     End { outcome, took: clock.now() - started, word, answer }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::cell::RefCell;
+    use std::future::pending;
+
+    use tokio::time::Instant;
+
+    use super::*;
+    use crate::back::Told;
+
+    /// A host that does as it is told with a send that was wholly written.
+    #[derive(Clone, Copy)]
+    enum Script {
+        Hang,
+        /// Its client is waited for.
+        HeldUp,
+        /// It was held up for a while, and goes on.
+        Freed,
+        /// An answer begins, and the send goes on till it is called off.
+        Begin,
+        /// An answer begins as the send ends.
+        BeginAndEnd,
+    }
+
+    impl Back for Script {
+        type Payload = ();
+        type Answer = u8;
+
+        async fn exchange(
+            &self,
+            _: HostId,
+            _: SocketAddr,
+            (): &(),
+            _: Point,
+            _: Clock,
+            progress: &Progress<u8>,
+        ) -> Told<u8> {
+            progress.written();
+            match self {
+                Script::Hang => {}
+                Script::HeldUp => progress.held_up(true),
+                Script::Freed => {
+                    progress.held_up(true);
+                    progress.held_up(false);
+                }
+                Script::Begin => progress.begin(7),
+                Script::BeginAndEnd => {
+                    progress.begin(7);
+                    return (Outcome::Acked, Word::default(), None);
+                }
+            }
+            pending().await
+        }
+
+        async fn probe(&self, _: HostId, _: SocketAddr) -> (Outcome, Word) {
+            (Outcome::Moot, Word::default())
+        }
+
+        fn unanswered(&self, _: HostId, _: Instant) {}
+
+        fn close_idle(&self, _: HostId) {}
+
+        fn open(&self) -> usize {
+            0
+        }
+    }
+
+    /// How the send ends, and what began meanwhile.
+    async fn play(script: Script) -> (Outcome, Vec<u8>) {
+        let (clock, begun) = (Clock::start(), RefCell::new(Vec::new()));
+        let (_call_off, called_off) = oneshot::channel();
+        let until = clock.now() + Span::from_millis(50);
+        let dial = SocketAddr::from(([127, 0, 0, 1], 9));
+        let order = Order { host: HostId(0), dial, payload: Rc::new(()), until, called_off };
+        let end = run(order, &script, clock, async |answer| begun.borrow_mut().push(answer)).await;
+        (end.outcome, begun.into_inner())
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_host_is_not_blamed_for_the_time_that_its_client_took() {
+        assert_eq!(play(Script::Hang).await.0, Outcome::TimedOut);
+        assert_eq!(play(Script::Freed).await.0, Outcome::TimedOut);
+        assert_eq!(play(Script::HeldUp).await.0, Outcome::Cancelled);
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn an_answer_that_begins_is_handed_on_once_even_as_its_send_ends() {
+        assert_eq!(play(Script::Begin).await, (Outcome::TimedOut, vec![7]));
+        assert_eq!(play(Script::BeginAndEnd).await, (Outcome::Acked, vec![7]));
+    }
+}
--- a/crates/arrowyard-flight-daemon/src/main.rs
+++ b/crates/arrowyard-flight-daemon/src/main.rs
@@ -11,7 +11,7 @@
 
 use arrowyard_core::hatch::{self, Tail};
 use arrowyard_core::waybill::Waybill;
-use arrowyard_core::{Back, Call, Limits};
+use arrowyard_core::{Back, Limits};
 use arrowyard_daemon::base::{Base, serve_with};
 use arrowyard_daemon::serve;
 use arrowyard_flight::ticket::Key;
@@ -21,30 +21,13 @@
 use arrowyard_front_flight::listen::{Door, serve as speak};
 use arrowyard_front_flight::service::Known;
 use arrowyard_front_flight::{Errand, FlightBack, FlightFront, FlightLimits, Served};
+use arrowyard_front_pg::take_in::call;
 use arrowyard_yardbook::Yardbook;
 use arrowyard_yardbook::schema::{Flight, Speaks};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
-/// What the statement's comment says of its op.
-fn call(errand: &Errand) -> Call<'_> {
-    let statement = &errand.statement;
-    Call {
-        id: statement.id,
-        op_type: &statement.op_type,
-        tenant: statement.tenant.as_deref(),
-        group: statement.group,
-        wait_ms: statement.wait_ms,
-        after: statement.after,
-        again: statement.again,
-        token: statement.token,
-        session: statement.key,
-        address: errand.address,
-        bytes: statement.bytes(),
-    }
-}
-
 fn limits(limits: &Limits, told: &Flight) -> FlightLimits {
     let size = |told: Option<u32>| told.map(|told| told as usize);
     let asked = Asked {
@@ -80,7 +63,7 @@
     let listener = TcpListener::bind(at).await.map_err(|e| format!("{at}: {e}"))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     let (hatch, desk) = hatch::open(limits.inbox, base.clock, base.gate.clone(), base.mail.clone());
-    drop(spawn_local(desk.run(call, load, lift)));
+    drop(spawn_local(desk.run(|errand| call(&errand.statement, errand.address), load, lift)));
     let (counter, own, chores) = clerk::open(limits.inbox);
     let (arrivals, arrived) = mpsc::channel(16);
     drop(spawn_local(Clerk::new(base.clock, key(), limits).run(own, chores, arrived)));
--- a/crates/arrowyard-flight-daemon/tests/streams.rs
+++ b/crates/arrowyard-flight-daemon/tests/streams.rs
@@ -254,16 +254,35 @@
             Code::InvalidArgument
         );
         assert_eq!(town.ledger().commands.values().sum::<u64>(), 1, "one of four reached a host");
-        // What was given back as busy may come again with the same ticket.
+    });
+}
+
+#[test]
+fn what_was_given_back_as_busy_comes_again_with_the_same_ticket() {
+    let town = Town::start(&specs(0, true));
+    let router = start(&town, true, "");
+    runtime().block_on(async {
+        let mut client = connect(&router).await;
         town.act("p-0", Act::TurnAway);
-        let again = plan(&mut client, &ask(VIEW, 3, 5)).await;
-        assert!(matches!(
-            reply(&get(&mut client, again.clone()).await.expect_err("busy")),
-            Reply::Busy(Some(_))
-        ));
+        let ticket = plan(&mut client, &ask(VIEW, 3, 5)).await;
+        let refused = match client.inner.do_get(ticket.clone()).await {
+            Ok(flow) => flow.try_collect::<Vec<_>>().await.expect_err("nobody serves it"),
+            Err(refused) => refused,
+        };
+        assert!(matches!(reply(&refused), Reply::Busy(Some(_))), "{refused}");
         town.act("p-0", Act::Serve);
-        let came = get(&mut client, again).await;
-        assert!(came.is_ok() || code(came.as_ref().expect_err("late")) == Code::FailedPrecondition);
+        let until = Instant::now() + Duration::from_secs(10);
+        loop {
+            // It may be given back once more while the host is found well again; it is never spent by that.
+            let told = match client.inner.do_get(ticket.clone()).await {
+                Ok(flow) => flow.try_collect::<Vec<RecordBatch>>().await,
+                Err(refused) => Err(refused),
+            };
+            match told {
+                Ok(batches) => break assert!(first(&batches).starts_with("p-0")),
+                Err(why) => assert!(matches!(reply(&why), Reply::Busy(_)) && Instant::now() < until, "{why}"),
+            }
+        }
     });
 }
 
--- a/crates/arrowyard-front-flight/src/service.rs
+++ b/crates/arrowyard-front-flight/src/service.rs
@@ -31,11 +31,11 @@
 use arrowyard_core::Reply;
 use arrowyard_core::clock::Clock;
 use arrowyard_core::hatch::{Hatch, Shut};
+use arrowyard_flight::Fault;
 use arrowyard_flight::bind::{self, Literal};
 use arrowyard_flight::brief::{self, Notes};
 use arrowyard_flight::conduct::LineId;
 use arrowyard_flight::ticket::Stub;
-use arrowyard_flight::{Code, Fault};
 use arrowyard_types::{Point, Span};
 use bytes::Bytes;
 use futures::{Stream, StreamExt, TryStreamExt, stream};
@@ -91,18 +91,7 @@
 
 /// A fault as gRPC says it.
 pub fn status(fault: &Fault) -> Status {
-    let code = match fault.code() {
-        Code::InvalidArgument => tonic::Code::InvalidArgument,
-        Code::DeadlineExceeded => tonic::Code::DeadlineExceeded,
-        Code::NotFound => tonic::Code::NotFound,
-        Code::ResourceExhausted => tonic::Code::ResourceExhausted,
-        Code::FailedPrecondition => tonic::Code::FailedPrecondition,
-        Code::Aborted => tonic::Code::Aborted,
-        Code::Unimplemented => tonic::Code::Unimplemented,
-        Code::Internal => tonic::Code::Internal,
-        Code::Unavailable => tonic::Code::Unavailable,
-        Code::DataLoss => tonic::Code::DataLoss,
-    };
+    let code = tonic::Code::from_i32(fault.code().number());
     match fault.after() {
         Some(after) => {
             let after = Duration::from_micros(after.micros().max(0) as u64);
@@ -139,8 +128,17 @@
 }
 
 impl FlightFront {
-    async fn open(&self, line: LineId) -> Result<Open, Fault> {
-        self.counter.call(line).await
+    /// Does a call's work while it counts as open on its connection. Whatever comes of it the call was answered; only one
+    /// whose client leaves before was taken back.
+    async fn within<T>(
+        &self,
+        line: LineId,
+        work: impl Future<Output = Result<T, Status>>,
+    ) -> Result<(T, Open), Status> {
+        let mut open = self.counter.call(line).await.map_err(|fault| status(&fault))?;
+        let done = work.await;
+        open.answered = true;
+        Ok((done?, open))
     }
 
     /// One op, from its admission to its final answer.
@@ -331,12 +329,12 @@
         request: Request<FlightDescriptor>,
     ) -> Result<Response<FlightInfo>, Status> {
         let asked = asked(&request)?;
-        let mut open = self.open(asked.peer.line).await.map_err(|fault| status(&fault))?;
-        no_transaction(query.transaction_id.as_ref()).map_err(|fault| status(&fault))?;
-        let text = brief::merge(&query.query, &asked.notes).map_err(|fault| status(&fault))?;
-        let planned = self.plan(text, request.into_inner()).await;
-        open.answered = true;
-        planned
+        let work = async {
+            no_transaction(query.transaction_id.as_ref()).map_err(|fault| status(&fault))?;
+            let text = brief::merge(&query.query, &asked.notes).map_err(|fault| status(&fault))?;
+            self.plan(text, request.into_inner()).await
+        };
+        self.within(asked.peer.line, work).await.map(|(told, _)| told)
     }
 
     async fn get_flight_info_prepared_statement(
@@ -345,12 +343,13 @@
         request: Request<FlightDescriptor>,
     ) -> Result<Response<FlightInfo>, Status> {
         let asked = asked(&request)?;
-        let mut open = self.open(asked.peer.line).await.map_err(|fault| status(&fault))?;
-        let text = self.statement_of(query.prepared_statement_handle).await;
-        let text = text.and_then(|text| brief::merge(&text, &asked.notes)).map_err(|fault| status(&fault))?;
-        let planned = self.plan(text, request.into_inner()).await;
-        open.answered = true;
-        planned
+        let work = async {
+            let text = self.statement_of(query.prepared_statement_handle).await;
+            let text =
+                text.and_then(|text| brief::merge(&text, &asked.notes)).map_err(|fault| status(&fault))?;
+            self.plan(text, request.into_inner()).await
+        };
+        self.within(asked.peer.line, work).await.map(|(told, _)| told)
     }
 
     async fn do_get_statement(
@@ -359,19 +358,16 @@
         request: Request<Ticket>,
     ) -> Result<Response<Flow<FlightData>>, Status> {
         let asked = asked(&request)?;
-        let mut open = self.open(asked.peer.line).await.map_err(|fault| status(&fault))?;
-        let redeemed = self.counter.ask(|asker| Chore::Redeem(ticket.statement_handle, asker)).await;
-        let served = match redeemed.and_then(|redeemed| redeemed) {
-            Ok((text, stub)) => self.query(&text, &asked, Some(stub)).await,
-            Err(fault) => Err(fault),
+        let work = async {
+            let redeemed = self.counter.ask(|asker| Chore::Redeem(ticket.statement_handle, asker)).await;
+            let served = match redeemed.and_then(|redeemed| redeemed) {
+                Ok((text, stub)) => self.query(&text, &asked, Some(stub)).await,
+                Err(fault) => Err(fault),
+            };
+            served.map_err(|fault| status(&fault))
         };
-        match served {
-            Ok(served) => self.flow(served, open).map(Response::new),
-            Err(fault) => {
-                open.answered = true;
-                Err(status(&fault))
-            }
-        }
+        let (served, open) = self.within(asked.peer.line, work).await?;
+        self.flow(served, open).map(Response::new)
     }
 
     async fn do_get_prepared_statement(
@@ -380,18 +376,15 @@
         request: Request<Ticket>,
     ) -> Result<Response<Flow<FlightData>>, Status> {
         let asked = asked(&request)?;
-        let mut open = self.open(asked.peer.line).await.map_err(|fault| status(&fault))?;
-        let served = match self.statement_of(query.prepared_statement_handle).await {
-            Ok(text) => self.query(&text, &asked, None).await,
-            Err(fault) => Err(fault),
+        let work = async {
+            let served = match self.statement_of(query.prepared_statement_handle).await {
+                Ok(text) => self.query(&text, &asked, None).await,
+                Err(fault) => Err(fault),
+            };
+            served.map_err(|fault| status(&fault))
         };
-        match served {
-            Ok(served) => self.flow(served, open).map(Response::new),
-            Err(fault) => {
-                open.answered = true;
-                Err(status(&fault))
-            }
-        }
+        let (served, open) = self.within(asked.peer.line, work).await?;
+        self.flow(served, open).map(Response::new)
     }
 
     async fn do_put_statement_update(
@@ -400,12 +393,13 @@
         request: Request<PeekableFlightDataStream>,
     ) -> Result<i64, Status> {
         let asked = asked(&request)?;
-        let mut open = self.open(asked.peer.line).await.map_err(|fault| status(&fault))?;
-        no_transaction(command.transaction_id.as_ref()).map_err(|fault| status(&fault))?;
-        no_data(request, self.limits.asked).await?;
-        let count = self.update(&command.query, &asked).await;
-        open.answered = true;
-        count.map_err(|fault| status(&fault))
+        let work = async {
+            no_transaction(command.transaction_id.as_ref()).map_err(|fault| status(&fault))?;
+            no_data(request, self.limits.asked).await?;
+            let count = self.update(&command.query, &asked).await;
+            count.map_err(|fault| status(&fault))
+        };
+        self.within(asked.peer.line, work).await.map(|(told, _)| told)
     }
 
     async fn do_put_prepared_statement_update(
@@ -414,14 +408,15 @@
         request: Request<PeekableFlightDataStream>,
     ) -> Result<i64, Status> {
         let asked = asked(&request)?;
-        let mut open = self.open(asked.peer.line).await.map_err(|fault| status(&fault))?;
-        no_data(request, self.limits.asked).await?;
-        let count = match self.statement_of(command.prepared_statement_handle).await {
-            Ok(text) => self.update(&text, &asked).await,
-            Err(fault) => Err(fault),
+        let work = async {
+            no_data(request, self.limits.asked).await?;
+            let count = match self.statement_of(command.prepared_statement_handle).await {
+                Ok(text) => self.update(&text, &asked).await,
+                Err(fault) => Err(fault),
+            };
+            count.map_err(|fault| status(&fault))
         };
-        open.answered = true;
-        count.map_err(|fault| status(&fault))
+        self.within(asked.peer.line, work).await.map(|(told, _)| told)
     }
 
     async fn do_put_prepared_statement_query(
@@ -430,26 +425,27 @@
         request: Request<PeekableFlightDataStream>,
     ) -> Result<DoPutPreparedStatementResult, Status> {
         let asked = asked(&request)?;
-        let mut open = self.open(asked.peer.line).await.map_err(|fault| status(&fault))?;
-        let mut stream = request.into_inner().into_peekable();
-        let (mut all, mut bytes) = (Vec::new(), 0);
-        while let Some(data) = stream.try_next().await? {
-            bytes += data.data_header.len() + data.data_body.len() + 64;
-            if bytes > self.limits.asked {
-                return Err(status(&Fault::TooLarge("the parameters")));
-            }
-            all.push(data);
-        }
-        let bound = match parameters(&all) {
-            Ok(values) => {
-                let handle = query.prepared_statement_handle;
-                self.counter.ask(|asker| Chore::Bind(handle, values, asker)).await.and_then(|bound| bound)
+        let work = async {
+            let mut stream = request.into_inner().into_peekable();
+            let (mut all, mut bytes) = (Vec::new(), 0);
+            while let Some(data) = stream.try_next().await? {
+                bytes += data.data_header.len() + data.data_body.len() + 64;
+                if bytes > self.limits.asked {
+                    return Err(status(&Fault::TooLarge("the parameters")));
+                }
+                all.push(data);
             }
-            Err(fault) => Err(fault),
+            let bound = match parameters(&all) {
+                Ok(values) => {
+                    let handle = query.prepared_statement_handle;
+                    self.counter.ask(|asker| Chore::Bind(handle, values, asker)).await.and_then(|bound| bound)
+                }
+                Err(fault) => Err(fault),
+            };
+            let handle = bound.map_err(|fault| status(&fault))?;
+            Ok(DoPutPreparedStatementResult { prepared_statement_handle: Some(handle) })
         };
-        open.answered = true;
-        let handle = bound.map_err(|fault| status(&fault))?;
-        Ok(DoPutPreparedStatementResult { prepared_statement_handle: Some(handle) })
+        self.within(asked.peer.line, work).await.map(|(told, _)| told)
     }
 
     async fn do_action_create_prepared_statement(
@@ -458,22 +454,25 @@
         request: Request<Action>,
     ) -> Result<ActionCreatePreparedStatementResult, Status> {
         let asked = asked(&request)?;
-        let mut open = self.open(asked.peer.line).await.map_err(|fault| status(&fault))?;
-        no_transaction(query.transaction_id.as_ref()).map_err(|fault| status(&fault))?;
-        let prepared = self.counter.ask(|asker| Chore::Prepare(query.query, asker)).await;
-        open.answered = true;
-        let (handle, parameters) = prepared.and_then(|prepared| prepared).map_err(|fault| status(&fault))?;
-        // The types of parameters are the host's to know; each is named, and none is typed.
-        let fields: Vec<Field> =
-            (1..=parameters).map(|number| Field::new(format!("${number}"), DataType::Null, true)).collect();
-        let parameter_schema =
-            if fields.is_empty() { Bytes::new() } else { schema_bytes(&Schema::new(fields))? };
-        let dataset_schema = Bytes::new();
-        Ok(ActionCreatePreparedStatementResult {
-            prepared_statement_handle: handle,
-            dataset_schema,
-            parameter_schema,
-        })
+        let work = async {
+            no_transaction(query.transaction_id.as_ref()).map_err(|fault| status(&fault))?;
+            let prepared = self.counter.ask(|asker| Chore::Prepare(query.query, asker)).await;
+            let (handle, parameters) =
+                prepared.and_then(|prepared| prepared).map_err(|fault| status(&fault))?;
+            // The types of parameters are the host's to know; each is named, and none is typed.
+            let fields: Vec<Field> = (1..=parameters)
+                .map(|number| Field::new(format!("${number}"), DataType::Null, true))
+                .collect();
+            let parameter_schema =
+                if fields.is_empty() { Bytes::new() } else { schema_bytes(&Schema::new(fields))? };
+            let dataset_schema = Bytes::new();
+            Ok(ActionCreatePreparedStatementResult {
+                prepared_statement_handle: handle,
+                dataset_schema,
+                parameter_schema,
+            })
+        };
+        self.within(asked.peer.line, work).await.map(|(told, _)| told)
     }
 
     async fn do_action_close_prepared_statement(
@@ -482,11 +481,13 @@
         request: Request<Action>,
     ) -> Result<(), Status> {
         let asked = asked(&request)?;
-        let mut open = self.open(asked.peer.line).await.map_err(|fault| status(&fault))?;
-        let handle = query.prepared_statement_handle;
-        let closed = self.counter.ask(|asker| Chore::Close(handle, asker)).await.and_then(|closed| closed);
-        open.answered = true;
-        closed.map_err(|fault| status(&fault))
+        let work = async {
+            let handle = query.prepared_statement_handle;
+            let closed =
+                self.counter.ask(|asker| Chore::Close(handle, asker)).await.and_then(|closed| closed);
+            closed.map_err(|fault| status(&fault))
+        };
+        self.within(asked.peer.line, work).await.map(|(told, _)| told)
     }
 
     async fn get_flight_info_sql_info(
--- a/crates/arrowyard-front-pg/src/take_in.rs
+++ b/crates/arrowyard-front-pg/src/take_in.rs
@@ -27,7 +27,7 @@
 use crate::relay;
 
 /// What the statement's comment says of its op.
-fn call(statement: &Statement, address: Option<IpAddr>) -> Call<'_> {
+pub fn call(statement: &Statement, address: Option<IpAddr>) -> Call<'_> {
     let Statement { id, wait_ms, op_type, tenant, group, after, again, token, key, .. } = statement;
     Call {
         id: *id,
