--- a/crates/arrowyard-cells/tests/laws.rs
+++ b/crates/arrowyard-cells/tests/laws.rs
@@ -1,7 +1,7 @@
 //! The laws of the limit that follows latency and of the trial of a release, written out once more in plain words, and
 //! what becomes of rooms, lines and rows when a layout changes.
 
-use arrowyard_cells::desk::{Facts, News, Totals, Why};
+use arrowyard_cells::desk::{Facts, News, Pass, Totals, Why};
 use arrowyard_cells::fair::Fair;
 use arrowyard_cells::layout::{Cell, Layout, Pace as PaceTerms, Release};
 use arrowyard_cells::moving::Terms;
@@ -217,6 +217,17 @@
     }
 }
 
+/// An op of the tenant of the first cell, which has room for it.
+fn first(cells: &mut Cells) -> Pass {
+    let (tenant, group, need, due) = (Some("of-a"), GroupId(7), Need::Any, ms(500));
+    let (address, session, token, again, bytes) = (None, None, None, false, 1);
+    let facts = Facts { tenant, address, group, bytes, need, session, token, again, due };
+    match cells.admit(ms(0), &facts) {
+        Verdict::Go { pass, .. } => pass,
+        other => panic!("{other:?}"),
+    }
+}
+
 #[test]
 fn a_cell_that_is_left_out_has_nothing_any_more_and_its_id_is_given_on_once_nothing_of_it_is_out() {
     let old = layout(1, &["a", "b"]);
@@ -232,18 +243,7 @@
     for probe in [false, true] {
         let terms = Terms { marks: true, settle: Span::from_millis(500), skew: Span::ZERO };
         let mut cells = Cells::new(ms(0), old.clone(), Totals { ops: 40, bytes: 1000, probes: 8 }, terms);
-        let facts = Facts {
-            tenant: Some("of-a"),
-            address: None,
-            group: GroupId(7),
-            bytes: 1,
-            need: Need::Any,
-            session: None,
-            token: None,
-            again: false,
-            due: ms(500),
-        };
-        let Verdict::Go { pass, .. } = cells.admit(ms(0), &facts) else { panic!("there is room") };
+        let pass = first(&mut cells);
         if probe {
             assert!(cells.probe(ms(0), A));
             cells.ended(ms(1), pass, arrowyard_cells::moving::Ran::Never, None);
@@ -269,18 +269,7 @@
         let terms = Terms { marks: true, settle: Span::from_millis(500), skew: Span::ZERO };
         let mut cells =
             Cells::new(ms(0), layout(1, &["a", "b"]), Totals { ops: 40, bytes: 1000, probes: 8 }, terms);
-        let facts = Facts {
-            tenant: Some("of-a"),
-            address: None,
-            group: GroupId(7),
-            bytes: 1,
-            need: Need::Any,
-            session: None,
-            token: None,
-            again: false,
-            due: ms(500),
-        };
-        let Verdict::Go { pass, .. } = cells.admit(ms(0), &facts) else { panic!("there is room") };
+        let pass = first(&mut cells);
         (0..2000).for_each(|_| cells.send_ended(&pass, Fate::Acked, 0.1, true));
         let judged = |news: Vec<News>| {
             news.iter().any(|news| matches!(news, News::Release(told) if told.judged == Judged::Good))
--- a/crates/arrowyard-flight-daemon/tests/streams.rs
+++ b/crates/arrowyard-flight-daemon/tests/streams.rs
@@ -473,6 +473,21 @@
     });
 }
 
+#[test]
+fn calls_that_are_refused_were_not_taken_back() {
+    let town = Town::start(&specs(0, true));
+    let router = start(&town, true, "");
+    runtime().block_on(async {
+        let mut client = connect(&router).await;
+        // More in a second than a client may take back.
+        for _ in 0..400 {
+            let within = client.inner.execute(ask(VIEW, 1, 5).statement(), Some(vec![1].into())).await;
+            assert_eq!(code(&within.expect_err("no transactions")), Code::Unimplemented);
+        }
+        assert!(matches!(client.ask(&ask(STANDINGS, 2, 5)).await, Reply::Value(_)));
+    });
+}
+
 #[test]
 fn a_planned_end_answers_what_was_taken_and_a_new_discovery_leaves_streams_alone() {
     let town = wide(30, 10_000);
--- a/crates/arrowyard-front-flight/src/service.rs
+++ b/crates/arrowyard-front-flight/src/service.rs
@@ -312,7 +312,10 @@
     let mut bytes = 0;
     while let Some(data) = stream.try_next().await? {
         bytes += data.app_metadata.len() + data.flight_descriptor.map_or(0, |told| told.cmd.len()) + 64;
-        if !data.data_header.is_empty() || !data.data_body.is_empty() || bytes > most * 2 {
+        if bytes > most * 2 {
+            return Err(status(&Fault::TooLarge("the client's stream")));
+        }
+        if !data.data_header.is_empty() || !data.data_body.is_empty() {
             return Err(status(&Fault::NoOp("an update by a statement has no data".to_string())));
         }
     }
