Tests that bite: expiry, the fence's skew, a host that is gone where that does not bind

Four lines could be broken without a test that failed: a ticket's expiry, its form, the clock skew before a move's fence, and the module's term on hosts that are gone where being gone does not bind. The expiry was checked with a ticket that had been redeemed before, which is refused as Spent either way; now one that never was. The form needs no line: the seal is made for the form and over it, so nothing reaches the line that it could refuse; it goes. The fence and the term get a test each. Tried by breaking each line: each test fails then.

--- a/crates/arrowyard-cells/tests/moves.rs
+++ b/crates/arrowyard-cells/tests/moves.rs
@@ -441,6 +441,20 @@
     assert_eq!(repeat(Ran::Acked, Step::Switched, 2900 + MEMORY + 10), Err("unsure"));
 }
 
+#[test]
+fn from_the_earliest_clocks_fence_on_no_write_goes_to_the_source() {
+    // Danger: a router whose clock is behind lets a write through that another's copy has left behind it.
+    let write = |now: i64| {
+        let mut cells = desk(0, file(Some(Step::Fenced)), true);
+        cells.tick(ms(now));
+        place(&mut cells, now, facts(Need::Write, Some(1), false, now + TIMEOUT))
+    };
+    assert_eq!(write(FENCE - SKEW - TIMEOUT - 1), "source");
+    assert_eq!(write(FENCE - SKEW - 1), "source", "the fence is nowhere reached");
+    assert_ne!(write(FENCE - SKEW), "source", "by the earliest clock it is");
+    assert_ne!(write(FENCE - 1), "source");
+}
+
 #[test]
 fn a_rush_at_the_fence_is_held_in_bounds_and_given_back_at_once_beyond_them() {
     let mut cells = noted(Ran::Never, Step::Fenced, SWITCH - 100);
--- a/crates/arrowyard-flight/src/ticket.rs
+++ b/crates/arrowyard-flight/src/ticket.rs
@@ -90,8 +90,9 @@
             return Err(foreign);
         }
         let (sealed, seal) = ticket.split_at(ticket.len() - SEAL);
-        // Danger: whoever makes up a ticket has a statement run past what planning checks.
-        if !same(&self.key.seal(FORM, sealed), seal) || sealed[0] != FORM {
+        // Danger: whoever makes up a ticket has a statement run past what planning checks. The seal is made for the
+        // form and over it, so that a ticket of another form, or another thing that was sealed, is none.
+        if !same(&self.key.seal(FORM, sealed), seal) {
             return Err(foreign);
         }
         let word = |at: usize| sealed[at..at + 8].try_into().map(u64::from_be_bytes).unwrap_or_default();
--- a/crates/arrowyard-flight/tests/kept.rs
+++ b/crates/arrowyard-flight/tests/kept.rs
@@ -35,7 +35,11 @@
     // Nothing ran of what it was redeemed for.
     router.give_back(stub);
     assert!(router.redeem(ms(402), &ticket).is_ok());
-    assert!(matches!(router.redeem(ms(1000), &ticket), Err(Fault::Spent(_))));
+    let (late, _) = router.plan(ms(0), "SELECT 2").expect("it is short");
+    let expired = Fault::Spent("the ticket has expired; plan again");
+    assert_eq!(router.redeem(ms(1000), &late).map(drop), Err(expired), "it was never redeemed");
+    let (last, _) = router.plan(ms(0), "SELECT 3").expect("it is short");
+    assert!(router.redeem(ms(999), &last).is_ok(), "its time is not over yet");
     let (next, _) = router.plan(ms(2000), "SELECT 1").expect("it is short");
     assert!(router.redeem(ms(2001), &next).is_ok());
     assert_eq!(router.remembered(), 1, "what has expired is not remembered");
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -445,3 +445,25 @@
     let alone = tries(&[2])[0];
     assert!(alone > 2 && tries(&[3])[0] == alone, "{alone}");
 }
+
+#[test]
+fn where_being_gone_does_not_bind_only_a_drain_closes_a_host() {
+    let mut charter = charter(true, false, false);
+    for (binds, then) in [(true, false), (false, true)] {
+        charter.insert("removal_not_binding".to_string(), Fact::Flag(!binds));
+        let takes = |told: &[Availability]| {
+            let mut world = World::settled(charter.clone());
+            told.iter().for_each(|&told| world.list(vec![entry(1, told, false, None)]));
+            (10..60).any(|op| {
+                let op = world.ask(op, ANY, None);
+                let hosts = world.hosts_of(op);
+                world.end_all(Outcome::Acked);
+                hosts.contains(&1)
+            })
+        };
+        assert_eq!(takes(&[Availability::Gone]), then, "gone, with no drain before");
+        assert!(!takes(&[Availability::Draining]));
+        assert!(!takes(&[Availability::Draining, Availability::Gone]), "it drains still");
+        assert!(takes(&[Availability::Draining, Availability::Ready]));
+    }
+}
