--- a/crates/arrowyard-core/src/back.rs
+++ b/crates/arrowyard-core/src/back.rs
@@ -85,4 +85,7 @@
 
     /// Connections that stand.
     fn open(&self) -> usize;
+
+    /// Connections that were begun since the start.
+    fn dialed(&self) -> u64;
 }
--- a/crates/arrowyard-core/src/book.rs
+++ b/crates/arrowyard-core/src/book.rs
@@ -33,6 +33,12 @@
     pub gone: u32,
     pub sends: u32,
     pub lost_sends: u32,
+    /// What the whole fleet pays for, beside first sends: further sends of an op, sends to hosts that are warming up,
+    /// probes, and lines of the list.
+    pub repeats: u32,
+    pub cold: u32,
+    pub probes: u32,
+    pub listed: u32,
 }
 
 /// `P` is what fronts hand in, `A` a host's answer.
@@ -65,6 +71,7 @@
         let (call_off, called_off) = oneshot::channel();
         page.sends.push(if page.client.is_some() { Stand::Out(call_off) } else { Stand::CalledOff });
         self.tally.sends += 1;
+        self.tally.repeats += u32::from(page.sends.len() > 1);
         Some((SendNo(page.sends.len() as u32 - 1), page.payload.clone(), called_off))
     }
 
--- a/crates/arrowyard-core/src/pool.rs
+++ b/crates/arrowyard-core/src/pool.rs
@@ -38,6 +38,7 @@
     /// When a host was last done with a command.
     heard: RefCell<BTreeMap<HostId, Instant>>,
     open: Rc<Cell<usize>>,
+    dialed: Cell<u64>,
     /// The bytes that large answers take.
     large: Rc<Cell<usize>>,
     limits: Rc<Limits>,
@@ -45,14 +46,19 @@
 
 impl<L: Link> Pool<L> {
     pub fn new(limits: Rc<Limits>) -> Rc<Self> {
-        let (idle, heard, open, large) = Default::default();
-        Rc::new(Pool { idle, heard, open, large, limits })
+        let (idle, heard, open, dialed, large) = Default::default();
+        Rc::new(Pool { idle, heard, open, dialed, large, limits })
     }
 
     pub fn open(&self) -> usize {
         self.open.get()
     }
 
+    /// Connections that were begun.
+    pub fn dialed(&self) -> u64 {
+        self.dialed.get()
+    }
+
     /// The connection to the host that was used last, else a new one; the outcome, if there is none to be had.
     pub async fn take(&self, host: HostId, dial: SocketAddr) -> Result<L, Outcome> {
         while let Some(link) = self.idle.borrow_mut().get_mut(&host).and_then(Vec::pop) {
@@ -63,6 +69,7 @@
         if self.open.get() >= self.limits.links && !self.close_oldest() {
             return Err(Outcome::ConnectFailed);
         }
+        self.dialed.set(self.dialed.get() + 1);
         L::open(dial, Count::one(&self.open), self.large.clone(), self.limits.clone()).await
     }
 
@@ -148,6 +155,7 @@
         assert_eq!(pool.take(HostId(2), two).await.err(), Some(Outcome::ConnectFailed));
         pool.put_back(HostId(1), first);
         assert_eq!(pool.take(HostId(2), two).await.map(|link| link.dial), Ok(two));
+        assert_eq!(pool.dialed(), 3, "without a descriptor none is begun");
         assert_eq!(pool.open(), 1, "the idle one was closed, the third ended just now");
         drop(second);
     }
--- a/crates/arrowyard-core/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -55,6 +55,8 @@
     alarms: BinaryHeap<Reverse<(Point, u64, Cookie)>>,
     rung: u64,
     tallied: Instant,
+    /// Connections begun by the last tally.
+    dialed: u64,
 }
 
 impl<B: Back> Route<B> {
@@ -91,6 +93,7 @@
             alarms,
             rung,
             tallied,
+            dialed: 0,
         };
         if let Some(list) = known {
             let note = route.listed(list, true);
@@ -305,6 +308,7 @@
     /// The list as a note, as cells divide it.
     fn listed(&mut self, list: &List, saved: bool) -> Note {
         let note = self.yard.roster.note(list, saved);
+        self.book.tally.listed += list.lines.len() as u32;
         match note {
             Note::Listed { form, entries } if self.ward.is_some() => {
                 Note::Listed { form, entries: self.divided(entries) }
@@ -427,6 +431,7 @@
         match action {
             Action::Send { op, host, until } => {
                 let Some((send, payload, called_off)) = self.book.send(op) else { return };
+                self.book.tally.cold += u32::from(roster.is_new(host, now, self.cold));
                 self.ward.iter_mut().for_each(|ward| ward.sent(now, op, send));
                 let (back, clock, mail, dial) = (back.clone(), *clock, mail.clone(), roster.dial(host));
                 drop(spawn_local(async move {
@@ -446,6 +451,7 @@
             Action::BusyReply { op, retry_after } => self.book.answer(op, Reply::Busy(retry_after)),
             Action::ErrorReply { op } => self.book.answer(op, Reply::Errored),
             Action::Probe { host } => {
+                self.book.tally.probes += 1;
                 let (back, mail, dial) = (back.clone(), mail.clone(), roster.dial(host));
                 let (mut cell, mut full) = (None, None);
                 if let Some(ward) = &mut self.ward
@@ -481,6 +487,7 @@
 
     fn tally(&mut self) {
         let tally = std::mem::take(&mut self.book.tally);
+        let dialed = self.yard.back.dialed();
         self.tallied = Instant::now();
         tracing::info!(
             acked = tally.acked,
@@ -489,6 +496,11 @@
             gone = tally.gone,
             sends = tally.sends,
             lost = tally.lost_sends,
+            repeats = tally.repeats,
+            cold = tally.cold,
+            probes = tally.probes,
+            dials = dialed - std::mem::replace(&mut self.dialed, dialed),
+            listed = tally.listed,
             open_ops = self.book.open_ops(),
             links = self.yard.back.open(),
             "tally"
--- a/crates/arrowyard-core/src/send.rs
+++ b/crates/arrowyard-core/src/send.rs
@@ -143,6 +143,10 @@
         fn open(&self) -> usize {
             0
         }
+
+        fn dialed(&self) -> u64 {
+            0
+        }
     }
 
     /// How the send ends, and what began meanwhile.
--- a/crates/arrowyard-front-flight/src/back.rs
+++ b/crates/arrowyard-front-flight/src/back.rs
@@ -44,6 +44,7 @@
     /// When a host was last done with a call.
     heard: RefCell<BTreeMap<HostId, Instant>>,
     open: Rc<Cell<usize>>,
+    dialed: Cell<u64>,
     holds: Rc<RefCell<Holds>>,
     limits: Rc<Limits>,
     flight: FlightLimits,
@@ -89,10 +90,10 @@
 
 impl FlightBack {
     pub fn new(limits: Rc<Limits>, flight: FlightLimits) -> Self {
-        let (lines, dials, heard, open) = Default::default();
+        let (lines, dials, heard, open, dialed) = Default::default();
         let large = Large::new(limits.large / 2);
         let holds = Rc::new(RefCell::new(Holds::new(flight.held_each, flight.held_all)));
-        FlightBack { lines, dials, large, heard, open, holds, limits, flight }
+        FlightBack { lines, dials, large, heard, open, dialed, holds, limits, flight }
     }
 
     /// Closes what was idle for too long, for as long as the router runs.
@@ -128,6 +129,7 @@
         }
         let dialing = Dialing { back: self, host, dial: Rc::default() };
         self.dials.borrow_mut().insert(host, dialing.dial.clone());
+        self.dialed.set(self.dialed.get() + 1);
         let opened = Line::open(dial, Count::one(&self.open), self.flight.window, &self.limits).await;
         dialing.dial.failed.set(opened.is_err());
         let line = Rc::new(opened?);
@@ -479,4 +481,8 @@
     fn open(&self) -> usize {
         self.open.get()
     }
+
+    fn dialed(&self) -> u64 {
+        self.dialed.get()
+    }
 }
--- a/crates/arrowyard-front-pg/src/back.rs
+++ b/crates/arrowyard-front-pg/src/back.rs
@@ -87,4 +87,8 @@
     fn open(&self) -> usize {
         self.pool.open()
     }
+
+    fn dialed(&self) -> u64 {
+        self.pool.dialed()
+    }
 }
