--- a/crates/arrowyard-core/src/hatch.rs
+++ b/crates/arrowyard-core/src/hatch.rs
@@ -182,6 +182,10 @@
         fn open(&self) -> usize {
             0
         }
+
+        fn dialed(&self) -> u64 {
+            0
+        }
     }
 
     fn call(id: &u64) -> Call<'_> {
