A first op asks nobody who it is where the list names a primary

Ruled out: that their answers are needed; a write that the list leads to a replica is missed there at once and tried at the next member, and reads ask a replica of their own anyway. Lines at fault: choose(), which probed whatever the list said.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -561,7 +561,10 @@
         let group = self.groups.get_mut(&id)?;
         if group.asked_at.is_none() {
             group.asked_at = Some(self.now);
-            if self.probe(&self.groups[&id].members, false, post) {
+            // Danger: routers that start at once ask each host who it is. A primary that the list names tells with
+            // its first send: a write that misses leads on, and a read asks a replica of its own.
+            let group = &self.groups[&id];
+            if self.primary(group).is_none() && self.probe(&group.members, false, post) {
                 return None;
             }
         }
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -110,12 +110,14 @@
     /// A world with one group of four whose first member is known first-hand to be primary, all fresh.
     pub fn settled(charter: Manifest) -> Self {
         let mut world = World::new(charter);
-        world.list((0..4).map(|host| entry(host, Availability::Ready, host == 0, None)).collect());
+        // The list names no primary at first, so that all members are asked.
+        world.list((0..4).map(|host| entry(host, Availability::Ready, false, None)).collect());
         let first = world.ask(1, ANY, None);
         world.answer_probes(0);
         world.wait(5);
         world.end_all(Outcome::Acked);
         assert!(world.answered(first));
+        world.list(vec![entry(0, Availability::Ready, true, None)]);
         world.trace.clear();
         world
     }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -467,3 +467,25 @@
         assert!(takes(&[Availability::Draining, Availability::Ready]));
     }
 }
+
+#[test]
+fn where_the_list_names_a_primary_a_first_op_asks_nobody_who_it_is() {
+    let list = |primary: u32| (0..4).map(move |h| entry(h, Availability::Ready, h == primary, None)).collect();
+    let mut world = World::new(charter(true, false, false));
+    world.list(list(2));
+    let op = world.ask(1, TOKENED, Some(1));
+    assert_eq!((world.hosts_of(op), world.probes.len()), (vec![2], 0), "it goes where the list says");
+    // The list is wrong: a miss leads on, and one that took over is found.
+    let word = Word { role: Some(Role::Replica), ..Word::default() };
+    world.end(0, Outcome::Miss, word);
+    assert_eq!(world.hosts_of(op).len(), 2, "another member is tried");
+    let next = world.sends[0].host;
+    world.end(0, Outcome::Acked, Word { role: Some(Role::Primary), ..Word::default() });
+    let op = world.ask(2, TOKENED, Some(1));
+    assert_eq!((world.hosts_of(op), world.probes.len()), (vec![next.0], 0));
+    // A list that names nobody: all are asked.
+    let mut world = World::new(charter(true, false, false));
+    world.list(list(9));
+    world.ask(1, TOKENED, Some(1));
+    assert_eq!((world.sends.len(), world.probes.len()), (0, 4));
+}
