Only writes look for a missing primary; after one round its heir is asked, others seldom

One router's four probes in 0.2 s are nothing; 300 routers' are a load. Ruled out: that the others' answers are needed: while a group has no primary positions stand still, and the member with most of the log takes over. Lines at fault: candidates(), which set wanted for any op, and pulse(), which asked all members each time.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -50,6 +50,8 @@
 const OF_MULTIPLE: f64 = 0.7;
 /// A limit is cut once in this share of the connect time-out; a missing primary is looked for half as often.
 const STEP: f64 = 0.4;
+/// Members that will hardly be the next primary are asked once in so many of these steps.
+const OTHERS_GAP: f64 = 10.0;
 /// While most replicas are behind, the share of writes sent back grows by this in a connect time-out.
 const CATCH_UP: f64 = 0.25;
 const MOST_BACK: f64 = 0.9;
@@ -580,13 +582,17 @@
         let checks = self.charter.text("host_checks") != "none";
         let half = self.charter.number_or("max_sends", 1.0) * 0.5;
         let mut among = Hosts::new();
-        group.wanted.set(group.wanted.get() || primary.is_none());
+        let writes = matches!(kind.need, Need::Write | Need::Fresh);
+        match primary {
+            Some(_) => group.led_at.set(self.now),
+            None => group.wanted.set(group.wanted.get() || writes),
+        }
         let named = primary.is_some_and(|host| self.face(host).role.is_some());
         let fresh = group.asked_at.is_some_and(|at| self.now - at < self.charter.span("connect_timeout"));
         if !named && fresh && group.members.iter().any(|&host| self.face(host).probing) {
             return among;
         }
-        if matches!(kind.need, Need::Write | Need::Fresh) {
+        if writes {
             if primary.is_some() {
                 among.extend(primary.filter(|&host| self.bears(host, 1.0)));
             } else if (kind.need == Need::Write || checks) && (op.sends.len() as f64) < half {
@@ -733,7 +739,15 @@
             group.held_back = group.held_back.clamp(0.0, MOST_BACK);
         }
         for group in self.groups.values().filter(|group| group.wanted.replace(false)) {
-            let due = |host: &HostId| now - self.face(*host).probed_at >= poll * 2.0;
+            // Danger: all routers ask all members for as long as a switch takes. After a first round the most
+            // advanced one is asked, which takes over if any does, and the others seldom, in case that it does not.
+            let heirs = group.members.iter().copied().filter(|&host| self.face(host).sound());
+            let heir = heirs.max_by_key(|&host| self.face(host).position);
+            let gap = |host: HostId| if Some(host) == heir { 2.0 } else { OTHERS_GAP };
+            let due = |host: &HostId| {
+                let (at, rested) = (self.face(*host).probed_at, now - self.face(*host).probed_at);
+                rested >= poll * gap(*host) || rested >= poll * 2.0 && at <= group.led_at.get()
+            };
             self.probe(&group.members.iter().copied().filter(due).collect::<Hosts>(), false, post);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -77,8 +77,9 @@
     pub guests: Vec<HostId>,
     /// When the first op came and all members were asked who they are.
     pub asked_at: Option<Point>,
-    /// Some op waits for a primary.
+    /// Some op waits for a primary; and when one was known last.
     pub wanted: Cell<bool>,
+    pub led_at: Cell<Point>,
     /// The share of its writes that are sent back so that its replicas catch up.
     pub held_back: f64,
     /// The share of its reads that is given back while most hosts are slow.
