A primary that answers quickly takes bounded reads without a question to replicas

Every probe was answered within 20 ms; 35 of 100 told a position beyond the bound (log lines of a copy, 'PROBED Acked took 1 age 420'). Ruled out: slow or lost probes, and their patience; that answers to other reads would keep positions fresh: a router of 300 meets a replica every few seconds, the bound is 300 ms. Lines at fault: candidates(), which asked each replica in turn whatever the primary could take. The pace of its last answer tells each router of the load of all.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,9 @@
 /// An answer within the first share of its latency target lets the limit grow, one beyond the second cuts it.
 const EASY: f64 = 0.4;
 const STRAINED: f64 = 0.9;
+/// A primary whose last answer came within this share of its latency target takes reads that no replica is known to
+/// be fit for without a question: one that works at what it can do answers about half of its sends so.
+const QUICK: f64 = EASY / 2.0;
 /// Reads may fill the primary to this share of its limit.
 const FOR_READS: f64 = 0.75;
 /// How long a read waits for one replica's position, as a share of the least latency target.
@@ -626,7 +629,12 @@
             among.extend(ahead.or(primary.filter(|&host| self.bears(host, FOR_READS))));
             // Danger: a router with few ops knows no position that is still within the bound, and sends all
             // to the primary. So the replicas are asked in turn, and the read waits a moment for their word.
-            if fit.is_empty() && self.ask(op, &replicas, post) {
+            // With a primary that answers quickly they are asked at most once, or not at all: the question costs as
+            // much as the read spares it, and 300 routers' questions more. Its pace tells each router of all others.
+            let pace = |most| primary.is_some_and(|host| self.takes_reads(host, most));
+            let asked = |&host: &HostId| self.face(host).probed_at >= op.arrived && !self.face(host).probing;
+            let spared = pace(QUICK) || pace(EASY) && replicas.iter().any(asked);
+            if fit.is_empty() && !spared && self.ask(op, &replicas, post) {
                 return Hosts::new();
             }
         } else if self.weight(kind) >= LONG {
@@ -640,6 +648,11 @@
         among
     }
 
+    /// Whether the primary's last answer took less than this share of its latency target, and it has room for reads.
+    fn takes_reads(&self, primary: HostId, share: f64) -> bool {
+        self.bears(primary, FOR_READS) && self.face(primary).pace.is_some_and(|pace| pace < share)
+    }
+
     /// Rule 5: a position is a lower bound learnt some time ago; it need not have moved since.
     fn qualifies(&self, op: &Op, host: HostId) -> bool {
         let position = self.face(host).position;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -511,3 +511,27 @@
     world.ask(1, TOKENED, Some(1));
     assert_eq!((world.sends.len(), world.probes.len()), (0, 4));
 }
+
+#[test]
+fn a_primary_that_answers_quickly_spares_the_question_which_replica_is_fresh() {
+    // By how long the primary's last answer took: questions asked by a bounded read, with none answered, and where it goes.
+    for (took, asked) in [(10, 0), (30, 1), (60, 3)] {
+        let mut world = World::settled(charter(true, false, false));
+        world.ask(5, TOKENED, Some(1));
+        world.wait(took);
+        let word = Word { role: Some(Role::Primary), ..Word::default() };
+        world.end(0, Outcome::Acked, word);
+        world.wait(BOUND + 1);
+        let op = world.ask(10, BOUNDED, None);
+        for _ in 0..9 {
+            world.wait(5);
+            // The replicas are too far behind.
+            for host in std::mem::take(&mut world.probes) {
+                world.feed(Note::Probed { host, outcome: Outcome::Acked, word: Word::default() });
+            }
+        }
+        let probes =
+            world.trace.iter().filter(|(_, event)| matches!(event, Ok(Action::Probe { .. }))).count();
+        assert_eq!((probes, world.hosts_of(op)), (asked, vec![0]), "{took} ms of {TARGET}");
+    }
+}
