What was never sent is given back at half of its time, while its client can come back

The worst is a write of a group whose primary has drained: held until 5 ms before its client's time is up, then busy-replied. Lines at fault: route(), which held an op that nothing was sent for as long as one that may have run.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -423,7 +423,10 @@
     /// Sends the op on, holds it, or answers at once when waiting cannot pay. Never two sends at once.
     pub fn route(&mut self, place: usize, post: &mut Post) {
         let Some(op) = self.ops.get(place).filter(|op| !op.over && !op.sends.is_out()) else { return };
-        if self.now >= self.pays_until(op) || !self.may_send(op, None) {
+        // Danger: what is held for most of its time and then given back keeps its client from coming back in time.
+        let half = op.arrived + (op.ask.due - op.arrived) * 0.5 - self.charter.span("tick") * 2.0;
+        let held = op.sends.len() == 0 && self.now >= half;
+        if held || self.now >= self.pays_until(op) || !self.may_send(op, None) {
             self.give_up(place, post);
         } else if self.rested(op)
             && let Some(host) = self.choose(place, post)
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -535,3 +535,21 @@
         assert_eq!((probes, world.hosts_of(op)), (asked, vec![0]), "{took} ms of {TARGET}");
     }
 }
+
+#[test]
+fn what_was_never_sent_is_given_back_at_half_of_its_time_and_what_was_is_not() {
+    let mut world = World::settled(charter(true, false, false));
+    world.list((0..4).map(|host| entry(host, Availability::Gone, false, None)).collect());
+    let op = world.ask(10, TOKENED, Some(1));
+    world.wait(TIMEOUT / 2 - 20);
+    assert!(!world.answered(op), "a primary may be found yet");
+    world.wait(20);
+    assert!(world.answered(op), "while its client has time to come back");
+    let mut world = World::settled(charter(true, false, false));
+    let op = world.ask(10, TOKENED, Some(1));
+    world.end(0, Outcome::Miss, Word { role: Some(Role::Replica), ..Word::default() });
+    world.wait(TIMEOUT - 20);
+    assert!(!world.answered(op));
+    world.wait(20);
+    assert!(world.answered(op));
+}
