Cold hosts get half as much again while the others answer quickly; reads given back fade

Causes: pulse() of a host takes what warm hosts acked for what they can do, which is six to seven tenths of it; and throttle() takes the share down by answers alone, so that a router with one op in two seconds, nine tenths of them given back, hears of none: it moves up in one jam and stays. Both are harmless in a router with much traffic.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,6 +51,8 @@
 const PROBE_GAP: f64 = 0.125;
 /// A cold host gets at most this part of the multiple of its capacity that would push it over.
 const OF_MULTIPLE: f64 = 0.7;
+/// By so much more than hosts acked they can surely do while three in four answer quickly.
+const MOST_ROOM: f64 = 0.5;
 /// A limit is cut once in this share of the connect time-out; a missing primary is looked for half as often.
 const STEP: f64 = 0.4;
 /// Members that will hardly be the next primary are asked once in so many of these steps.
@@ -131,7 +133,7 @@
                 }
             }
             HostNote::Told(word) => self.learn(now, word, word.position.unwrap_or_default()),
-            HostNote::Pulse(passed, peers) => self.pulse(now, passed, peers, charter),
+            HostNote::Pulse(passed, peers, room) => self.pulse(now, passed, peers, room, charter),
         }
         self.face.load = (self.live + self.kept).max(0.0);
         post.faces.push_back((id, self.face));
@@ -166,7 +168,7 @@
         }
     }
 
-    fn pulse(&mut self, now: Point, passed: Span, peers: f64, charter: &Manifest) {
+    fn pulse(&mut self, now: Point, passed: Span, peers: f64, room: f64, charter: &Manifest) {
         let (face, fall, cold) = (&mut self.face, charter.span("fall"), charter.span("cold"));
         face.rate += (self.done / passed.as_secs_f64().max(1e-6) - face.rate) * (passed / fall).min(1.0);
         self.done = 0.0;
@@ -176,7 +178,8 @@
         // Danger: all routers together push a cold host over. What warm hosts acked they can surely do, and a
         // cold one its share of that; each router sends it a safe part of the multiple that it bears.
         let safe = (charter.number_or("fall_multiple", 1.0) * OF_MULTIPLE).max(1.0);
-        let allowed = safe * face.warmth * peers * face.size;
+        let room = if face.pace.is_none_or(|pace| pace < EASY) { room } else { 1.0 };
+        let allowed = safe * room * face.warmth * peers * face.size;
         face.credit = (face.credit + allowed * passed.as_secs_f64()).min(allowed * fall.as_secs_f64() * 0.1);
         self.kept *= 1.0 - (passed / (charter.span("connect_timeout") * REST)).min(1.0);
         face.trial = face.ill && now >= self.rest_until;
@@ -740,7 +743,11 @@
         let warm = self.faces.iter().filter(|face| face.warmth >= 1.0 && face.sound());
         let acks: SmallVec<[f64; 16]> = warm.map(|face| face.rate / face.size).collect();
         self.peers = if acks.is_empty() { self.peers } else { acks.iter().sum::<f64>() / acks.len() as f64 };
-        self.hosts().for_each(|host| post.hosts.put(host, HostNote::Pulse(passed, self.peers)));
+        // What hosts acked is less than they can do as long as most answer quickly.
+        let paces = self.faces.iter().filter(|face| face.open).filter_map(|face| face.pace);
+        let (all, easy) = (paces.clone().count(), paces.filter(|&pace| pace < EASY).count());
+        let room = 1.0 + (2.0 * easy as f64 / all.max(1) as f64 - 1.0).clamp(0.0, MOST_ROOM);
+        self.hosts().for_each(|host| post.hosts.put(host, HostNote::Pulse(passed, self.peers, room)));
         // Danger: writes come faster than replicas apply them; bounded reads lose all. Some go back while
         // the primary has no room for reads, but where long reads hold up the log. Harms if reports lag.
         let long = self.op_types.iter().any(|kind| self.weight(kind) >= LONG);
@@ -753,6 +760,9 @@
             let (all, far) = (replicas.clone().count(), replicas.filter(|&b| b > self.bound).count());
             group.held_back += if far * 2 > all && full { step } else { -step };
             group.held_back = group.held_back.clamp(0.0, MOST_BACK);
+            // Danger: the share given back falls by quick answers alone; a router that gives nine in ten back, and has
+            // an op in two seconds, hears of none, and goes on long after the jam.
+            group.back *= 1.0 - (passed / (self.charter.span("connect_timeout") * REST)).min(1.0);
         }
         for group in self.groups.values().filter(|group| group.wanted.replace(false)) {
             // Danger: all routers ask all members for as long as a switch takes. After a first round the most
--- a/src/post.rs
+++ b/src/post.rs
@@ -47,8 +47,8 @@
     Probed(Option<Word>),
     /// What another router's probe brought.
     Told(Word),
-    /// So much time has passed, and a warm host gets so much weight a second.
-    Pulse(Span, f64),
+    /// So much time has passed, a warm host gets so much weight a second, and could surely take so many times that.
+    Pulse(Span, f64, f64),
 }
 
 #[derive(Default)]
