Reads look for a host again where all of a group fell silent

Cause: since reads look for no primary (candidates(), wanted), nothing asks quiet hosts; before, any op without a standing primary had all members asked. Now a read does when no replica is sound either.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -630,6 +630,8 @@
             among.retain(|&mut host| !op.sends.tried(host));
         }
         if among.is_empty() {
+            // Danger: a group whose hosts all fell silent is asked by nobody again, where only reads come.
+            group.wanted.set(group.wanted.get() || primary.is_none() && !replicas.iter().any(sound));
             // Replicas are at their limit while the primary idles, or none qualifies: then, where hosts check
             // reads, the most advanced one has the first word.
             let able = replicas.iter().copied().filter(|h| sound(h) && self.bears(*h, 1.0));
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -293,6 +293,25 @@
     assert_eq!(world.probes, []);
 }
 
+#[test]
+fn hosts_that_all_fell_silent_are_asked_again_where_only_reads_come() {
+    let mut world = World::settled(charter(true, false, false));
+    for op in 100..130 {
+        world.ask(op, ANY, None);
+        world.wait(TIMEOUT);
+        world.probes.clear();
+    }
+    for host in 0..4 {
+        world.feed(Note::Probed { host: HostId(host), outcome: Outcome::TimedOut, word: Word::default() });
+    }
+    world.ask(200, ANY, None);
+    world.wait(300);
+    assert!(!world.probes.is_empty(), "none is sound, and the read looks for one");
+    world.answer_probes(0);
+    let op = world.ask(201, ANY, None);
+    assert!(!world.hosts_of(op).is_empty());
+}
+
 #[test]
 fn one_of_many_routers_spaces_its_sends_to_a_slow_primary() {
     let mut many = charter(true, false, false);
