Fleet model: the search for a lost primary is a test that bites; two fields that nobody read go

Read once more: the test of the search passed with all members asked as often as the heir. The model's list of entries and the hosts' count of connections were kept for nobody.

--- a/crates/arrowyard-fleet/src/host.rs
+++ b/crates/arrowyard-fleet/src/host.rs
@@ -23,14 +23,13 @@
     /// Work sent to it while it warmed up, in microseconds of a core, by when it came.
     came: Vec<(Point, f64)>,
     pub probes: u64,
-    pub dials: u64,
 }
 
 impl Host {
     pub fn new(group: usize, cores: usize, born: Option<Point>, warm_after: Span, cold_from: f64) -> Self {
         let free = vec![Point::default(); cores];
-        let (came, up, slower, probes, dials) = (Vec::new(), true, 1.0, 0, 0);
-        Host { group, up, born, warm_after, cold_from, free, slower, came, probes, dials }
+        let (came, up, slower, probes) = (Vec::new(), true, 1.0, 0);
+        Host { group, up, born, warm_after, cold_from, free, slower, came, probes }
     }
 
     /// The share of its capacity that it has.
@@ -57,7 +56,6 @@
 
     /// A connection is let in.
     pub fn dialed(&mut self, now: Point) {
-        self.dials += 1;
         let _ = self.serve(now, HANDSHAKE, Span::from_millis(60_000));
     }
 
--- a/crates/arrowyard-fleet/src/world.rs
+++ b/crates/arrowyard-fleet/src/world.rs
@@ -108,7 +108,6 @@
     pub hosts: Vec<Host>,
     /// By group: its primary, and when it was lost.
     leads: Vec<(Option<usize>, Point)>,
-    entries: Vec<Entry>,
     events: BTreeMap<(Point, u64), Due>,
     number: u64,
     open: HashMap<(usize, OpId), Open>,
@@ -146,7 +145,6 @@
             routers: Vec::new(),
             hosts: hosts.collect(),
             leads: (0..town.groups).map(|group| (Some(group * town.members), now)).collect(),
-            entries: Vec::new(),
             events: BTreeMap::new(),
             number: 0,
             open: HashMap::new(),
@@ -156,14 +154,13 @@
             next: 0,
             town,
         };
-        world.entries = (0..total).map(|at| world.entry(at, Availability::Ready)).collect();
+        let entries: Vec<Entry> = (0..total).map(|at| world.entry(at, Availability::Ready)).collect();
         for router in 0..world.town.routers {
             let mut actions = Vec::new();
             let seed = world.rng.u64(..);
             world.routers.push(Router::start(now, seed, manifest.clone(), &mut actions));
             world.carry_out(router, actions);
-            let entries = world.entries.clone();
-            world.feed(router, Note::Listed { form: ListForm::Saved, entries });
+            world.feed(router, Note::Listed { form: ListForm::Saved, entries: entries.clone() });
         }
         world.at(Span::ZERO, Due::Ask);
         world
@@ -256,13 +253,13 @@
         let row = &self.rows[kind].0;
         let (op, due) = (OpId(self.next), self.now + row.op_timeout);
         let write = row.need == Need::Write;
-        let open = Open { asked: self.now, due, target: row.latency_target, write, work: 0.0, sent: 0 };
+        // An exponential draw around the mean.
+        let work = -self.rng.f64().max(1e-9).ln() * self.rows[kind].2;
+        let open = Open { asked: self.now, due, target: row.latency_target, write, work, sent: 0 };
         self.next += 1;
         self.sums.asked += 1;
         self.sums.writes += u64::from(write);
-        // An exponential draw around the mean.
-        let work = -self.rng.f64().max(1e-9).ln() * self.rows[kind].2;
-        self.open.insert((router, op), Open { work, ..open });
+        self.open.insert((router, op), open);
         let group = GroupId(self.rng.i64(0..self.town.groups as i64));
         let session = Some(SessionId(self.rng.u64(..20) * 1000 + group.0 as u64));
         let ask = Ask { op, op_type: OpTypeId(kind as u32), group, session, due, ..Ask::default() };
--- a/crates/arrowyard-fleet/tests/fleet.rs
+++ b/crates/arrowyard-fleet/tests/fleet.rs
@@ -26,19 +26,21 @@
 
 #[test]
 fn a_lost_primary_is_looked_for_by_many_at_its_heir() {
-    let mut world = World::new(Town { routers: 300, ..Town::default() });
+    // Thirty routers that always have a write which waits.
+    let town = Town { routers: 30, groups: 2, cores: 24, rate: 600.0, ..Town::default() };
+    let mut world = World::new(town);
     world.play(ms(4000));
     world.reset();
     let before: Vec<u64> = world.hosts.iter().map(|host| host.probes).collect();
-    world.happens(ms(0), Event::LosePrimary(2));
-    world.play(ms(5000));
-    let asked: Vec<u64> = (6..9).map(|at| world.hosts[at].probes - before[at]).collect();
-    // The first of the two that are left takes over, as all know by the log; which of two equals is asked is a tie.
-    let (more, less) = (asked[1].max(asked[2]), asked[1].min(asked[2]));
-    assert!(asked.iter().sum::<u64>() < 2500, "{asked:?}");
-    assert!(less * 10 < more * 9 || more < 500, "{asked:?}");
+    world.happens(ms(0), Event::LosePrimary(0));
+    world.play(ms(4000));
+    let asked: Vec<u64> = (0..3).map(|at| world.hosts[at].probes - before[at]).collect();
+    // 853 where all are asked as often as the heir.
+    assert!(asked.iter().sum::<u64>() < 700, "{asked:?}");
+    world.play(ms(1000));
+    world.reset();
     let sums = *world.play(ms(2000));
-    assert!(share(sums.writes_acked, sums.writes) > 0.85, "it was found: {sums:?}");
+    assert!(share(sums.writes_acked, sums.writes) > 0.95, "it was found: {sums:?}");
 }
 
 #[test]
