Fleet model: a jam's test that bites: given-back reads stay at a seventh without fading

Read once more: the test passed without the line that it guards; the jam was too mild. Tried by breaking the line: it fails then.

--- a/crates/arrowyard-fleet/tests/fleet.rs
+++ b/crates/arrowyard-fleet/tests/fleet.rs
@@ -89,17 +89,23 @@
 
 #[test]
 fn a_jam_that_is_over_is_over_for_routers_with_few_ops_too() {
-    for routers in [1, 300] {
+    for routers in [30, 100] {
         let mut world = World::new(Town { routers, ..Town::default() });
         world.play(ms(3000));
-        world.happens(ms(0), Event::Slower(6.0));
-        world.happens(ms(3000), Event::Slower(1.0));
-        world.play(ms(3000));
-        let jam = world.reset();
-        world.play(ms(6000));
         world.reset();
-        let after: Sums = *world.play(ms(4000));
-        assert!(share(after.busy, after.asked) < 0.04, "{routers}: {jam:?} then {after:?}");
+        world.happens(ms(0), Event::Slower(12.0));
+        world.happens(ms(4000), Event::Slower(1.0));
+        world.play(ms(4000));
+        let jam: Sums = world.reset();
+        assert!(share(jam.busy, jam.asked) > 0.25, "{routers}: {jam:?}");
+        // Till the hosts have worked off what waits.
+        world.play(ms(8000));
+        world.reset();
+        let after = *world.play(ms(4000));
+        assert!(
+            share(after.busy, after.asked) < 0.03,
+            "{routers}: {after:?}; a seventh and more without fading"
+        );
     }
 }
 
