--- a/src/state.rs
+++ b/src/state.rs
@@ -75,7 +75,7 @@
     pub members: Vec<HostId>,
     /// Those of them that belong to it as its primary only.
     pub guests: Vec<HostId>,
-    /// When the first op came and all members were asked who they are.
+    /// When the first op came, and all members were asked who they are if the list named no primary.
     pub asked_at: Option<Point>,
     /// Some op waits for a primary; and when one was known last.
     pub wanted: Cell<bool>,
