Membership decided without I/O: a detector, its view, and a model beside two plain ways

Change: the package arrowyard-peers (questions by rings and in turn, indirect questions, accusations by several, doubt about oneself, lives and drawn marks of a name, vouching, digests and pages, the count for shares), fault plans as data in the stand-ins, and in arrowyard-fleet a world in simulated time that plays them before ours, plain SWIM and heartbeats to all. Nothing of it is linked into the router yet.

--- a/crates/arrowyard-fleet/src/lib.rs
+++ b/crates/arrowyard-fleet/src/lib.rs
@@ -8,6 +8,7 @@
 //! bench's; counts and their growth with the number of routers are what it is for.
 
 mod host;
+pub mod peers;
 mod world;
 
 pub use host::Host;
--- /dev/null
+++ b/crates/arrowyard-peers/src/lib.rs
@@ -0,0 +1,26 @@
+//! Routers that know each other. Each router holds a table of the fleet's members and asks a few of them, a constant
+//! number however large the fleet is, whether they live; what it finds out travels with the same datagrams. Here is what
+//! is decided: whom to ask, when silence counts, whose word counts, when to doubt oneself, and how many routers there are.
+//! No I/O and no clock: the caller hands in datagrams and the time, and carries out the deeds that come back.
+//!
+//! `docs/notes/peers.md` says which ways were weighed; the pieces are SWIM's indirect questions and incarnations,
+//! Lifeguard's doubt about oneself, and Rapid's several observers of each member.
+
+mod exchange;
+mod fleet;
+mod health;
+mod member;
+pub mod message;
+mod probe;
+mod reckon;
+mod table;
+mod terms;
+mod view;
+mod words;
+
+pub use fleet::{Counts, Deed, Event, Fleet, Me};
+pub use health::Health;
+pub use member::{Member, Slot, Standing, supersedes};
+pub use reckon::Reckoner;
+pub use terms::Terms;
+pub use view::{Reach, Row, View};
--- a/crates/arrowyard-standins/src/lib.rs
+++ b/crates/arrowyard-standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod flight;
 mod host;
 pub mod load;
+pub mod plan;
 pub mod router;
 pub mod speaks;
 pub mod town;
