Routers know each other over a socket of their own; tests halt, kill and cut real processes

Off without peers in the operator's file.

Found by the model, each mended: an accusation was said once, so that whoever had just heard from the member passed it over for good; the last of a fleet never believed refusals; a member that only one router knew was never given up. By the process tests: a planned end without clients was over before it was said.

--- a/crates/arrowyard-core/src/admit.rs
+++ b/crates/arrowyard-core/src/admit.rs
@@ -25,6 +25,8 @@
     limits: Rc<Limits>,
     /// Whether there are cells, which want to know more of an op.
     cells: bool,
+    /// Whether the router belongs to a fleet.
+    pub peers: bool,
 }
 
 /// An op that was admitted.
@@ -72,6 +74,7 @@
             ids: Rc::default(),
             limits,
             cells,
+            peers: false,
         }
     }
 
--- a/crates/arrowyard-core/src/lib.rs
+++ b/crates/arrowyard-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod list;
 pub mod logger;
 pub mod mail;
+pub mod peers;
 pub mod pool;
 pub mod reload;
 pub mod reply;
--- a/crates/arrowyard-core/src/mail.rs
+++ b/crates/arrowyard-core/src/mail.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use arrowyard_cells::Layout;
-use arrowyard_types::{Ask, CellId, HostId, OpId, Outcome, SendNo, Word};
+use arrowyard_types::{Ask, CellId, HostId, OpId, Outcome, PeerId, SendNo, Word};
 use tokio::sync::oneshot;
 
 use crate::back::Back;
@@ -29,6 +29,14 @@
     Relayout(Box<Layout>),
     /// Somebody wants to see the cells.
     Show(oneshot::Sender<String>),
+    /// Somebody wants to see the other routers.
+    ShowPeers(oneshot::Sender<String>),
+    /// Shares are reckoned by this number of routers from now on.
+    Fleet(f64),
+    /// What another router's module told.
+    Told(PeerId, Vec<u8>),
+    /// Whether the stage comes round: ops taken and acked since the start.
+    Echo(oneshot::Sender<(u64, u64)>),
     /// Of discovery.
     News(News),
 }
--- a/crates/arrowyard-core/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -19,6 +19,7 @@
 use crate::limits::Limits;
 use crate::list::List;
 use crate::mail::{self, Mail, Wish};
+use crate::peers::Errand;
 use crate::reply::Reply;
 use crate::roster::Roster;
 use crate::send::{self, End, Order};
@@ -32,6 +33,8 @@
     pub wishes: mpsc::Sender<Wish>,
     /// For the tasks that it starts.
     pub mail: mpsc::Sender<Mail<B>>,
+    /// The task that belongs to a fleet, where there is one.
+    pub peers: Option<mpsc::Sender<Errand>>,
 }
 
 /// The hosts of a move's target are asked where they are once in this part of a connect time-out.
@@ -57,6 +60,9 @@
     tallied: Instant,
     /// Connections begun by the last tally.
     dialed: u64,
+    /// Ops taken, and acked by the last tally, since the start.
+    taken: u64,
+    acked: u64,
 }
 
 impl<B: Back> Route<B> {
@@ -94,6 +100,8 @@
             rung,
             tallied,
             dialed: 0,
+            taken: 0,
+            acked: 0,
         };
         if let Some(list) = known {
             let note = route.listed(list, true);
@@ -369,6 +377,7 @@
     fn note(&mut self, mail: Mail<B>) -> Option<Note> {
         match mail {
             Mail::Asked(ask, _, payload, client) => {
+                self.taken += 1;
                 self.book.open(ask.op, payload, client);
                 Some(Note::Asked(ask))
             }
@@ -409,6 +418,24 @@
                 let _ = client.send(report.unwrap_or_default());
                 None
             }
+            Mail::ShowPeers(client) => {
+                match self.yard.peers.as_ref().map(|peers| peers.try_send(Errand::Show(client))) {
+                    Some(Ok(())) => {}
+                    // The client sees that nothing came.
+                    _ => tracing::warn!("the task of the fleet takes no errands"),
+                }
+                None
+            }
+            Mail::Fleet(routers) => Some(Note::Fleet { routers }),
+            Mail::Told(from, mut bytes) => {
+                // Danger: another router's word that a host is primary sends writes there. It only ever takes that away.
+                arrowyard::careful(&mut bytes);
+                Some(Note::Told { from, bytes })
+            }
+            Mail::Echo(client) => {
+                let _ = client.send((self.taken, self.acked + u64::from(self.book.tally.acked)));
+                None
+            }
             Mail::News(mail::News::Listed(list)) => Some(self.listed(&list, false)),
             Mail::News(mail::News::ListFailed) => Some(Note::ListFailed),
         }
@@ -479,14 +506,19 @@
             Action::Subscribe { on } => wish(wishes, Wish::Watch(on)),
             Action::FetchList => wish(wishes, Wish::Fetch),
             Action::CloseIdle { host } => back.close_idle(host),
-            // Routers on sockets have no way to talk to each other yet.
-            Action::Tell { .. } => {}
+            Action::Tell { bytes, .. } => {
+                if let Some(peers) = &self.yard.peers {
+                    // Danger: the fleet's task hangs, and the route stage with it. News that finds no room is lost.
+                    let _ = peers.try_send(Errand::Tell(bytes));
+                }
+            }
             Action::Log { text } => tracing::info!("{text}"),
         }
     }
 
     fn tally(&mut self) {
         let tally = std::mem::take(&mut self.book.tally);
+        self.acked += u64::from(tally.acked);
         let dialed = self.yard.back.dialed();
         self.tallied = Instant::now();
         tracing::info!(
--- a/crates/arrowyard-daemon/src/base.rs
+++ b/crates/arrowyard-daemon/src/base.rs
@@ -15,16 +15,18 @@
 use arrowyard_core::limits::Limits;
 use arrowyard_core::logger::{self, Form, Logbook};
 use arrowyard_core::mail::{Mail, Wish};
+use arrowyard_core::peers::{Errand, Peers};
 use arrowyard_core::reload::{Reload, Reread};
 use arrowyard_core::roster::Roster;
 use arrowyard_core::route::{Route, Yard};
 use arrowyard_core::waybill::Waybill;
-use arrowyard_types::Facts;
-use arrowyard_yardbook::{Yardbook, layout, schema};
+use arrowyard_types::{Fact, Facts};
+use arrowyard_yardbook::{Yardbook, belongs, layout, schema};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
 
 /// How the log is kept: as the operator's file says, else as without one.
 fn logbook(name: &str, lines: u32, book: Option<&Yardbook>) -> Logbook {
@@ -48,6 +50,7 @@
     pub beat: Rc<Beat>,
     pub clock: Clock,
     pub limits: Rc<Limits>,
+    peers: Option<mpsc::Sender<Errand>>,
     drain: Drain,
     signals: (Signal, Signal),
     route: JoinHandle<()>,
@@ -64,7 +67,7 @@
         book: Option<&Yardbook>,
         back: impl FnOnce(&Rc<Limits>) -> Rc<B>,
     ) -> Result<Self, String> {
-        let told = manifest(&waybill.settings)?;
+        let mut told = manifest(&waybill.settings)?;
         let limits = Rc::new(Limits::new(waybill, &told));
         logger::start(logbook(&waybill.name, limits.log_lines, book));
         let signals = drain::signals().map_err(|e| format!("signals: {e}"))?;
@@ -92,14 +95,35 @@
             wishes.send(Wish::Watch(true)).await.map_err(|e| e.to_string())?;
         }
 
-        let gate = Rc::new(Gate::new(&waybill.settings, &told, limits.clone(), cells.is_some()));
+        let mut gate = Gate::new(&waybill.settings, &told, limits.clone(), cells.is_some());
+        let mut peers = None;
+        if let Some(belongs) = book.and_then(belongs) {
+            gate.peers = true;
+            if belongs.news {
+                told.insert("peers".to_string(), Fact::Flag(true));
+            }
+            let (settings, mail) = (told.number_or("routers", 1.0), mail.clone());
+            let (task, errands) =
+                Peers::open(belongs, &waybill.name, settings, waybill.seed, clock, mail).await?;
+            drop(spawn_local(task.run()));
+            peers = Some(errands);
+        }
+        let gate = Rc::new(gate);
         let roster = Roster::new(&waybill.settings, limits.clone());
-        let yard = Yard { roster, back, clock, limits: limits.clone(), wishes, mail: mail.clone() };
+        let yard = Yard {
+            roster,
+            back,
+            clock,
+            limits: limits.clone(),
+            wishes,
+            mail: mail.clone(),
+            peers: peers.clone(),
+        };
         let route = Route::start(yard, waybill.seed, told, waybill.known.as_ref(), cells);
         let route = spawn_local(route.run(inbox));
         let clients = Rc::new(Cell::new(0));
         let drain = Drain { stage, clients: clients.clone(), limits: limits.clone() };
-        Ok(Base { gate, mail, clients, stage: staged, beat, clock, limits, drain, signals, route })
+        Ok(Base { peers, gate, mail, clients, stage: staged, beat, clock, limits, drain, signals, route })
     }
 
     /// Serves till it is told to end, or a front does, which never should.
@@ -109,7 +133,10 @@
     pub async fn run(self, front: impl Future<Output = String>) -> Result<(), String> {
         tokio::select! {
             biased;
-            () = self.drain.run(self.signals) => Ok(()),
+            () = self.drain.run(self.signals) => {
+                leave(self.peers).await;
+                Ok(())
+            }
             // Danger: a router that takes ops and answers none. Better that it ends and is started anew.
             ended = self.route => Err(format!("the route stage ended: {ended:?}")),
             why = front => Err(why),
@@ -117,6 +144,21 @@
     }
 }
 
+/// Tells the fleet that this router ends: twice, since each datagram may be lost. What is lost all the same is a death to
+/// the others, found out by the system's refusals.
+async fn leave(peers: Option<mpsc::Sender<Errand>>) {
+    let Some(peers) = peers else { return };
+    for _ in 0..2 {
+        let (done, said) = oneshot::channel();
+        // Danger: the fleet's task hangs, and the router with it, which was told to end.
+        let within = std::time::Duration::from_millis(100);
+        if peers.try_send(Errand::Leave(done)).is_err() || timeout(within, said).await.is_err() {
+            return;
+        }
+        sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
 /// Runs a router on the one thread that it has. What the platform tells it is read once the operator's file was.
 ///
 /// # Errors
--- a/crates/arrowyard-daemon/src/cells.rs
+++ b/crates/arrowyard-daemon/src/cells.rs
@@ -1,18 +1,17 @@
 //! `arrowyard cells …`: who belongs where, what an edit would move, and how a router's cells stand.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Duration;
 
 use arrowyard_cells::Layout;
 use arrowyard_cells::assign::{Assign, diff, drawn, odds};
 use arrowyard_types::GroupId;
 use clap::{Args, Subcommand};
-use comfy_table::{Table, presets};
 use serde_json::{Value, json};
 
+use crate::ask::{ask, rows, table, text};
+
 #[derive(Subcommand)]
 pub enum Command {
     /// Show the cells of a running router: what each holds, and how far its moves are.
@@ -71,19 +70,6 @@
     json: bool,
 }
 
-/// Bytes of a router's report at most.
-const MOST: usize = 16 * 1024 * 1024;
-
-fn table(heads: &[&str], rows: impl Iterator<Item = Vec<String>>) -> Table {
-    let mut table = Table::new();
-    table.load_style(presets::NOTHING);
-    table.set_header(heads.iter().copied());
-    rows.for_each(|row| {
-        table.add_row(row);
-    });
-    table
-}
-
 fn load(path: &Path) -> Result<Layout, String> {
     let book = arrowyard_yardbook::load(path)?;
     arrowyard_yardbook::layout(&book).ok_or_else(|| format!("{}: it says nothing of cells", path.display()))
@@ -174,56 +160,15 @@
     }
 }
 
-/// Asks a router by its clients' protocol.
-fn ask(router: SocketAddr) -> std::io::Result<Result<String, String>> {
-    let within = Duration::from_secs(5);
-    let mut stream = TcpStream::connect_timeout(&router, within)?;
-    stream.set_read_timeout(Some(within))?;
-    let startup = b"\0\x03\0\0user\0operator\0database\0orders\0\0";
-    stream.write_all(&(startup.len() as u32 + 4).to_be_bytes())?;
-    stream.write_all(startup)?;
-    let query = b"SHOW cells\0";
-    stream.write_all(b"Q")?;
-    stream.write_all(&(query.len() as u32 + 4).to_be_bytes())?;
-    stream.write_all(query)?;
-    let mut ready = 0;
-    loop {
-        let mut head = [0; 5];
-        stream.read_exact(&mut head)?;
-        let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
-        if !(4..=MOST).contains(&length) {
-            return Ok(Err("what it answers is no answer".to_string()));
-        }
-        let mut body = vec![0; length - 4];
-        stream.read_exact(&mut body)?;
-        match head[0] {
-            b'D' => return Ok(Ok(String::from_utf8_lossy(body.get(6..).unwrap_or_default()).into_owned())),
-            b'E' => return Ok(Err("the router has no cells, or is no arrowyard".to_string())),
-            // The first one lets us in.
-            b'Z' if ready > 0 => return Ok(Err("it said nothing".to_string())),
-            b'Z' => ready += 1,
-            _ => {}
-        }
-    }
-}
-
 fn show(show: &Show) -> Result<ExitCode, String> {
-    let told = ask(show.router).map_err(|error| format!("{}: {error}", show.router))?;
+    let told = ask(show.router, "cells").map_err(|error| format!("{}: {error}", show.router))?;
     let told = told.map_err(|why| format!("{}: {why}", show.router))?;
     if show.json {
         println!("{told}");
         return Ok(ExitCode::SUCCESS);
     }
     let told: Value = serde_json::from_str(&told).map_err(|error| format!("{}: {error}", show.router))?;
-    let text = |value: &Value| match value {
-        Value::Null => "-".to_string(),
-        Value::String(text) => text.clone(),
-        other => other.to_string(),
-    };
-    let rows = |of: &str, fields: &[&str]| -> Vec<Vec<String>> {
-        let all = told[of].as_array().map(Vec::as_slice).unwrap_or_default();
-        all.iter().map(|row| fields.iter().map(|field| text(&row[field])).collect()).collect()
-    };
+    let rows = |of: &str, fields: &[&str]| rows(&told[of], fields);
     println!("epoch {}, held {}", text(&told["epoch"]), text(&told["held"]));
     let heads = [
         "cell",
--- a/crates/arrowyard-daemon/src/lib.rs
+++ b/crates/arrowyard-daemon/src/lib.rs
@@ -1,8 +1,10 @@
 //! The command line of arrowyard, and one router in service, for each program that serves: what they share is here,
 //! what fronts they have is their own.
 
+mod ask;
 pub mod base;
 mod cells;
+mod peers;
 pub mod serve;
 
 use std::path::{Path, PathBuf};
@@ -35,6 +37,8 @@
     /// Cells: who belongs where, what an edit would move, how a router's cells stand.
     #[command(subcommand)]
     Cells(cells::Command),
+    /// Show what a running router holds true of the other routers of its fleet.
+    Peers(peers::Peers),
 }
 
 #[derive(Args)]
@@ -94,6 +98,7 @@
         Some(Command::Run(run)) => serve(run.book).map(|()| ExitCode::SUCCESS),
         Some(Command::Check(Check { file, json })) => check(&file, json),
         Some(Command::Cells(command)) => cells::run(command),
+        Some(Command::Peers(peers)) => peers::run(&peers),
     };
     done.unwrap_or_else(|why| {
         eprintln!("arrowyard: {}", why.replace('\n', "\narrowyard: "));
--- a/crates/arrowyard-front-pg/src/take_in.rs
+++ b/crates/arrowyard-front-pg/src/take_in.rs
@@ -245,6 +245,11 @@
                 self.front.mail.send(Mail::Show(client)).await.map_err(|_| Ended)?;
                 put_value(&mut self.out, "cells", &answer.await.map_err(|_| Ended)?);
             }
+            "SHOW" if self.front.gate.peers && command.eq_ignore_ascii_case("show peers") => {
+                let (client, answer) = oneshot::channel();
+                self.front.mail.send(Mail::ShowPeers(client)).await.map_err(|_| Ended)?;
+                put_value(&mut self.out, "peers", &answer.await.map_err(|_| Ended)?);
+            }
             _ if !self.front.make_room() => {
                 relay::put_crowded(&mut self.out);
                 return self.end().await;
--- a/crates/arrowyard-peers/src/lib.rs
+++ b/crates/arrowyard-peers/src/lib.rs
@@ -21,6 +21,6 @@
 pub use fleet::{Counts, Deed, Event, Fleet, Me};
 pub use health::Health;
 pub use member::{Member, Slot, Standing, supersedes};
-pub use reckon::Reckoner;
-pub use terms::Terms;
+pub use reckon::{Reckoner, Sight};
+pub use terms::{Belongs, Terms};
 pub use view::{Reach, Row, View};
--- a/crates/arrowyard-peers/src/probe.rs
+++ b/crates/arrowyard-peers/src/probe.rs
@@ -212,13 +212,13 @@
                     self.health.bad();
                     return;
                 }
-                if self.health.doubts(now) {
+                if self.health.doubts(now) && !ask.refused {
                     return;
                 }
                 self.accuse(now, slot, ask.refused);
             }
             Why::Verify(claim, by) => {
-                if self.health.doubts(now) {
+                if self.health.doubts(now) && !ask.refused {
                     return;
                 }
                 let standing = match claim {
@@ -248,21 +248,31 @@
     /// This router itself finds a member silent.
     fn accuse(&mut self, now: Point, slot: Slot, refused: bool) {
         let me = self.me.name.clone();
-        let live = self.table.live().len();
+        let (live, doubts) = (self.table.live().len(), self.health.doubts(now));
+        let lost_after = self.health.stretch(self.terms.lost_after);
+        // A single word of a refusal may be a wall that refuses this router alone, so that a second one has to say so,
+        // where there is anybody. (The last of a fleet hears nobody; that it is refused it still knows.)
+        let alone = refused && !self.hears_others(now, slot);
         let Some(one) = self.table.touch(slot) else { return };
         one.failed = now;
-        let new = one.accuse(&me);
         if refused && !one.refused_by.contains(&me) {
             one.refused_by.push(me.clone());
         }
-        // A single word of a refusal may be a wall that refuses this router alone.
-        let dead = one.refused_by.len() >= 2 || !one.refused_by.is_empty() && live <= 1;
-        let (standing, agreed) = (one.standing, one.accusers.len() >= 2 || live <= 2);
+        // Nor may nobody else know it: all others started since. Then this router's own questions have to do, for long.
+        let long = one.silent_for(now) >= lost_after;
+        let dead = one.refused_by.len() >= 2 || refused && (alone || long);
+        if doubts && !dead {
+            return;
+        }
+        one.accuse(&me);
+        let (standing, agreed) = (one.standing, one.accusers.len() >= 2 || live <= 2 || long);
         if dead && standing < Standing::Dead {
             self.stands(now, slot, Standing::Dead, &me);
         } else if standing == Standing::Alive && agreed {
             self.stands(now, slot, Standing::Silent, &me);
-        } else if new {
+        } else if standing == Standing::Alive {
+            // Said again with each question that fails. Danger: who heard it too early, when it had just heard from the
+            // member, passed the word over, and nobody would ever say it again.
             let times = self.times();
             self.table.spread(slot, times);
             let mut rumor = self.table.get(slot).map(Member::rumor).unwrap_or_default();
@@ -279,6 +289,13 @@
         }
     }
 
+    /// Whether anybody else was heard in these periods.
+    fn hears_others(&self, now: Point, slot: Slot) -> bool {
+        let since = now - self.terms.period * 6.0;
+        let heard = |one: &Member| one.own_proof() >= since;
+        self.table.live().iter().any(|&other| other != slot && self.table.get(other).is_some_and(heard))
+    }
+
     /// The machine there says that nobody listens.
     pub fn refused(&mut self, name: &str, life: u64) {
         let Some(slot) = self.table.slot(name) else { return };
--- a/crates/arrowyard-peers/src/terms.rs
+++ b/crates/arrowyard-peers/src/terms.rs
@@ -116,3 +116,16 @@
         self.via.get(name).copied().unwrap_or(at)
     }
 }
+
+/// How this router belongs to its fleet, from the operator's file.
+#[derive(Clone, Debug)]
+pub struct Belongs {
+    pub listen: SocketAddr,
+    /// Where the others reach it; where it listens if absent.
+    pub advertise: Option<SocketAddr>,
+    pub terms: Terms,
+    /// The number of routers in reach replaces the one of the settings.
+    pub shares: bool,
+    /// What the module wants to tell the others goes out, and what they tell comes in.
+    pub news: bool,
+}
--- a/crates/arrowyard-standins/src/lib.rs
+++ b/crates/arrowyard-standins/src/lib.rs
@@ -10,6 +10,8 @@
 mod host;
 pub mod load;
 pub mod plan;
+pub mod relay;
+pub mod rig;
 pub mod router;
 pub mod speaks;
 pub mod town;
--- /dev/null
+++ b/crates/arrowyard-standins/src/rig.rs
@@ -0,0 +1,347 @@
+//! A fleet of real processes of the program before one town, with relays between them and a fault plan that is played.
+//! What each process held of each other one, and when, is read from its log, stamped by the machine's monotonic clock.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use tokio::runtime::{Builder, Runtime};
+
+use crate::client::{Client, Reply};
+use crate::plan::{Fault, Plan};
+use crate::relay::Relays;
+use crate::router::{OP_TYPES, Process, waybill};
+use crate::town::{Spec, Town};
+
+/// One line of a process's history: at that time it held the other one to be so.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Held {
+    pub mono_us: i64,
+    pub by: usize,
+    pub of: usize,
+    pub life: u64,
+    pub standing: String,
+}
+
+impl Held {
+    /// Lost or dead.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        self.standing == "Lost" || self.standing == "Dead"
+    }
+}
+
+/// What the operator's files of a fleet say beside the relays' addresses.
+#[derive(Clone, Debug)]
+pub struct Setting {
+    pub processes: usize,
+    pub seed: u64,
+    /// Further fields of `peers`.
+    pub more: String,
+    /// Without membership, for comparisons.
+    pub off: bool,
+    /// What the platform's settings say of the number of routers.
+    pub told_routers: usize,
+}
+
+impl Setting {
+    #[must_use]
+    pub fn of(processes: usize) -> Setting {
+        Setting { processes, seed: 1, more: String::new(), off: false, told_routers: processes }
+    }
+}
+
+pub struct Rig {
+    pub town: Town,
+    pub relays: Relays,
+    program: PathBuf,
+    setting: Setting,
+    processes: Vec<Option<Process>>,
+    /// When each process started last, and the logs of those that ended.
+    started: Vec<i64>,
+    logs: Vec<Vec<(usize, String)>>,
+    runtime: Option<Runtime>,
+}
+
+/// Microseconds of the machine's monotonic clock.
+#[must_use]
+pub fn mono_us() -> i64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    now.tv_sec * 1_000_000 + now.tv_nsec / 1000
+}
+
+/// The number in a process's name.
+fn number(name: &str) -> Option<usize> {
+    name.strip_prefix('n')?.parse().ok()
+}
+
+impl Rig {
+    /// Starts the processes; they know some seeds, one of which nobody listens at.
+    ///
+    /// # Errors
+    /// What a process said that did not start.
+    pub fn start(program: &Path, setting: Setting) -> Result<Rig, String> {
+        let host = |name: &str| Spec { slots: 64, ..Spec::new(name, 7, name == "p-0") };
+        let town = Town::start(&["p-0", "r-0", "r-1"].map(host));
+        let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build();
+        let runtime = runtime.map_err(|error| error.to_string())?;
+        let relays = runtime.block_on(Relays::start(setting.processes, setting.seed));
+        let count = setting.processes;
+        let mut rig = Rig {
+            town,
+            relays,
+            program: program.to_path_buf(),
+            processes: (0..count).map(|_| None).collect(),
+            started: vec![0; count],
+            logs: vec![Vec::new(); count],
+            runtime: Some(runtime),
+            setting,
+        };
+        (0..count).try_for_each(|who| rig.begin(who))?;
+        Ok(rig)
+    }
+
+    /// Whether it plays without membership.
+    #[must_use]
+    pub fn is_off(&self) -> bool {
+        self.setting.off
+    }
+
+    /// The operator's file of a process.
+    #[must_use]
+    pub fn book(&self, who: usize) -> String {
+        let head = "epoch: 1\nlog { form: JSON lines_a_second: 100000 }\n";
+        if self.setting.off {
+            return head.to_string();
+        }
+        let others = (0..self.setting.processes).filter(|&other| other != who);
+        let via = others
+            .clone()
+            .map(|to| format!("  via {{ name: \"n{to}\" at: \"{}\" }}\n", self.relays.face(who, to)));
+        let seeds = others.take(2).map(|to| format!("  seed: \"{}\"\n", self.relays.face(who, to)));
+        // A port that nobody has.
+        let gone = "  seed: \"127.0.0.1:1\"\n";
+        format!(
+            "{head}peers {{\n  fleet: \"rig\"\n  listen: \"127.0.0.1:0\"\n  allow: \"127.0.0.0/8\"\n{gone}{}{}  {}\n}}\n",
+            seeds.collect::<String>(),
+            via.collect::<String>(),
+            self.setting.more
+        )
+    }
+
+    /// Starts a process, anew if it ran before.
+    ///
+    /// # Errors
+    /// What it said when it did not start.
+    pub fn begin(&mut self, who: usize) -> Result<(), String> {
+        self.keep_log(who);
+        let mut waybill = waybill(&self.town, &OP_TYPES, 512);
+        waybill["name"] = json!(format!("n{who}"));
+        waybill["seed"] = json!(format!("{:016x}", self.setting.seed * 1000 + who as u64));
+        waybill["settings"]["balancers"] = json!(self.setting.told_routers);
+        self.started[who] = mono_us();
+        let process = Process::start(&self.program, &waybill, Some(&self.book(who)))?;
+        let log = process.log.lock().expect("nobody panics with the log").clone();
+        let at = log.iter().find_map(|line| {
+            let (_, rest) = line.split_once("datagrams at ")?;
+            rest.split(['"', ' ']).next()?.parse().ok()
+        });
+        self.relays.place(who, at);
+        self.processes[who] = Some(process);
+        Ok(())
+    }
+
+    fn keep_log(&mut self, who: usize) {
+        if let Some(process) = self.processes[who].take() {
+            let lines = process.log.lock().expect("nobody panics with the log").clone();
+            self.logs[who].extend(lines.into_iter().map(|line| (who, line)));
+        }
+    }
+
+    /// Kills a process at once.
+    pub fn kill(&mut self, who: usize) {
+        if let Some(process) = &self.processes[who] {
+            process.signal("KILL");
+        }
+        self.relays.place(who, None);
+        self.keep_log(who);
+    }
+
+    /// Ends a process as planned; its exit code.
+    pub fn end(&mut self, who: usize) -> Option<i32> {
+        let code = self.processes[who].as_mut().and_then(Process::terminate);
+        self.relays.place(who, None);
+        self.keep_log(who);
+        code
+    }
+
+    #[must_use]
+    pub fn process(&self, who: usize) -> Option<&Process> {
+        self.processes[who].as_ref()
+    }
+
+    #[must_use]
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.processes.len()).filter(|&who| self.processes[who].is_some()).collect()
+    }
+
+    /// What a process shows of its view; nothing while it does not answer.
+    #[must_use]
+    pub fn view(&self, who: usize) -> Option<Value> {
+        let address = self.processes[who].as_ref()?.address;
+        let asked = async {
+            let mut client = Client::connect(address).await.ok()?;
+            let Ok(Reply::Value(text)) = client.ask("SHOW peers").await else { return None };
+            serde_json::from_str(&text).ok()
+        };
+        let within = Duration::from_millis(1000);
+        self.runtime().block_on(async { tokio::time::timeout(within, asked).await.ok().flatten() })
+    }
+
+    fn runtime(&self) -> &Runtime {
+        self.runtime.as_ref().expect("it is there till the rig is dropped")
+    }
+
+    /// Whether each process that runs holds the others that run alive, and no others.
+    #[must_use]
+    pub fn agreed(&self) -> bool {
+        let running = self.running();
+        running.iter().all(|&who| {
+            let Some(view) = self.view(who) else { return false };
+            let alive = |row: &&Value| row["standing"] == "alive";
+            let rows = view["peers"].as_array().map(Vec::as_slice).unwrap_or_default();
+            let mut held: Vec<usize> =
+                rows.iter().filter(alive).filter_map(|row| number(row["name"].as_str()?)).collect();
+            held.push(who);
+            held.sort_unstable();
+            held == running
+        })
+    }
+
+    /// Waits till all agree; how long it took, or nothing if that was too long.
+    #[must_use]
+    pub fn agree(&self, within: Duration) -> Option<Duration> {
+        let began = Instant::now();
+        while began.elapsed() < within {
+            if self.agreed() {
+                return Some(began.elapsed());
+            }
+            std::thread::sleep(Duration::from_millis(25));
+        }
+        None
+    }
+
+    /// Plays the plan's acts from now on, the first one at once, and on till so long after its last end. The time at which
+    /// the first began, and the time of each kill or end with its act.
+    pub fn play(&mut self, plan: &Plan, after: Duration) -> i64 {
+        let first = plan.acts.iter().map(|act| act.at_ms).min().unwrap_or_default();
+        let began = Instant::now();
+        let zero = mono_us();
+        let mut last = 0;
+        for (at_ms, act, begins) in plan.steps() {
+            let at = Duration::from_millis(at_ms - first);
+            last = at_ms - first;
+            std::thread::sleep(at.saturating_sub(began.elapsed()));
+            self.step(act, &plan.acts[act].fault, begins);
+        }
+        let end = Duration::from_millis(last) + after;
+        std::thread::sleep(end.saturating_sub(began.elapsed()));
+        zero
+    }
+
+    fn signal(&self, who: &[usize], name: &str) {
+        who.iter().filter_map(|&who| self.processes[who].as_ref()).for_each(|process| process.signal(name));
+    }
+
+    fn step(&mut self, act: usize, fault: &Fault, begins: bool) {
+        let pairs = |from: &[usize], to: &[usize]| -> Vec<(usize, usize)> {
+            from.iter().flat_map(|&one| to.iter().map(move |&two| (one, two))).collect()
+        };
+        match (fault, begins) {
+            (Fault::Halt(who), true) => self.signal(who, "STOP"),
+            (Fault::Halt(who), false) => self.signal(who, "CONT"),
+            (Fault::Kill(who), true) => who.iter().for_each(|&who| self.kill(who)),
+            (Fault::End(who), true) => {
+                who.iter().for_each(|&who| {
+                    self.end(who);
+                });
+            }
+            (Fault::EndUnheard(who), true) => {
+                let others: Vec<usize> =
+                    (0..self.processes.len()).filter(|other| !who.contains(other)).collect();
+                self.relays.cut(act, pairs(who, &others).into_iter().collect());
+                who.iter().for_each(|&who| {
+                    self.end(who);
+                });
+                self.relays.heal(act);
+            }
+            (Fault::Kill(who) | Fault::End(who) | Fault::EndUnheard(who), false) => {
+                who.iter().for_each(|&who| self.begin(who).expect("it starts again"));
+            }
+            (Fault::Cut(from, to), true) => self.relays.cut(act, pairs(from, to).into_iter().collect()),
+            (Fault::Part(one, two), true) => {
+                let both = pairs(one, two).into_iter().chain(pairs(two, one)).collect();
+                self.relays.cut(act, both);
+            }
+            (Fault::Cut(..) | Fault::Part(..), false) => self.relays.heal(act),
+            (Fault::Lose(share), begins) => self.relays.lose(if begins { *share } else { 0.0 }),
+            (Fault::Double(share), begins) => self.relays.double(if begins { *share } else { 0.0 }),
+            (Fault::Garble(share), begins) => self.relays.garble(if begins { *share } else { 0.0 }),
+            (Fault::Delay { ms }, begins) => self.relays.delay(if begins { *ms } else { 0 }),
+        }
+    }
+
+    /// All that every process held of every other one, in the order of time.
+    #[must_use]
+    pub fn history(&self) -> Vec<Held> {
+        let mut held = Vec::new();
+        let mut read = |by: usize, line: &str| {
+            let Ok(told) = serde_json::from_str::<Value>(line) else { return };
+            let standing = told["message"].as_str().and_then(|text| text.strip_prefix("peer is "));
+            let Some(standing) = standing else { return };
+            let Some(of) = told["peer"].as_str().and_then(number) else { return };
+            let (mono_us, life) = (told["mono_us"].as_i64(), told["life"].as_u64());
+            let (mono_us, life) = (mono_us.unwrap_or_default(), life.unwrap_or_default());
+            held.push(Held { mono_us, by, of, life, standing: standing.to_string() });
+        };
+        for (by, lines) in self.logs.iter().enumerate() {
+            lines.iter().for_each(|(_, line)| read(by, line));
+        }
+        for (by, process) in self.processes.iter().enumerate() {
+            if let Some(process) = process {
+                process
+                    .log
+                    .lock()
+                    .expect("nobody panics with the log")
+                    .iter()
+                    .for_each(|line| read(by, line));
+            }
+        }
+        held.sort_by_key(|held| held.mono_us);
+        held
+    }
+
+    /// Deaths and losses that were held of a process which ran then, since that time.
+    #[must_use]
+    pub fn wrong(&self, since: i64, ran: impl Fn(usize, i64) -> bool) -> Vec<Held> {
+        let over = |held: &Held| held.mono_us >= since && held.is_over() && ran(held.of, held.mono_us);
+        self.history().into_iter().filter(over).collect()
+    }
+
+    /// Core time in ticks and memory in KB of all that run.
+    #[must_use]
+    pub fn cost(&self) -> (u64, u64) {
+        let costs = self.processes.iter().flatten().map(Process::cost);
+        costs.fold((0, 0), |sum, cost| (sum.0 + cost.0, sum.1.max(cost.1)))
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        // A halted process does not end before it runs again, but for a kill, which the processes' own drop is.
+        self.processes.clear();
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
--- a/crates/arrowyard-types/src/interface.rs
+++ b/crates/arrowyard-types/src/interface.rs
@@ -195,6 +195,10 @@
         from: PeerId,
         bytes: Vec<u8>,
     },
+    /// Shares are reckoned by this number of routers from now on.
+    Fleet {
+        routers: f64,
+    },
 }
 
 /// What a router wants done; in this order.
--- a/crates/arrowyard-yardbook/src/check.rs
+++ b/crates/arrowyard-yardbook/src/check.rs
@@ -7,7 +7,9 @@
 use ipnet::IpNet;
 
 use crate::places::Places;
-use crate::schema::{Cell, Cells, Flight, Lease, Log, Move, Net, Pace, Release, Repeats, Rest, Step, Tenant};
+use crate::schema::{
+    Cell, Cells, Flight, Lease, Log, Move, Net, Pace, Peers, Release, Repeats, Rest, Step, Tenant,
+};
 use crate::{Fault, Yardbook};
 
 /// Cells at most, and rows of hosts in each.
@@ -41,6 +43,9 @@
     if let Some(flight) = &book.flight {
         checker.flight(flight);
     }
+    if let Some(peers) = &book.peers {
+        checker.peers(peers);
+    }
     checker.faults
 }
 
@@ -96,6 +101,60 @@
         self.number("flight.handles", flight.handles, 1, 1_000_000);
     }
 
+    fn address(&mut self, field: &str, told: Option<&str>, needed: bool) {
+        match told.map(str::parse::<SocketAddr>) {
+            None if needed => self.fault(field, "it has to be given".to_string()),
+            Some(Err(_)) => {
+                self.fault(field, "it is no address with a port, as in \"10.0.0.5:7400\"".to_string());
+            }
+            _ => {}
+        }
+    }
+
+    fn peers(&mut self, peers: &Peers) {
+        self.name("peers.fleet", peers.fleet.as_deref());
+        self.address("peers.listen", peers.listen.as_deref(), true);
+        self.address("peers.advertise", peers.advertise.as_deref(), false);
+        let listen = peers.listen.as_deref().and_then(|at| at.parse::<SocketAddr>().ok());
+        if peers.advertise.is_none() && listen.is_some_and(|at| at.ip().is_unspecified()) {
+            let what = "listen names no address that others could reach; advertise has to";
+            self.fault("peers.advertise", what.to_string());
+        }
+        for (row, seed) in peers.seed.iter().enumerate() {
+            self.address(&format!("peers.seed[{row}]"), Some(seed), true);
+        }
+        let prefixes = peers.allow.iter().enumerate().map(|(n, net)| (format!("peers.allow[{n}]"), net));
+        self.are_prefixes(prefixes.collect());
+        let allowed: Vec<IpNet> = peers.allow.iter().filter_map(|net| net.parse().ok()).collect();
+        let own = peers.advertise.as_deref().and_then(|at| at.parse::<SocketAddr>().ok()).or(listen);
+        if let Some(own) =
+            own.filter(|own| !allowed.is_empty() && !allowed.iter().any(|net| net.contains(&own.ip())))
+        {
+            let what = format!("{own}, where the others reach this router, is in none of them");
+            self.fault("peers.allow", what);
+        }
+        let mut names = HashMap::new();
+        for (row, via) in peers.via.iter().enumerate() {
+            let path = format!("peers.via[{row}]");
+            self.name(&format!("{path}.name"), via.name.as_deref());
+            self.address(&format!("{path}.at"), via.at.as_deref(), true);
+            if let Some(first) = names.insert(via.name(), row) {
+                let line = self.places.of(&format!("peers.via[{first}]")).line;
+                self.fault(&path, format!("{:?} stands in line {line}, too", via.name()));
+            }
+        }
+        self.number("peers.period_ms", peers.period_ms, 50, 60_000);
+        self.number("peers.members", peers.members, 2, 100_000);
+        self.number("peers.lost_after_ms", peers.lost_after_ms, 500, 3_600_000);
+        let (period, lost) = (peers.period_ms.unwrap_or(500), peers.lost_after_ms.unwrap_or(4500));
+        if lost < period.saturating_mul(3) {
+            let what = format!(
+                "{lost} ms is less than three periods of {period} ms: a lost datagram or two would do"
+            );
+            self.fault("peers.lost_after_ms", what);
+        }
+    }
+
     fn cells(&mut self, cells: &Cells) {
         if cells.cell.is_empty() {
             self.fault("cells", "there is no cell; leave cells out to have none".to_string());
@@ -230,6 +289,10 @@
         prefixes.extend(net.prefix.as_ref().map(|prefix| (format!("{path}.prefix"), prefix)));
         prefixes.extend(net.within.iter().enumerate().map(|(n, p)| (format!("{path}.within[{n}]"), p)));
         prefixes.extend(net.without.iter().enumerate().map(|(n, p)| (format!("{path}.without[{n}]"), p)));
+        self.are_prefixes(prefixes);
+    }
+
+    fn are_prefixes(&mut self, prefixes: Vec<(String, &String)>) {
         for (field, prefix) in prefixes {
             match prefix.parse::<IpNet>() {
                 Ok(net) if net.addr() != net.network() => {
--- a/crates/arrowyard-yardbook/src/layout.rs
+++ b/crates/arrowyard-yardbook/src/layout.rs
@@ -2,6 +2,7 @@
 
 use arrowyard_cells::layout::{Cell, Layout, Lease, Net, Pace, Release, Repeats};
 use arrowyard_cells::moving::{Row, Step};
+use arrowyard_peers::{Belongs, Terms};
 use arrowyard_types::{CellId, GroupId, Point, Span};
 use ipnet::IpNet;
 
@@ -97,3 +98,26 @@
         moves: told.r#move.iter().filter_map(moving).collect(),
     })
 }
+
+/// What a book that was checked says of the fleet; nothing if it names none.
+pub fn belongs(book: &schema::Yardbook) -> Option<Belongs> {
+    let told = book.peers.as_ref()?;
+    let usual = Terms::paced(span(told.period_ms, 500));
+    let via = told.via.iter().filter_map(|via| Some((via.name().to_string(), via.at().parse().ok()?)));
+    let terms = Terms {
+        fleet: told.fleet().to_string(),
+        seeds: told.seed.iter().filter_map(|at| at.parse().ok()).collect(),
+        allowed: told.allow.iter().filter_map(|net| net.parse().ok()).collect(),
+        via: via.collect(),
+        lost_after: span(told.lost_after_ms, (usual.lost_after.micros() / 1000) as u32),
+        members: told.members.map_or(usual.members, |most| most as usize),
+        ..usual
+    };
+    Some(Belongs {
+        listen: told.listen().parse().ok()?,
+        advertise: told.advertise.as_ref().and_then(|at| at.parse().ok()),
+        terms,
+        shares: told.shares.unwrap_or(false),
+        news: told.news.unwrap_or(false),
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,4 +6,5 @@
 mod sends;
 mod state;
 
+pub use post::careful;
 pub use router::Router;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -335,6 +335,9 @@
                 post.hosts.put(host, HostNote::Probed(word));
                 self.try_held(post);
             }
+            Note::Fleet { routers } => {
+                drop(self.charter.insert("routers".to_string(), Fact::Number(routers)))
+            }
             Note::Told { bytes, .. } => {
                 if let Some((tag, word)) = news_from(&bytes, self.now) {
                     let meant = self.hosts().filter(|&host| self.face(host).tag == tag);
--- a/src/post.rs
+++ b/src/post.rs
@@ -66,6 +66,14 @@
     [&tag.to_le_bytes()[..], &millis.to_le_bytes(), &[role]].concat()
 }
 
+/// Takes from another router's news what could allow a send: that a host is primary. Its position is a bound that was
+/// proven once, and that it is a replica only takes something away.
+pub fn careful(bytes: &mut [u8]) {
+    if let [.., role @ 1] = bytes {
+        *role = 0;
+    }
+}
+
 /// Positions are not in the future, so that the lower bits are enough. Nothing of a message of another form.
 pub fn news_from(bytes: &[u8], now: Point) -> Option<(u32, Word)> {
     let [t0, t1, t2, t3, p0, p1, p2, p3, role] = *<&[u8; 9]>::try_from(bytes).ok()?;
