News of a crash runs ahead of its checks; a drain that the own watch does not tell is looked up

Cause, seen in the model by printing each second what the one with the fewest members holds: a word was passed on only after its receiver had checked it, 0.3 s for each step; pushes for members that join took what urgent news needed; and digests waited for the same bucket, so that whoever missed one row after a herd had to wait. Ruled out: questions that are too seldom (rings ask each member twice a period).

Change: a word is passed on as its check begins, joins are no urgent news, digests and pages have a bucket of their own, silent members are asked again by whoever holds them so. A router that hears of a drain tells others; one whose own watch does not say so within the grace asks for the list (hints.rs, without I/O).

With mute watches a process learns of a drain within 4 s, and not at all without news (the test plays both).

--- a/crates/arrowyard-core/src/lib.rs
+++ b/crates/arrowyard-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod discovery;
 pub mod drain;
 pub mod hatch;
+pub mod hints;
 mod http;
 pub mod limits;
 pub mod list;
--- a/crates/arrowyard-core/src/roster.rs
+++ b/crates/arrowyard-core/src/roster.rs
@@ -30,6 +30,8 @@
     /// A group as a cell sees it, by the lists' group and the cell. Numbers that no list has: they begin where the
     /// least one ends.
     views: HashMap<(GroupId, CellId), GroupId>,
+    /// What all routers call the hosts that ceased to be ready since somebody asked.
+    ceased: Vec<u32>,
     /// Hosts that are gone, and since when; the longest first.
     gone: VecDeque<(Instant, String)>,
     limits: Rc<Limits>,
@@ -40,8 +42,8 @@
         let sites = settings.get("dcs").and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
         let sites = sites.iter().filter_map(Value::as_str).enumerate();
         let zones = sites.map(|(n, site)| (site.to_string(), ZoneId(n as u32))).collect();
-        let (ids, dials, last, raw, views, gone) = Default::default();
-        Roster { ids, dials, last, zones, raw, views, gone, limits }
+        let (ids, dials, last, raw, views, ceased, gone) = Default::default();
+        Roster { ids, dials, last, zones, raw, views, ceased, gone, limits }
     }
 
     pub fn dial(&self, host: HostId) -> Option<SocketAddr> {
@@ -104,6 +106,16 @@
         self.last.iter().filter(|entry| entry.availability != Availability::Gone).cloned().collect()
     }
 
+    /// What all routers call the hosts that ceased to be ready since this was asked last.
+    pub fn ceased(&mut self) -> Vec<u32> {
+        std::mem::take(&mut self.ceased)
+    }
+
+    /// Whether the list holds the host that all routers call so as ready.
+    pub fn holds_ready(&self, tag: u32) -> bool {
+        self.last.iter().any(|entry| entry.tag == tag && entry.availability == Availability::Ready)
+    }
+
     /// The hosts of a group, as lists name it, and their names.
     pub fn members(&self, group: GroupId) -> Vec<(HostId, &str)> {
         let of = |entry: &&Entry| self.raw[entry.host.0 as usize].1 == group;
@@ -154,6 +166,12 @@
         }
         self.dials[place] = line.dial.or(self.dials[place]);
         let last = &mut self.last[place];
+        if last.availability == Availability::Ready
+            && line.availability != Availability::Ready
+            && known.is_some()
+        {
+            self.ceased.push(last.tag);
+        }
         if last.availability != line.availability || known.is_none() {
             let dial = self.dials[place];
             tracing::info!(host = line.host, dial = ?dial, "host is {:?}", line.availability);
--- a/crates/arrowyard-core/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -16,6 +16,7 @@
 use crate::back::Back;
 use crate::book::Book;
 use crate::clock::Clock;
+use crate::hints::{Hints, hint, hinted};
 use crate::limits::Limits;
 use crate::list::List;
 use crate::mail::{self, Mail, Wish};
@@ -60,6 +61,8 @@
     tallied: Instant,
     /// Connections begun by the last tally.
     dialed: u64,
+    /// Hosts that others say are leaving.
+    hints: Hints,
     /// Ops taken, and acked by the last tally, since the start.
     taken: u64,
     acked: u64,
@@ -77,6 +80,8 @@
         let now = yard.clock.now();
         let most_after = manifest.flag("retry_after").then(|| manifest.span("max_retry_after"));
         let cold = manifest.span("cold");
+        // Within the grace the own watch should have told; where none is told, half a second.
+        let grace = manifest.span("drain_grace").max(Span::from_millis(500));
         let ward = cells.map(|layout| {
             let (rows, marks) = (OpType::rows(&manifest), manifest.flag("marks_retry"));
             Ward::new(now, layout, yard.limits.of_cells(), rows, marks)
@@ -100,6 +105,7 @@
             rung,
             tallied,
             dialed: 0,
+            hints: Hints::new(grace, grace * 2.0),
             taken: 0,
             acked: 0,
         };
@@ -317,6 +323,10 @@
     fn listed(&mut self, list: &List, saved: bool) -> Note {
         let note = self.yard.roster.note(list, saved);
         self.book.tally.listed += list.lines.len() as u32;
+        let ceased = self.yard.roster.ceased();
+        if let Some(peers) = self.yard.peers.as_ref().filter(|_| !saved) {
+            ceased.into_iter().for_each(|tag| drop(peers.try_send(Errand::Tell(hint(tag)))));
+        }
         match note {
             Note::Listed { form, entries } if self.ward.is_some() => {
                 Note::Listed { form, entries: self.divided(entries) }
@@ -368,6 +378,10 @@
             self.tally();
         }
         let now = self.yard.clock.now();
+        if self.hints.look(now, |tag| self.yard.roster.holds_ready(tag)) {
+            tracing::info!("other routers say that a host is leaving: the list is asked for");
+            wish(&self.yard.wishes, Wish::Fetch);
+        }
         let due = self.alarms.peek().is_some_and(|Reverse((at, ..))| *at <= now);
         let alarm = due.then(|| self.alarms.pop()).flatten();
         alarm.map(|Reverse((_, _, cookie))| Note::Rang { cookie })
@@ -428,6 +442,10 @@
             }
             Mail::Fleet(routers) => Some(Note::Fleet { routers }),
             Mail::Told(from, mut bytes) => {
+                if let Some(tag) = hinted(&bytes) {
+                    self.hints.heard(self.yard.clock.now(), tag);
+                    return None;
+                }
                 // Danger: another router's word that a host is primary sends writes there. It only ever takes that away.
                 arrowyard::careful(&mut bytes);
                 Some(Note::Told { from, bytes })
--- a/crates/arrowyard-daemon/tests/peers.rs
+++ b/crates/arrowyard-daemon/tests/peers.rs
@@ -360,3 +360,28 @@
         Command::new(env!("CARGO_BIN_EXE_arrowyard")).args(["peers", &address]).output().expect("it runs");
     assert_eq!(shown.status.code(), Some(2));
 }
+
+#[test]
+fn a_drain_that_the_own_watch_does_not_tell_is_heard_of_from_others_and_looked_up() {
+    // The same without news: nobody says so, and the third one goes on sending there.
+    for (news, wanted) in [("news: true", true), ("", false)] {
+        let mut rig = rig(Setting { more: news.to_string(), ..Setting::of(3) });
+        rig.kill(2);
+        // Watches that are opened from now on say nothing; those of the other two go on.
+        rig.town.mute();
+        rig.begin(2).expect("it starts");
+        agreed(&rig, 15_000, &Plan::new("mute", 3, 0));
+        rig.town.drain("r-1");
+        let heard = rig.process(2).is_some_and(|process| process.said("host is Draining", ms(4_000)));
+        assert_eq!(heard, wanted, "{news}");
+        assert!(rig.process(0).is_some_and(|process| process.said("host is Draining", ms(1_000))));
+        if wanted {
+            // From then on nothing goes there beyond the grace.
+            std::thread::sleep(ms(700));
+            let before = rig.town.ledger().commands.get("r-1").copied().unwrap_or_default();
+            let outcome = ops(rig.process(2).expect("it runs"), ms(1_500), 4).join().expect("it was played");
+            audit(&rig, &[outcome], &Plan::new("mute", 3, 0));
+            assert_eq!(rig.town.ledger().commands.get("r-1").copied().unwrap_or_default(), before);
+        }
+    }
+}
--- a/crates/arrowyard-fleet/src/bin/peers.rs
+++ b/crates/arrowyard-fleet/src/bin/peers.rs
@@ -19,6 +19,9 @@
     /// ours, swim, heartbeats.
     #[arg(long, value_delimiter = ',', default_values = ["ours", "swim", "heartbeats"])]
     ways: Vec<String>,
+    /// Print each second how many the members hold alive: the fewest, the median, the most.
+    #[arg(long)]
+    seconds: bool,
 }
 
 fn node(way: &str, now: Point, who: usize, count: usize, seed: u64) -> Box<dyn Node> {
@@ -36,6 +39,17 @@
     format!("{:.2}", sorted[((sorted.len() - 1) as f64 * share).round() as usize])
 }
 
+fn held(world: &World, at_ms: u64) {
+    let mut held: Vec<usize> = world.held().into_iter().flatten().collect();
+    held.sort_unstable();
+    if let [fewest, .., most] = held[..] {
+        let (who, others) = world.fewest();
+        let others = others.into_iter().take(3).collect::<Vec<_>>().join("; ");
+        let median = held[held.len() / 2];
+        eprintln!("{at_ms} ms: {} run, {fewest} {median} {most} held alive; n{who}: {others}", held.len());
+    }
+}
+
 fn main() {
     let line = Line::parse();
     let names: Vec<String> = if line.plans.is_empty() {
@@ -81,12 +95,19 @@
                     );
                     let begin = world.now;
                     let end = plan.acts.iter().map(|act| act.at_ms + act.for_ms).max().unwrap_or(0);
+                    for second in (1..=end.min(plan.span_ms) / 1000).filter(|_| line.seconds) {
+                        world.till(Span::from_millis(second as i64 * 1000));
+                        held(&world, second * 1000);
+                    }
                     world.till(Span::from_millis(end.min(plan.span_ms) as i64));
                     let mut at = end;
                     // From the last fault's end on, till all agree.
                     while at < plan.span_ms && !world.agreed() {
                         at += 50;
                         world.till(Span::from_millis(at as i64));
+                        if line.seconds && at.is_multiple_of(1000) {
+                            held(&world, at);
+                        }
                     }
                     if world.agreed() {
                         views.push((at - end) as f64 / 1e3)
--- a/crates/arrowyard-fleet/src/peers/mod.rs
+++ b/crates/arrowyard-fleet/src/peers/mod.rs
@@ -27,6 +27,10 @@
     fn take(&mut self) -> Taken;
     /// Others that it holds alive.
     fn alive(&self) -> usize;
+    /// Others that it does not hold alive, and how they stand, for looking into a run.
+    fn others(&self, _now: Point) -> Vec<String> {
+        Vec::new()
+    }
 }
 
 /// What a node has done since it was last asked.
--- a/crates/arrowyard-fleet/src/peers/ours.rs
+++ b/crates/arrowyard-fleet/src/peers/ours.rs
@@ -74,4 +74,9 @@
     fn alive(&self) -> usize {
         self.0.alive()
     }
+
+    fn others(&self, now: Point) -> Vec<String> {
+        let rows = self.0.view(now).rows.into_iter().filter(|row| row.standing != Standing::Alive);
+        rows.map(|row| format!("{} {:?} life {} by {}", row.name, row.standing, row.life, row.by)).collect()
+    }
 }
--- a/crates/arrowyard-fleet/src/peers/world.rs
+++ b/crates/arrowyard-fleet/src/peers/world.rs
@@ -277,6 +277,15 @@
         run.iter().all(|process| process.node.as_ref().is_some_and(|node| node.alive() + 1 == count))
     }
 
+    /// What the one that holds the fewest alive holds of the others.
+    #[must_use]
+    pub fn fewest(&self) -> (usize, Vec<String>) {
+        let nodes =
+            self.processes.iter().enumerate().filter_map(|(who, one)| Some((who, one.node.as_ref()?)));
+        let least = nodes.min_by_key(|(_, node)| node.alive());
+        least.map_or((0, Vec::new()), |(who, node)| (who, node.others(self.now)))
+    }
+
     /// Who holds how many alive, for reports.
     #[must_use]
     pub fn held(&self) -> Vec<Option<usize>> {
--- a/crates/arrowyard-peers/src/exchange.rs
+++ b/crates/arrowyard-peers/src/exchange.rs
@@ -16,7 +16,7 @@
 
 impl Fleet {
     pub(crate) fn send_digest(&mut self, now: Point, slot: Slot, echo: bool) {
-        if !self.pushes.take(now) {
+        if !self.exchanges.take(now) {
             return;
         }
         let digest = self.table.digest().to_vec();
@@ -44,7 +44,7 @@
             return;
         }
         self.send_pages(now, from, &differ);
-        if told.echo && self.pushes.take(now) {
+        if told.echo && self.exchanges.take(now) {
             let digest = self.table.digest().to_vec();
             let datagram = Datagram { digest, echo: false, ..self.head(now, Kind::Digest) };
             self.emit(from, &datagram);
@@ -61,7 +61,7 @@
         }
         let mut rows = rows.into_iter().peekable();
         for _ in 0..PAGES {
-            if rows.peek().is_none() || !self.pushes.take(now) {
+            if rows.peek().is_none() || !self.exchanges.take(now) {
                 return;
             }
             let mut page = self.head(now, Kind::Page);
--- a/crates/arrowyard-peers/src/fleet.rs
+++ b/crates/arrowyard-peers/src/fleet.rs
@@ -129,6 +129,9 @@
     pub(crate) next_exchange: Point,
     pub(crate) reads: Bucket,
     pub(crate) pushes: Bucket,
+    /// Of digests and pages. Danger: with urgent news they share nothing, since a start of many is full of news, and
+    /// whoever missed some has only the exchange to learn it by.
+    pub(crate) exchanges: Bucket,
     pub(crate) heard_any: Point,
     pub(crate) idle: bool,
     pub(crate) leaves: bool,
@@ -167,6 +170,7 @@
             next_exchange: first,
             reads: Bucket::new(terms.reads, terms.burst, now),
             pushes: Bucket::new(terms.pushes, terms.pushes, now),
+            exchanges: Bucket::new(terms.exchanges, terms.exchanges, now),
             heard_any: now,
             idle: false,
             leaves: false,
--- a/crates/arrowyard-peers/src/probe.rs
+++ b/crates/arrowyard-peers/src/probe.rs
@@ -7,7 +7,7 @@
 
 use crate::fleet::{Deed, Fleet};
 use crate::member::{Member, Slot, Standing};
-use crate::message::{Claim, Datagram, Kind, write};
+use crate::message::{Claim, Datagram, Kind, Rumor, write};
 
 /// Why somebody is asked.
 #[derive(Clone, Debug, PartialEq)]
@@ -60,7 +60,7 @@
 const ASKS: usize = 256;
 const RELAYS: usize = 128;
 const CHECKS: usize = 64;
-/// Members that this router accuses and goes on asking, in a period.
+/// Silent members that are asked again in a period.
 const ACCUSED: usize = 4;
 /// How often a candidate is asked.
 const TRIES: u8 = 3;
@@ -118,11 +118,22 @@
 
     /// Others' word about a member is checked. Danger: all check at the same moment, and one that is only slow gets
     /// as many questions as there are routers; so each waits a drawn part of a retry.
-    pub(crate) fn verify(&mut self, now: Point, slot: Slot, claim: Claim, by: &Rc<str>) {
+    pub(crate) fn verify(
+        &mut self,
+        now: Point,
+        slot: Slot,
+        claim: Claim,
+        by: &Rc<str>,
+        rumor: Option<&Rumor>,
+    ) {
         let checks = self.asks.iter().filter(|ask| matches!(ask.why, Why::Verify(..)));
         if checks.clone().any(|ask| ask.slot == Some(slot)) || checks.count() >= CHECKS {
             return;
         }
+        // Passed on as it is heard, not once it was checked: else each step of its way would take as long as a check.
+        if let Some(rumor) = rumor {
+            self.pass_on(now, slot, rumor);
+        }
         let after = self.rng.f64();
         self.ask(now, slot, Why::Verify(claim, by.clone()), after);
     }
@@ -278,14 +289,7 @@
             let mut rumor = self.table.get(slot).map(Member::rumor).unwrap_or_default();
             rumor.claim = Claim::Suspect as i32;
             rumor.by = vec![me.to_string()];
-            for helper in self
-                .table
-                .draw(&mut self.rng, self.terms.urgent, &[slot], |one| one.standing == Standing::Alive)
-            {
-                if self.pushes.take(now) {
-                    self.send_to(now, helper, Kind::Gossip, 0, "", Some(rumor.clone()));
-                }
-            }
+            self.pass_on(now, slot, &rumor);
         }
     }
 
@@ -466,32 +470,28 @@
         self.turn.pop().filter(|&slot| self.table.get(slot).is_some_and(|one| !one.standing.is_over()))
     }
 
-    /// Silent members that this router accuses are asked again, and are lost in the end.
+    /// Silent members are asked again, and those that this router itself accuses are lost in the end.
     fn go_on(&mut self, now: Point) {
         let me = self.me.name.clone();
         if self.table.count(Standing::Silent) == 0 {
             return;
         }
-        let accused: Vec<Slot> = self
-            .table
-            .live()
-            .iter()
-            .copied()
-            .filter(|&slot| {
-                self.table
-                    .get(slot)
-                    .is_some_and(|one| one.standing == Standing::Silent && one.accusers.contains(&me))
-            })
-            .collect();
-        for slot in accused.iter().copied().take(ACCUSED) {
-            self.ask(now, slot, Why::Observe, 0.0);
+        let silent = |slot: &Slot| self.table.get(*slot).is_some_and(|one| one.standing == Standing::Silent);
+        let mut silent: Vec<Slot> = self.table.live().iter().copied().filter(silent).collect();
+        self.rng.shuffle(&mut silent);
+        // Danger: one that is silent here by others' word, and answered them since, is asked by nobody here for as many
+        // periods as there are members.
+        for slot in silent.iter().copied().take(ACCUSED) {
+            let own = self.table.get(slot).is_some_and(|one| one.accusers.contains(&me));
+            self.ask(now, slot, if own { Why::Observe } else { Why::Recall }, 0.0);
         }
         if self.health.doubts(now) {
             return;
         }
         let live = self.table.live().len();
-        for slot in accused {
-            let Some(one) = self.table.get(slot) else { continue };
+        for slot in silent {
+            let accuses = |one: &&Member| one.accusers.contains(&me);
+            let Some(one) = self.table.get(slot).filter(accuses) else { continue };
             let agreed = one.accusers.len() >= 2 || live <= 2;
             let wait = self.health.stretch(self.terms.lost_after) * if agreed { 1.0 } else { 2.0 };
             let lately = now - one.failed <= self.terms.period * 4.0;
--- a/crates/arrowyard-peers/src/terms.rs
+++ b/crates/arrowyard-peers/src/terms.rs
@@ -47,8 +47,9 @@
     /// Datagrams a second that are read, those beyond are dropped unread; and a burst of them.
     pub reads: f64,
     pub burst: f64,
-    /// Datagrams a second that are sent beside questions and answers.
+    /// Datagrams a second that are sent beside questions and answers: urgent news, and digests and pages.
     pub pushes: f64,
+    pub exchanges: f64,
     /// Shares: the fleet's size may fall only after it was settled for so long; what is lost for longer counts no more.
     pub settle: Span,
     pub forgive: Span,
@@ -80,6 +81,7 @@
             reads: 400.0,
             burst: 1200.0,
             pushes: 60.0,
+            exchanges: 30.0,
             settle: ms(10_000),
             forgive: ms(60_000),
         }
--- a/crates/arrowyard-peers/src/words.rs
+++ b/crates/arrowyard-peers/src/words.rs
@@ -88,14 +88,18 @@
             if was != Standing::Alive || again {
                 one.since = now;
             }
-            (was != Standing::Alive || again).then(|| one.name.clone())
+            (was != Standing::Alive || again).then(|| (one.name.clone(), again))
         });
-        if let Some(Some(name)) = changed {
-            self.events.push(Event::Stands { name, life, standing: Standing::Alive, by });
-        }
         let times = self.times();
         self.table.spread(slot, times);
-        self.push_to_some(now, Some(slot));
+        // What it says against an accusation cannot wait; that it started anew can.
+        let urgent = !matches!(changed, Some(Some((_, true))));
+        if let Some(Some((name, _))) = changed {
+            self.events.push(Event::Stands { name, life, standing: Standing::Alive, by });
+        }
+        if urgent {
+            self.push_to_some(now, Some(slot));
+        }
     }
 
     fn met(&mut self, now: Point, told: &Datagram, at: SocketAddr) {
@@ -117,9 +121,9 @@
             standing: Standing::Alive,
             by: name,
         });
+        // It is no urgent news: where many join, what is pushed at once would be taken from what has to be.
         let times = self.times();
         self.table.spread(slot, times);
-        self.push_to_some(now, Some(slot));
         if first {
             self.send_digest(now, slot, true);
         }
@@ -194,7 +198,7 @@
                 if rumor.refused {
                     self.note_refusals(slot, rumor);
                 }
-                self.verify(now, slot, claim, by);
+                self.verify(now, slot, claim, by, Some(rumor));
             }
             _ => {}
         }
@@ -206,9 +210,18 @@
         let age_ms = ((now - one.own_proof()).micros() / 1000) as u32;
         let by = vec![self.me.name.to_string()];
         let rumor = Rumor { claim: Claim::Alive as i32, by, age_ms, ..one.rumor() };
+        if let Some(to) = self.table.slot(to)
+            && self.pushes.take(now)
+        {
+            self.send_to(now, to, Kind::Gossip, 0, "", Some(rumor.clone()));
+        }
+        self.pass_on(now, slot, &rumor);
+    }
+
+    /// A word about a member goes to some others at once.
+    pub(crate) fn pass_on(&mut self, now: Point, of: Slot, rumor: &Rumor) {
         let fit = |one: &Member| one.standing == Standing::Alive;
-        let others = self.table.draw(&mut self.rng, self.terms.urgent, &[slot], fit);
-        for to in self.table.slot(to).into_iter().chain(others) {
+        for to in self.table.draw(&mut self.rng, self.terms.urgent, &[of], fit) {
             if self.pushes.take(now) {
                 self.send_to(now, to, Kind::Gossip, 0, "", Some(rumor.clone()));
             }
@@ -237,12 +250,7 @@
             // Who hears of it for the first time passes it on, as is done with the accusation.
             let age_ms = ((now - heard).micros() / 1000) as u32;
             let rumor = Rumor { age_ms, ..rumor.clone() };
-            let fit = |one: &Member| one.standing == Standing::Alive;
-            for to in self.table.draw(&mut self.rng, self.terms.urgent, &[slot], fit) {
-                if self.pushes.take(now) {
-                    self.send_to(now, to, Kind::Gossip, 0, "", Some(rumor.clone()));
-                }
-            }
+            self.pass_on(now, slot, &rumor);
         }
     }
 
@@ -284,7 +292,7 @@
         let times = self.times();
         self.table.spread(slot, times);
         if standing == Standing::Alive && (agreed || refused || self.table.live().len() <= 3) {
-            self.verify(now, slot, Claim::Suspect, by);
+            self.verify(now, slot, Claim::Suspect, by, Some(rumor));
         }
     }
 
