--- /dev/null
+++ b/crates/arrowyard-store/src/lib.rs
@@ -0,0 +1,11 @@
+//! What a router keeps on disk: the list of hosts as it last knew it. Two generations, each written whole beside the old
+//! one, synced and renamed, so that a router killed at any moment finds one that is whole; and each thing that can be
+//! wrong with a file told apart, reported, and no reason not to start. Writing blocks: it is for a thread of its own.
+
+mod disk;
+mod form;
+mod generations;
+
+pub use disk::{Disk, System};
+pub use form::{Found, Host, LARGEST, Snapshot, judge, write};
+pub use generations::{Kept, Loaded, Store};
