A router starts from its stored list with discovery away, and says when its service is full

Change: returns in the operator's file (off without it): the list is kept in the store, read before the start for half a second at most, weighed by its age, no role and no draining host taken from it; the stages of the start and full service are logged; while starting, clients that are given back are told times that are spread; arrowyard store show and check. The rig keeps stores over restarts, and can start without the platform's list.

Tests with processes: discovery away with and without a store, a primary that moved while the router was down, a host that is gone, one that had begun to drain, a store cut, garbled, empty, foreign, from the future, a folder in its place, kills in the midst of writes, five of six killed and started at once with stores and without.

Found: full service counted ops still in hand as not served, and a slice that began before the start was proven; both mended with the test that showed it.

--- a/crates/arrowyard-core/src/lib.rs
+++ b/crates/arrowyard-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod pool;
 pub mod reload;
 pub mod reply;
+pub mod returns;
 pub mod roster;
 pub mod route;
 pub mod send;
--- a/crates/arrowyard-core/src/mail.rs
+++ b/crates/arrowyard-core/src/mail.rs
@@ -35,6 +35,8 @@
     Fleet(f64),
     /// What another router's module told.
     Told(PeerId, Vec<u8>),
+    /// The list was stored, or that failed.
+    Saved(bool),
     /// Whether the stage comes round: ops taken and acked since the start.
     Echo(oneshot::Sender<(u64, u64)>),
     /// Of discovery.
--- /dev/null
+++ b/crates/arrowyard-core/src/returns.rs
@@ -0,0 +1,229 @@
+//! Coming back: the stored list is read before the start, written while in service, and the start's stages are told. What is
+//! decided of it stands in `arrowyard-return`; files are `arrowyard-store`'s.
+
+use std::collections::HashMap;
+use std::path::Path;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use arrowyard_return::{Comes, Full, Return, Stage, Terms, weigh};
+use arrowyard_store::{Found, Snapshot, Store, System};
+use arrowyard_types::{Availability, GroupId, OpId, Point, Span};
+use fastrand::Rng;
+use serde_json::{Map, Value};
+use tokio::sync::mpsc;
+use tokio::task::{spawn_blocking, spawn_local};
+use tokio::time::timeout;
+
+use crate::back::Back;
+use crate::list::{Line, List};
+use crate::mail::Mail;
+
+/// How long a start waits for its disk. Danger: a disk that hangs, and a router that never starts.
+const DISK: Duration = Duration::from_millis(500);
+/// How far clocks may differ, in milliseconds, between two starts.
+const SKEW: u64 = 1000;
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
+
+/// By what a store is known to be of this deployment: its sites, its op types and what is asked of hosts. Numbers that
+/// operators tune are left out, since a new latency target is no other deployment.
+#[must_use]
+pub fn deployment(settings: &Map<String, Value>) -> u64 {
+    let names = settings.get("grades").and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
+    let names: Vec<&Value> = names.iter().filter_map(|row| row.get("name")).collect();
+    let text = format!("{:?} {names:?} {:?}", settings.get("dcs"), settings.get("domain"));
+    text.bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+fn store(folder: &Path, deployment: u64) -> Store<System> {
+    Store { disk: System, folder: folder.to_path_buf(), deployment: Some(deployment), skew_ms: SKEW }
+}
+
+/// The list to start with: the platform's own, and what a stored one has beyond it, weighed by its age. Whatever is wrong
+/// with the store is logged and passed over.
+pub async fn read(comes: &Comes, deployment: u64, known: Option<List>) -> Option<List> {
+    let Some(folder) = comes.store.clone() else { return known };
+    let now = unix_ms();
+    let loading = spawn_blocking(move || {
+        // A folder that is not there yet is made, so that the first snapshot finds it.
+        let _ = std::fs::create_dir_all(&folder);
+        store(&folder, deployment).load(now)
+    });
+    let Ok(Ok(loaded)) = timeout(DISK, loading).await else {
+        tracing::warn!("the store did not answer in time: this start goes on without it");
+        return known;
+    };
+    for (kept, found) in &loaded.found {
+        match found {
+            Found::Whole(_) | Found::Missing => {}
+            why => tracing::warn!("the store's generation {kept:?} is of no use: {why:?}"),
+        }
+    }
+    let Some((_, stored)) = loaded.newest() else {
+        tracing::info!("nothing is stored for this start");
+        return known;
+    };
+    let age = Span::from_millis(now.saturating_sub(stored.written_ms) as i64);
+    let names: Vec<String> =
+        known.iter().flat_map(|list| &list.lines).map(|line| line.host.clone()).collect();
+    let weighed = weigh(stored, age, comes.trust, &names);
+    let confidence = weighed.first().map_or(0.0, |one| one.confidence);
+    let age_s = age.as_secs_f64();
+    tracing::info!(age_s, hosts = weighed.len(), confidence, "a stored list is used till discovery speaks");
+    let lines = weighed.into_iter().map(|one| Line {
+        host: one.host.name,
+        availability: Availability::Ready,
+        dial: one.host.dial.parse().ok(),
+        site: Some(one.host.site),
+        group: Some(one.host.group),
+        size: Some(one.host.size),
+        born_ms: Some(one.host.born_ms),
+        primary: Some(false),
+    });
+    let mut list = known.unwrap_or(List { version: 0, whole: true, lines: Vec::new() });
+    list.lines.extend(lines);
+    Some(list)
+}
+
+/// One start, and what is kept for the next.
+pub struct Returning {
+    start: Return,
+    comes: Comes,
+    deployment: u64,
+    router: String,
+    rng: Rng,
+    /// Ops of the start that are in hand: their group, and whether they write.
+    ops: HashMap<OpId, (GroupId, bool)>,
+    told: Stage,
+    /// Discovery has changed the list since it was saved last; when that was; and whether a write is under way.
+    changed: bool,
+    saved: Point,
+    saving: bool,
+    version: i64,
+}
+
+impl Returning {
+    #[must_use]
+    pub fn new(
+        now: Point,
+        comes: Comes,
+        deployment: u64,
+        router: &str,
+        listed: bool,
+        seed: u64,
+    ) -> Returning {
+        let start = Return::start(now, Terms::default(), listed);
+        Returning {
+            told: start.stage(),
+            start,
+            comes,
+            deployment,
+            router: router.to_string(),
+            rng: Rng::with_seed(seed),
+            ops: HashMap::new(),
+            changed: false,
+            saved: now,
+            saving: false,
+            version: 0,
+        }
+    }
+
+    pub fn asked(&mut self, op: OpId, group: GroupId, write: bool) {
+        if !self.start.is_over() {
+            self.start.asked(group, write);
+            self.ops.insert(op, (group, write));
+        }
+    }
+
+    /// An op had its final answer.
+    pub fn answered(&mut self, now: Point, op: OpId, acked: bool) {
+        match self.ops.remove(&op) {
+            Some((group, write)) if acked => self.start.acked(now, group, write),
+            Some(_) => self.start.failed(),
+            None => {}
+        }
+    }
+
+    pub fn listed(&mut self, now: Point, version: i64) {
+        self.start.listed(now);
+        (self.changed, self.version) = (true, version);
+    }
+
+    /// When a client that is given back may come again.
+    pub fn after(&mut self, told: Option<Span>, most: Option<Span>) -> Option<Span> {
+        most.map_or(told, |most| self.start.after(told, most, &mut self.rng))
+    }
+
+    /// What time has changed; what is logged of the start.
+    pub fn tick(&mut self, now: Point) {
+        let full = self.start.tick(now);
+        if self.told != self.start.stage() {
+            self.told = self.start.stage();
+            tracing::info!("the start is at {:?}", self.told);
+        }
+        let Some(Full { took, waited_for, waited, full }) = full else { return };
+        let (ms, waited_ms) = (took.micros() / 1000, waited.micros() / 1000);
+        self.ops = HashMap::new();
+        if full {
+            tracing::info!(ms, waited_ms, "service is full; the longest wait was for {waited_for:?}");
+        } else {
+            tracing::warn!(
+                ms,
+                waited_ms,
+                "the start is over and service was never full; it waits for {waited_for:?}"
+            );
+        }
+    }
+
+    /// Whether the list is to be written now; it is said once, and till `saved` is called not again.
+    pub fn due(&mut self, now: Point) -> bool {
+        let due =
+            self.comes.store.is_some() && self.changed && !self.saving && now - self.saved >= self.comes.save;
+        if due {
+            (self.changed, self.saving, self.saved) = (false, true, now);
+        }
+        due
+    }
+
+    pub fn saved(&mut self, failed: bool) {
+        self.saving = false;
+        // Danger: a disk that is full is tried as often as time allows, and no more.
+        self.changed |= failed;
+    }
+
+    /// Writes the list, on a thread of its own: a disk that hangs is waited for by nobody.
+    pub fn save<B: Back>(&self, hosts: Vec<arrowyard_store::Host>, mail: mpsc::Sender<Mail<B>>) {
+        let Some(folder) = self.comes.store.clone() else { return };
+        let now = unix_ms();
+        let snapshot = Snapshot {
+            deployment: self.deployment,
+            router: self.router.clone(),
+            written_ms: now,
+            number: 0,
+            version: self.version,
+            hosts,
+        };
+        let deployment = self.deployment;
+        drop(spawn_local(async move {
+            let written = spawn_blocking(move || store(&folder, deployment).save(snapshot, now)).await;
+            let failed = match written {
+                Ok(Ok(_)) => false,
+                Ok(Err(why)) => {
+                    tracing::warn!("the list could not be stored: {why}");
+                    true
+                }
+                Err(why) => {
+                    tracing::warn!("the list could not be stored: {why}");
+                    true
+                }
+            };
+            let _ = mail.send(Mail::Saved(failed)).await;
+        }));
+    }
+}
+
+/// What a route stage has of it, if the operator's file says so.
+pub type Returns = Option<Box<Returning>>;
--- a/crates/arrowyard-core/src/roster.rs
+++ b/crates/arrowyard-core/src/roster.rs
@@ -6,6 +6,7 @@
 
 use arrowyard_cells::index::Index;
 use arrowyard_charter::{point, tag};
+use arrowyard_store::Host;
 use arrowyard_types::{
     Availability, CellId, Entry, GroupId, HostId, ListForm, Note, Part, Parts, Point, Span, ZoneId,
 };
@@ -106,6 +107,27 @@
         self.last.iter().filter(|entry| entry.availability != Availability::Gone).cloned().collect()
     }
 
+    /// The hosts that are there, for the store.
+    pub fn hosts(&self) -> Vec<Host> {
+        let there = self.last.iter().filter(|entry| entry.availability != Availability::Gone);
+        let zone =
+            |id: ZoneId| self.zones.iter().find(|(_, zone)| **zone == id).map(|(name, _)| name.clone());
+        let host = |entry: &Entry| {
+            let (name, group, size) = &self.raw[entry.host.0 as usize];
+            Host {
+                name: name.clone(),
+                dial: self.dial(entry.host).map(|dial| dial.to_string()).unwrap_or_default(),
+                site: zone(entry.zone).unwrap_or_default(),
+                group: group.0,
+                size: *size,
+                born_ms: entry.started.map_or(0.0, |at| at.micros() as f64 / 1000.0),
+                draining: entry.availability == Availability::Draining,
+                was_primary: entry.primary,
+            }
+        };
+        there.map(host).collect()
+    }
+
     /// What all routers call the hosts that ceased to be ready since this was asked last.
     pub fn ceased(&mut self) -> Vec<u32> {
         std::mem::take(&mut self.ceased)
--- a/crates/arrowyard-core/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -22,6 +22,7 @@
 use crate::mail::{self, Mail, Wish};
 use crate::peers::Errand;
 use crate::reply::Reply;
+use crate::returns::{Returning, Returns};
 use crate::roster::Roster;
 use crate::send::{self, End, Order};
 use crate::ward::{NEW, Turn, Ward, stage_name};
@@ -34,6 +35,8 @@
     pub wishes: mpsc::Sender<Wish>,
     /// For the tasks that it starts.
     pub mail: mpsc::Sender<Mail<B>>,
+    /// Its start, and what is kept for the next, where the operator's file says so.
+    pub returns: Option<Box<Returning>>,
     /// The task that belongs to a fleet, where there is one.
     pub peers: Option<mpsc::Sender<Errand>>,
 }
@@ -63,6 +66,9 @@
     dialed: u64,
     /// Hosts that others say are leaving.
     hints: Hints,
+    returns: Returns,
+    /// By op type: whether it writes.
+    writes: Vec<bool>,
     /// Ops taken, and acked by the last tally, since the start.
     taken: u64,
     acked: u64,
@@ -70,7 +76,7 @@
 
 impl<B: Back> Route<B> {
     pub fn start(
-        yard: Yard<B>,
+        mut yard: Yard<B>,
         seed: u64,
         manifest: Manifest,
         known: Option<&List>,
@@ -86,6 +92,8 @@
             let (rows, marks) = (OpType::rows(&manifest), manifest.flag("marks_retry"));
             Ward::new(now, layout, yard.limits.of_cells(), rows, marks)
         });
+        let returns = yard.returns.take();
+        let writes = OpType::rows(&manifest).iter().map(|row| row.need == Need::Write).collect();
         let router = Router::start(now, seed, manifest, &mut actions);
         let mut book = Book::default();
         book.closed = ward.is_some().then(Vec::new);
@@ -106,6 +114,8 @@
             tallied,
             dialed: 0,
             hints: Hints::new(grace, grace * 2.0),
+            returns,
+            writes,
             taken: 0,
             acked: 0,
         };
@@ -324,6 +334,9 @@
         let note = self.yard.roster.note(list, saved);
         self.book.tally.listed += list.lines.len() as u32;
         let ceased = self.yard.roster.ceased();
+        if let Some(returns) = self.returns.as_mut().filter(|_| !saved) {
+            returns.listed(self.yard.clock.now(), list.version);
+        }
         if let Some(peers) = self.yard.peers.as_ref().filter(|_| !saved) {
             ceased.into_iter().for_each(|tag| drop(peers.try_send(Errand::Tell(hint(tag)))));
         }
@@ -378,6 +391,12 @@
             self.tally();
         }
         let now = self.yard.clock.now();
+        if let Some(returns) = &mut self.returns {
+            returns.tick(now);
+            if returns.due(now) {
+                returns.save(self.yard.roster.hosts(), self.yard.mail.clone());
+            }
+        }
         if self.hints.look(now, |tag| self.yard.roster.holds_ready(tag)) {
             tracing::info!("other routers say that a host is leaving: the list is asked for");
             wish(&self.yard.wishes, Wish::Fetch);
@@ -392,6 +411,10 @@
         match mail {
             Mail::Asked(ask, _, payload, client) => {
                 self.taken += 1;
+                if let Some(returns) = &mut self.returns {
+                    let write = self.writes.get(ask.op_type.0 as usize).copied().unwrap_or_default();
+                    returns.asked(ask.op, ask.group, write);
+                }
                 self.book.open(ask.op, payload, client);
                 Some(Note::Asked(ask))
             }
@@ -403,6 +426,9 @@
             Mail::HungUp(op) => self.book.hang_up(op).then_some(Note::HungUp { op }),
             Mail::SendEnded(op, send, host, End { outcome, took, word, answer }) => {
                 let finished = self.book.end(op, send, outcome, answer)?;
+                if let Some(returns) = self.returns.as_mut().filter(|_| finished) {
+                    returns.answered(self.yard.clock.now(), op, outcome == Outcome::Acked);
+                }
                 let word = self.likely(word);
                 if let Some(ward) = &mut self.ward {
                     let new = self.yard.roster.is_new(host, self.yard.clock.now(), self.cold * NEW);
@@ -450,6 +476,10 @@
                 arrowyard::careful(&mut bytes);
                 Some(Note::Told { from, bytes })
             }
+            Mail::Saved(failed) => {
+                self.returns.iter_mut().for_each(|returns| returns.saved(failed));
+                None
+            }
             Mail::Echo(client) => {
                 let _ = client.send((self.taken, self.acked + u64::from(self.book.tally.acked)));
                 None
@@ -493,8 +523,20 @@
                 }));
             }
             Action::Cancel { op, send } => self.book.call_off(op, send),
-            Action::BusyReply { op, retry_after } => self.book.answer(op, Reply::Busy(retry_after)),
-            Action::ErrorReply { op } => self.book.answer(op, Reply::Errored),
+            Action::BusyReply { op, retry_after } => {
+                let after = match &mut self.returns {
+                    Some(returns) => {
+                        returns.answered(now, op, false);
+                        returns.after(retry_after, self.most_after)
+                    }
+                    None => retry_after,
+                };
+                self.book.answer(op, Reply::Busy(after));
+            }
+            Action::ErrorReply { op } => {
+                self.returns.iter_mut().for_each(|returns| returns.answered(now, op, false));
+                self.book.answer(op, Reply::Errored);
+            }
             Action::Probe { host } => {
                 self.book.tally.probes += 1;
                 let (back, mail, dial) = (back.clone(), mail.clone(), roster.dial(host));
--- a/crates/arrowyard-daemon/src/base.rs
+++ b/crates/arrowyard-daemon/src/base.rs
@@ -17,11 +17,12 @@
 use arrowyard_core::mail::{Mail, Wish};
 use arrowyard_core::peers::{Errand, Peers};
 use arrowyard_core::reload::{Reload, Reread};
+use arrowyard_core::returns::{self, Returning};
 use arrowyard_core::roster::Roster;
 use arrowyard_core::route::{Route, Yard};
 use arrowyard_core::waybill::Waybill;
 use arrowyard_types::{Fact, Facts};
-use arrowyard_yardbook::{Yardbook, belongs, layout, schema};
+use arrowyard_yardbook::{Yardbook, belongs, layout, returns as comes, schema};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -80,7 +81,16 @@
         let beat = Beat::new(clock, limits.beat);
         drop(spawn_local(beat.clone().run()));
         let back = back(&limits);
+        // A stored list is no base for changes: the watch begins with the whole list unless the platform told one.
         let version = Rc::new(Cell::new(waybill.known.as_ref().map(|list| list.version)));
+        let (mut known, mut returning) = (waybill.known.clone(), None);
+        if let Some(comes) = book.and_then(comes) {
+            let deployment = returns::deployment(&waybill.settings);
+            known = returns::read(&comes, deployment, known).await;
+            let (name, seed) = (&waybill.name, waybill.seed);
+            let start = Returning::new(clock.now(), comes, deployment, name, known.is_some(), seed);
+            returning = Some(Box::new(start));
+        }
         let discovery =
             Discovery { dial: waybill.discovery, version, mail: mail.clone(), limits: limits.clone() };
         drop(spawn_local(discovery.run(wished)));
@@ -117,9 +127,10 @@
             limits: limits.clone(),
             wishes,
             mail: mail.clone(),
+            returns: returning,
             peers: peers.clone(),
         };
-        let route = Route::start(yard, waybill.seed, told, waybill.known.as_ref(), cells);
+        let route = Route::start(yard, waybill.seed, told, known.as_ref(), cells);
         let route = spawn_local(route.run(inbox));
         let clients = Rc::new(Cell::new(0));
         let drain = Drain { stage, clients: clients.clone(), limits: limits.clone() };
--- a/crates/arrowyard-daemon/src/lib.rs
+++ b/crates/arrowyard-daemon/src/lib.rs
@@ -6,6 +6,7 @@
 mod cells;
 mod peers;
 pub mod serve;
+mod store;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -39,6 +40,9 @@
     Cells(cells::Command),
     /// Show what a running router holds true of the other routers of its fleet.
     Peers(peers::Peers),
+    /// What a router has kept for its next start.
+    #[command(subcommand)]
+    Store(store::Command),
 }
 
 #[derive(Args)]
@@ -99,6 +103,7 @@
         Some(Command::Check(Check { file, json })) => check(&file, json),
         Some(Command::Cells(command)) => cells::run(command),
         Some(Command::Peers(peers)) => peers::run(&peers),
+        Some(Command::Store(command)) => store::run(&command),
     };
     done.unwrap_or_else(|why| {
         eprintln!("arrowyard: {}", why.replace('\n', "\narrowyard: "));
--- /dev/null
+++ b/crates/arrowyard-daemon/tests/returns.rs
@@ -0,0 +1,234 @@
+//! Processes that come back: with a store and without, while discovery is away, the primary has moved, hosts are gone, or
+//! what was stored is broken; and most of a fleet at once.
+
+use std::path::Path;
+use std::process::Command;
+use std::time::Duration;
+
+use arrowyard_standins::load::{Outcome, Stream, play};
+use arrowyard_standins::rig::{Rig, Setting, mono_us};
+use arrowyard_standins::router::OP_TYPES;
+use serde_json::Value;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn rig(setting: Setting) -> Rig {
+    Rig::start(Path::new(env!("CARGO_BIN_EXE_arrowyard")), setting).expect("it starts")
+}
+
+fn alone(store: bool) -> Setting {
+    Setting { off: true, known: false, store, ..Setting::of(1) }
+}
+
+/// Ops at the process for so long: what they were answered.
+fn ops(rig: &Rig, who: usize, span: Duration, seed: u64) -> Outcome {
+    let address = rig.process(who).expect("it runs").address;
+    let mix = vec![(0, 3), (1, 3), (2, 2), (3, 2)];
+    let stream =
+        Stream { tenant: "t", group: 7, rate: 60.0, mix, from: Duration::ZERO, till: span, sessions: 20 };
+    play(address, &OP_TYPES, &[stream], seed, |_| {})
+}
+
+fn said(rig: &Rig, who: usize, what: &str, within: u64) -> bool {
+    rig.process(who).is_some_and(|process| process.said(what, ms(within)))
+}
+
+/// Runs till its store holds the list, and is killed.
+fn stored(rig: &mut Rig) {
+    assert!(said(rig, 0, "the start is at Listed", 5_000), "discovery speaks");
+    let began = std::time::Instant::now();
+    while !rig.store(0).join("hosts.a").exists() {
+        assert!(began.elapsed() < ms(5_000), "the list is stored");
+        std::thread::sleep(ms(20));
+    }
+    rig.kill(0);
+}
+
+/// Nothing unanswered, nothing twice, nothing acked that is not there.
+fn kept_rules(rig: &Rig, outcome: &Outcome) {
+    let ledger = rig.town.ledger();
+    assert_eq!(outcome.of_tenant("t").unanswered, 0);
+    assert!(ledger.applied.values().all(|times| times.len() == 1));
+    assert!(outcome.acked.iter().all(|turn| ledger.applied.contains_key(&format!("{turn:016x}"))));
+}
+
+#[test]
+fn with_discovery_away_it_serves_from_its_store_and_without_a_store_from_nothing() {
+    for store in [true, false] {
+        let mut rig = rig(alone(store));
+        if store {
+            stored(&mut rig);
+        } else {
+            rig.kill(0);
+        }
+        rig.town.undiscovered(true);
+        rig.begin(0).expect("it starts whatever is away");
+        let outcome = ops(&rig, 0, ms(3_000), 3);
+        kept_rules(&rig, &outcome);
+        let stats = outcome.of_tenant("t");
+        if store {
+            assert!(stats.share() > 0.9, "{stats:?}");
+            assert!(said(&rig, 0, "a stored list is used", 100) && said(&rig, 0, "service is full", 3_000));
+        } else {
+            assert_eq!(stats.good + stats.late, 0, "there is nobody to ask: {stats:?}");
+        }
+        // And when discovery is back, its word counts.
+        rig.town.undiscovered(false);
+        assert!(store || said(&rig, 0, "host is Ready", 15_000));
+    }
+}
+
+#[test]
+fn a_stored_primary_that_is_a_replica_now_gets_no_write_and_no_fresh_read() {
+    let mut rig = rig(alone(true));
+    stored(&mut rig);
+    rig.town.undiscovered(true);
+    rig.town.hand_over("r-0");
+    rig.begin(0).expect("it starts");
+    let outcome = ops(&rig, 0, ms(3_000), 5);
+    kept_rules(&rig, &outcome);
+    let writes = outcome.of_type("turn-submit");
+    assert!(writes.good + writes.late > 10, "{writes:?}");
+    let ledger = rig.town.ledger();
+    let at_old = ledger.applied.values().flatten().filter(|(host, _)| host == "p-0").count();
+    assert_eq!(at_old, 0, "applied by one that is no primary");
+}
+
+#[test]
+fn a_stored_host_that_is_gone_costs_little_and_one_that_drained_stays_closed() {
+    let mut rig = rig(alone(true));
+    assert!(said(&rig, 0, "the start is at Listed", 5_000));
+    rig.town.drain("r-1");
+    assert!(said(&rig, 0, "host is Draining", 3_000));
+    let path = rig.store(0);
+    // Till the drain is in the store.
+    let drained = || {
+        let shown = Command::new(env!("CARGO_BIN_EXE_arrowyard"))
+            .args(["store", "show", "--json"])
+            .arg(&path)
+            .output();
+        let told: Value = serde_json::from_slice(&shown.expect("it runs").stdout).unwrap_or_default();
+        told["hosts"].as_array().is_some_and(|hosts| hosts.iter().any(|host| host["draining"] == true))
+    };
+    let began = std::time::Instant::now();
+    while !drained() {
+        assert!(began.elapsed() < ms(5_000), "the drain is stored");
+        std::thread::sleep(ms(50));
+    }
+    rig.kill(0);
+    rig.town.undiscovered(true);
+    rig.town.kill("r-0");
+    let before = rig.town.ledger().commands.get("r-1").copied().unwrap_or_default();
+    rig.begin(0).expect("it starts");
+    let outcome = ops(&rig, 0, ms(3_000), 6);
+    kept_rules(&rig, &outcome);
+    assert!(outcome.of_tenant("t").share() > 0.8, "{:?}", outcome.of_tenant("t"));
+    assert_eq!(
+        rig.town.ledger().commands.get("r-1").copied().unwrap_or_default(),
+        before,
+        "it had begun to drain"
+    );
+}
+
+#[test]
+fn whatever_is_wrong_with_the_store_it_starts_and_says_what_it_was() {
+    let mut rig = rig(alone(true));
+    stored(&mut rig);
+    let (a, b) = (rig.store(0).join("hosts.a"), rig.store(0).join("hosts.b"));
+    let good = std::fs::read(&a).expect("it is there");
+    let cases: Vec<(&str, Vec<u8>)> = vec![
+        ("Truncated", good[..good.len() - 3].to_vec()),
+        ("Garbled", [&good[..40], &[good[40] ^ 4], &good[41..]].concat()),
+        ("Empty", Vec::new()),
+        ("Garbled", b"something else altogether".to_vec()),
+    ];
+    for (wanted, bytes) in cases {
+        std::fs::write(&a, &bytes).expect("it can be written");
+        let _ = std::fs::remove_file(&b);
+        rig.begin(0).expect("it starts");
+        assert!(said(&rig, 0, wanted, 1_000), "{wanted}");
+        let outcome = ops(&rig, 0, ms(800), 9);
+        assert!(outcome.of_tenant("t").good > 10, "discovery is there");
+        rig.kill(0);
+    }
+    // A folder in the place of a file, and a store that another deployment left.
+    let _ = std::fs::remove_file(&a);
+    let _ = std::fs::remove_file(&b);
+    std::fs::create_dir(&a).expect("a folder can be made");
+    let foreign = arrowyard_store::Snapshot { deployment: 1, written_ms: 1, number: 9, ..Default::default() };
+    std::fs::write(&b, arrowyard_store::write(&foreign)).expect("it can be written");
+    rig.begin(0).expect("it starts");
+    assert!(said(&rig, 0, "NoFile", 1_000) && said(&rig, 0, "Foreign", 1_000));
+    rig.kill(0);
+    // From a clock that was an hour ahead then.
+    let future = arrowyard_store::Snapshot { written_ms: 4_000_000_000_000, ..foreign };
+    std::fs::write(&b, arrowyard_store::write(&future)).expect("it can be written");
+    let shown =
+        Command::new(env!("CARGO_BIN_EXE_arrowyard")).args(["store", "check"]).arg(rig.store(0)).output();
+    let shown = shown.expect("it runs");
+    let text = String::from_utf8_lossy(&shown.stdout);
+    assert!(
+        shown.status.code() == Some(1) && text.contains("no file") && text.contains("in the future"),
+        "{text}"
+    );
+}
+
+#[test]
+fn killed_in_the_midst_of_its_writes_each_start_finds_a_list() {
+    let mut rig = rig(alone(true));
+    stored(&mut rig);
+    for turn in 0..8 {
+        rig.begin(0).expect("it starts");
+        // Lists change all the time, and each is written.
+        for name in ["r-0", "r-1"] {
+            rig.town.hand_over(if turn % 2 == 0 { name } else { "p-0" });
+            std::thread::sleep(ms(60 + turn * 20));
+        }
+        rig.kill(0);
+        let shown =
+            Command::new(env!("CARGO_BIN_EXE_arrowyard")).args(["store", "check"]).arg(rig.store(0)).output();
+        assert_eq!(shown.expect("it runs").status.code(), Some(0), "turn {turn}");
+    }
+}
+
+#[test]
+fn most_of_a_fleet_killed_and_started_at_once_is_back_and_says_when() {
+    for store in [true, false] {
+        let mut rig = rig(Setting { store: true, known: false, ..Setting::of(6) });
+        assert!(rig.agree(ms(15_000)).is_some());
+        (0..6).for_each(|who| assert!(said(&rig, who, "the start is at Listed", 5_000)));
+        std::thread::sleep(ms(400));
+        (1..6).for_each(|who| rig.kill(who));
+        if !store {
+            (1..6).for_each(|who| drop(std::fs::remove_dir_all(rig.store(who))));
+        }
+        let calls = |rig: &Rig| rig.town.calls(rig.town.discovery).len();
+        let before = calls(&rig);
+        let began = mono_us();
+        (1..6).for_each(|who| rig.begin(who).expect("it starts"));
+        let outcomes: Vec<Outcome> = std::thread::scope(|scope| {
+            let asked: Vec<_> = (0..6)
+                .map(|who| {
+                    let rig = &rig;
+                    scope.spawn(move || ops(rig, who, ms(5_000), 20 + who as u64))
+                })
+                .collect();
+            asked.into_iter().map(|asked| asked.join().expect("it was played")).collect()
+        });
+        for (who, outcome) in outcomes.iter().enumerate() {
+            assert_eq!(outcome.of_tenant("t").unanswered, 0, "n{who}");
+            assert!(
+                outcome.of_tenant("t").share() > 0.85,
+                "n{who}, store {store}: {:?}",
+                outcome.of_tenant("t")
+            );
+        }
+        let twice = rig.town.ledger().applied.values().filter(|times| times.len() > 1).count();
+        assert_eq!(twice, 0);
+        (1..6).for_each(|who| assert!(said(&rig, who, "service is full", 3_000), "n{who}, store {store}"));
+        assert!(mono_us() - began < 12_000_000);
+        assert!(calls(&rig) - before < 5 * 6, "discovery is not stormed: {}", calls(&rig) - before);
+    }
+}
--- a/crates/arrowyard-return/src/lib.rs
+++ b/crates/arrowyard-return/src/lib.rs
@@ -5,4 +5,4 @@
 mod weigh;
 
 pub use stage::{Full, Return, Stage, Terms, spread};
-pub use weigh::{Trust, Weighed, confidence, weigh};
+pub use weigh::{Comes, Trust, Weighed, confidence, weigh};
--- a/crates/arrowyard-return/src/stage.rs
+++ b/crates/arrowyard-return/src/stage.rs
@@ -22,11 +22,11 @@
 
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
-    /// Full service: this share of the ops of each of so many slices of time in a row is acked.
+    /// Full service: this share of the ops that are answered in each of so many slices of time in a row is acked.
     pub share: f64,
     pub slice: Span,
     pub slices: u32,
-    /// A slice with fewer ops says nothing and is joined to the next.
+    /// A slice with fewer answers says nothing and is joined to the next.
     pub ops: u32,
     /// After this long a start is over, whatever is served: what is missing then is no matter of the start.
     pub over: Span,
@@ -74,8 +74,8 @@
     reached: BTreeMap<Stage, Point>,
     groups: BTreeMap<GroupId, Group>,
     slice: Point,
-    asked: u32,
     acked: u32,
+    failed: u32,
     good: u32,
     /// When the slices in a row that are served began.
     since: Option<Point>,
@@ -95,8 +95,8 @@
             reached,
             groups: BTreeMap::new(),
             slice: now,
-            asked: 0,
             acked: 0,
+            failed: 0,
             good: 0,
             since: None,
             over: false,
@@ -136,7 +136,6 @@
         if self.over {
             return;
         }
-        self.asked += 1;
         let group = self.groups.entry(group).or_default();
         (group.asked, group.writes) = (true, group.writes || write);
     }
@@ -149,30 +148,37 @@
         self.acked += 1;
         let one = self.groups.entry(group).or_default();
         (one.read, one.wrote) = (one.read || !write, one.wrote || write);
-        let proven = |one: &Group| !one.asked || (one.read || one.wrote) && (one.wrote || !one.writes);
+        let proven = |one: &Group| !one.asked || one.wrote || one.read && !one.writes;
         if self.stage >= Stage::Guess && self.groups.values().all(proven) {
             // Without discovery, too: hosts that answer are there, whatever nobody says of them.
             self.reach(now, Stage::Proven);
         }
     }
 
+    /// An op was given back, or failed.
+    pub fn failed(&mut self) {
+        self.failed += u32::from(!self.over);
+    }
+
     /// Time has passed; once, what the start took.
     pub fn tick(&mut self, now: Point) -> Option<Full> {
         if self.over {
             return None;
         }
-        if now - self.slice >= self.terms.slice && (self.asked >= self.terms.ops || self.asked == 0) {
-            // An ack may belong to an op of the slice before; over a few slices that is even.
-            let served = f64::from(self.acked) >= f64::from(self.asked) * self.terms.share;
-            if self.asked == 0 {
-                // Nobody asks: that says nothing, either way.
+        let answered = self.acked + self.failed;
+        if now - self.slice >= self.terms.slice && (answered >= self.terms.ops || answered == 0) {
+            let served = f64::from(self.acked) >= f64::from(answered) * self.terms.share;
+            if answered == 0 {
+                // Nobody asks, or nobody was answered yet: that says nothing, either way.
             } else if served && self.stage >= Stage::Proven {
-                self.since = self.since.or(Some(self.slice));
+                // A slice may have begun before anything could be served.
+                let proven = self.reached.get(&Stage::Proven).copied().unwrap_or(now);
+                self.since = self.since.or(Some(self.slice.max(proven)));
                 self.good += 1;
             } else {
                 (self.since, self.good) = (None, 0);
             }
-            (self.slice, self.asked, self.acked) = (now, 0, 0);
+            (self.slice, self.acked, self.failed) = (now, 0, 0);
         }
         let full = self.good >= self.terms.slices;
         if !full && now - self.began < self.terms.over {
--- a/crates/arrowyard-return/src/weigh.rs
+++ b/crates/arrowyard-return/src/weigh.rs
@@ -2,6 +2,8 @@
 //! whoever dials it. If a host stays for `life` on average, and goes at no time more likely than at another, the chance that
 //! it is still there after `age` is exp(-age / life): that is the confidence, and the share of its size that it is used with.
 
+use std::path::PathBuf;
+
 use arrowyard_store::{Host, Snapshot};
 use arrowyard_types::Span;
 
@@ -20,6 +22,16 @@
     }
 }
 
+/// How a router comes back, from the operator's file.
+#[derive(Clone, Debug)]
+pub struct Comes {
+    /// The folder in which it keeps its list; nothing is kept where there is none.
+    pub store: Option<PathBuf>,
+    pub trust: Trust,
+    /// The list is written at most so often.
+    pub save: Span,
+}
+
 /// The chance that a host which was there so long ago is there now.
 #[must_use]
 pub fn confidence(age: Span, life: Span) -> f64 {
--- a/crates/arrowyard-return/tests/start.rs
+++ b/crates/arrowyard-return/tests/start.rs
@@ -68,12 +68,14 @@
     while done.is_none() && now < 20_000 {
         now += 50;
         // Writes are served from the fifth second on.
-        start.asked(GroupId(1), false);
-        start.acked(at(now), GroupId(1), false);
         start.asked(GroupId(2), true);
         if now >= 5_000 {
             start.acked(at(now), GroupId(2), true);
+        } else {
+            start.failed();
         }
+        start.asked(GroupId(1), false);
+        start.acked(at(now), GroupId(1), false);
         done = start.tick(at(now));
     }
     let done = done.expect("it is over");
@@ -88,6 +90,7 @@
     let mut start = Return::start(at(0), Terms::default(), true);
     for now in (0..59_000).step_by(100) {
         start.asked(GroupId(1), true);
+        start.failed();
         assert_eq!(start.tick(at(now)), None);
     }
     let over = start.tick(at(60_000)).expect("time is up");
@@ -130,6 +133,7 @@
             for _ in 0..asked {
                 start.asked(GroupId(0), false);
             }
+            (acked..asked).for_each(|_| start.failed());
             for _ in 0..acked.min(asked) {
                 start.acked(at(now), GroupId(0), false);
                 acks += 1;
--- a/crates/arrowyard-standins/src/rig.rs
+++ b/crates/arrowyard-standins/src/rig.rs
@@ -42,12 +42,17 @@
     pub off: bool,
     /// What the platform's settings say of the number of routers.
     pub told_routers: usize,
+    /// Whether the platform tells a list at the start.
+    pub known: bool,
+    /// Whether each process keeps a store, which outlasts it.
+    pub store: bool,
 }
 
 impl Setting {
     #[must_use]
     pub fn of(processes: usize) -> Setting {
-        Setting { processes, seed: 1, more: String::new(), off: false, told_routers: processes }
+        let (more, off, known, store) = (String::new(), false, true, false);
+        Setting { processes, seed: 1, more, off, told_routers: processes, known, store }
     }
 }
 
@@ -56,6 +61,7 @@
     pub relays: Relays,
     program: PathBuf,
     setting: Setting,
+    stores: PathBuf,
     processes: Vec<Option<Process>>,
     /// When each process started last, and the logs of those that ended.
     started: Vec<i64>,
@@ -91,6 +97,11 @@
             town,
             relays,
             program: program.to_path_buf(),
+            stores: std::env::temp_dir().join(format!(
+                "arrowyard-stores-{}-{}",
+                std::process::id(),
+                mono_us()
+            )),
             processes: (0..count).map(|_| None).collect(),
             started: vec![0; count],
             logs: vec![Vec::new(); count],
@@ -110,9 +121,12 @@
     /// The operator's file of a process.
     #[must_use]
     pub fn book(&self, who: usize) -> String {
-        let head = "epoch: 1\nlog { form: JSON lines_a_second: 100000 }\n";
+        let mut head = "epoch: 1\nlog { form: JSON lines_a_second: 100000 }\n".to_string();
+        if self.setting.store {
+            head += &format!("returns {{ store: \"{}\" save_ms: 200 }}\n", self.store(who).display());
+        }
         if self.setting.off {
-            return head.to_string();
+            return head;
         }
         let others = (0..self.setting.processes).filter(|&other| other != who);
         let via = others
@@ -129,6 +143,12 @@
         )
     }
 
+    /// Where a process keeps its store.
+    #[must_use]
+    pub fn store(&self, who: usize) -> PathBuf {
+        self.stores.join(format!("n{who}"))
+    }
+
     /// Starts a process, anew if it ran before.
     ///
     /// # Errors
@@ -138,6 +158,9 @@
         let mut waybill = waybill(&self.town, &OP_TYPES, 512);
         waybill["name"] = json!(format!("n{who}"));
         waybill["seed"] = json!(format!("{:016x}", self.setting.seed * 1000 + who as u64));
+        if !self.setting.known {
+            waybill.as_object_mut().expect("it is an object").remove("known");
+        }
         waybill["settings"]["balancers"] = json!(self.setting.told_routers);
         self.started[who] = mono_us();
         let process = Process::start(&self.program, &waybill, Some(&self.book(who)))?;
@@ -340,6 +363,7 @@
     fn drop(&mut self) {
         // A halted process does not end before it runs again, but for a kill, which the processes' own drop is.
         self.processes.clear();
+        let _ = std::fs::remove_dir_all(&self.stores);
         if let Some(runtime) = self.runtime.take() {
             runtime.shutdown_background();
         }
--- a/crates/arrowyard-store/src/form.rs
+++ b/crates/arrowyard-store/src/form.rs
@@ -33,9 +33,6 @@
     /// It was primary then, which says nothing of now.
     #[prost(bool, tag = "8")]
     pub was_primary: bool,
-    /// Where it was dialed, and answered, at the earliest; 0 for never. Unix milliseconds.
-    #[prost(uint64, tag = "9")]
-    pub answered_ms: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -102,9 +99,9 @@
     crc32c::crc32c_append(crc32c::crc32c(head), body)
 }
 
-/// What the bytes are, for this deployment at this time (Unix milliseconds); clocks may differ by `skew_ms`.
+/// What the bytes are, for this deployment (any, if none is said) at this time (Unix milliseconds); clocks may differ by `skew_ms`.
 #[must_use]
-pub fn judge(bytes: &[u8], deployment: u64, now_ms: u64, skew_ms: u64) -> Found {
+pub fn judge(bytes: &[u8], deployment: Option<u64>, now_ms: u64, skew_ms: u64) -> Found {
     if bytes.is_empty() {
         return Found::Empty;
     }
@@ -131,7 +128,7 @@
         return Found::Older(form);
     }
     let Ok(snapshot) = Snapshot::decode(body) else { return Found::Garbled };
-    if snapshot.deployment != deployment {
+    if deployment.is_some_and(|deployment| snapshot.deployment != deployment) {
         return Found::Foreign;
     }
     if snapshot.written_ms > now_ms + skew_ms {
--- a/crates/arrowyard-store/src/generations.rs
+++ b/crates/arrowyard-store/src/generations.rs
@@ -10,7 +10,8 @@
 pub struct Store<D: Disk> {
     pub disk: D,
     pub folder: PathBuf,
-    pub deployment: u64,
+    /// Of any if none is said, as for a look from outside.
+    pub deployment: Option<u64>,
     /// How far clocks may differ, in milliseconds.
     pub skew_ms: u64,
 }
@@ -92,7 +93,8 @@
     /// What went wrong; the newer generation is as it was.
     pub fn save(&self, mut snapshot: Snapshot, now_ms: u64) -> io::Result<Kept> {
         let (kept, number) = self.load(now_ms).next();
-        (snapshot.deployment, snapshot.number) = (self.deployment, number);
+        snapshot.deployment = self.deployment.unwrap_or(snapshot.deployment);
+        snapshot.number = number;
         let bytes = write(&snapshot);
         if bytes.len() > LARGEST {
             return Err(io::Error::new(io::ErrorKind::FileTooLarge, "more hosts than a snapshot may hold"));
--- a/crates/arrowyard-yardbook/src/check.rs
+++ b/crates/arrowyard-yardbook/src/check.rs
@@ -8,7 +8,7 @@
 
 use crate::places::Places;
 use crate::schema::{
-    Cell, Cells, Flight, Lease, Log, Move, Net, Pace, Peers, Release, Repeats, Rest, Step, Tenant,
+    Cell, Cells, Flight, Lease, Log, Move, Net, Pace, Peers, Release, Repeats, Rest, Returns, Step, Tenant,
 };
 use crate::{Fault, Yardbook};
 
@@ -46,6 +46,9 @@
     if let Some(peers) = &book.peers {
         checker.peers(peers);
     }
+    if let Some(returns) = &book.returns {
+        checker.returns(returns);
+    }
     checker.faults
 }
 
@@ -111,6 +114,14 @@
         }
     }
 
+    fn returns(&mut self, returns: &Returns) {
+        if returns.store.is_some() {
+            self.name("returns.store", returns.store.as_deref());
+        }
+        self.number("returns.host_life_ms", returns.host_life_ms, 1000, 10_000_000_000);
+        self.number("returns.save_ms", returns.save_ms, 100, 3_600_000);
+    }
+
     fn peers(&mut self, peers: &Peers) {
         self.name("peers.fleet", peers.fleet.as_deref());
         self.address("peers.listen", peers.listen.as_deref(), true);
--- a/crates/arrowyard-yardbook/src/layout.rs
+++ b/crates/arrowyard-yardbook/src/layout.rs
@@ -3,6 +3,7 @@
 use arrowyard_cells::layout::{Cell, Layout, Lease, Net, Pace, Release, Repeats};
 use arrowyard_cells::moving::{Row, Step};
 use arrowyard_peers::{Belongs, Terms};
+use arrowyard_return::{Comes, Trust};
 use arrowyard_types::{CellId, GroupId, Point, Span};
 use ipnet::IpNet;
 
@@ -121,3 +122,15 @@
         news: told.news.unwrap_or(false),
     })
 }
+
+/// What a book that was checked says of coming back; nothing if it does not.
+pub fn returns(book: &schema::Yardbook) -> Option<Comes> {
+    let told = book.returns.as_ref()?;
+    let usual = Trust::default();
+    let life = told.host_life_ms.map_or(usual.life, |life| Span::from_millis(life as i64));
+    Some(Comes {
+        store: told.store.as_ref().map(std::path::PathBuf::from),
+        trust: Trust { life, ..usual },
+        save: span(told.save_ms, 5000),
+    })
+}
