--- a/crates/arrowyard-peers/src/words.rs
+++ b/crates/arrowyard-peers/src/words.rs
@@ -13,6 +13,8 @@
 /// So often a name is fought for within this many periods before one gives way.
 const FIGHTS: u32 = 3;
 const FIGHT_PERIODS: f64 = 20.0;
+/// How often it is passed on that a member joined, or started anew.
+const JOINED: u8 = 10;
 /// So many periods the one that gave way is still.
 const WITHDRAWN_PERIODS: f64 = 60.0;
 
@@ -90,10 +92,11 @@
             }
             (was != Standing::Alive || again).then(|| (one.name.clone(), again))
         });
-        let times = self.times();
+        let again = matches!(changed, Some(Some((_, true))));
+        let times = if again { JOINED } else { self.times() };
         self.table.spread(slot, times);
         // What it says against an accusation cannot wait; that it started anew can.
-        let urgent = !matches!(changed, Some(Some((_, true))));
+        let urgent = !again;
         if let Some(Some((name, _))) = changed {
             self.events.push(Event::Stands { name, life, standing: Standing::Alive, by });
         }
@@ -121,9 +124,9 @@
             standing: Standing::Alive,
             by: name,
         });
-        // It is no urgent news: where many join, what is pushed at once would be taken from what has to be.
-        let times = self.times();
-        self.table.spread(slot, times);
+        // It is no urgent news: where many join, what is pushed at once would be taken from what has to be; and told to
+        // the end by each, the start of a thousand fills all datagrams for minutes. The exchange brings the rest.
+        self.table.spread(slot, JOINED);
         if first {
             self.send_digest(now, slot, true);
         }
--- a/crates/arrowyard-standins/src/rig.rs
+++ b/crates/arrowyard-standins/src/rig.rs
@@ -351,6 +351,17 @@
         self.history().into_iter().filter(over).collect()
     }
 
+    /// How long each process that runs says that its last start took till service was full, in milliseconds.
+    #[must_use]
+    pub fn full(&self) -> Vec<Option<u64>> {
+        let told = |process: &Process| {
+            let log = process.log.lock().expect("nobody panics with the log");
+            let line = log.iter().find(|line| line.contains("service is full"))?;
+            serde_json::from_str::<Value>(line).ok()?["ms"].as_u64()
+        };
+        self.processes.iter().flatten().map(told).collect()
+    }
+
     /// Core time in ticks and memory in KB of all that run.
     #[must_use]
     pub fn cost(&self) -> (u64, u64) {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -360,8 +360,13 @@
     }
 
     fn listed(&mut self, form: ListForm, entries: Vec<Entry>, post: &mut Post) {
-        let missing = |host: &HostId| form != ListForm::Changes && !entries.iter().any(|e| e.host == *host);
-        self.hosts().filter(missing).for_each(|host| post.hosts.put(host, HostNote::Dropped));
+        // One look at each entry, not one for each host: lists of thousands come while ops wait.
+        let mut named = vec![form == ListForm::Changes; self.faces.len()];
+        for entry in &entries {
+            named.get_mut(entry.host.0 as usize).into_iter().for_each(|named| *named = true);
+        }
+        let missing = self.hosts().filter(|host| !named[host.0 as usize]);
+        missing.for_each(|host| post.hosts.put(host, HostNote::Dropped));
         for entry in entries {
             let place = entry.host.0 as usize;
             self.parts.resize_with(self.parts.len().max(place + 1), Parts::new);
