--- a/crates/arrowyard-daemon/tests/returns.rs
+++ b/crates/arrowyard-daemon/tests/returns.rs
@@ -24,11 +24,7 @@
 
 /// Ops at the process for so long: what they were answered.
 fn ops(rig: &Rig, who: usize, span: Duration, seed: u64) -> Outcome {
-    let address = rig.process(who).expect("it runs").address;
-    let mix = vec![(0, 3), (1, 3), (2, 2), (3, 2)];
-    let stream =
-        Stream { tenant: "t", group: 7, rate: 60.0, mix, from: Duration::ZERO, till: span, sessions: 20 };
-    play(address, &OP_TYPES, &[stream], seed, |_| {})
+    ops_in(rig, who, span, seed).join().expect("it was played")
 }
 
 fn said(rig: &Rig, who: usize, what: &str, within: u64) -> bool {
@@ -232,3 +228,41 @@
         assert!(calls(&rig) - before < 5 * 6, "discovery is not stormed: {}", calls(&rig) - before);
     }
 }
+
+#[test]
+fn killed_again_in_the_midst_of_coming_back_and_halted_together_they_serve_in_the_end() {
+    let mut rig = rig(Setting { store: true, known: false, ..Setting::of(4) });
+    assert!(rig.agree(ms(15_000)).is_some());
+    (0..4).for_each(|who| assert!(said(&rig, who, "the start is at Listed", 5_000)));
+    for turn in 0..10 {
+        (1..4).for_each(|who| rig.kill(who));
+        (1..4).for_each(|who| rig.begin(who).expect("it starts"));
+        let outcome = ops(&rig, 1 + turn as usize % 3, ms(150), 100 + turn);
+        assert_eq!(outcome.of_tenant("t").unanswered, 0, "turn {turn}");
+    }
+    // All are halted together, with ops under way, and let go.
+    let halted = ops_in(&rig, 1, ms(2_500), 200);
+    std::thread::sleep(ms(300));
+    (0..4).for_each(|who| rig.process(who).expect("it runs").signal("STOP"));
+    std::thread::sleep(ms(2_000));
+    (0..4).for_each(|who| rig.process(who).expect("it runs").signal("CONT"));
+    // Its clients gave up meanwhile; what it did all the same is there once.
+    let _ = halted.join();
+    for who in 0..4 {
+        let outcome = ops(&rig, who, ms(1_500), 300 + who as u64);
+        kept_rules(&rig, &outcome);
+        assert!(outcome.of_tenant("t").share() > 0.9, "n{who}: {:?}", outcome.of_tenant("t"));
+    }
+    assert!(rig.agree(ms(10_000)).is_some());
+}
+
+/// The same as `ops`, in a thread of its own.
+fn ops_in(rig: &Rig, who: usize, span: Duration, seed: u64) -> std::thread::JoinHandle<Outcome> {
+    let address = rig.process(who).expect("it runs").address;
+    std::thread::spawn(move || {
+        let mix = vec![(0, 3), (1, 3), (2, 2), (3, 2)];
+        let stream =
+            Stream { tenant: "t", group: 7, rate: 60.0, mix, from: Duration::ZERO, till: span, sessions: 20 };
+        play(address, &OP_TYPES, &[stream], seed, |_| {})
+    })
+}
