Tests that bite: words of a former life, datagrams that were replayed or held up

Need: guards of membership were broken one by one on a copy.

Change: a test of each of the two by itself.

--- a/crates/arrowyard-peers/tests/cases.rs
+++ b/crates/arrowyard-peers/tests/cases.rs
@@ -404,3 +404,29 @@
     let (few, many) = (cost(10), cost(60));
     assert!(many < few * 1.2, "{few} datagrams for ten, {many} for sixty");
 }
+
+#[test]
+fn of_two_words_a_later_life_counts_and_within_one_life_the_worse() {
+    use arrowyard_peers::supersedes;
+    assert!(supersedes(6, Claim::Alive, 5, Standing::Dead), "it started anew");
+    assert!(!supersedes(4, Claim::Dead, 5, Standing::Alive), "a former life's end says nothing of this one");
+    assert!(
+        !supersedes(5, Claim::Alive, 5, Standing::Dead) && !supersedes(5, Claim::Suspect, 5, Standing::Lost)
+    );
+    assert!(supersedes(5, Claim::Dead, 5, Standing::Silent));
+}
+
+#[test]
+fn a_datagram_that_was_replayed_or_held_up_is_no_sign_of_life() {
+    let mut one = arrowyard_peers::Member::new("n1".into(), at(1), 1, 1, BEGIN);
+    let sent = |ms: u64| 5_000_000 + ms * 1000;
+    assert_eq!(
+        one.fresh(sent(0), BEGIN + ms(2), ms(0)),
+        Some(Span::ZERO),
+        "the first one says what is usual"
+    );
+    assert_eq!(one.fresh(sent(0), BEGIN + ms(3), ms(1)), None, "the same again");
+    assert_eq!(one.fresh(sent(500), BEGIN + ms(502), ms(0)), Some(Span::ZERO));
+    assert_eq!(one.fresh(sent(400), BEGIN + ms(503), ms(0)), None, "overtaken");
+    assert_eq!(one.fresh(sent(600), BEGIN + ms(3602), ms(0)), Some(ms(3000)), "three seconds late");
+}
