--- a/crates/arrowyard-standins/src/bin/rig.rs
+++ b/crates/arrowyard-standins/src/bin/rig.rs
@@ -179,7 +179,7 @@
                 format!("{:.1}", datagrams as f64 / each),
                 format!("{:.0}", bytes as f64 / each),
                 format!("{:.2}", ticks as f64 * 10.0 / each),
-                format!("{:.3}", good as f64 / (sent as f64).max(1.0)),
+                if sent == 0 { "-".to_string() } else { format!("{:.3}", good as f64 / sent as f64) },
                 busy.to_string(),
                 unanswered.to_string(),
             ]);
