Discovery is asked in turn and by number; background work on a scheduler, long lists in slices

Need: routers that start together called discovery at one moment, a discovery of which one part is behind reopened hosts that are gone (whole lists were taken whatever their number), and lists of thousands of hosts held the thread in one piece; each piece of upkeep had a timer of its own.

Change: arrowyard-return decides which lists are believed (older numbers are passed over till, for doubt_ms, nothing else comes) and when a router calls among N (full jitter over N / discovery_calls, doubled with each failed call); both on with 'returns' only. New package arrowyard-chores, no I/O: ranks, budgets of thread time and takes, rests after failures, a bound on starvation; slices of lists, closings first.

--- /dev/null
+++ b/crates/arrowyard-chores/src/budget.rs
@@ -0,0 +1,38 @@
+//! What may be spent: it comes back with time, is saved up to a bound, and may be overdrawn by what had to be done.
+
+use arrowyard_types::Point;
+
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    level: f64,
+    rate: f64,
+    most: f64,
+    at: Point,
+}
+
+impl Bucket {
+    /// So much a second, and so much saved up at most, as it is from the start.
+    #[must_use]
+    pub fn new(now: Point, rate: f64, most: f64) -> Bucket {
+        Bucket { level: most, rate, most, at: now }
+    }
+
+    pub fn level(&mut self, now: Point) -> f64 {
+        // A clock that goes back gives nothing and takes nothing.
+        let passed = (now - self.at).as_secs_f64().max(0.0);
+        self.level = (self.level + passed * self.rate).min(self.most);
+        self.at = self.at.max(now);
+        self.level
+    }
+
+    /// Danger: a single turn that took a second keeps all others out for as long as the debt takes to come back. So a debt is
+    /// no more than what may be saved up.
+    pub fn spend(&mut self, now: Point, what: f64) {
+        self.level = (self.level(now) - what).max(-self.most);
+    }
+
+    #[must_use]
+    pub fn most(&self) -> f64 {
+        self.most
+    }
+}
--- a/crates/arrowyard-core/src/back.rs
+++ b/crates/arrowyard-core/src/back.rs
@@ -83,6 +83,9 @@
 
     fn close_idle(&self, host: HostId);
 
+    /// Closes what was idle for too long; called from time to time.
+    fn sweep(&self) {}
+
     /// Connections that stand.
     fn open(&self) -> usize;
 
--- a/crates/arrowyard-core/src/discovery.rs
+++ b/crates/arrowyard-core/src/discovery.rs
@@ -1,62 +1,116 @@
 //! Discovery's side: a watch that stands, whole lists on wish, and word of each failure.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use arrowyard_return::{Credence, Herd, Verdict};
+use arrowyard_types::Span;
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{Instant, timeout_at};
+use tokio::task::{JoinHandle, spawn_blocking, spawn_local};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::back::Back;
+use crate::clock::{Clock, duration};
 use crate::http;
 use crate::limits::Limits;
 use crate::list::List;
 use crate::mail::{Mail, News, Wish};
 
+/// A list of more bytes is read on a thread of its own, since ops wait meanwhile.
+const LONG_TEXT: usize = 256 * 1024;
+
+/// How a router asks that comes back among many, and what it believes; where the operator's file says so.
+pub struct Manners {
+    pub credence: Credence,
+    pub herd: Herd,
+    /// A list is there that is used.
+    pub listed: bool,
+    pub clock: Clock,
+}
+
+impl Manners {
+    /// How long the next call waits. One that is asked for while calls succeed is urgent: somebody knows of news.
+    fn wait(&mut self, first: bool) -> Span {
+        let urgent = !first && !self.herd.fails();
+        if urgent { Span::ZERO } else { self.herd.wait(self.listed) }
+    }
+}
+
+/// A call that ends with whoever holds this.
+struct Standing(JoinHandle<()>);
+
+impl Drop for Standing {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 pub struct Discovery<B: Back> {
     pub dial: SocketAddr,
     /// The version of the last list.
     pub version: Rc<Cell<Option<i64>>>,
     pub mail: mpsc::Sender<Mail<B>>,
     pub limits: Rc<Limits>,
+    pub manners: Option<Rc<RefCell<Manners>>>,
 }
 
 impl<B: Back> Clone for Discovery<B> {
     fn clone(&self) -> Self {
-        let Discovery { dial, version, mail, limits } = self;
-        Discovery { dial: *dial, version: version.clone(), mail: mail.clone(), limits: limits.clone() }
+        let Discovery { dial, version, mail, limits, manners } = self;
+        let (version, mail, manners) = (version.clone(), mail.clone(), manners.clone());
+        Discovery { dial: *dial, version, mail, limits: limits.clone(), manners }
     }
 }
 
 impl<B: Back> Discovery<B> {
     pub async fn run(mut self, mut wishes: mpsc::Receiver<Wish>) {
-        let mut watch: Option<JoinHandle<()>> = None;
+        let mut watch: Option<Standing> = None;
         while let Some(wish) = wishes.recv().await {
             match wish {
-                Wish::Watch(true) if watch.as_ref().is_some_and(|watch| !watch.is_finished()) => {}
-                Wish::Watch(true) => watch = Some(spawn_local(self.clone().call(true))),
-                Wish::Watch(false) => watch.take().into_iter().for_each(|watch| watch.abort()),
+                Wish::Watch(true) if watch.as_ref().is_some_and(|watch| !watch.0.is_finished()) => {}
+                Wish::Watch(true) => watch = Some(self.begin(true, None)),
+                Wish::Watch(false) => drop(watch.take()),
                 Wish::Move(dial) if dial == self.dial => {}
                 // Danger: the old address stays open for a while and then leaves the router without news. So the
-                // watch moves at once, and goes on after the last version.
+                // watch moves at once, and goes on after the last version; where many move together, each at its moment,
+                // and the old watch stands till then.
                 Wish::Move(dial) => {
                     self.dial = dial;
+                    self.manners.iter().for_each(|manners| manners.borrow_mut().credence.moved());
                     if let Some(old) = watch.take() {
-                        old.abort();
-                        watch = Some(spawn_local(self.clone().call(true)));
+                        watch = Some(self.begin(true, Some(old)));
                     }
                 }
-                Wish::Fetch => drop(spawn_local(self.clone().call(false))),
+                Wish::Fetch => drop(spawn_local(self.clone().call(false, Span::ZERO, None))),
+                Wish::Routers(routers) => {
+                    self.manners.iter().for_each(|manners| manners.borrow_mut().herd.count(routers));
+                }
             }
         }
     }
 
-    async fn call(self, watch: bool) {
+    /// A call that stands, in place of the old one from its first moment on.
+    fn begin(&self, watch: bool, old: Option<Standing>) -> Standing {
+        let wait = self.manners.as_ref().map_or(Span::ZERO, |manners| manners.borrow_mut().wait(true));
+        let old = old.filter(|_| wait > Span::ZERO);
+        Standing(spawn_local(self.clone().call(watch, wait, old)))
+    }
+
+    async fn call(self, watch: bool, wait: Span, old: Option<Standing>) {
+        let wait = match &self.manners {
+            Some(manners) if !watch => manners.borrow_mut().wait(false),
+            _ => wait,
+        };
+        if wait > Span::ZERO {
+            sleep(duration(wait)).await;
+        }
+        drop(old);
         if let Err(why) = self.read(watch).await {
+            self.manners.iter().for_each(|manners| manners.borrow_mut().herd.failed());
             let call = if watch { "watch" } else { "fetch" };
             tracing::warn!("{call} of the list failed: {why}");
             // The route stage is gone only when the router ends.
@@ -111,12 +165,37 @@
     }
 
     async fn tell(&self, text: &[u8]) -> Result<(), String> {
-        let list = List::parse(text)?;
+        // Danger: thousands of hosts are read on the one thread, and every op waits for it.
+        let list = if text.len() > LONG_TEXT {
+            let text = text.to_vec();
+            spawn_blocking(move || List::parse(&text)).await.map_err(|e| e.to_string())??
+        } else {
+            List::parse(text)?
+        };
         // Lists of different calls may overtake each other; an older one must not undo a newer one.
-        if list.whole || self.version.get().is_none_or(|version| list.version >= version) {
+        let taken = match &self.manners {
+            Some(manners) => self.believed(&mut manners.borrow_mut(), &list)?,
+            None => list.whole || self.version.get().is_none_or(|version| list.version >= version),
+        };
+        if taken {
             self.version.set(Some(list.version));
             let _ = self.mail.send(Mail::News(News::Listed(list))).await;
         }
         Ok(())
     }
+
+    fn believed(&self, manners: &mut Manners, list: &List) -> Result<bool, String> {
+        let held = manners.credence.held().unwrap_or_default();
+        match manners.credence.weigh(manners.clock.now(), list.version, list.whole) {
+            Verdict::Take => {}
+            Verdict::Anew => tracing::warn!(held, told = list.version, "discovery counts its lists anew"),
+            // The call has failed: another one may meet a discovery that is not behind.
+            Verdict::Pass => {
+                return Err(format!("list {} is older than {held}, it is passed over", list.version));
+            }
+        }
+        manners.herd.good();
+        manners.listed = true;
+        Ok(true)
+    }
 }
--- a/crates/arrowyard-core/src/limits.rs
+++ b/crates/arrowyard-core/src/limits.rs
@@ -67,6 +67,14 @@
     pub tick: Duration,
     /// How often the tally is logged.
     pub tally: Duration,
+    /// Lines of a list that are taken at once; a longer one is worked off in slices.
+    pub slice: usize,
+    /// Within this time a slice is due: a host that a list closes is closed before the grace is over.
+    pub listed: Duration,
+    /// How often a start is looked at, and what other routers hint at.
+    pub look: Duration,
+    /// How long a list may wait to be stored while ops want the thread.
+    pub store: Duration,
 }
 
 /// Values are of 64 KiB at most; as text each of their bytes takes two, and the statement some more.
@@ -123,6 +131,10 @@
             beat: Duration::from_millis(5),
             tick: Duration::from_millis(25),
             tally: Duration::from_secs(5),
+            slice: 128,
+            listed: Duration::from_millis(5),
+            look: Duration::from_millis(50),
+            store: Duration::from_secs(2),
         }
     }
 
--- a/crates/arrowyard-core/src/mail.rs
+++ b/crates/arrowyard-core/src/mail.rs
@@ -51,10 +51,12 @@
 }
 
 /// What discovery is asked for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Wish {
     Watch(bool),
     Fetch,
     /// It is reached at another address from now on.
     Move(SocketAddr),
+    /// So many routers ask it.
+    Routers(f64),
 }
--- a/crates/arrowyard-core/src/pool.rs
+++ b/crates/arrowyard-core/src/pool.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use arrowyard_types::{HostId, Outcome};
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
 use crate::count::Count;
 use crate::limits::Limits;
@@ -99,11 +99,8 @@
     }
 
     /// Closes what was idle for too long, before the host does: a send that crosses the end may have run.
-    pub async fn sweep(self: Rc<Self>) {
-        loop {
-            sleep(self.limits.idle / 8).await;
-            self.idle.borrow_mut().values_mut().for_each(|links| links.retain(L::is_good));
-        }
+    pub fn sweep(&self) {
+        self.idle.borrow_mut().values_mut().for_each(|links| links.retain(L::is_good));
     }
 }
 
--- a/crates/arrowyard-core/src/returns.rs
+++ b/crates/arrowyard-core/src/returns.rs
@@ -44,8 +44,10 @@
 
 /// The list to start with: the platform's own, and what a stored one has beyond it, weighed by its age. Whatever is wrong
 /// with the store is logged and passed over.
-pub async fn read(comes: &Comes, deployment: u64, known: Option<List>) -> Option<List> {
-    let Some(folder) = comes.store.clone() else { return known };
+///
+/// With it the number of the stored list, if it is used: what discovery tells under a smaller one is older.
+pub async fn read(comes: &Comes, deployment: u64, known: Option<List>) -> (Option<List>, Option<i64>) {
+    let Some(folder) = comes.store.clone() else { return (known, None) };
     let now = unix_ms();
     let loading = spawn_blocking(move || {
         // A folder that is not there yet is made, so that the first snapshot finds it.
@@ -54,7 +56,7 @@
     });
     let Ok(Ok(loaded)) = timeout(DISK, loading).await else {
         tracing::warn!("the store did not answer in time: this start goes on without it");
-        return known;
+        return (known, None);
     };
     for (kept, found) in &loaded.found {
         match found {
@@ -64,7 +66,7 @@
     }
     let Some((_, stored)) = loaded.newest() else {
         tracing::info!("nothing is stored for this start");
-        return known;
+        return (known, None);
     };
     let age = Span::from_millis(now.saturating_sub(stored.written_ms) as i64);
     let names: Vec<String> =
@@ -85,7 +87,7 @@
     });
     let mut list = known.unwrap_or(List { version: 0, whole: true, lines: Vec::new() });
     list.lines.extend(lines);
-    Some(list)
+    (Some(list), (confidence > 0.0).then_some(stored.version))
 }
 
 /// One start, and what is kept for the next.
--- a/crates/arrowyard-core/src/roster.rs
+++ b/crates/arrowyard-core/src/roster.rs
@@ -35,6 +35,9 @@
     ceased: Vec<u32>,
     /// Hosts that are gone, and since when; the longest first.
     gone: VecDeque<(Instant, String)>,
+    /// By host: which whole list named it last, of those that are worked off in slices; and which one is in hand.
+    named: Vec<u64>,
+    turn: u64,
     limits: Rc<Limits>,
 }
 
@@ -44,7 +47,8 @@
         let sites = sites.iter().filter_map(Value::as_str).enumerate();
         let zones = sites.map(|(n, site)| (site.to_string(), ZoneId(n as u32))).collect();
         let (ids, dials, last, raw, views, ceased, gone) = Default::default();
-        Roster { ids, dials, last, zones, raw, views, ceased, gone, limits }
+        let (named, turn) = (Vec::new(), 0);
+        Roster { ids, dials, last, zones, raw, views, ceased, gone, named, turn, limits }
     }
 
     pub fn dial(&self, host: HostId) -> Option<SocketAddr> {
@@ -61,6 +65,30 @@
         Note::Listed { form, entries: list.lines.iter().map(|line| self.entry(line)).collect() }
     }
 
+    /// From now on lines are of this whole list.
+    pub fn turn(&mut self, turn: u64) {
+        self.turn = turn;
+    }
+
+    /// The hosts that this whole list did not name: they are gone by it.
+    pub fn missing(&self, turn: u64) -> Vec<Line> {
+        let there = self.last.iter().zip(&self.named);
+        let there = there.filter(|(entry, named)| {
+            entry.availability != Availability::Gone && **named < turn
+        });
+        let line = |entry: &Entry| Line {
+            host: self.raw[entry.host.0 as usize].0.clone(),
+            availability: Availability::Gone,
+            dial: None,
+            site: None,
+            group: None,
+            size: None,
+            born_ms: None,
+            primary: None,
+        };
+        there.map(|(entry, _)| line(entry)).collect()
+    }
+
     /// The id of the host that is gone for longest, if none of its sends can be under way any more; it names another
     /// from now on. Danger: hosts come and go for as long as the router runs, and what is kept of each adds up.
     fn forget(&mut self) -> Option<HostId> {
@@ -172,6 +200,7 @@
                 Entry { host, tag, availability, parts, zone, size: 1.0, primary: false, started: None };
             if place == self.dials.len() {
                 self.dials.push(None);
+                self.named.push(0);
                 self.last.push(blank);
                 self.raw.push((line.host.clone(), GroupId(0), 1.0));
             } else {
@@ -179,6 +208,7 @@
                 self.raw[place] = (line.host.clone(), GroupId(0), 1.0);
             }
         }
+        self.named[place] = self.turn;
         let left = line.availability == Availability::Gone
             && (known.is_none() || self.last[place].availability != Availability::Gone);
         if left {
--- a/crates/arrowyard-core/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -7,6 +7,7 @@
 use arrowyard::Router;
 use arrowyard_cells::Layout;
 use arrowyard_cells::desk::{News, Why};
+use arrowyard_chores::{Budget, End as Ending, Rank, Scheduler, Slice, Slices, Terms};
 use arrowyard_types::*;
 use tokio::sync::mpsc::error::TryRecvError;
 use tokio::sync::{mpsc, oneshot};
@@ -18,7 +19,7 @@
 use crate::clock::Clock;
 use crate::hints::{Hints, hint, hinted};
 use crate::limits::Limits;
-use crate::list::List;
+use crate::list::{Line, List};
 use crate::mail::{self, Mail, Wish};
 use crate::peers::Errand;
 use crate::reply::Reply;
@@ -44,6 +45,29 @@
 /// The hosts of a move's target are asked where they are once in this part of a connect time-out.
 const WATCH: f64 = 0.4;
 
+/// What the draws of the chores are told apart by from the module's, which have the same seed.
+const CHORES: u64 = 0x6368_6f72;
+
+/// Work beside the ops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Chore {
+    /// A slice of a long list.
+    List,
+    Tally,
+    /// Idle connections are closed.
+    Sweep,
+    /// What other routers hint at.
+    Hints,
+    /// The stages of the start.
+    Start,
+    /// The list is stored.
+    Save,
+}
+
+fn span(time: std::time::Duration) -> Span {
+    Span::from_micros(time.as_micros() as i64)
+}
+
 /// What goes with an op that waits for its cell.
 type Rest<B> = (Rc<<B as Back>::Payload>, oneshot::Sender<Reply<<B as Back>::Answer>>);
 
@@ -61,7 +85,9 @@
     book: Book<B::Payload, B::Answer>,
     alarms: BinaryHeap<Reverse<(Point, u64, Cookie)>>,
     rung: u64,
-    tallied: Instant,
+    chores: Scheduler<Chore>,
+    /// Long lists that are worked off.
+    slices: Slices<Line>,
     /// Connections begun by the last tally.
     dialed: u64,
     /// Hosts that others say are leaving.
@@ -98,7 +124,22 @@
         let mut book = Book::default();
         book.closed = ward.is_some().then(Vec::new);
         let (alarms, moment) = (BinaryHeap::new(), Instant::now());
-        let (ticked, tallied, rung) = (moment, moment, 0);
+        let (ticked, rung) = (moment, 0);
+        let mut chores = Scheduler::new(now, Budget::default(), seed ^ CHORES);
+        let limits = yard.limits.clone();
+        let mut add = |chore, terms| chores.add(now, chore, terms);
+        add(Chore::List, Terms::asked("lists", Rank::First, span(limits.listed)));
+        add(Chore::Tally, Terms::every("tally", Rank::Usual, span(limits.tally)));
+        let often = span(limits.idle) * 0.125;
+        add(Chore::Sweep, Terms { within: often, ..Terms::every("idle connections", Rank::Idle, often) });
+        if yard.peers.is_some() {
+            add(Chore::Hints, Terms::every("hints", Rank::Usual, span(limits.look)));
+        }
+        if returns.is_some() {
+            add(Chore::Start, Terms::every("start", Rank::Usual, span(limits.look)));
+            add(Chore::Save, Terms::asked("store", Rank::Idle, span(limits.store)));
+        }
+        let slices = Slices::new(limits.slice);
         let mut route = Route {
             yard,
             ward,
@@ -111,7 +152,8 @@
             book,
             alarms,
             rung,
-            tallied,
+            chores,
+            slices,
             dialed: 0,
             hints: Hints::new(grace, grace * 2.0),
             returns,
@@ -120,7 +162,7 @@
             acked: 0,
         };
         if let Some(list) = known {
-            let note = route.listed(list, true);
+            let note = route.listed(list, Some(true));
             route.router.take(now, note, &mut actions);
         }
         actions.into_iter().for_each(|action| route.carry_out(now, action));
@@ -143,15 +185,15 @@
                 }
                 continue;
             }
-            let next = self.alarms.peek().map(|Reverse((at, ..))| self.yard.clock.when(*at));
-            let tally = self.tallied + self.yard.limits.tally;
+            let next = self.next();
             let note = tokio::select! {
                 mail = inbox.recv() => match mail {
                     Some(mail) => self.note(mail),
                     None => return,
                 },
-                () = sleep_until(next.unwrap_or(tally).min(tally)) => self.rung(),
+                () = sleep_until(next) => None,
             };
+            let note = note.or_else(|| self.rung(!inbox.is_empty()));
             let Some(note) = note else { continue };
             self.hand_over(note, &mut actions);
         }
@@ -197,17 +239,17 @@
             }
         }
         self.tick();
-        if let Some(note) = self.rung() {
+        let waits = self.ward.as_ref().is_some_and(|ward| ward.waiting() > 0);
+        if let Some(note) = self.rung(waits) {
             return Some(Some(note));
         }
         if let Some(mail) = self.ward.as_mut().and_then(Ward::take) {
             return Some(self.note(mail));
         }
-        let next = self.alarms.peek().map(|Reverse((at, ..))| self.yard.clock.when(*at));
-        let tick = self.ticked + self.yard.limits.tick;
+        let next = self.next().min(self.ticked + self.yard.limits.tick);
         tokio::select! {
             mail = inbox.recv() => mail.map(|mail| self.sort(mail)),
-            () = sleep_until(next.unwrap_or(tick).min(tick)) => Some(None),
+            () = sleep_until(next) => Some(None),
         }
     }
 
@@ -329,15 +371,15 @@
         }
     }
 
-    /// The list as a note, as cells divide it.
-    fn listed(&mut self, list: &List, saved: bool) -> Note {
-        let note = self.yard.roster.note(list, saved);
+    /// The list as a note, as cells divide it. `saved`: the router's last one before it started; nothing for a slice.
+    fn listed(&mut self, list: &List, saved: Option<bool>) -> Note {
+        let note = self.yard.roster.note(list, saved == Some(true));
         self.book.tally.listed += list.lines.len() as u32;
         let ceased = self.yard.roster.ceased();
-        if let Some(returns) = self.returns.as_mut().filter(|_| !saved) {
+        if let Some(returns) = self.returns.as_mut().filter(|_| saved == Some(false)) {
             returns.listed(self.yard.clock.now(), list.version);
         }
-        if let Some(peers) = self.yard.peers.as_ref().filter(|_| !saved) {
+        if let Some(peers) = self.yard.peers.as_ref().filter(|_| saved != Some(true)) {
             ceased.into_iter().for_each(|tag| drop(peers.try_send(Errand::Tell(hint(tag)))));
         }
         match note {
@@ -385,21 +427,84 @@
         }
     }
 
-    /// The next alarm that is due.
-    fn rung(&mut self) -> Option<Note> {
-        if self.tallied.elapsed() >= self.yard.limits.tally {
-            self.tally();
-        }
-        let now = self.yard.clock.now();
-        if let Some(returns) = &mut self.returns {
-            returns.tick(now);
-            if returns.due(now) {
-                returns.save(self.yard.roster.hosts(), self.yard.mail.clone());
+    /// When an alarm rings or a chore is due.
+    fn next(&self) -> Instant {
+        let alarm = self.alarms.peek().map(|Reverse((at, ..))| *at);
+        let next = [alarm, self.chores.next_at()].into_iter().flatten().min();
+        next.map_or_else(|| Instant::now() + self.yard.limits.tally, |at| self.yard.clock.when(at))
+    }
+
+    /// One turn of a chore, if one may be done; `ops`: others wait for the thread.
+    fn chore(&mut self, now: Point, ops: bool) {
+        let Some(chore) = self.chores.take(now, ops) else { return };
+        let end = match chore {
+            Chore::List => self.slice(),
+            Chore::Tally => {
+                self.tally();
+                Ending::Done
+            }
+            Chore::Sweep => {
+                self.yard.back.sweep();
+                Ending::Done
+            }
+            Chore::Hints => {
+                if self.hints.look(now, |tag| self.yard.roster.holds_ready(tag)) {
+                    tracing::info!("other routers say that a host is leaving: the list is asked for");
+                    wish(&self.yard.wishes, Wish::Fetch);
+                }
+                Ending::Done
             }
-        }
-        if self.hints.look(now, |tag| self.yard.roster.holds_ready(tag)) {
-            tracing::info!("other routers say that a host is leaving: the list is asked for");
-            wish(&self.yard.wishes, Wish::Fetch);
+            Chore::Start => {
+                if let Some(returns) = &mut self.returns {
+                    returns.tick(now);
+                    if returns.due(now) {
+                        self.chores.ask(now, Chore::Save);
+                    }
+                }
+                Ending::Done
+            }
+            Chore::Save => {
+                if let Some(returns) = &mut self.returns {
+                    returns.save(self.yard.roster.hosts(), self.yard.mail.clone());
+                }
+                Ending::Done
+            }
+        };
+        let ended = self.yard.clock.now();
+        self.chores.done(ended, chore, ended - now, end);
+    }
+
+    /// One slice of the lists that wait.
+    fn slice(&mut self) -> Ending {
+        let lines = match self.slices.next() {
+            Some(Slice::Lines(lines)) => lines,
+            Some(Slice::Missing(turn)) => {
+                let lines = self.yard.roster.missing(turn);
+                // They are closed at once, however many: what is gone is not to be sent to.
+                tracing::info!(gone = lines.len(), "a whole list leaves out hosts");
+                lines
+            }
+            Some(Slice::Through(number)) => {
+                if let Some(returns) = &mut self.returns {
+                    returns.listed(self.yard.clock.now(), number);
+                }
+                return if self.slices.is_empty() { Ending::Done } else { Ending::More };
+            }
+            None => return Ending::Done,
+        };
+        self.yard.roster.turn(self.slices.turn());
+        let part = List { version: 0, whole: false, lines };
+        let note = self.listed(&part, None);
+        let mut actions = Vec::new();
+        self.hand_over(note, &mut actions);
+        Ending::More
+    }
+
+    /// The next alarm that is due, after a turn of a chore that is.
+    fn rung(&mut self, ops: bool) -> Option<Note> {
+        let now = self.yard.clock.now();
+        if self.chores.next_at().is_some_and(|at| at <= now) {
+            self.chore(now, ops);
         }
         let due = self.alarms.peek().is_some_and(|Reverse((at, ..))| *at <= now);
         let alarm = due.then(|| self.alarms.pop()).flatten();
@@ -466,7 +571,10 @@
                 }
                 None
             }
-            Mail::Fleet(routers) => Some(Note::Fleet { routers }),
+            Mail::Fleet(routers) => {
+                wish(&self.yard.wishes, Wish::Routers(routers));
+                Some(Note::Fleet { routers })
+            }
             Mail::Told(from, mut bytes) => {
                 if let Some(tag) = hinted(&bytes) {
                     self.hints.heard(self.yard.clock.now(), tag);
@@ -484,7 +592,17 @@
                 let _ = client.send((self.taken, self.acked + u64::from(self.book.tally.acked)));
                 None
             }
-            Mail::News(mail::News::Listed(list)) => Some(self.listed(&list, false)),
+            Mail::News(mail::News::Listed(list)) if self.slices.has_to(list.lines.len()) => {
+                let rank = |line: &Line| match line.availability {
+                    Availability::Ready if line.primary == Some(true) => 1,
+                    Availability::Ready => 2,
+                    _ => 0,
+                };
+                self.slices.push(list.version, list.whole, list.lines, rank);
+                self.chores.ask(self.yard.clock.now(), Chore::List);
+                None
+            }
+            Mail::News(mail::News::Listed(list)) => Some(self.listed(&list, Some(false))),
             Mail::News(mail::News::ListFailed) => Some(Note::ListFailed),
         }
     }
@@ -580,7 +698,6 @@
         let tally = std::mem::take(&mut self.book.tally);
         self.acked += u64::from(tally.acked);
         let dialed = self.yard.back.dialed();
-        self.tallied = Instant::now();
         tracing::info!(
             acked = tally.acked,
             busy = tally.busy,
--- a/crates/arrowyard-daemon/src/base.rs
+++ b/crates/arrowyard-daemon/src/base.rs
@@ -1,7 +1,7 @@
 //! What every router in service has, whatever fronts it has and whatever its hosts speak: the stages are started on one
 //! thread, and end when told to.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -10,7 +10,7 @@
 use arrowyard_core::Back;
 use arrowyard_core::admit::Gate;
 use arrowyard_core::clock::{Beat, Clock};
-use arrowyard_core::discovery::Discovery;
+use arrowyard_core::discovery::{Discovery, Manners};
 use arrowyard_core::drain::{self, Drain, Stage};
 use arrowyard_core::limits::Limits;
 use arrowyard_core::logger::{self, Form, Logbook};
@@ -21,6 +21,7 @@
 use arrowyard_core::roster::Roster;
 use arrowyard_core::route::{Route, Yard};
 use arrowyard_core::waybill::Waybill;
+use arrowyard_return::{Credence, Herd};
 use arrowyard_types::{Fact, Facts};
 use arrowyard_yardbook::{Yardbook, belongs, layout, returns as comes, schema};
 use tokio::runtime::Builder;
@@ -41,6 +42,9 @@
     }
 }
 
+/// What the draws of the herd are told apart by from the module's, which have the same seed.
+const HERD: u64 = 0x6865_7264;
+
 /// The stages of a router that is to serve: fronts hand their ops in here.
 pub struct Base<B: Back> {
     pub gate: Rc<Gate>,
@@ -83,16 +87,24 @@
         let back = back(&limits);
         // A stored list is no base for changes: the watch begins with the whole list unless the platform told one.
         let version = Rc::new(Cell::new(waybill.known.as_ref().map(|list| list.version)));
-        let (mut known, mut returning) = (waybill.known.clone(), None);
+        let (mut known, mut returning, mut manners) = (waybill.known.clone(), None, None);
         if let Some(comes) = book.and_then(comes) {
             let deployment = returns::deployment(&waybill.settings);
-            known = returns::read(&comes, deployment, known).await;
+            let (list, stored) = returns::read(&comes, deployment, known).await;
+            known = list;
             let (name, seed) = (&waybill.name, waybill.seed);
+            let held = stored.max(version.get());
+            manners = Some(Rc::new(RefCell::new(Manners {
+                credence: Credence::new(clock.now(), held, comes.doubt),
+                herd: Herd::new(comes.pace, told.number_or("routers", 1.0), seed ^ HERD),
+                listed: known.is_some(),
+                clock,
+            })));
             let start = Returning::new(clock.now(), comes, deployment, name, known.is_some(), seed);
             returning = Some(Box::new(start));
         }
         let discovery =
-            Discovery { dial: waybill.discovery, version, mail: mail.clone(), limits: limits.clone() };
+            Discovery { dial: waybill.discovery, version, mail: mail.clone(), limits: limits.clone(), manners };
         drop(spawn_local(discovery.run(wished)));
         let cells = book.and_then(layout);
         let reread = path.map(|path| -> (Reread, _) {
--- a/crates/arrowyard-daemon/src/serve.rs
+++ b/crates/arrowyard-daemon/src/serve.rs
@@ -17,9 +17,7 @@
 /// What carries sends to hosts of PostgreSQL's protocol.
 #[must_use]
 pub fn back(limits: &Rc<Limits>) -> Rc<PgBack> {
-    let back = Rc::new(PgBack::new(limits.clone()));
-    drop(spawn_local(back.sweep()));
-    back
+    Rc::new(PgBack::new(limits.clone()))
 }
 
 /// Opens the front of PostgreSQL's protocol.
--- a/crates/arrowyard-daemon/tests/returns.rs
+++ b/crates/arrowyard-daemon/tests/returns.rs
@@ -7,6 +7,7 @@
 
 use arrowyard_standins::load::{Outcome, Stream, play};
 use arrowyard_standins::rig::{Rig, Setting, mono_us};
+use arrowyard_standins::Mood;
 use arrowyard_standins::router::OP_TYPES;
 use serde_json::Value;
 
@@ -266,3 +267,99 @@
         play(address, &OP_TYPES, &[stream], seed, |_| {})
     })
 }
+
+#[test]
+fn with_two_of_discovery_by_turns_no_host_that_is_gone_is_opened_again() {
+    let mut rig = rig(Setting { returns: "doubt_ms: 30000".to_string(), ..alone(true) });
+    assert!(said(&rig, 0, "the start is at Listed", 5_000));
+    let then = rig.town.list();
+    rig.town.drain("r-1");
+    assert!(said(&rig, 0, "host is Draining", 3_000));
+    std::thread::sleep(ms(400));
+    rig.kill(0);
+    rig.town.mood(Mood::Divided(then));
+    let before = rig.town.ledger().commands.get("r-1").copied().unwrap_or_default();
+    // Whichever of the two is met first, twice.
+    for turn in 0..2 {
+        let calls = rig.town.called().len();
+        rig.begin(0).expect("it starts");
+        let outcome = ops(&rig, 0, ms(2_500), 40 + turn);
+        kept_rules(&rig, &outcome);
+        assert!(outcome.of_tenant("t").share() > 0.9, "{:?}", outcome.of_tenant("t"));
+        assert!(rig.town.called().len() > calls);
+        if calls % 2 == 1 {
+            assert!(said(&rig, 0, "is older than", 2_000), "the one that is behind was met");
+        }
+        rig.kill(0);
+        // The next start meets the other one.
+        if rig.town.called().len() % 2 == calls % 2 {
+            let mut stream = std::net::TcpStream::connect(rig.town.discovery).expect("it is there");
+            std::io::Write::write_all(&mut stream, b"GET / HTTP/1.1\r\n\r\n").expect("it listens");
+            std::io::Read::read_to_string(&mut stream, &mut String::new()).expect("it answers");
+        }
+    }
+    let after = rig.town.ledger().commands.get("r-1").copied().unwrap_or_default();
+    assert_eq!(after, before, "it drains, and the older list calls it ready");
+}
+
+#[test]
+fn a_discovery_that_lost_its_state_is_believed_after_a_while() {
+    let mut rig = rig(Setting { returns: "doubt_ms: 1500".to_string(), ..alone(true) });
+    stored(&mut rig);
+    rig.town.remove("r-1");
+    rig.town.forget_versions();
+    rig.begin(0).expect("it starts");
+    let outcome = ops(&rig, 0, ms(3_000), 50);
+    kept_rules(&rig, &outcome);
+    assert!(outcome.of_tenant("t").share() > 0.9, "it serves from its store: {:?}", outcome.of_tenant("t"));
+    assert!(said(&rig, 0, "is older than", 3_000));
+    assert!(said(&rig, 0, "discovery counts its lists anew", 15_000));
+    assert!(said(&rig, 0, "the start is at", 100));
+}
+
+#[test]
+fn a_discovery_that_refuses_hangs_breaks_off_or_is_slow_costs_nothing_where_a_store_is() {
+    let mut rig = rig(alone(true));
+    stored(&mut rig);
+    let pieces = Mood::Slow(20, ms(100));
+    for (turn, mood) in [Mood::Refuse, Mood::HangAfterHead, Mood::Cut, pieces].into_iter().enumerate() {
+        rig.town.mood(mood.clone());
+        rig.begin(0).expect("it starts");
+        let outcome = ops(&rig, 0, ms(2_000), 60 + turn as u64);
+        kept_rules(&rig, &outcome);
+        assert!(outcome.of_tenant("t").share() > 0.9, "{mood:?}: {:?}", outcome.of_tenant("t"));
+        rig.town.mood(Mood::Plain);
+        assert!(said(&rig, 0, "the start is at Proven", 1_000), "{mood:?}");
+        rig.kill(0);
+    }
+}
+
+#[test]
+fn a_fleet_that_starts_with_its_stores_calls_discovery_in_turn_and_serves_meanwhile() {
+    // Twelve of sixty, where discovery bears twenty calls a second: the window is three seconds.
+    let setting = Setting { store: true, known: false, off: true, told_routers: 60, ..Setting::of(12) };
+    let mut rig = rig(Setting { returns: "discovery_calls: 20".to_string(), ..setting });
+    (0..12).for_each(|who| {
+        assert!(said(&rig, who, "the start is at Listed", 8_000), "n{who}");
+    });
+    std::thread::sleep(ms(600));
+    (0..12).for_each(|who| rig.kill(who));
+    let before = rig.town.called().len();
+    (0..12).for_each(|who| rig.begin(who).expect("it starts"));
+    let outcomes: Vec<Outcome> = std::thread::scope(|scope| {
+        let rig = &rig;
+        let asked: Vec<_> =
+            (0..12).map(|who| scope.spawn(move || ops(rig, who, ms(4_000), 80 + who as u64))).collect();
+        asked.into_iter().map(|asked| asked.join().expect("it was played")).collect()
+    });
+    for (who, outcome) in outcomes.iter().enumerate() {
+        assert_eq!(outcome.of_tenant("t").unanswered, 0, "n{who}");
+        assert!(outcome.of_tenant("t").share() > 0.9, "n{who}: {:?}", outcome.of_tenant("t"));
+    }
+    let called = rig.town.called()[before..].to_vec();
+    assert!(called.len() >= 12, "each asks: {}", called.len());
+    let most = called.iter().map(|&at| called.iter().filter(|&&other| (at..at + 250).contains(&other)).count());
+    assert!(most.max() <= Some(6), "calls come together: {called:?}");
+    let (first, last) = (called.iter().min(), called.iter().max());
+    assert!(last.zip(first).is_some_and(|(last, first)| last - first > 1_000), "{called:?}");
+}
--- a/crates/arrowyard-flight-daemon/src/main.rs
+++ b/crates/arrowyard-flight-daemon/src/main.rs
@@ -89,11 +89,7 @@
     let told = told.ok_or("arrowyard-flight needs an operator's file that has flight")?;
     let at = told.listen().parse().map_err(|e| format!("flight.listen: {e}"))?;
     if told.hosts() == Speaks::FlightSql {
-        let back = |of: &Rc<Limits>| {
-            let back = Rc::new(FlightBack::new(of.clone(), limits(of, &told)));
-            drop(spawn_local(back.clone().sweep()));
-            back
-        };
+        let back = |of: &Rc<Limits>| Rc::new(FlightBack::new(of.clone(), limits(of, &told)));
         let base = Base::start(&waybill, path, book.as_ref(), back).await?;
         let of = limits(&base.limits, &told);
         let (address, ended) = listen(&base, at, of, |errand| errand, lift).await?;
--- a/crates/arrowyard-front-flight/src/back.rs
+++ b/crates/arrowyard-front-flight/src/back.rs
@@ -96,20 +96,6 @@
         FlightBack { lines, dials, large, heard, open, dialed, holds, limits, flight }
     }
 
-    /// Closes what was idle for too long, for as long as the router runs.
-    pub async fn sweep(self: Rc<Self>) {
-        loop {
-            sleep(self.limits.idle / 8).await;
-            let idle = self.limits.idle;
-            let stays = |line: &Rc<Line>| {
-                line.idle_since().is_none_or(|since| line.is_open() && since.elapsed() < idle)
-            };
-            self.lines.borrow_mut().values_mut().for_each(|lines| lines.retain(stays));
-            let oldest = self.limits.forget;
-            self.heard.borrow_mut().retain(|_, heard| heard.elapsed() < oldest);
-        }
-    }
-
     /// A connection with room for one more stream. Danger: a burst of sends dials its host as often as there are sends;
     /// one dial at a time is under way, and the others wait for it. If it fails it does for all that waited.
     async fn line(&self, host: HostId, dial: SocketAddr) -> Result<Rc<Line>, Broken> {
@@ -409,6 +395,15 @@
     type Payload = Errand;
     type Answer = Answer;
 
+    fn sweep(&self) {
+        let idle = self.limits.idle;
+        let stays =
+            |line: &Rc<Line>| line.idle_since().is_none_or(|since| line.is_open() && since.elapsed() < idle);
+        self.lines.borrow_mut().values_mut().for_each(|lines| lines.retain(stays));
+        let oldest = self.limits.forget;
+        self.heard.borrow_mut().retain(|_, heard| heard.elapsed() < oldest);
+    }
+
     async fn exchange(
         &self,
         host: HostId,
--- a/crates/arrowyard-front-pg/src/back.rs
+++ b/crates/arrowyard-front-pg/src/back.rs
@@ -24,17 +24,16 @@
     pub fn new(limits: Rc<Limits>) -> Self {
         PgBack { pool: Pool::new(limits.clone()), limits }
     }
-
-    /// Closes what was idle for too long, for as long as the router runs.
-    pub fn sweep(&self) -> impl Future<Output = ()> + use<> {
-        self.pool.clone().sweep()
-    }
 }
 
 impl Back for PgBack {
     type Payload = Statement;
     type Answer = Parcel;
 
+    fn sweep(&self) {
+        self.pool.sweep();
+    }
+
     async fn exchange(
         &self,
         host: HostId,
--- a/crates/arrowyard-return/src/weigh.rs
+++ b/crates/arrowyard-return/src/weigh.rs
@@ -7,6 +7,8 @@
 use arrowyard_store::{Host, Snapshot};
 use arrowyard_types::Span;
 
+use crate::herd::Pace;
+
 /// What of a list is used.
 #[derive(Clone, Copy, Debug)]
 pub struct Trust {
@@ -30,6 +32,10 @@
     pub trust: Trust,
     /// The list is written at most so often.
     pub save: Span,
+    /// How discovery is asked, by all routers together.
+    pub pace: Pace,
+    /// For so long older lists than the one held have to come, and no newer one, till they are believed.
+    pub doubt: Span,
 }
 
 /// The chance that a host which was there so long ago is there now.
--- a/crates/arrowyard-standins/src/discovery.rs
+++ b/crates/arrowyard-standins/src/discovery.rs
@@ -7,9 +7,9 @@
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
-use crate::town::{Shared, State, lock};
+use crate::town::{Shared, State, lock, unix_ms};
 
 /// The list; with `since`, what changed after that version.
 pub(crate) fn list(state: &State, since: Option<u64>) -> Value {
@@ -22,6 +22,23 @@
     json!({"seq": state.version, "whole": since.is_none(), "hosts": rows.collect::<Vec<_>>()})
 }
 
+/// How discovery answers.
+#[derive(Clone, Debug, Default)]
+pub enum Mood {
+    #[default]
+    Plain,
+    /// Status 503.
+    Refuse,
+    /// A head, and nothing more.
+    HangAfterHead,
+    /// Half of a list, and the connection ends.
+    Cut,
+    /// A list in so many pieces, each after so long.
+    Slow(usize, Duration),
+    /// Two of it answer by turns: one is as it is now, the other as it was when this was set.
+    Divided(Value),
+}
+
 pub(crate) async fn start(state: Shared, news: watch::Receiver<u64>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
     let address = listener.local_addr().expect("it is bound");
@@ -40,11 +57,48 @@
     let mut call = String::new();
     stream.read_line(&mut call).await.ok()?;
     let at = stream.get_ref().local_addr().ok()?;
-    lock(&state).calls.push((at, call.trim().to_string()));
+    let (mood, turn) = {
+        let mut state = lock(&state);
+        state.calls.push((at, call.trim().to_string()));
+        state.called.push(unix_ms());
+        (state.mood.clone(), state.calls.len())
+    };
     let mut line = String::new();
     while stream.read_line(&mut line).await.ok()? > 2 {
         line.clear();
     }
+    let behind = match mood {
+        Mood::Refuse => {
+            return stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").await.ok();
+        }
+        Mood::HangAfterHead => {
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 512\r\n\r\n").await.ok()?;
+            // Till the router gives up.
+            let _ = stream.read_line(&mut line).await;
+            return None;
+        }
+        Mood::Cut | Mood::Slow(..) => {
+            let body = format!("{}\n", list(&lock(&state), None));
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            stream.write_all(head.as_bytes()).await.ok()?;
+            let (pieces, pause) = match mood {
+                Mood::Slow(pieces, pause) => (pieces, pause),
+                _ => return stream.write_all(&body.as_bytes()[..body.len() / 2]).await.ok(),
+            };
+            for piece in body.as_bytes().chunks(body.len().div_ceil(pieces.max(1))) {
+                sleep(pause).await;
+                stream.write_all(piece).await.ok()?;
+            }
+            return Some(());
+        }
+        Mood::Divided(then) if turn % 2 == 0 => Some(then),
+        Mood::Divided(_) | Mood::Plain => None,
+    };
+    if let Some(then) = behind {
+        let body = format!("{then}\n");
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        return stream.write_all([head, body].concat().as_bytes()).await.ok();
+    }
     if !call.contains("watch=1") {
         let body = list(&lock(&state), None).to_string();
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
--- a/crates/arrowyard-standins/src/lib.rs
+++ b/crates/arrowyard-standins/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod town;
 
 pub use client::{Client, Reply};
+pub use discovery::Mood;
 pub use router::Process;
 pub use speaks::Speaks;
 pub use town::{Act, Spec, Town};
--- a/crates/arrowyard-standins/src/rig.rs
+++ b/crates/arrowyard-standins/src/rig.rs
@@ -36,8 +36,9 @@
 pub struct Setting {
     pub processes: usize,
     pub seed: u64,
-    /// Further fields of `peers`.
+    /// Further fields of `peers`, and of `returns`.
     pub more: String,
+    pub returns: String,
     /// Without membership, for comparisons.
     pub off: bool,
     /// What the platform's settings say of the number of routers.
@@ -51,8 +52,8 @@
 impl Setting {
     #[must_use]
     pub fn of(processes: usize) -> Setting {
-        let (more, off, known, store) = (String::new(), false, true, false);
-        Setting { processes, seed: 1, more, off, told_routers: processes, known, store }
+        let (more, returns, off, known, store) = (String::new(), String::new(), false, true, false);
+        Setting { processes, seed: 1, more, returns, off, told_routers: processes, known, store }
     }
 }
 
@@ -123,7 +124,8 @@
     pub fn book(&self, who: usize) -> String {
         let mut head = "epoch: 1\nlog { form: JSON lines_a_second: 100000 }\n".to_string();
         if self.setting.store {
-            head += &format!("returns {{ store: \"{}\" save_ms: 200 }}\n", self.store(who).display());
+            let (store, more) = (self.store(who), &self.setting.returns);
+            head += &format!("returns {{ store: \"{}\" save_ms: 200 {more} }}\n", store.display());
         }
         if self.setting.off {
             return head;
--- a/crates/arrowyard-standins/src/town.rs
+++ b/crates/arrowyard-standins/src/town.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
+use crate::discovery::Mood;
 use crate::{discovery, host};
 
 pub fn unix_ms() -> i64 {
@@ -149,6 +150,9 @@
     pub mute: bool,
     /// The first lines of calls to discovery, and where they came.
     pub calls: Vec<(SocketAddr, String)>,
+    /// When each call came, and how calls are answered.
+    pub called: Vec<i64>,
+    pub mood: Mood,
 }
 
 impl State {
@@ -192,6 +196,8 @@
             undiscovered: false,
             mute: false,
             calls: Vec::new(),
+            called: Vec::new(),
+            mood: Mood::Plain,
         };
         let state = Arc::new(Mutex::new(state));
         let (news, heard) = watch::channel(1);
@@ -362,6 +368,33 @@
         lock(&self.state).mute = true;
     }
 
+    /// How discovery answers calls from now on. Watches that stand go on as they are.
+    pub fn mood(&self, mood: Mood) {
+        lock(&self.state).mood = mood;
+    }
+
+    /// The whole list as it is now.
+    pub fn list(&self) -> serde_json::Value {
+        discovery::list(&lock(&self.state), None)
+    }
+
+    /// Discovery has lost its state: it counts its lists from the beginning. Watches go on with what they are told next.
+    pub fn forget_versions(&self) {
+        let mut state = lock(&self.state);
+        state.version = 1;
+        state.hosts.values_mut().for_each(|host| host.changed = 1);
+    }
+
+    /// The host is gone from the list.
+    pub fn remove(&self, name: &str) {
+        self.change(name, |host| (host.health, host.drained_at) = ("DELETED", Some(unix_ms())));
+    }
+
+    /// When discovery was called, in Unix milliseconds.
+    pub fn called(&self) -> Vec<i64> {
+        lock(&self.state).called.clone()
+    }
+
     /// The first lines of the calls that discovery had at the address.
     pub fn calls(&self, at: SocketAddr) -> Vec<String> {
         let state = lock(&self.state);
--- a/crates/arrowyard-yardbook/src/check.rs
+++ b/crates/arrowyard-yardbook/src/check.rs
@@ -120,6 +120,8 @@
         }
         self.number("returns.host_life_ms", returns.host_life_ms, 1000, 10_000_000_000);
         self.number("returns.save_ms", returns.save_ms, 100, 3_600_000);
+        self.number("returns.discovery_calls", returns.discovery_calls, 0.1, 1e6);
+        self.number("returns.doubt_ms", returns.doubt_ms, 100, 600_000);
     }
 
     fn peers(&mut self, peers: &Peers) {
--- a/crates/arrowyard-yardbook/src/layout.rs
+++ b/crates/arrowyard-yardbook/src/layout.rs
@@ -3,7 +3,7 @@
 use arrowyard_cells::layout::{Cell, Layout, Lease, Net, Pace, Release, Repeats};
 use arrowyard_cells::moving::{Row, Step};
 use arrowyard_peers::{Belongs, Terms};
-use arrowyard_return::{Comes, Trust};
+use arrowyard_return::{Comes, Pace as Calls, Trust};
 use arrowyard_types::{CellId, GroupId, Point, Span};
 use ipnet::IpNet;
 
@@ -132,5 +132,7 @@
         store: told.store.as_ref().map(std::path::PathBuf::from),
         trust: Trust { life, ..usual },
         save: span(told.save_ms, 5000),
+        pace: Calls { calls: told.discovery_calls.unwrap_or(Calls::default().calls), ..Calls::default() },
+        doubt: span(told.doubt_ms, 2000),
     })
 }
