Leases for fleet-wide tasks: voters, epochs, guards; checked by exhaustion and by processes

Need: some work is to be done by one router for all, and nothing said who.

Change: package arrowyard-leases, no I/O: grants by a majority of named voters for a bounded time, counted by the holder from before it asked less the bound on drift; votes on disk before they are told; a voter that started waits out the longest lease, one that lost its votes asks as many others as a majority is, one with an older copy is told so by the others' memory of its lives; epochs that go with each effect; rounds for many leases at once. The core's task (UDP, CLOCK_BOOTTIME, votes kept off the thread), duties called under a lease, 'leases' in the operator's file (off without it), arrowyard leases show|init. Also: a line that closes a host goes before long lists that wait (found by the test with 6,000 hosts in a debug build: 3 commands after grace).

The checker found two candidates that told each other of vacancies without end (mended). Eight tests with 3 to 5 processes; the first run of them found that a voter that asked twice took itself for an older copy (mended).

--- a/crates/arrowyard-chores/src/slices.rs
+++ b/crates/arrowyard-chores/src/slices.rs
@@ -1,8 +1,9 @@
-//! Long lists worked off in slices, so that no op waits for a whole one. What closes hosts goes first, then what leads, then
-//! the rest; a whole list ends with the hosts that it does not name. Each slice stands for itself: it says of the hosts in it
+//! Long lists worked off in slices, so that no op waits for a whole one. What closes hosts goes first and in one piece, then
+//! what leads, then the rest; a whole list ends with the hosts that it does not name. Each slice stands for itself: it says of the hosts in it
 //! what the list says, and nothing of others, so that between two slices each host is as one of two lists has it.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
+use std::hash::Hash;
 
 /// Part of a list.
 #[derive(Debug, PartialEq)]
@@ -24,8 +25,10 @@
     missing: bool,
 }
 
-/// Lists that wait for their slices, the oldest first.
+/// Lists that wait for their slices, the oldest first, behind what closes hosts.
 pub struct Slices<L> {
+    /// Lines that go before all lists.
+    urgent: VecDeque<L>,
     waits: VecDeque<Long<L>>,
     size: usize,
     turns: u64,
@@ -34,29 +37,52 @@
 impl<L> Slices<L> {
     #[must_use]
     pub fn new(size: usize) -> Slices<L> {
-        Slices { waits: VecDeque::new(), size: size.max(1), turns: 0 }
+        Slices { urgent: VecDeque::new(), waits: VecDeque::new(), size: size.max(1), turns: 0 }
     }
 
     /// Whether a list of so many lines has to be sliced: it is long, or others wait that came before it.
     #[must_use]
     pub fn has_to(&self, lines: usize) -> bool {
-        lines > self.size || !self.waits.is_empty()
+        lines > self.size || !self.is_empty()
     }
 
-    /// One more list. `rank` tells of a line what matters most: 0 that a host is left, 1 that it leads, 2 all else.
+    /// One more list. `rank` tells of a line what matters most: 0 that a host is left, 1 that it leads, 2 all else; `host` whom
+    /// it is about.
     ///
     /// A whole list makes all that wait before it void. Danger: older lines that are put on newer ones open a host again
-    /// that the newer list closed; so lists are worked off in the order in which they came.
-    pub fn push(&mut self, number: i64, whole: bool, lines: Vec<L>, rank: impl Fn(&L) -> u8) {
+    /// that the newer list closed; so lists are worked off in the order in which they came. And a host that drains is sent to
+    /// past its grace, since its word waits behind thousands of others; so a line that closes goes before all lists, with what
+    /// they say of its host right before it.
+    pub fn push<K: Eq + Hash + Clone>(
+        &mut self,
+        number: i64,
+        whole: bool,
+        lines: Vec<L>,
+        rank: impl Fn(&L) -> u8,
+        host: impl Fn(&L) -> K,
+    ) {
         if whole {
             self.waits.clear();
+            self.urgent.clear();
             self.turns += 1;
         }
         let mut parts: [Vec<L>; 3] = [Vec::new(), Vec::new(), Vec::new()];
         for line in lines {
             parts[usize::from(rank(&line).min(2))].push(line);
         }
-        let lines = parts.into_iter().flatten().collect();
+        let [closing, leading, rest] = parts;
+        if !self.waits.is_empty() && !closing.is_empty() {
+            let closed: HashSet<K> = closing.iter().map(&host).collect();
+            for long in &mut self.waits {
+                let (of, others) = std::mem::take(&mut long.lines)
+                    .into_iter()
+                    .partition::<VecDeque<L>, _>(|line| closed.contains(&host(line)));
+                long.lines = others;
+                self.urgent.extend(of);
+            }
+        }
+        self.urgent.extend(closing);
+        let lines = leading.into_iter().chain(rest).collect();
         self.waits.push_back(Long { number, whole, turn: self.turns, lines, missing: whole });
     }
 
@@ -68,11 +94,15 @@
 
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.waits.is_empty()
+        self.waits.is_empty() && self.urgent.is_empty()
     }
 
     /// The next slice.
-    pub fn next(&mut self) -> Option<Slice<L>> {
+    pub fn slice(&mut self) -> Option<Slice<L>> {
+        if !self.urgent.is_empty() {
+            // What is said of one host stays together, whatever the size: between its lines it would be open.
+            return Some(Slice::Lines(self.urgent.drain(..).collect()));
+        }
         let long = self.waits.front_mut()?;
         if !long.lines.is_empty() {
             let size = self.size.min(long.lines.len());
--- a/crates/arrowyard-core/src/admit.rs
+++ b/crates/arrowyard-core/src/admit.rs
@@ -12,6 +12,8 @@
 use crate::call::Call;
 use crate::count::Count;
 use crate::limits::Limits;
+use tokio::sync::mpsc;
+
 use crate::reply::Reply;
 use crate::ward::Claim;
 
@@ -27,6 +29,8 @@
     cells: bool,
     /// Whether the router belongs to a fleet.
     pub peers: bool,
+    /// The task that wants leases, where there is one.
+    pub leases: Option<mpsc::Sender<crate::leases::Errand>>,
 }
 
 /// An op that was admitted.
@@ -75,6 +79,7 @@
             limits,
             cells,
             peers: false,
+            leases: None,
         }
     }
 
--- a/crates/arrowyard-core/src/lib.rs
+++ b/crates/arrowyard-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod hatch;
 pub mod hints;
 mod http;
+pub mod leases;
 pub mod limits;
 pub mod list;
 pub mod logger;
--- a/crates/arrowyard-core/src/roster.rs
+++ b/crates/arrowyard-core/src/roster.rs
@@ -73,9 +73,7 @@
     /// The hosts that this whole list did not name: they are gone by it.
     pub fn missing(&self, turn: u64) -> Vec<Line> {
         let there = self.last.iter().zip(&self.named);
-        let there = there.filter(|(entry, named)| {
-            entry.availability != Availability::Gone && **named < turn
-        });
+        let there = there.filter(|(entry, named)| entry.availability != Availability::Gone && **named < turn);
         let line = |entry: &Entry| Line {
             host: self.raw[entry.host.0 as usize].0.clone(),
             availability: Availability::Gone,
--- a/crates/arrowyard-core/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -476,7 +476,7 @@
 
     /// One slice of the lists that wait.
     fn slice(&mut self) -> Ending {
-        let lines = match self.slices.next() {
+        let lines = match self.slices.slice() {
             Some(Slice::Lines(lines)) => lines,
             Some(Slice::Missing(turn)) => {
                 let lines = self.yard.roster.missing(turn);
@@ -598,7 +598,8 @@
                     Availability::Ready => 2,
                     _ => 0,
                 };
-                self.slices.push(list.version, list.whole, list.lines, rank);
+                let host = |line: &Line| line.host.clone();
+                self.slices.push(list.version, list.whole, list.lines, rank, host);
                 self.chores.ask(self.yard.clock.now(), Chore::List);
                 None
             }
--- a/crates/arrowyard-daemon/src/base.rs
+++ b/crates/arrowyard-daemon/src/base.rs
@@ -12,6 +12,7 @@
 use arrowyard_core::clock::{Beat, Clock};
 use arrowyard_core::discovery::{Discovery, Manners};
 use arrowyard_core::drain::{self, Drain, Stage};
+use arrowyard_core::leases::{self as holding, Leases};
 use arrowyard_core::limits::Limits;
 use arrowyard_core::logger::{self, Form, Logbook};
 use arrowyard_core::mail::{Mail, Wish};
@@ -23,7 +24,7 @@
 use arrowyard_core::waybill::Waybill;
 use arrowyard_return::{Credence, Herd};
 use arrowyard_types::{Fact, Facts};
-use arrowyard_yardbook::{Yardbook, belongs, layout, returns as comes, schema};
+use arrowyard_yardbook::{Yardbook, belongs, layout, leases, returns as comes, schema};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -103,8 +104,13 @@
             let start = Returning::new(clock.now(), comes, deployment, name, known.is_some(), seed);
             returning = Some(Box::new(start));
         }
-        let discovery =
-            Discovery { dial: waybill.discovery, version, mail: mail.clone(), limits: limits.clone(), manners };
+        let discovery = Discovery {
+            dial: waybill.discovery,
+            version,
+            mail: mail.clone(),
+            limits: limits.clone(),
+            manners,
+        };
         drop(spawn_local(discovery.run(wished)));
         let cells = book.and_then(layout);
         let reread = path.map(|path| -> (Reread, _) {
@@ -130,6 +136,11 @@
             drop(spawn_local(task.run()));
             peers = Some(errands);
         }
+        if let Some(joins) = book.and_then(leases) {
+            let (task, errands) = Leases::open(joins, &waybill.name, waybill.seed).await?;
+            drop(spawn_local(task.run()));
+            gate.leases = Some(errands);
+        }
         let gate = Rc::new(gate);
         let roster = Roster::new(&waybill.settings, limits.clone());
         let yard = Yard {
@@ -157,6 +168,7 @@
         tokio::select! {
             biased;
             () = self.drain.run(self.signals) => {
+                release(self.gate.leases.clone()).await;
                 leave(self.peers).await;
                 Ok(())
             }
@@ -167,6 +179,17 @@
     }
 }
 
+/// Gives all leases back, so that others need not wait for their end.
+async fn release(leases: Option<mpsc::Sender<holding::Errand>>) {
+    let Some(leases) = leases else { return };
+    let (done, said) = oneshot::channel();
+    // Danger: the task hangs, and the router with it, which was told to end. The leases end by themselves then.
+    let within = std::time::Duration::from_millis(100);
+    if leases.try_send(holding::Errand::Leave(done)).is_ok() && timeout(within, said).await.is_ok() {
+        sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
 /// Tells the fleet that this router ends: twice, since each datagram may be lost. What is lost all the same is a death to
 /// the others, found out by the system's refusals.
 async fn leave(peers: Option<mpsc::Sender<Errand>>) {
--- a/crates/arrowyard-daemon/src/lib.rs
+++ b/crates/arrowyard-daemon/src/lib.rs
@@ -4,6 +4,7 @@
 mod ask;
 pub mod base;
 mod cells;
+mod leases;
 mod peers;
 pub mod serve;
 mod store;
@@ -40,6 +41,9 @@
     Cells(cells::Command),
     /// Show what a running router holds true of the other routers of its fleet.
     Peers(peers::Peers),
+    /// Leases for tasks that one router does for all.
+    #[command(subcommand)]
+    Leases(leases::Command),
     /// What a router has kept for its next start.
     #[command(subcommand)]
     Store(store::Command),
@@ -103,6 +107,7 @@
         Some(Command::Check(Check { file, json })) => check(&file, json),
         Some(Command::Cells(command)) => cells::run(command),
         Some(Command::Peers(peers)) => peers::run(&peers),
+        Some(Command::Leases(command)) => leases::run(&command),
         Some(Command::Store(command)) => store::run(&command),
     };
     done.unwrap_or_else(|why| {
--- a/crates/arrowyard-front-flight/src/back.rs
+++ b/crates/arrowyard-front-flight/src/back.rs
@@ -21,7 +21,7 @@
 use http::{HeaderMap, Request};
 use prost::Message;
 use tokio::sync::{Notify, mpsc};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout};
 
 use crate::answer::{Answer, Errand, Large, Piece, Room};
 use crate::limits::FlightLimits;
--- a/crates/arrowyard-front-pg/src/take_in.rs
+++ b/crates/arrowyard-front-pg/src/take_in.rs
@@ -9,6 +9,7 @@
 use arrowyard_core::clock::Beat;
 use arrowyard_core::count::Count;
 use arrowyard_core::drain::Stage;
+use arrowyard_core::leases;
 use arrowyard_core::mail::Mail;
 use arrowyard_core::{Call, Limits, Reply};
 use arrowyard_pg::{
@@ -250,6 +251,14 @@
                 self.front.mail.send(Mail::ShowPeers(client)).await.map_err(|_| Ended)?;
                 put_value(&mut self.out, "peers", &answer.await.map_err(|_| Ended)?);
             }
+            "SHOW" if self.front.gate.leases.is_some() && command.eq_ignore_ascii_case("show leases") => {
+                let (client, answer) = oneshot::channel();
+                if let Some(leases) = &self.front.gate.leases {
+                    let shown = leases.send(leases::Errand::Show(client));
+                    shown.await.map_err(|_| Ended)?;
+                }
+                put_value(&mut self.out, "leases", &answer.await.map_err(|_| Ended)?);
+            }
             _ if !self.front.make_room() => {
                 relay::put_crowded(&mut self.out);
                 return self.end().await;
--- /dev/null
+++ b/crates/arrowyard-leases/src/candidate.rs
@@ -0,0 +1,396 @@
+//! One that wants leases: when it asks, what it counts, till when it holds, when it gives back. All leases that are due are
+//! asked for in one round, so that thousands cost a few words a term.
+
+use std::collections::BTreeMap;
+
+use arrowyard_types::{Point, Span};
+
+use crate::guard::Permit;
+#[cfg(any(test, feature = "flaws"))]
+use crate::terms::Flaw;
+use crate::terms::{CandidateId, Epoch, LeaseId, Terms, VoterId};
+use crate::{To, Verdict, Want, Word};
+
+/// Voters that granted a round, a bit each.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Votes {
+    granted: u8,
+    refused: u8,
+    /// Grants, counted one by one.
+    #[cfg(any(test, feature = "flaws"))]
+    count: u8,
+}
+
+impl Votes {
+    fn add(&mut self, voter: VoterId, granted: bool) {
+        // Danger: a grant that comes twice is one grant.
+        let bit = 1_u8 << (voter.0 & 7);
+        *(if granted { &mut self.granted } else { &mut self.refused }) |= bit;
+        #[cfg(any(test, feature = "flaws"))]
+        {
+            self.count += u8::from(granted);
+        }
+    }
+
+    fn won(self, terms: &Terms) -> bool {
+        #[cfg(any(test, feature = "flaws"))]
+        match terms.flaw {
+            Some(Flaw::CountTwice) => return usize::from(self.count) >= terms.majority(),
+            Some(Flaw::MajorityOfAnswers) => {
+                return self.granted.count_ones() > self.refused.count_ones() && self.granted > 0;
+            }
+            _ => {}
+        }
+        self.granted.count_ones() as usize >= terms.majority()
+    }
+
+    /// So many refused that no majority is left.
+    fn is_lost(self, terms: &Terms) -> bool {
+        usize::from(terms.voters) - (self.refused.count_ones() as usize) < terms.majority()
+    }
+}
+
+/// A round in which a lease was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Round {
+    number: u64,
+    /// From before anything was sent.
+    asked: Point,
+    votes: Votes,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum State {
+    Idle,
+    Asks { epoch: Epoch, tries: u8, round: Round },
+    Holds { epoch: Epoch, end: Point, last: u64, round: Option<Round> },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Task {
+    wanted: bool,
+    /// Those with a smaller number try sooner.
+    rank: u32,
+    state: State,
+    /// The newest epoch that was heard of.
+    known: Epoch,
+    /// When it does something next.
+    next: Point,
+    conflicts: u8,
+    /// The epoch whose end it was told of last.
+    vacant: Option<Epoch>,
+}
+
+/// What happened, for the log and for whoever does the task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Event {
+    Began {
+        lease: LeaseId,
+        epoch: Epoch,
+    },
+    /// Its time ran out before it was granted again.
+    Lost {
+        lease: LeaseId,
+        epoch: Epoch,
+    },
+    /// It gave it back.
+    Gave {
+        lease: LeaseId,
+        epoch: Epoch,
+    },
+}
+
+/// How a lease looks from here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seen {
+    pub lease: LeaseId,
+    pub wanted: bool,
+    /// Held by this one, and for how long still.
+    pub left: Option<Span>,
+    pub epoch: Epoch,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Candidate {
+    terms: Terms,
+    me: CandidateId,
+    round: u64,
+    tasks: BTreeMap<LeaseId, Task>,
+    /// What is sent, and what happened; taken by the caller.
+    pub out: Vec<(To, Word)>,
+    pub events: Vec<Event>,
+}
+
+impl Candidate {
+    #[must_use]
+    pub fn start(terms: Terms, me: CandidateId) -> Candidate {
+        Candidate { terms, me, round: 0, tasks: BTreeMap::new(), out: Vec::new(), events: Vec::new() }
+    }
+
+    #[must_use]
+    pub fn me(&self) -> CandidateId {
+        self.me
+    }
+
+    /// It wants this lease from now on; `rank`: those with a smaller one try sooner. `draw` is drawn evenly from 0 to 1.
+    pub fn want(&mut self, now: Point, lease: LeaseId, rank: u32, draw: f64) {
+        let next = now + self.terms.spread * (f64::from(rank) + draw);
+        let (state, known) = (State::Idle, Epoch::default());
+        let new = Task { wanted: true, rank, state, known, next, conflicts: 0, vacant: None };
+        let task = self.tasks.entry(lease).or_insert(new);
+        (task.wanted, task.rank) = (true, rank);
+        task.next = task.next.min(next);
+    }
+
+    /// It wants this lease no more, and gives it back if it has it. Danger: what is given back may be held by another the next
+    /// moment; so nothing that was begun under it may still go on.
+    pub fn give_back(&mut self, lease: LeaseId) {
+        let Some(task) = self.tasks.get_mut(&lease) else { return };
+        task.wanted = false;
+        let back = match task.state {
+            State::Idle => None,
+            State::Asks { epoch, round, .. } => Some((epoch, round.number, false)),
+            State::Holds { epoch, last, round, .. } => {
+                Some((epoch, round.map_or(last, |round| round.number), true))
+            }
+        };
+        task.state = State::Idle;
+        let Some((epoch, round, held)) = back else { return };
+        if held {
+            self.events.push(Event::Gave { lease, epoch });
+        }
+        self.free(round, vec![Want { lease, epoch }]);
+    }
+
+    /// It ends: all is given back, in as few words as there are rounds.
+    pub fn leave(&mut self) {
+        let leases: Vec<LeaseId> = self.tasks.keys().copied().collect();
+        leases.into_iter().for_each(|lease| self.give_back(lease));
+    }
+
+    fn free(&mut self, round: u64, wants: Vec<Want>) {
+        let word = Word::Free { from: self.me, round, wants };
+        for voter in 0..self.terms.voters {
+            self.out.push((To::Voter(VoterId(voter)), word.clone()));
+        }
+    }
+
+    /// When time has something to do next.
+    #[must_use]
+    pub fn next_at(&self) -> Option<Point> {
+        let next = |task: &Task| match task.state {
+            State::Idle if !task.wanted => None,
+            State::Holds { end, .. } => Some(task.next.min(end)),
+            _ => Some(task.next),
+        };
+        self.tasks.values().filter_map(next).min()
+    }
+
+    /// Time has passed: what is over is lost, what is due is asked for. `draw` gives even draws from 0 to 1.
+    pub fn tick(&mut self, now: Point, mut draw: impl FnMut() -> f64) {
+        let terms = self.terms;
+        let mut gives: Vec<(u64, Want)> = Vec::new();
+        let mut asks: Vec<(LeaseId, Epoch)> = Vec::new();
+        for (&lease, task) in &mut self.tasks {
+            if let State::Holds { epoch, end, .. } = task.state
+                && now >= end
+            {
+                task.state = State::Idle;
+                task.known = task.known.max(epoch);
+                task.next = now + terms.spread * (f64::from(task.rank) + draw());
+                self.events.push(Event::Lost { lease, epoch });
+            }
+            if now < task.next {
+                continue;
+            }
+            match task.state {
+                State::Idle if !task.wanted => {}
+                State::Idle => asks.push((lease, task.known.next())),
+                State::Asks { epoch, tries, round } => {
+                    if tries >= terms.tries {
+                        // Nobody has a majority, or voters do not answer. What was granted here blocks the others.
+                        gives.push((round.number, Want { lease, epoch }));
+                        task.state = State::Idle;
+                        task.conflicts = task.conflicts.saturating_add(1);
+                        task.next = now + pause(&terms, task, draw());
+                    } else {
+                        asks.push((lease, epoch));
+                    }
+                }
+                State::Holds { epoch, .. } => asks.push((lease, epoch)),
+            }
+        }
+        for (round, want) in gives {
+            self.free(round, vec![want]);
+        }
+        for batch in asks.chunks(terms.batch.max(1)) {
+            self.ask(now, batch);
+        }
+    }
+
+    fn ask(&mut self, now: Point, batch: &[(LeaseId, Epoch)]) {
+        self.round += 1;
+        let number = self.round;
+        for (lease, epoch) in batch {
+            let Some(task) = self.tasks.get_mut(lease) else { continue };
+            let round = Round { number, asked: now, votes: Votes::default() };
+            task.next = now + self.terms.retry;
+            task.state = match task.state {
+                State::Idle => State::Asks { epoch: *epoch, tries: 1, round },
+                State::Asks { tries, .. } => State::Asks { epoch: *epoch, tries: tries + 1, round },
+                State::Holds { epoch, end, last, .. } => {
+                    State::Holds { epoch, end, last, round: Some(round) }
+                }
+            };
+        }
+        let wants = batch.iter().map(|&(lease, epoch)| Want { lease, epoch }).collect();
+        let word = Word::Ask { from: self.me, round: number, wants };
+        for voter in 0..self.terms.voters {
+            self.out.push((To::Voter(VoterId(voter)), word.clone()));
+        }
+    }
+
+    /// A word came.
+    pub fn heard(&mut self, now: Point, word: &Word, mut draw: impl FnMut() -> f64) {
+        match word {
+            Word::Answer { from, round, verdicts, .. } if from.0 < self.terms.voters => {
+                for (lease, verdict) in verdicts {
+                    self.verdict(now, *from, *round, *lease, *verdict, draw());
+                }
+            }
+            Word::Vacant { lease, epoch, .. } => {
+                let Some(task) = self.tasks.get_mut(lease).filter(|task| task.wanted) else { return };
+                // Danger: two that asked at once give back what each was granted, are both told that it is vacant, and ask at
+                // once again, without end (the checker found it). Who rests after a conflict goes on resting; and a hint
+                // counts once, of an epoch that was not given back before.
+                let new = *epoch >= task.known && task.vacant != Some(*epoch);
+                task.known = task.known.max(*epoch);
+                if task.state == State::Idle && task.conflicts == 0 && new {
+                    (task.next, task.vacant) = (now, Some(*epoch));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn verdict(
+        &mut self,
+        now: Point,
+        voter: VoterId,
+        number: u64,
+        lease: LeaseId,
+        verdict: Verdict,
+        draw: f64,
+    ) {
+        let (terms, me) = (self.terms, self.me);
+        let Some(task) = self.tasks.get_mut(&lease) else { return };
+        if let Verdict::Held { epoch, .. } | Verdict::Old(epoch) = verdict {
+            task.known = task.known.max(epoch);
+        }
+        // Only the round that is open counts. Danger: grants of two rounds together are no majority at any one time.
+        let (epoch, mut round) = match task.state {
+            State::Asks { epoch, round, .. } => (epoch, round),
+            State::Holds { epoch, round: Some(round), .. } => (epoch, round),
+            _ => return,
+        };
+        if round.number != number {
+            return;
+        }
+        round.votes.add(voter, verdict == Verdict::Granted(epoch));
+        let end = round.asked + terms.held();
+        #[cfg(any(test, feature = "flaws"))]
+        let end = if terms.flaw == Some(Flaw::CountFromReceipt) { now + terms.held() } else { end };
+        let won = round.votes.won(&terms) && now < end;
+        let renew = round.asked + terms.term * (f64::from(terms.renew_percent) / 100.0);
+        match &mut task.state {
+            State::Asks { round: open, .. } if won => {
+                *open = round;
+                task.state = State::Holds { epoch, end, last: number, round: None };
+                task.known = task.known.max(epoch);
+                (task.next, task.conflicts) = (renew, 0);
+                self.events.push(Event::Began { lease, epoch });
+            }
+            State::Asks { round: open, .. } => {
+                *open = round;
+                let lost = round.votes.is_lost(&terms);
+                if lost {
+                    // No majority can come of it. What was granted is given back, or two that ask at once block each other for a
+                    // whole term.
+                    let granted = round.votes.granted != 0;
+                    task.state = State::Idle;
+                    task.next = now
+                        + match verdict {
+                            // The others' word, not a conflict: with the next epoch it may go through.
+                            Verdict::Old(_) => terms.spread * (0.1 * draw),
+                            Verdict::Held { left, .. } if !granted => {
+                                left + terms.spread * (f64::from(task.rank) + draw)
+                            }
+                            _ => {
+                                task.conflicts = task.conflicts.saturating_add(1);
+                                pause(&terms, task, draw)
+                            }
+                        };
+                    if granted {
+                        let word = Word::Free { from: me, round: number, wants: vec![Want { lease, epoch }] };
+                        for voter in 0..terms.voters {
+                            self.out.push((To::Voter(VoterId(voter)), word.clone()));
+                        }
+                    }
+                }
+            }
+            State::Holds { end: until, last, round: open, .. } => {
+                if won {
+                    (*until, *last, *open) = ((*until).max(end), number, None);
+                    task.next = renew;
+                } else {
+                    *open = Some(round);
+                }
+            }
+            State::Idle => {}
+        }
+    }
+
+    /// The right to act under this lease, if it is held now.
+    #[must_use]
+    pub fn permit(&self, now: Point, lease: LeaseId) -> Option<Permit> {
+        match self.tasks.get(&lease)?.state {
+            State::Holds { epoch, end, .. } => {
+                #[cfg(any(test, feature = "flaws"))]
+                let end =
+                    if self.terms.flaw == Some(Flaw::BlindHolder) { now + self.terms.term } else { end };
+                (now < end).then_some(Permit { lease, epoch, holder: self.me, end })
+            }
+            _ => None,
+        }
+    }
+
+    /// The round in which it asks for the lease just now.
+    #[must_use]
+    pub fn open(&self, lease: LeaseId) -> Option<u64> {
+        match self.tasks.get(&lease)?.state {
+            State::Asks { round, .. } | State::Holds { round: Some(round), .. } => Some(round.number),
+            _ => None,
+        }
+    }
+
+    /// All leases that it wants or has.
+    pub fn seen(&self, now: Point) -> impl Iterator<Item = Seen> {
+        self.tasks.iter().map(move |(&lease, task)| {
+            let left = match task.state {
+                State::Holds { end, .. } if now < end => Some(end - now),
+                _ => None,
+            };
+            let epoch = match task.state {
+                State::Holds { epoch, .. } => epoch,
+                _ => task.known,
+            };
+            Seen { lease, wanted: task.wanted, left, epoch }
+        })
+    }
+}
+
+/// How long one waits after a conflict: full jitter in a window that doubles.
+fn pause(terms: &Terms, task: &Task, draw: f64) -> Span {
+    let window = terms.spread * f64::from(1_u32 << task.conflicts.min(12));
+    terms.spread * f64::from(task.rank) + window.min(terms.most_spread) * draw
+}
--- /dev/null
+++ b/crates/arrowyard-leases/src/voter.rs
@@ -0,0 +1,345 @@
+//! One voter: what it grants, what it keeps before it says so, and what it does after a start. It never votes twice: for
+//! each lease it knows the newest epoch that it granted and to whom, and till when that holds by its own clock.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use arrowyard_types::{Point, Span};
+use smallvec::SmallVec;
+
+#[cfg(any(test, feature = "flaws"))]
+use crate::terms::Flaw;
+use crate::terms::{CandidateId, Epoch, LeaseId, Terms, VoterId};
+use crate::{To, Verdict, Want, Word};
+
+/// The newest grant of a lease.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Vote {
+    pub epoch: Epoch,
+    pub holder: CandidateId,
+    /// The holder's round in which it was granted last, or given back.
+    pub round: u64,
+    pub until: Point,
+    /// Those that were refused it lately: they are told when it is given back.
+    waits: SmallVec<[CandidateId; WAITS]>,
+}
+
+/// Candidates that are told of a lease that was given back.
+const WAITS: usize = 4;
+
+/// What outlasts a voter: written before what follows from it is told.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Image {
+    /// Rises with each start.
+    pub life: u64,
+    /// No epoch up to this one is granted anew, whatever the lease.
+    pub floor: Epoch,
+    /// Nothing that was granted is missing in it.
+    pub whole: bool,
+    pub votes: Vec<(LeaseId, Epoch, CandidateId)>,
+    /// The latest life that is known of each other voter, and by what its start is told from others of that life.
+    pub lives: Vec<(VoterId, u64, u64)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Stage {
+    /// What it granted before its start may still be held, and it does not know by whom.
+    Waits(Point),
+    /// It has lost what it granted: these others have told it what they know.
+    Learns(BTreeSet<VoterId>),
+    Votes,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Voter {
+    terms: Terms,
+    me: VoterId,
+    stage: Stage,
+    whole: bool,
+    life: u64,
+    floor: Epoch,
+    votes: BTreeMap<LeaseId, Vote>,
+    lives: BTreeMap<VoterId, (u64, u64)>,
+    start: u64,
+    /// What waits to be sent, each with the image that has to be kept before.
+    pending: VecDeque<(u64, To, Word)>,
+    /// Images that differ are numbered; which one was kept, and which one is being written.
+    changed: u64,
+    kept: u64,
+    writing: bool,
+    /// When the others are asked next what they know.
+    asks_at: Point,
+}
+
+impl Voter {
+    /// Starts one with what it kept; `drawn` anew at each start.
+    ///
+    /// With nothing, or with what was broken, it has lost what it granted.
+    ///
+    /// Danger: what was granted before may be held still, by someone who asked a moment before the start. So it abstains for the
+    /// longest that any grant holds, even to the holder that it remembers: an image may be an older copy, and then the one
+    /// that it remembers is not the one that holds.
+    #[must_use]
+    pub fn start(now: Point, terms: Terms, me: VoterId, image: Option<Image>, drawn: u64) -> Voter {
+        let whole = image.as_ref().is_some_and(|image| image.whole);
+        let image = image.unwrap_or_default();
+        let vote = |(lease, epoch, holder): (LeaseId, Epoch, CandidateId)| {
+            (lease, Vote { epoch, holder, round: 0, until: now, waits: SmallVec::new() })
+        };
+        let wait = now + terms.term;
+        #[cfg(any(test, feature = "flaws"))]
+        let wait = if terms.flaw == Some(Flaw::NoWait) { now } else { wait };
+        let mut voter = Voter {
+            terms,
+            me,
+            stage: Stage::Waits(wait),
+            whole,
+            life: image.life + 1,
+            floor: image.floor,
+            votes: image.votes.into_iter().map(vote).collect(),
+            lives: image.lives.into_iter().map(|(of, life, start)| (of, (life, start))).collect(),
+            start: drawn,
+            pending: VecDeque::new(),
+            changed: 1,
+            kept: 0,
+            writing: false,
+            asks_at: now,
+        };
+        voter.tick(now);
+        voter
+    }
+
+    #[must_use]
+    pub fn stage(&self) -> &Stage {
+        &self.stage
+    }
+
+    #[must_use]
+    pub fn life(&self) -> u64 {
+        self.life
+    }
+
+    pub fn votes(&self) -> impl Iterator<Item = (LeaseId, &Vote)> {
+        self.votes.iter().map(|(lease, vote)| (*lease, vote))
+    }
+
+    /// When time has something to do next; nothing while it just votes.
+    #[must_use]
+    pub fn next_at(&self) -> Option<Point> {
+        match &self.stage {
+            Stage::Waits(till) => Some((*till).min(self.asks_at)),
+            Stage::Learns(_) => Some(self.asks_at),
+            Stage::Votes => None,
+        }
+    }
+
+    fn others(&self) -> impl Iterator<Item = VoterId> + use<> {
+        let me = self.me;
+        (0..self.terms.voters).map(VoterId).filter(move |one| *one != me)
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Point) {
+        if let Stage::Waits(till) = self.stage
+            && now >= till
+        {
+            #[cfg(any(test, feature = "flaws"))]
+            let learns = !self.whole && self.terms.flaw != Some(Flaw::NoLearning);
+            #[cfg(not(any(test, feature = "flaws")))]
+            let learns = !self.whole;
+            // What the others tell counts only from now on. Danger: a grant of the former life may be on its way to its
+            // holder; till the wait is over a majority with it may still come about at the others.
+            self.stage = if learns { Stage::Learns(BTreeSet::new()) } else { Stage::Votes };
+            self.asks_at = now;
+        }
+        if self.stage != Stage::Votes && now >= self.asks_at {
+            self.asks_at = now + self.terms.retry * 4.0;
+            let word = Word::Learn { from: self.me, life: self.life, start: self.start };
+            self.others().for_each(|one| self.say(To::Voter(one), word.clone()));
+        }
+    }
+
+    /// Goes out once all that has changed so far is kept.
+    fn say(&mut self, to: To, word: Word) {
+        // Danger: a disk that hangs, and words that add up. The oldest is lost, as a datagram may be.
+        if self.pending.len() >= PENDING {
+            self.pending.pop_front();
+        }
+        self.pending.push_back((self.changed, to, word));
+    }
+
+    /// A word came.
+    pub fn heard(&mut self, now: Point, word: &Word) {
+        self.tick(now);
+        match word {
+            Word::Ask { from, round, wants } => self.asked(now, *from, *round, wants),
+            Word::Free { from, round, wants } => self.freed(now, *from, *round, wants),
+            Word::Learn { from, life, start } if *from != self.me => {
+                let (mut known, of) = self.lives.get(from).copied().unwrap_or_default();
+                if *life > known {
+                    self.lives.insert(*from, (*life, *start));
+                    self.changed += 1;
+                } else if *life == known && *start == of {
+                    // It asks once more, and is the one that is known.
+                    known -= 1;
+                }
+                let (highest, whole) = (self.highest(), self.whole);
+                let word = Word::Learnt { from: self.me, highest, life: known, whole };
+                self.say(To::Voter(*from), word);
+            }
+            Word::Learnt { from, highest, life, whole } => self.learnt(*from, *highest, *life, *whole),
+            _ => {}
+        }
+    }
+
+    fn highest(&self) -> Epoch {
+        self.votes.values().map(|vote| vote.epoch).max().unwrap_or_default().max(self.floor)
+    }
+
+    fn asked(&mut self, now: Point, from: CandidateId, round: u64, wants: &[Want]) {
+        let verdicts: Vec<(LeaseId, Verdict)> = wants
+            .iter()
+            .take(self.terms.batch)
+            .filter_map(|want| Some((want.lease, self.decide(now, from, round, *want)?)))
+            .collect();
+        if !verdicts.is_empty() {
+            let word = Word::Answer { from: self.me, round, clock: now, verdicts };
+            self.say(To::Candidate(from), word);
+        }
+    }
+
+    /// What it says to one that wants a lease; nothing to a word that is overtaken.
+    fn decide(&mut self, now: Point, from: CandidateId, round: u64, want: Want) -> Option<Verdict> {
+        if self.stage != Stage::Votes {
+            return Some(Verdict::Abstains);
+        }
+        let until = now + self.terms.term;
+        let (known, most) = (self.votes.len(), self.terms.leases);
+        let Some(vote) = self.votes.get_mut(&want.lease) else {
+            if want.epoch <= self.floor {
+                return Some(Verdict::Old(self.floor));
+            }
+            // Danger: invented leases. What it knows of a lease it cannot forget.
+            if known >= most {
+                return Some(Verdict::Full);
+            }
+            let vote = Vote { epoch: want.epoch, holder: from, round, until, waits: SmallVec::new() };
+            self.votes.insert(want.lease, vote);
+            self.changed += 1;
+            return Some(Verdict::Granted(want.epoch));
+        };
+        if vote.holder == from && vote.epoch == want.epoch {
+            if round < vote.round {
+                return None;
+            }
+            // Danger: an old word that comes again holds the lease for one that has long given it back. A round that was
+            // granted is granted again, and not for longer.
+            if round > vote.round {
+                (vote.round, vote.until) = (round, until);
+            }
+            return Some(Verdict::Granted(want.epoch));
+        }
+        if now < vote.until && vote.holder != from {
+            if !vote.waits.contains(&from) {
+                if vote.waits.len() == WAITS {
+                    vote.waits.remove(0);
+                }
+                vote.waits.push(from);
+            }
+            return Some(Verdict::Held { epoch: vote.epoch, left: vote.until - now });
+        }
+        let newest = vote.epoch.max(self.floor);
+        if want.epoch <= newest {
+            return Some(Verdict::Old(newest));
+        }
+        (vote.epoch, vote.holder, vote.round, vote.until) = (want.epoch, from, round, until);
+        self.changed += 1;
+        Some(Verdict::Granted(want.epoch))
+    }
+
+    fn freed(&mut self, now: Point, from: CandidateId, round: u64, wants: &[Want]) {
+        for want in wants.iter().take(self.terms.batch) {
+            let Some(vote) = self.votes.get_mut(&want.lease) else { continue };
+            let of = vote.holder == from && vote.epoch == want.epoch;
+            // Danger: a late word gives back what was asked for again since. Only its own round, or an older one, is given back;
+            // a round whose asking comes after this is no grant any more.
+            if !of || round < vote.round {
+                continue;
+            }
+            (vote.round, vote.until) = (round, vote.until.min(now));
+            let epoch = vote.epoch;
+            let waits = std::mem::take(&mut vote.waits);
+            // One is told first, so that those that wait do not all ask at one moment; the others see it by themselves.
+            if let Some(first) = waits.first() {
+                let word = Word::Vacant { from: self.me, lease: want.lease, epoch };
+                self.say(To::Candidate(*first), word);
+            }
+        }
+    }
+
+    /// Another voter has told what it knows.
+    fn learnt(&mut self, from: VoterId, highest: Epoch, life: u64, whole: bool) {
+        if life >= self.life {
+            // Danger: what it started with is an older copy, in which later grants are missing; it would give their epochs away
+            // again. So it has lost what it knew, and this life begins after the one that was known.
+            self.whole = false;
+            self.life = life + 1;
+            self.changed += 1;
+            if self.stage == Stage::Votes {
+                self.stage = Stage::Learns(BTreeSet::new());
+            }
+            return;
+        }
+        let Stage::Learns(told) = &mut self.stage else { return };
+        if !whole || from == self.me {
+            return;
+        }
+        told.insert(from);
+        let enough = told.len() >= self.terms.majority();
+        if highest > self.floor {
+            self.floor = highest;
+            self.changed += 1;
+        }
+        // Any majority that has granted something has one of these in it, beside this one: majorities less one and as
+        // many others as a majority are more than all others.
+        if enough {
+            (self.stage, self.whole) = (Stage::Votes, true);
+            self.changed += 1;
+        }
+    }
+
+    /// What is to be written now, and its number; nothing if it is kept already, or one is being written.
+    pub fn to_keep(&mut self) -> Option<(u64, Image)> {
+        if self.writing || self.kept == self.changed {
+            return None;
+        }
+        self.writing = true;
+        let votes = self.votes.iter().map(|(lease, vote)| (*lease, vote.epoch, vote.holder)).collect();
+        let lives = self.lives.iter().map(|(voter, (life, start))| (*voter, *life, *start)).collect();
+        let image = Image { life: self.life, floor: self.floor, whole: self.whole, votes, lives };
+        Some((self.changed, image))
+    }
+
+    /// An image was written, or that failed; then what waits for it goes on waiting, and it is written again.
+    pub fn kept(&mut self, number: u64, done: bool) {
+        self.writing = false;
+        if done {
+            self.kept = self.kept.max(number);
+        }
+    }
+
+    /// Words that may go out now.
+    pub fn sends(&mut self) -> Vec<(To, Word)> {
+        let ready = self.pending.iter().take_while(|(after, ..)| *after <= self.kept).count();
+        self.pending.drain(..ready).map(|(_, to, word)| (to, word)).collect()
+    }
+
+    /// How long until the lease is free here, if it is held.
+    #[must_use]
+    pub fn left(&self, now: Point, lease: LeaseId) -> Option<Span> {
+        let vote = self.votes.get(&lease)?;
+        (vote.until > now).then(|| vote.until - now)
+    }
+}
+
+/// Words that wait for the disk at most.
+const PENDING: usize = 1024;
--- a/crates/arrowyard-standins/src/discovery.rs
+++ b/crates/arrowyard-standins/src/discovery.rs
@@ -19,7 +19,15 @@
             "block": host.spec.group, "health": host.health, "share": 1.0, "born_ms": host.born_ms,
             "mode": if host.spec.primary { "read-write" } else { "read-only" }})
     });
-    json!({"seq": state.version, "whole": since.is_none(), "hosts": rows.collect::<Vec<_>>()})
+    let extras = state.extras.iter().enumerate();
+    let extras = extras.filter(|(_, (changed, _))| since.is_none_or(|since| *changed > since));
+    // Hosts of groups that nobody asks for, at an address that nobody has.
+    let extras = extras.map(|(n, (_, health))| {
+        json!({"host": format!("x-{n:06}"), "dial": "127.0.0.1:1", "site": "a", "class": "m",
+            "block": 1000 + n / 3, "health": health, "share": 1.0, "born_ms": 0.0,
+            "mode": if n % 3 == 0 { "read-write" } else { "read-only" }})
+    });
+    json!({"seq": state.version, "whole": since.is_none(), "hosts": rows.chain(extras).collect::<Vec<_>>()})
 }
 
 /// How discovery answers.
--- a/crates/arrowyard-standins/src/lib.rs
+++ b/crates/arrowyard-standins/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod rig;
 pub mod router;
 pub mod speaks;
+pub mod taker;
 pub mod town;
 
 pub use client::{Client, Reply};
--- a/crates/arrowyard-standins/src/router.rs
+++ b/crates/arrowyard-standins/src/router.rs
@@ -87,6 +87,19 @@
     /// # Errors
     /// What it said when it did not start.
     pub fn start(program: &Path, waybill: &Value, book: Option<&str>) -> Result<Process, String> {
+        Process::start_with(program, waybill, book, &[])
+    }
+
+    /// The same, with more in its environment.
+    ///
+    /// # Errors
+    /// What it said when it did not start.
+    pub fn start_with(
+        program: &Path,
+        waybill: &Value,
+        book: Option<&str>,
+        envs: &[(&str, String)],
+    ) -> Result<Process, String> {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("arrowyard-{}-{number}", std::process::id()));
@@ -95,6 +108,7 @@
         std::fs::write(&config, waybill.to_string()).map_err(|error| error.to_string())?;
         let mut command = Command::new(program);
         command.arg("run").env("RELAY_CONFIG", &config).stderr(Stdio::piped());
+        command.envs(envs.iter().map(|(name, value)| (name, value)));
         if let Some(book) = book {
             std::fs::write(&own, book).map_err(|error| error.to_string())?;
             command.arg("--book").arg(&own);
--- a/crates/arrowyard-standins/src/town.rs
+++ b/crates/arrowyard-standins/src/town.rs
@@ -153,6 +153,8 @@
     /// When each call came, and how calls are answered.
     pub called: Vec<i64>,
     pub mood: Mood,
+    /// Hosts that are listed and not there: when each last changed, and its health.
+    pub extras: Vec<(u64, &'static str)>,
 }
 
 impl State {
@@ -198,6 +200,7 @@
             calls: Vec::new(),
             called: Vec::new(),
             mood: Mood::Plain,
+            extras: Vec::new(),
         };
         let state = Arc::new(Mutex::new(state));
         let (news, heard) = watch::channel(1);
@@ -373,6 +376,22 @@
         lock(&self.state).mood = mood;
     }
 
+    /// So many hosts are listed beside those of the town, which nobody asks for; of those that were before, these are told
+    /// to have changed: every so many, from this one on.
+    pub fn extras(&self, count: usize, from: usize, every: usize) {
+        {
+            let mut state = lock(&self.state);
+            state.version += 1;
+            let version = state.version;
+            for (_, extra) in state.extras.iter_mut().enumerate().filter(|(at, _)| at % every == from % every)
+            {
+                *extra = (version, if extra.1 == "SERVING" { "DRAINING" } else { "SERVING" });
+            }
+            state.extras.resize(count, (version, "SERVING"));
+        }
+        self.tell();
+    }
+
     /// The whole list as it is now.
     pub fn list(&self) -> serde_json::Value {
         discovery::list(&lock(&self.state), None)
--- a/crates/arrowyard-yardbook/src/check.rs
+++ b/crates/arrowyard-yardbook/src/check.rs
@@ -8,7 +8,8 @@
 
 use crate::places::Places;
 use crate::schema::{
-    Cell, Cells, Flight, Lease, Log, Move, Net, Pace, Peers, Release, Repeats, Rest, Returns, Step, Tenant,
+    Cell, Cells, Flight, Lease, Leases, Log, Move, Net, Pace, Peers, Release, Repeats, Rest, Returns, Step,
+    Tenant,
 };
 use crate::{Fault, Yardbook};
 
@@ -49,6 +50,9 @@
     if let Some(returns) = &book.returns {
         checker.returns(returns);
     }
+    if let Some(leases) = &book.leases {
+        checker.leases(leases);
+    }
     checker.faults
 }
 
@@ -124,6 +128,56 @@
         self.number("returns.doubt_ms", returns.doubt_ms, 100, 600_000);
     }
 
+    fn leases(&mut self, leases: &Leases) {
+        self.name("leases.fleet", leases.fleet.as_deref());
+        self.address("leases.listen", leases.listen.as_deref(), true);
+        if ![3, 5, 7].contains(&leases.voter.len()) {
+            let what = format!("{} voters; 3, 5 or 7 have to be named", leases.voter.len());
+            self.fault("leases.voter", what);
+        }
+        let mut names = HashMap::new();
+        for (row, voter) in leases.voter.iter().enumerate() {
+            let path = format!("leases.voter[{row}]");
+            self.name(&format!("{path}.name"), voter.name.as_deref());
+            self.address(&format!("{path}.at"), voter.at.as_deref(), true);
+            if let Some(first) = names.insert(voter.name(), row) {
+                let line = self.places.of(&format!("leases.voter[{first}]")).line;
+                self.fault(
+                    &path,
+                    format!("{:?} stands in line {line}, too: it would vote twice", voter.name()),
+                );
+            }
+        }
+        if leases.store.is_some() {
+            self.name("leases.store", leases.store.as_deref());
+        }
+        self.number("leases.term_ms", leases.term_ms, 300, 3_600_000);
+        self.number("leases.drift_ppm", leases.drift_ppm, 1, 100_000);
+        let term = leases.term_ms.unwrap_or(3000);
+        let mut names = HashMap::new();
+        for (row, duty) in leases.duty.iter().enumerate() {
+            let path = format!("leases.duty[{row}]");
+            self.name(&format!("{path}.name"), duty.name.as_deref());
+            self.address(&format!("{path}.at"), duty.at.as_deref(), true);
+            self.number(&format!("{path}.every_ms"), duty.every_ms, 10, 86_400_000);
+            let takes = duty.takes_ms.unwrap_or(200);
+            if takes == 0 || takes > term / 2 {
+                let what =
+                    format!("{takes} ms; more than 0 and no more than half of the term, {} ms", term / 2);
+                self.fault(&format!("{path}.takes_ms"), what);
+            }
+            let told = duty.path.as_deref().unwrap_or("/");
+            if !told.starts_with('/') || told.bytes().any(|byte| !byte.is_ascii_graphic()) {
+                let what = "it has to begin with / and hold no spaces".to_string();
+                self.fault(&format!("{path}.path"), what);
+            }
+            if let Some(first) = names.insert(duty.name(), row) {
+                let line = self.places.of(&format!("leases.duty[{first}]")).line;
+                self.fault(&path, format!("{:?} stands in line {line}, too", duty.name()));
+            }
+        }
+    }
+
     fn peers(&mut self, peers: &Peers) {
         self.name("peers.fleet", peers.fleet.as_deref());
         self.address("peers.listen", peers.listen.as_deref(), true);
--- a/crates/arrowyard-yardbook/src/layout.rs
+++ b/crates/arrowyard-yardbook/src/layout.rs
@@ -2,6 +2,7 @@
 
 use arrowyard_cells::layout::{Cell, Layout, Lease, Net, Pace, Release, Repeats};
 use arrowyard_cells::moving::{Row, Step};
+use arrowyard_leases::{Duty, Joins};
 use arrowyard_peers::{Belongs, Terms};
 use arrowyard_return::{Comes, Pace as Calls, Trust};
 use arrowyard_types::{CellId, GroupId, Point, Span};
@@ -136,3 +137,36 @@
         doubt: span(told.doubt_ms, 2000),
     })
 }
+
+/// What a book that was checked says of leases; nothing if it does not.
+pub fn leases(book: &schema::Yardbook) -> Option<Joins> {
+    let told = book.leases.as_ref()?;
+    let usual = arrowyard_leases::Terms::default();
+    let mut voters: Vec<_> =
+        told.voter.iter().filter_map(|one| Some((one.name().to_string(), one.at().parse().ok()?))).collect();
+    // All routers number them alike, in whatever order their files name them.
+    voters.sort();
+    let duty = |duty: &schema::Duty| {
+        Some(Duty {
+            name: duty.name().to_string(),
+            at: duty.at().parse().ok()?,
+            path: duty.path.clone().unwrap_or_else(|| "/".to_string()),
+            every: span(duty.every_ms, 1000),
+            takes: span(duty.takes_ms, 200),
+            rank: duty.rank(),
+        })
+    };
+    Some(Joins {
+        fleet: told.fleet().to_string(),
+        listen: told.listen().parse().ok()?,
+        store: told.store.as_ref().map(std::path::PathBuf::from),
+        terms: arrowyard_leases::Terms {
+            voters: voters.len() as u8,
+            term: span(told.term_ms, 3000),
+            drift_ppm: told.drift_ppm.unwrap_or(usual.drift_ppm),
+            ..usual
+        },
+        voters,
+        duties: told.duty.iter().filter_map(duty).collect(),
+    })
+}
--- a/crates/arrowyard-yardbook/src/lib.rs
+++ b/crates/arrowyard-yardbook/src/lib.rs
@@ -14,7 +14,7 @@
 use prost_reflect::{DescriptorPool, DynamicMessage, MessageDescriptor};
 
 pub use check::check;
-pub use layout::{belongs, layout, returns};
+pub use layout::{belongs, layout, leases, returns};
 pub use places::{Place, Places};
 
 /// The types of the schema.
