Duties go to routers that serve; drawn fault plans for leases; own-turn reads see a start

Need: a holder that serves nobody kept its lease, one that was told to end kept it for 450 ms more; leases were proven by faults somebody thought of; an own-turn read after a restart missed the turn that was acked before it (test: a replica answered without); a router that is cut off from discovery went on sending to a host that drains; a whole list's wanted lines waited for all others.

With the floor left out the own-turn test fails.

--- a/crates/arrowyard-chores/src/slices.rs
+++ b/crates/arrowyard-chores/src/slices.rs
@@ -1,5 +1,5 @@
 //! Long lists worked off in slices, so that no op waits for a whole one. What closes hosts goes first and in one piece, then
-//! what leads, then the rest; a whole list ends with the hosts that it does not name. Each slice stands for itself: it says of the hosts in it
+//! what ops wait for, what leads, the rest; a whole list ends with the hosts that it does not name. Each slice stands for itself: it says of the hosts in it
 //! what the list says, and nothing of others, so that between two slices each host is as one of two lists has it.
 
 use std::collections::{HashSet, VecDeque};
@@ -46,8 +46,8 @@
         lines > self.size || !self.is_empty()
     }
 
-    /// One more list. `rank` tells of a line what matters most: 0 that a host is left, 1 that it leads, 2 all else; `host` whom
-    /// it is about.
+    /// One more list. `rank` tells of a line what matters most: 0 that a host is left, 1 that ops wait for its group, 2 that
+    /// it leads, 3 all else; `host` whom it is about.
     ///
     /// A whole list makes all that wait before it void. Danger: older lines that are put on newer ones open a host again
     /// that the newer list closed; so lists are worked off in the order in which they came. And a host that drains is sent to
@@ -66,11 +66,11 @@
             self.urgent.clear();
             self.turns += 1;
         }
-        let mut parts: [Vec<L>; 3] = [Vec::new(), Vec::new(), Vec::new()];
+        let mut parts: [Vec<L>; 4] = Default::default();
         for line in lines {
-            parts[usize::from(rank(&line).min(2))].push(line);
+            parts[usize::from(rank(&line).min(3))].push(line);
         }
-        let [closing, leading, rest] = parts;
+        let [closing, wanted, leading, rest] = parts;
         if !self.waits.is_empty() && !closing.is_empty() {
             let closed: HashSet<K> = closing.iter().map(&host).collect();
             for long in &mut self.waits {
@@ -82,7 +82,7 @@
             }
         }
         self.urgent.extend(closing);
-        let lines = leading.into_iter().chain(rest).collect();
+        let lines = wanted.into_iter().chain(leading).chain(rest).collect();
         self.waits.push_back(Long { number, whole, turn: self.turns, lines, missing: whole });
     }
 
--- a/crates/arrowyard-chores/tests/chores.rs
+++ b/crates/arrowyard-chores/tests/chores.rs
@@ -196,21 +196,21 @@
     let push = |slices: &mut Slices<(char, u8)>, number, whole, lines: &[(char, u8)]| {
         slices.push(number, whole, lines.to_vec(), |&(_, rank)| rank, |&(host, _)| host);
     };
-    push(&mut slices, 7, true, &[('a', 2), ('b', 1), ('c', 0), ('d', 2), ('e', 2)]);
+    push(&mut slices, 7, true, &[('a', 3), ('b', 1), ('c', 0), ('d', 3), ('e', 3)]);
     assert_eq!(slices.slice(), Some(Slice::Lines(vec![('c', 0)])));
-    assert_eq!(slices.slice(), Some(Slice::Lines(vec![('b', 1), ('a', 2)])));
+    assert_eq!(slices.slice(), Some(Slice::Lines(vec![('b', 1), ('a', 3)])));
     // d drains while the older list, which calls it ready, is worked off.
-    push(&mut slices, 8, false, &[('e', 2), ('d', 0)]);
+    push(&mut slices, 8, false, &[('e', 3), ('d', 0)]);
     assert_eq!(
         slices.slice(),
-        Some(Slice::Lines(vec![('d', 2), ('d', 0)])),
+        Some(Slice::Lines(vec![('d', 3), ('d', 0)])),
         "what was said of it before, too"
     );
-    assert_eq!(slices.slice(), Some(Slice::Lines(vec![('e', 2)])));
+    assert_eq!(slices.slice(), Some(Slice::Lines(vec![('e', 3)])));
     assert_eq!(slices.slice(), Some(Slice::Missing(1)));
     assert_eq!(slices.slice(), Some(Slice::Through(7)));
     assert!(!slices.is_empty() && slices.has_to(1));
-    assert_eq!(slices.slice(), Some(Slice::Lines(vec![('e', 2)])));
+    assert_eq!(slices.slice(), Some(Slice::Lines(vec![('e', 3)])));
     assert_eq!(slices.slice(), Some(Slice::Through(8)));
     assert!(slices.is_empty() && !slices.has_to(2) && slices.has_to(3));
 }
--- a/crates/arrowyard-core/src/drain.rs
+++ b/crates/arrowyard-core/src/drain.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
     Serving,
+    /// It was told to end, and goes on accepting: others may not have heard of it yet. What it does for all is over.
+    Told,
     /// No new connections; connections end between ops.
     Closing,
 }
@@ -35,6 +37,7 @@
             _ = terminate.recv() => tracing::info!(clients = self.clients.get(), "SIGTERM: ending"),
             _ = interrupt.recv() => tracing::info!(clients = self.clients.get(), "SIGINT: ending"),
         }
+        self.stage.send_replace(Stage::Told);
         sleep(self.limits.accept).await;
         self.stage.send_replace(Stage::Closing);
         let last = Instant::now() + self.limits.last;
--- a/crates/arrowyard-core/src/hints.rs
+++ b/crates/arrowyard-core/src/hints.rs
@@ -4,7 +4,8 @@
 
 use std::collections::BTreeMap;
 
-use arrowyard_types::{Point, Span};
+use arrowyard_types::{PeerId, Point, Span};
+use smallvec::SmallVec;
 
 /// The form of a hint, by its first byte and its length; the module's news has another length.
 const FORM: u8 = 2;
@@ -27,48 +28,106 @@
     }
 }
 
-/// Hints that wait till the own watch had its time.
+/// Members whose word on one host is remembered.
+const TELLERS: usize = 4;
+/// So many members have to say so till their word counts where the own list cannot be had.
+const AGREED: usize = 2;
+/// Hosts that are closed by others' word at most, as a share of those that are ready.
+const BY_WORD: usize = 4;
+
+/// What is known of one host that others say is leaving.
+#[derive(Debug)]
+struct Hint {
+    due: Point,
+    by: SmallVec<[PeerId; TELLERS]>,
+    /// When the list was asked for because of it.
+    asked: Option<Point>,
+}
+
+/// What others say of hosts that leave, till the own list speaks.
 #[derive(Debug)]
 pub struct Hints {
-    /// By host: when it is looked at.
-    due: BTreeMap<u32, Point>,
+    hosts: BTreeMap<u32, Hint>,
     wait: Span,
     /// How often the list is asked for because of hints, at most.
     gap: Span,
     asked: Point,
+    /// Hosts that were closed by others' word since the own list spoke.
+    closed: usize,
 }
 
 impl Hints {
     /// `wait` is how long the own watch is given, `gap` the least time between two looks.
     #[must_use]
     pub fn new(wait: Span, gap: Span) -> Hints {
-        Hints { due: BTreeMap::new(), wait, gap, asked: Point::DAWN }
+        Hints { hosts: BTreeMap::new(), wait, gap, asked: Point::DAWN, closed: 0 }
     }
 
     /// Another router says that the host is leaving.
-    pub fn heard(&mut self, now: Point, tag: u32) {
+    pub fn heard(&mut self, now: Point, tag: u32, by: PeerId) {
         // Danger: one that names thousands of hosts. What finds no room is named again by those that mean it, or is not.
-        if self.due.len() < MOST {
-            self.due.entry(tag).or_insert(now + self.wait);
+        if self.hosts.len() >= MOST && !self.hosts.contains_key(&tag) {
+            return;
         }
+        let new = Hint { due: now + self.wait, by: SmallVec::new(), asked: None };
+        let hint = self.hosts.entry(tag).or_insert(new);
+        if hint.by.len() < TELLERS && !hint.by.contains(&by) {
+            hint.by.push(by);
+        }
+    }
+
+    /// The own list has spoken, whatever it said: it goes before others' word.
+    pub fn listed(&mut self) {
+        self.hosts.retain(|_, hint| hint.asked.is_none());
+        self.closed = 0;
     }
 
     /// Whether the list is to be asked for now: some host was said to be leaving, the own watch had its time, and still holds
     /// it as ready. Danger: all routers ask at the moment in which the first one hears of a drain; so those whose own
     /// watch tells them in time ask nothing, and one asks once in a while, whatever it is told.
     pub fn look(&mut self, now: Point, holds_ready: impl Fn(u32) -> bool) -> bool {
-        let due: Vec<u32> = self.due.iter().filter(|(_, at)| **at <= now).map(|(tag, _)| *tag).collect();
         let mut stale = false;
-        for tag in due {
-            self.due.remove(&tag);
-            stale |= holds_ready(tag);
-        }
+        self.hosts.retain(|tag, hint| {
+            let due = hint.due <= now && hint.asked.is_none();
+            let ready = !due || holds_ready(*tag);
+            stale |= due && ready;
+            ready
+        });
         let may = stale && now - self.asked >= self.gap;
         if may {
             self.asked = now;
+            let due = self.hosts.values_mut().filter(|hint| hint.due <= now && hint.asked.is_none());
+            due.for_each(|hint| hint.asked = Some(now));
         }
         may
     }
+
+    /// Hosts that are to be closed by others' word: the list was asked for because of them and has not spoken since, and two
+    /// members at least say so. Danger: a router that is cut off from discovery sends to a host that is gone for all others; and
+    /// one bad router, or a few, empty another's hosts. So the word of one counts for nothing, and never more than a quarter of
+    /// the hosts that are ready are closed so, till the own list speaks.
+    pub fn close(
+        &mut self,
+        now: Point,
+        ready: usize,
+        holds_ready: impl Fn(u32) -> bool,
+    ) -> SmallVec<[u32; 4]> {
+        let mut closed = SmallVec::new();
+        let Hints { hosts, closed: so_far, gap, .. } = self;
+        hosts.retain(|tag, hint| {
+            let Some(asked) = hint.asked.filter(|asked| now - *asked >= *gap * 0.5) else { return true };
+            if !holds_ready(*tag) || now - asked >= *gap * 20.0 {
+                return false;
+            }
+            if hint.by.len() < AGREED || (*so_far + 1) * BY_WORD > ready.max(BY_WORD) {
+                return true;
+            }
+            *so_far += 1;
+            closed.push(*tag);
+            false
+        });
+        closed
+    }
 }
 
 #[cfg(test)]
@@ -82,21 +141,45 @@
     #[test]
     fn only_what_the_own_watch_did_not_tell_in_time_is_looked_at_and_seldom() {
         let mut hints = Hints::new(Span::from_millis(400), Span::from_millis(1000));
-        hints.heard(at(0), 7);
+        let by = PeerId(1);
+        hints.heard(at(0), 7, by);
         assert!(!hints.look(at(399), |_| true), "the watch has its time");
         assert!(!hints.look(at(400), |_| false), "it told");
         assert!(!hints.look(at(900), |_| true), "it was looked at");
         for tag in 0..1000 {
-            hints.heard(at(1000), tag);
+            hints.heard(at(1000), tag, by);
         }
-        assert_eq!(hints.due.len(), MOST);
+        assert_eq!(hints.hosts.len(), MOST);
         assert!(hints.look(at(1400), |tag| tag == 9));
-        hints.heard(at(1500), 9);
+        hints.listed();
+        hints.heard(at(1500), 9, by);
         assert!(!hints.look(at(2000), |_| true), "too soon");
-        hints.heard(at(2500), 9);
+        hints.heard(at(2500), 9, by);
         assert!(hints.look(at(2900), |_| true));
     }
 
+    #[test]
+    fn where_the_own_list_cannot_be_had_the_word_of_two_closes_a_quarter_of_the_hosts_at_most() {
+        let mut hints = Hints::new(Span::from_millis(400), Span::from_millis(1000));
+        for tag in 0..8 {
+            hints.heard(at(0), tag, PeerId(1));
+            hints.heard(at(0), tag, PeerId(1));
+        }
+        assert!(hints.look(at(500), |_| true));
+        assert!(hints.close(at(1100), 8, |_| true).is_empty(), "one member's word, twice");
+        (0..8).for_each(|tag| hints.heard(at(1100), tag, PeerId(2)));
+        assert!(hints.close(at(900), 8, |_| true).is_empty(), "the list may still come");
+        assert_eq!(
+            hints.close(at(1200), 8, |tag| tag != 0).to_vec(),
+            [1, 2],
+            "and the own list has closed one"
+        );
+        assert!(hints.close(at(1300), 6, |_| true).is_empty(), "a quarter, till the own list speaks");
+        hints.listed();
+        assert!(hints.close(at(9000), 8, |_| true).is_empty(), "it has spoken");
+        assert!(Hints::new(Span::ZERO, Span::ZERO).close(at(0), 0, |_| true).is_empty());
+    }
+
     #[test]
     fn a_hint_is_none_of_the_modules_news() {
         assert_eq!(hinted(&hint(0x1234_5678)), Some(0x1234_5678));
--- a/crates/arrowyard-core/src/leases.rs
+++ b/crates/arrowyard-core/src/leases.rs
@@ -30,6 +30,8 @@
 /// What others ask of the task.
 pub enum Errand {
     Show(oneshot::Sender<String>),
+    /// Whether this router is fit to do tasks for all: it serves, and does not doubt itself.
+    Fit(bool),
     /// The router ends; answered once all was given back.
     Leave(oneshot::Sender<()>),
     /// The image of this number was written, or that failed.
@@ -394,6 +396,14 @@
     fn errand(&mut self, errand: Errand) {
         match errand {
             Errand::Show(client) => drop(client.send(self.report())),
+            Errand::Fit(fit) => {
+                let (now, rng) = (self.clock.now(), &mut self.rng);
+                tracing::info!(mono_us = mono_us(), fit, "fit to hold leases");
+                if !fit {
+                    self.doing.iter_mut().filter_map(|one| one.act.take()).for_each(|act| act.abort());
+                }
+                self.candidate.fit(now, fit, || rng.f64());
+            }
             Errand::Leave(done) => {
                 // Danger: what was begun goes on under a lease that another has already.
                 self.doing.iter_mut().filter_map(|one| one.act.take()).for_each(|act| act.abort());
--- a/crates/arrowyard-core/src/limits.rs
+++ b/crates/arrowyard-core/src/limits.rs
@@ -69,6 +69,8 @@
     pub tally: Duration,
     /// Lines of a list that are taken at once; a longer one is worked off in slices.
     pub slice: usize,
+    /// Groups that are remembered as asked for since the start.
+    pub wanted: usize,
     /// Within this time a slice is due: a host that a list closes is closed before the grace is over.
     pub listed: Duration,
     /// How often a start is looked at, and what other routers hint at.
@@ -132,6 +134,7 @@
             tick: Duration::from_millis(25),
             tally: Duration::from_secs(5),
             slice: 128,
+            wanted: 1024,
             listed: Duration::from_millis(5),
             look: Duration::from_millis(50),
             store: Duration::from_secs(2),
--- a/crates/arrowyard-core/src/peers.rs
+++ b/crates/arrowyard-core/src/peers.rs
@@ -18,6 +18,7 @@
 
 use crate::back::Back;
 use crate::clock::Clock;
+use crate::leases;
 use crate::mail::Mail;
 
 /// What others ask of the task.
@@ -87,6 +88,9 @@
     looks: Rc<std::cell::Cell<usize>>,
     asked_stage: Instant,
     serving: Serving,
+    /// The task that wants leases, and what it was told last.
+    leases: Option<mpsc::Sender<leases::Errand>>,
+    idle: bool,
     errors: u64,
 }
 
@@ -102,6 +106,7 @@
         seed: u64,
         clock: Clock,
         mail: mpsc::Sender<Mail<B>>,
+        leases: Option<mpsc::Sender<leases::Errand>>,
     ) -> Result<(Self, mpsc::Sender<Errand>), String> {
         let socket = UdpSocket::bind(belongs.listen).await.map_err(|e| format!("{}: {e}", belongs.listen))?;
         let local = socket.local_addr().map_err(|e| e.to_string())?;
@@ -129,6 +134,8 @@
             looks: Rc::default(),
             asked_stage: moment,
             serving: Serving { acked: 0, taken: 0, since: moment },
+            leases,
+            idle: false,
             errors: 0,
         };
         Ok((peers, own))
@@ -185,6 +192,12 @@
             Errand::Serves(told) => {
                 let idle = self.serving.idle(told);
                 self.fleet.set_idle(now, idle);
+                // Full of errands, it hears of it the next time.
+                if let Some(leases) = self.leases.as_ref().filter(|_| self.idle != idle)
+                    && leases.try_send(leases::Errand::Fit(!idle)).is_ok()
+                {
+                    self.idle = idle;
+                }
             }
         }
     }
--- a/crates/arrowyard-core/src/roster.rs
+++ b/crates/arrowyard-core/src/roster.rs
@@ -164,6 +164,19 @@
         self.last.iter().any(|entry| entry.tag == tag && entry.availability == Availability::Ready)
     }
 
+    /// How many hosts the list holds as ready.
+    pub fn ready(&self) -> usize {
+        self.last.iter().filter(|entry| entry.availability == Availability::Ready).count()
+    }
+
+    /// The host that all routers call so is held as leaving, by others' word; its entry.
+    pub fn close(&mut self, tag: u32) -> Option<Entry> {
+        let ready = |entry: &&mut Entry| entry.tag == tag && entry.availability == Availability::Ready;
+        let entry = self.last.iter_mut().find(ready)?;
+        entry.availability = Availability::Draining;
+        Some(entry.clone())
+    }
+
     /// The hosts of a group, as lists name it, and their names.
     pub fn members(&self, group: GroupId) -> Vec<(HostId, &str)> {
         let of = |entry: &&Entry| self.raw[entry.host.0 as usize].1 == group;
--- a/crates/arrowyard-core/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -93,8 +93,14 @@
     /// Hosts that others say are leaving.
     hints: Hints,
     returns: Returns,
-    /// By op type: whether it writes.
+    /// By op type: whether it writes, and whether it reads its session's own writes.
     writes: Vec<bool>,
+    owns: Vec<bool>,
+    /// Where the router comes back: what own-turn reads have to see at least. Danger: a session wrote by way of this router
+    /// before it ended, and nobody remembers the bound. All that was acked then was committed before the start.
+    floor: Option<Point>,
+    /// Groups that were asked for, so many at most: their lines of a long list go first.
+    wanted: HashSet<i64>,
     /// Ops taken, and acked by the last tally, since the start.
     taken: u64,
     acked: u64,
@@ -119,7 +125,11 @@
             Ward::new(now, layout, yard.limits.of_cells(), rows, marks)
         });
         let returns = yard.returns.take();
-        let writes = OpType::rows(&manifest).iter().map(|row| row.need == Need::Write).collect();
+        let rows = OpType::rows(&manifest);
+        let writes = rows.iter().map(|row| row.need == Need::Write).collect();
+        let owns = rows.iter().map(|row| row.need == Need::Session).collect();
+        // Positions of what was acked were at most so far ahead of this router's clock.
+        let floor = returns.is_some().then_some(now + yard.limits.ahead);
         let router = Router::start(now, seed, manifest, &mut actions);
         let mut book = Book::default();
         book.closed = ward.is_some().then(Vec::new);
@@ -158,6 +168,9 @@
             hints: Hints::new(grace, grace * 2.0),
             returns,
             writes,
+            owns,
+            floor,
+            wanted: HashSet::new(),
             taken: 0,
             acked: 0,
         };
@@ -376,6 +389,9 @@
         let note = self.yard.roster.note(list, saved == Some(true));
         self.book.tally.listed += list.lines.len() as u32;
         let ceased = self.yard.roster.ceased();
+        if saved != Some(true) {
+            self.hints.listed();
+        }
         if let Some(returns) = self.returns.as_mut().filter(|_| saved == Some(false)) {
             returns.listed(self.yard.clock.now(), list.version);
         }
@@ -452,6 +468,7 @@
                     tracing::info!("other routers say that a host is leaving: the list is asked for");
                     wish(&self.yard.wishes, Wish::Fetch);
                 }
+                self.close_by_word(now);
                 Ending::Done
             }
             Chore::Start => {
@@ -474,6 +491,23 @@
         self.chores.done(ended, chore, ended - now, end);
     }
 
+    /// Closes hosts that others say are leaving, where the own list cannot be had.
+    fn close_by_word(&mut self, now: Point) {
+        let Yard { roster, .. } = &self.yard;
+        let tags = self.hints.close(now, roster.ready(), |tag| roster.holds_ready(tag));
+        let entries: Vec<Entry> = tags.into_iter().filter_map(|tag| self.yard.roster.close(tag)).collect();
+        if entries.is_empty() {
+            return;
+        }
+        tracing::warn!(
+            hosts = entries.len(),
+            "hosts are closed by other routers' word: the list cannot be had"
+        );
+        let entries = if self.ward.is_some() { self.divided(entries) } else { entries };
+        let (note, mut actions) = (Note::Listed { form: ListForm::Changes, entries }, Vec::new());
+        self.hand_over(note, &mut actions);
+    }
+
     /// One slice of the lists that wait.
     fn slice(&mut self) -> Ending {
         let lines = match self.slices.slice() {
@@ -514,8 +548,14 @@
     /// What the mail tells the module; nothing where it is old news.
     fn note(&mut self, mail: Mail<B>) -> Option<Note> {
         match mail {
-            Mail::Asked(ask, _, payload, client) => {
+            Mail::Asked(mut ask, _, payload, client) => {
                 self.taken += 1;
+                if self.owns.get(ask.op_type.0 as usize) == Some(&true) {
+                    ask.floor = ask.floor.max(self.floor);
+                }
+                if self.wanted.len() < self.yard.limits.wanted {
+                    self.wanted.insert(ask.group.0);
+                }
                 if let Some(returns) = &mut self.returns {
                     let write = self.writes.get(ask.op_type.0 as usize).copied().unwrap_or_default();
                     returns.asked(ask.op, ask.group, write);
@@ -577,7 +617,7 @@
             }
             Mail::Told(from, mut bytes) => {
                 if let Some(tag) = hinted(&bytes) {
-                    self.hints.heard(self.yard.clock.now(), tag);
+                    self.hints.heard(self.yard.clock.now(), tag, from);
                     return None;
                 }
                 // Danger: another router's word that a host is primary sends writes there. It only ever takes that away.
@@ -593,9 +633,11 @@
                 None
             }
             Mail::News(mail::News::Listed(list)) if self.slices.has_to(list.lines.len()) => {
+                let wanted = |line: &Line| line.group.is_some_and(|group| self.wanted.contains(&group));
                 let rank = |line: &Line| match line.availability {
-                    Availability::Ready if line.primary == Some(true) => 1,
-                    Availability::Ready => 2,
+                    Availability::Ready if wanted(line) => 1,
+                    Availability::Ready if line.primary == Some(true) => 2,
+                    Availability::Ready => 3,
                     _ => 0,
                 };
                 let host = |line: &Line| line.host.clone();
--- a/crates/arrowyard-daemon/src/base.rs
+++ b/crates/arrowyard-daemon/src/base.rs
@@ -124,6 +124,18 @@
         }
 
         let mut gate = Gate::new(&waybill.settings, &told, limits.clone(), cells.is_some());
+        if let Some(joins) = book.and_then(leases) {
+            let (task, errands) = Leases::open(joins, &waybill.name, waybill.seed).await?;
+            drop(spawn_local(task.run()));
+            // At the first word that it is to end: its ops are finished for a while longer, its tasks are not.
+            let (ends, mut till) = (errands.clone(), staged.clone());
+            drop(spawn_local(async move {
+                if till.wait_for(|stage| *stage != Stage::Serving).await.is_ok() {
+                    release(ends).await;
+                }
+            }));
+            gate.leases = Some(errands);
+        }
         let mut peers = None;
         if let Some(belongs) = book.and_then(belongs) {
             gate.peers = true;
@@ -131,16 +143,11 @@
                 told.insert("peers".to_string(), Fact::Flag(true));
             }
             let (settings, mail) = (told.number_or("routers", 1.0), mail.clone());
-            let (task, errands) =
-                Peers::open(belongs, &waybill.name, settings, waybill.seed, clock, mail).await?;
+            let (name, seed, holding) = (&waybill.name, waybill.seed, gate.leases.clone());
+            let (task, errands) = Peers::open(belongs, name, settings, seed, clock, mail, holding).await?;
             drop(spawn_local(task.run()));
             peers = Some(errands);
         }
-        if let Some(joins) = book.and_then(leases) {
-            let (task, errands) = Leases::open(joins, &waybill.name, waybill.seed).await?;
-            drop(spawn_local(task.run()));
-            gate.leases = Some(errands);
-        }
         let gate = Rc::new(gate);
         let roster = Roster::new(&waybill.settings, limits.clone());
         let yard = Yard {
@@ -168,7 +175,6 @@
         tokio::select! {
             biased;
             () = self.drain.run(self.signals) => {
-                release(self.gate.leases.clone()).await;
                 leave(self.peers).await;
                 Ok(())
             }
@@ -180,13 +186,11 @@
 }
 
 /// Gives all leases back, so that others need not wait for their end.
-async fn release(leases: Option<mpsc::Sender<holding::Errand>>) {
-    let Some(leases) = leases else { return };
+async fn release(leases: mpsc::Sender<holding::Errand>) {
     let (done, said) = oneshot::channel();
-    // Danger: the task hangs, and the router with it, which was told to end. The leases end by themselves then.
-    let within = std::time::Duration::from_millis(100);
-    if leases.try_send(holding::Errand::Leave(done)).is_ok() && timeout(within, said).await.is_ok() {
-        sleep(std::time::Duration::from_millis(20)).await;
+    // Danger: the task is full of errands. The leases end by themselves then.
+    if leases.try_send(holding::Errand::Leave(done)).is_ok() {
+        let _ = said.await;
     }
 }
 
--- a/crates/arrowyard-daemon/tests/leases.rs
+++ b/crates/arrowyard-daemon/tests/leases.rs
@@ -7,6 +7,8 @@
 use arrowyard_standins::plan::{Fault, Plan};
 use arrowyard_standins::rig::{Rig, Setting, mono_us};
 use arrowyard_standins::taker::{Effect, Taker, audit};
+use arrowyard_standins::trial;
+use arrowyard_standins::wire::Cut;
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -93,12 +95,16 @@
     let second = some_holder(&rig);
     std::thread::sleep(ms(TERM + 300));
     let before = newest(&taker);
+    let told = mono_us();
     assert_eq!(rig.end(second), Some(0));
-    // From when it said so: the process goes on accepting for a while before it ends.
     let gave = rig.lines("lease is given back").into_iter().rfind(|(who, _)| *who == second);
     let gave = gave.and_then(|(_, line)| line["mono_us"].as_i64()).expect("it was said");
     let took = next_epoch(&taker, gave, before);
-    assert!(took < 400, "after a planned end {took} ms");
+    assert!(
+        took < 400 && gave - told < 200_000,
+        "after a planned end {took} ms, given back after {} us",
+        gave - told
+    );
     kept(&taker, false, gave, "end");
     let shown = rig.show((0..5).find(|who| *who != second).expect("one"), "leases").expect("it shows them");
     assert!(shown["leases"][0]["epoch"].as_u64() >= Some(before), "{shown}");
@@ -288,3 +294,56 @@
     some_holder(&bad);
     until(15_000, "drift is told", || !bad.lines("run apart beyond the bound").is_empty());
 }
+
+#[test]
+fn drawn_plans_find_nothing_wrong_and_somebody_holds_it_after_each() {
+    let program = Path::new(env!("CARGO_BIN_EXE_arrowyard"));
+    std::thread::scope(|scope| {
+        let plays: Vec<_> = (0..4)
+            .map(|job: u64| {
+                scope.spawn(move || {
+                    for seed in (job * 5)..(job * 5 + 5) {
+                        let plan = trial::draw(1000 + seed, 5);
+                        let told = trial::play(program, &plan).expect("it is played");
+                        assert!(told.wrong.is_empty(), "{:?}: {}", told.wrong, plan.text());
+                        assert!(told.after_ms.is_some(), "nobody holds it in the end: {}", plan.text());
+                    }
+                })
+            })
+            .collect();
+        plays.into_iter().for_each(|play| play.join().expect("all of its plans were good"));
+    });
+}
+
+#[test]
+fn a_holder_that_serves_nobody_hands_its_lease_on() {
+    let taker = Taker::start(ms(10));
+    let duty = format!("duty {{ name: \"task\" at: \"{}\" every_ms: 20 takes_ms: 150 }}", taker.address);
+    let setting =
+        Setting { voters: 3, leases: format!("term_ms: {TERM} {duty}"), wires: true, ..Setting::of(4) };
+    let rig = Rig::start(Path::new(env!("CARGO_BIN_EXE_arrowyard")), setting).expect("it starts");
+    assert!(rig.agree(ms(15_000)).is_some());
+    let first = some_holder(&rig);
+    let before = newest(&taker);
+    let address = rig.process(first).expect("it runs").address;
+    let asked = std::thread::spawn(move || {
+        let stream = arrowyard_standins::load::Stream {
+            tenant: "t",
+            group: 7,
+            rate: 30.0,
+            mix: vec![(0, 3), (3, 2)],
+            from: Duration::ZERO,
+            till: ms(7_000),
+            sessions: 20,
+        };
+        arrowyard_standins::load::play(address, &arrowyard_standins::router::OP_TYPES, &[stream], 9, |_| {})
+    });
+    std::thread::sleep(ms(300));
+    let cut = mono_us();
+    rig.wires.cut(first, Cut { to: true, from: true });
+    next_epoch(&taker, cut, before);
+    assert_ne!(holder(&rig), Some(first));
+    kept(&taker, false, cut, "it serves nobody");
+    let outcome = asked.join().expect("it was played");
+    assert_eq!(outcome.of_tenant("t").unanswered, 0);
+}
--- a/crates/arrowyard-daemon/tests/peers.rs
+++ b/crates/arrowyard-daemon/tests/peers.rs
@@ -11,6 +11,7 @@
 use arrowyard_standins::plan::{Fault, Plan};
 use arrowyard_standins::rig::{Rig, Setting};
 use arrowyard_standins::router::OP_TYPES;
+use arrowyard_standins::wire::Cut;
 use arrowyard_standins::{Act, Process};
 use serde_json::Value;
 
@@ -385,3 +386,64 @@
         }
     }
 }
+
+#[test]
+fn one_that_is_cut_off_from_all_hosts_says_that_it_serves_nobody_and_answers_all_the_same() {
+    for cut in [Cut { to: true, from: true }, Cut { to: false, from: true }] {
+        let rig = rig(Setting { wires: true, ..Setting::of(3) });
+        until(5_000, "it serves", || {
+            let outcome = ops(rig.process(2).expect("it runs"), ms(300), 1).join().expect("it was played");
+            outcome.of_tenant("t").good > 3
+        });
+        let asked: Vec<_> =
+            (0..3).map(|who| ops(rig.process(who).expect("it runs"), ms(6_000), 700 + who as u64)).collect();
+        std::thread::sleep(ms(500));
+        rig.wires.cut(2, cut);
+        until(6_000, "it is said to serve nobody", || row(&rig, 0, 2)["serves"] == false);
+        assert_eq!(row(&rig, 0, 2)["standing"], "alive", "it lives all the same");
+        rig.wires.cut(2, Cut::default());
+        let outcomes: Vec<Outcome> =
+            asked.into_iter().map(|asked| asked.join().expect("it was played")).collect();
+        let ledger = rig.town.ledger();
+        assert!(ledger.applied.values().all(|times| times.len() == 1), "{cut:?}");
+        for (who, outcome) in outcomes.iter().enumerate() {
+            let stats = outcome.of_tenant("t");
+            assert_eq!(stats.unanswered, 0, "n{who} {cut:?}");
+            assert!(who == 2 || stats.share() > 0.9, "n{who} {cut:?}: {stats:?}");
+            let there = |turn: &u64| ledger.applied.contains_key(&format!("{turn:016x}"));
+            assert!(outcome.acked.iter().all(there), "n{who} {cut:?}");
+        }
+        until(8_000, "it serves again, and is said to", || {
+            let _ = ops(rig.process(2).expect("it runs"), ms(300), 3).join();
+            row(&rig, 0, 2)["serves"] == true
+        });
+    }
+}
+
+#[test]
+fn one_that_is_cut_off_from_discovery_closes_a_host_that_others_say_is_leaving() {
+    for news in [true, false] {
+        let more = if news { "news: true" } else { "" };
+        let rig = rig(Setting { wires: true, more: more.to_string(), ..Setting::of(6) });
+        let listed = |who: usize| rig.process(who).expect("it runs").said("host is Ready", ms(5_000));
+        assert!((0..6).all(listed));
+        rig.town.cut_discovery(rig.asks[5], true);
+        std::thread::sleep(ms(100));
+        let asked = ops(rig.process(5).expect("it runs"), ms(6_000), 800);
+        std::thread::sleep(ms(300));
+        rig.town.drain("r-1");
+        std::thread::sleep(ms(4_000));
+        let before = rig.town.ledger().commands.get("r-1").copied().unwrap_or_default();
+        let outcome = asked.join().expect("it was played");
+        let after = rig.town.ledger().commands.get("r-1").copied().unwrap_or_default();
+        assert_eq!(outcome.of_tenant("t").unanswered, 0);
+        let closed = rig.process(5).expect("it runs").said("closed by other routers", ms(100));
+        assert_eq!(closed, news);
+        if news {
+            assert_eq!(after, before, "it sends there no more");
+            assert!(outcome.of_tenant("t").share() > 0.9, "{:?}", outcome.of_tenant("t"));
+        } else {
+            assert!(after > before, "without others' word it goes on");
+        }
+    }
+}
--- a/crates/arrowyard-daemon/tests/returns.rs
+++ b/crates/arrowyard-daemon/tests/returns.rs
@@ -5,10 +5,11 @@
 use std::process::Command;
 use std::time::Duration;
 
-use arrowyard_standins::Mood;
+use arrowyard_standins::client::Ask;
 use arrowyard_standins::load::{Outcome, Stream, play};
 use arrowyard_standins::rig::{Rig, Setting, mono_us};
 use arrowyard_standins::router::OP_TYPES;
+use arrowyard_standins::{Client, Mood, Reply};
 use serde_json::Value;
 
 fn ms(millis: u64) -> Duration {
@@ -446,3 +447,51 @@
     assert!(outcome.of_tenant("t").share() > 0.9, "{:?}", outcome.of_tenant("t"));
     assert_eq!(rig.town.late("r-1"), 0, "commands after the grace");
 }
+
+#[test]
+fn what_a_session_wrote_before_the_router_was_killed_is_seen_after_its_start() {
+    let mut rig = rig(alone(true));
+    stored(&mut rig);
+    rig.begin(0).expect("it starts");
+    // Whatever is written from now on, no replica has it.
+    rig.town.stall("r-0");
+    rig.town.stall("r-1");
+    let ask = |rig: &Rig, id: u64, op_type: &'static str, writes: bool| {
+        let ask = Ask {
+            id,
+            op_type,
+            tenant: Some("t"),
+            group: 7,
+            wait_ms: 500,
+            token: writes.then_some(id),
+            again: false,
+            session: 77,
+            writes,
+        };
+        let address = rig.process(0).expect("it runs").address;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("it starts");
+        runtime.block_on(async {
+            let mut client = Client::connect(address).await.expect("it accepts");
+            client.ask(&ask.statement()).await.expect("it answers")
+        })
+    };
+    let written = (0..50)
+        .map(|turn| 500 + turn)
+        .find(|&id| matches!(ask(&rig, id, "turn-submit", true), Reply::Value(_)));
+    let turn = format!("{:016x}", written.expect("a write is acked"));
+    rig.kill(0);
+    rig.begin(0).expect("it starts");
+    let mut seen = 0;
+    for id in 0..20 {
+        match ask(&rig, 900 + id, "own-turn", false) {
+            Reply::Value(value) => {
+                assert!(value.contains(&turn), "{value} has not {turn}");
+                seen += 1;
+            }
+            // It may not know a primary yet.
+            Reply::Busy(_) => std::thread::sleep(ms(50)),
+            Reply::Error(why) => panic!("{why}"),
+        }
+    }
+    assert!(seen > 10, "{seen} of 20 were answered");
+}
--- a/crates/arrowyard-fleet/src/peers/world.rs
+++ b/crates/arrowyard-fleet/src/peers/world.rs
@@ -240,7 +240,9 @@
                     self.wake(who);
                 }
             }
-            (Fault::Kill(who), true) => who.into_iter().for_each(|who| self.processes[who].node = None),
+            (Fault::Kill(who) | Fault::LoseVotes(who) | Fault::OlderVotes(who), true) => {
+                who.into_iter().for_each(|who| self.processes[who].node = None)
+            }
             (Fault::End(who) | Fault::EndUnheard(who), true) => {
                 let unheard = matches!(self.plan.acts[act].fault, Fault::EndUnheard(_));
                 for who in who {
@@ -249,7 +251,14 @@
                     self.processes[who].node = None;
                 }
             }
-            (Fault::Kill(who) | Fault::End(who) | Fault::EndUnheard(who), false) => {
+            (
+                Fault::Kill(who)
+                | Fault::LoseVotes(who)
+                | Fault::OlderVotes(who)
+                | Fault::End(who)
+                | Fault::EndUnheard(who),
+                false,
+            ) => {
                 who.into_iter().for_each(|who| self.start(who));
             }
             (Fault::Cut(from, to), true) => {
--- a/crates/arrowyard-leases/src/candidate.rs
+++ b/crates/arrowyard-leases/src/candidate.rs
@@ -81,6 +81,9 @@
     vacant: Option<Epoch>,
 }
 
+/// By so much later one tries that is not fit.
+const UNFIT: u32 = 16;
+
 /// What happened, for the log and for whoever does the task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Event {
@@ -116,6 +119,7 @@
     me: CandidateId,
     round: u64,
     tasks: BTreeMap<LeaseId, Task>,
+    unfit: bool,
     /// What is sent, and what happened; taken by the caller.
     pub out: Vec<(To, Word)>,
     pub events: Vec<Event>,
@@ -124,7 +128,15 @@
 impl Candidate {
     #[must_use]
     pub fn start(terms: Terms, me: CandidateId) -> Candidate {
-        Candidate { terms, me, round: 0, tasks: BTreeMap::new(), out: Vec::new(), events: Vec::new() }
+        Candidate {
+            terms,
+            me,
+            round: 0,
+            tasks: BTreeMap::new(),
+            unfit: false,
+            out: Vec::new(),
+            events: Vec::new(),
+        }
     }
 
     #[must_use]
@@ -136,12 +148,45 @@
     pub fn want(&mut self, now: Point, lease: LeaseId, rank: u32, draw: f64) {
         let next = now + self.terms.spread * (f64::from(rank) + draw);
         let (state, known) = (State::Idle, Epoch::default());
+        let rank = if self.unfit { rank.saturating_add(UNFIT) } else { rank };
+        let next = if self.unfit { next + self.terms.spread * f64::from(UNFIT) } else { next };
         let new = Task { wanted: true, rank, state, known, next, conflicts: 0, vacant: None };
         let task = self.tasks.entry(lease).or_insert(new);
         (task.wanted, task.rank) = (true, rank);
         task.next = task.next.min(next);
     }
 
+    /// Whether this one is fit to do tasks: one that serves nobody, or doubts itself, gives back what it has, and tries for it
+    /// again only after all that are fit had their time. Nothing here decides who may hold: it may be the last one there is.
+    pub fn fit(&mut self, now: Point, fit: bool, mut draw: impl FnMut() -> f64) {
+        if self.unfit != fit {
+            return;
+        }
+        self.unfit = !fit;
+        let leases: Vec<(LeaseId, u32)> = self
+            .tasks
+            .iter()
+            .filter(|(_, task)| task.wanted)
+            .map(|(lease, task)| (*lease, task.rank))
+            .collect();
+        for (lease, rank) in leases {
+            let rank = if fit { rank.saturating_sub(UNFIT) } else { rank.saturating_add(UNFIT) };
+            if !fit {
+                self.give_back(lease);
+            }
+            if let Some(task) = self.tasks.get_mut(&lease) {
+                (task.wanted, task.rank) = (true, rank);
+                if task.state == State::Idle {
+                    // Beyond the words that tell the others of the vacancy, and beyond their first rounds.
+                    let wait = if fit { Span::ZERO } else { self.terms.retry * 2.0 };
+                    task.next = now + wait + self.terms.spread * (f64::from(rank) + draw());
+                    // It is not told of its own vacancy.
+                    task.vacant = Some(task.known);
+                }
+            }
+        }
+    }
+
     /// It wants this lease no more, and gives it back if it has it. Danger: what is given back may be held by another the next
     /// moment; so nothing that was begun under it may still go on.
     pub fn give_back(&mut self, lease: LeaseId) {
--- a/crates/arrowyard-standins/src/lib.rs
+++ b/crates/arrowyard-standins/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod speaks;
 pub mod taker;
 pub mod town;
+pub mod trial;
+pub mod wire;
 
 pub use client::{Client, Reply};
 pub use discovery::Mood;
--- a/crates/arrowyard-standins/src/plan.rs
+++ b/crates/arrowyard-standins/src/plan.rs
@@ -13,6 +13,10 @@
     Halt(Some),
     /// Killed at once; started anew when the fault ends.
     Kill(Some),
+    /// Killed at once; started anew without their votes when the fault ends.
+    LoseVotes(Some),
+    /// Killed at once; started anew with the votes that they had when the plan began.
+    OlderVotes(Some),
     /// Ended as planned; started anew when the fault ends.
     End(Some),
     /// Ended as planned, with no datagram of it getting out; started anew when the fault ends.
--- a/crates/arrowyard-standins/src/rig.rs
+++ b/crates/arrowyard-standins/src/rig.rs
@@ -1,6 +1,7 @@
 //! A fleet of real processes of the program before one town, with relays between them and a fault plan that is played.
 //! What each process held of each other one, and when, is read from its log, stamped by the machine's monotonic clock.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::{Duration, Instant};
@@ -13,6 +14,7 @@
 use crate::relay::Relays;
 use crate::router::{OP_TYPES, Process, waybill};
 use crate::town::{Spec, Town};
+use crate::wire::Wires;
 
 /// One line of a process's history: at that time it held the other one to be so.
 #[derive(Clone, Debug, PartialEq)]
@@ -52,6 +54,8 @@
     pub voters: usize,
     /// Further fields of `leases`: its duties, its term.
     pub leases: String,
+    /// Each process reaches hosts and discovery by ways of its own, which can be cut.
+    pub wires: bool,
     /// By process: how wrong the clock is that it counts leases by, in millionths.
     pub clocks: Vec<i64>,
 }
@@ -62,7 +66,21 @@
         let (more, returns, off, known, store) = (String::new(), String::new(), false, true, false);
         let (leases, clocks) = (String::new(), Vec::new());
         let (told_routers, voters) = (processes, 0);
-        Setting { processes, seed: 1, more, returns, off, told_routers, known, store, voters, leases, clocks }
+        let wires = false;
+        Setting {
+            processes,
+            seed: 1,
+            more,
+            returns,
+            off,
+            told_routers,
+            known,
+            store,
+            voters,
+            leases,
+            wires,
+            clocks,
+        }
     }
 }
 
@@ -71,6 +89,9 @@
     pub relays: Relays,
     /// Those of the leases' datagrams.
     pub lease_relays: Relays,
+    /// The ways to hosts, and where each process finds discovery, if they are its own.
+    pub wires: Wires,
+    pub asks: Vec<SocketAddr>,
     program: PathBuf,
     setting: Setting,
     stores: PathBuf,
@@ -78,6 +99,8 @@
     /// When each process started last, and the logs of those that ended.
     started: Vec<i64>,
     logs: Vec<Vec<(usize, String)>>,
+    /// The votes that each process had when the plan began.
+    older: Vec<Option<Vec<u8>>>,
     runtime: Option<Runtime>,
 }
 
@@ -106,10 +129,22 @@
         let relays = runtime.block_on(Relays::start(setting.processes, setting.seed));
         let lease_relays = runtime.block_on(Relays::start(setting.processes, setting.seed + 1));
         let count = setting.processes;
+        let wires = Wires::new(runtime.handle().clone());
+        let asks = (0..count).map(|who| {
+            if !setting.wires {
+                return town.discovery;
+            }
+            let at = town.discover();
+            town.faces(at, |real| wires.face(who, real));
+            at
+        });
+        let asks = asks.collect();
         let mut rig = Rig {
             town,
             relays,
             lease_relays,
+            wires,
+            asks,
             program: program.to_path_buf(),
             stores: std::env::temp_dir().join(format!(
                 "arrowyard-stores-{}-{}",
@@ -119,6 +154,7 @@
             processes: (0..count).map(|_| None).collect(),
             started: vec![0; count],
             logs: vec![Vec::new(); count],
+            older: vec![None; count],
             runtime: Some(runtime),
             setting,
         };
@@ -211,7 +247,8 @@
         let mut waybill = waybill(&self.town, &OP_TYPES, 512);
         waybill["name"] = json!(format!("n{who}"));
         waybill["seed"] = json!(format!("{:016x}", self.setting.seed * 1000 + who as u64));
-        if !self.setting.known {
+        waybill["discovery"] = json!(self.asks[who].to_string());
+        if !self.setting.known || self.setting.wires {
             waybill.as_object_mut().expect("it is an object").remove("known");
         }
         waybill["settings"]["balancers"] = json!(self.setting.told_routers);
@@ -326,6 +363,8 @@
         let first = plan.acts.iter().map(|act| act.at_ms).min().unwrap_or_default();
         let began = Instant::now();
         let zero = mono_us();
+        self.older =
+            (0..self.processes.len()).map(|who| std::fs::read(self.votes(who).join("votes")).ok()).collect();
         let mut last = 0;
         for (at_ms, act, begins) in plan.steps() {
             let at = Duration::from_millis(at_ms - first);
@@ -349,7 +388,19 @@
         match (fault, begins) {
             (Fault::Halt(who), true) => self.signal(who, "STOP"),
             (Fault::Halt(who), false) => self.signal(who, "CONT"),
-            (Fault::Kill(who), true) => who.iter().for_each(|&who| self.kill(who)),
+            (Fault::Kill(who) | Fault::LoseVotes(who) | Fault::OlderVotes(who), true) => {
+                who.iter().for_each(|&who| self.kill(who));
+            }
+            (Fault::LoseVotes(who), false) => who.iter().for_each(|&who| {
+                let _ = std::fs::remove_file(self.votes(who).join("votes"));
+                self.begin(who).expect("it starts again");
+            }),
+            (Fault::OlderVotes(who), false) => who.iter().for_each(|&who| {
+                if let Some(votes) = &self.older[who] {
+                    let _ = std::fs::write(self.votes(who).join("votes"), votes);
+                }
+                self.begin(who).expect("it starts again");
+            }),
             (Fault::End(who), true) => {
                 who.iter().for_each(|&who| {
                     self.end(who);
--- a/crates/arrowyard-standins/src/town.rs
+++ b/crates/arrowyard-standins/src/town.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
-use crate::discovery::Mood;
+use crate::discovery::{Mood, Side};
 use crate::{discovery, host};
 
 pub fn unix_ms() -> i64 {
@@ -155,6 +155,8 @@
     pub mood: Mood,
     /// Hosts that are listed and not there: when each last changed, and its health.
     pub extras: Vec<(u64, &'static str)>,
+    /// Of listeners that are one process's own.
+    pub sides: HashMap<SocketAddr, Side>,
 }
 
 impl State {
@@ -201,6 +203,7 @@
             called: Vec::new(),
             mood: Mood::Plain,
             extras: Vec::new(),
+            sides: HashMap::new(),
         };
         let state = Arc::new(Mutex::new(state));
         let (news, heard) = watch::channel(1);
@@ -394,7 +397,7 @@
 
     /// The whole list as it is now.
     pub fn list(&self) -> serde_json::Value {
-        discovery::list(&lock(&self.state), None)
+        discovery::draft(&lock(&self.state), None, None).list()
     }
 
     /// Discovery has lost its state: it counts its lists from the beginning. Watches go on with what they are told next.
@@ -426,6 +429,22 @@
         self.runtime().block_on(discovery::start(state, news))
     }
 
+    /// Discovery at this address names hosts by other addresses: by the real one, the one that it names.
+    pub fn faces(&self, at: SocketAddr, face: impl Fn(SocketAddr) -> SocketAddr) {
+        let mut state = lock(&self.state);
+        let dials =
+            state.hosts.values().map(|host| (host.address.to_string(), face(host.address).to_string()));
+        let dials = dials.collect();
+        state.sides.entry(at).or_default().dials = dials;
+    }
+
+    /// Discovery at this address is cut off, or there again: watches end, calls get no answer.
+    pub fn cut_discovery(&self, at: SocketAddr, cut: bool) {
+        lock(&self.state).sides.entry(at).or_default().cut = cut;
+        // So that watches look.
+        self.tell();
+    }
+
     /// The host's positions are so many milliseconds ahead of the clock.
     pub fn ahead(&self, name: &str, millis: i64) {
         lock(&self.state).hosts.get_mut(name).expect("a host of this town").ahead = millis;
@@ -474,7 +493,7 @@
 
     /// The list as a router is handed it at its start.
     pub fn known(&self) -> serde_json::Value {
-        discovery::list(&lock(&self.state), None)
+        discovery::draft(&lock(&self.state), None, None).list()
     }
 }
 
