A voter that learns counts no answer from before its wait was over

Saw on reading the change once more: a voter that lost its votes asks the others from its start on, and an answer to an early question that is late on the way counted after the wait, when a grant may have come about that it does not have; its epoch could be given again. At fault: voter.rs, learnt took answers by stage alone. The checker did not see it, since words among voters are never late there.

Change: it asks in a new life once the wait is over, answers name the life that asked, others are passed over. A comment that promised more than Fit does, and a filter whose value nobody used, go.

--- a/crates/arrowyard-core/src/leases.rs
+++ b/crates/arrowyard-core/src/leases.rs
@@ -30,7 +30,7 @@
 /// What others ask of the task.
 pub enum Errand {
     Show(oneshot::Sender<String>),
-    /// Whether this router is fit to do tasks for all: it serves, and does not doubt itself.
+    /// Whether this router is fit to do tasks for all: it serves.
     Fit(bool),
     /// The router ends; answered once all was given back.
     Leave(oneshot::Sender<()>),
@@ -299,7 +299,9 @@
             }
             for (to, word) in words {
                 let now = self.clock.now();
-                let _ = self.clocks.saw(now, &word).filter(|_| matches!(word, Word::Ask { .. }));
+                if let Word::Ask { .. } = &word {
+                    self.clocks.saw(now, &word);
+                }
                 match to {
                     To::Voter(voter) if Some(voter) == self.me => self.take(&word),
                     To::Candidate(id) if id == self.candidate.me() => self.take(&word),
--- a/crates/arrowyard-leases/src/lib.rs
+++ b/crates/arrowyard-leases/src/lib.rs
@@ -68,7 +68,8 @@
     /// The newest epoch that a voter has granted of any lease, and the latest life that it knew of the one that asked before
     /// this start.
     /// `whole`: it has its store, and has lost nothing.
-    Learnt { from: VoterId, highest: Epoch, life: u64, whole: bool },
+    /// `asked` is the life in which it was asked.
+    Learnt { from: VoterId, asked: u64, highest: Epoch, life: u64, whole: bool },
 }
 
 /// To whom a word goes.
--- a/crates/arrowyard-leases/src/message.rs
+++ b/crates/arrowyard-leases/src/message.rs
@@ -115,8 +115,8 @@
         Word::Learn { from, life, start } => {
             (form.kind, form.voter, form.life, form.candidate) = (5, from.0.into(), *life, *start);
         }
-        Word::Learnt { from, highest, life, whole } => {
-            (form.kind, form.voter, form.life) = (6, from.0.into(), *life);
+        Word::Learnt { from, asked, highest, life, whole } => {
+            (form.kind, form.voter, form.life, form.round) = (6, from.0.into(), *life, *asked);
             (form.highest, form.whole) = (highest.0, *whole);
         }
     }
@@ -173,7 +173,7 @@
         5 => Word::Learn { from: voter, life: form.life, start: form.candidate },
         6 => {
             let highest = Epoch(form.highest);
-            Word::Learnt { from: voter, highest, life: form.life, whole: form.whole }
+            Word::Learnt { from: voter, asked: round, highest, life: form.life, whole: form.whole }
         }
         _ => return Err(Dropped::Garbled),
     })
--- a/crates/arrowyard-leases/src/voter.rs
+++ b/crates/arrowyard-leases/src/voter.rs
@@ -148,8 +148,11 @@
             let learns = !self.whole;
             // What the others tell counts only from now on. Danger: a grant of the former life may be on its way to its
             // holder; till the wait is over a majority with it may still come about at the others.
-            self.stage = if learns { Stage::Learns(BTreeSet::new()) } else { Stage::Votes };
+            self.stage = Stage::Votes;
             self.asks_at = now;
+            if learns {
+                self.learn();
+            }
         }
         if self.stage != Stage::Votes && now >= self.asks_at {
             self.asks_at = now + self.terms.retry * 4.0;
@@ -158,6 +161,14 @@
         }
     }
 
+    /// Asks the others from now on, in a life of its own. Danger: what they answered before the wait was over comes late, when
+    /// it counts: a grant that came about since is missing in it. Answers to an earlier life are passed over.
+    fn learn(&mut self) {
+        self.stage = Stage::Learns(BTreeSet::new());
+        self.life += 1;
+        self.changed += 1;
+    }
+
     /// Goes out once all that has changed so far is kept.
     fn say(&mut self, to: To, word: Word) {
         // Danger: a disk that hangs, and words that add up. The oldest is lost, as a datagram may be.
@@ -183,10 +194,12 @@
                     known -= 1;
                 }
                 let (highest, whole) = (self.highest(), self.whole);
-                let word = Word::Learnt { from: self.me, highest, life: known, whole };
+                let word = Word::Learnt { from: self.me, asked: *life, highest, life: known, whole };
                 self.say(To::Voter(*from), word);
             }
-            Word::Learnt { from, highest, life, whole } => self.learnt(*from, *highest, *life, *whole),
+            Word::Learnt { from, asked, highest, life, whole } => {
+                self.learnt(*from, *asked, *highest, *life, *whole);
+            }
             _ => {}
         }
     }
@@ -282,20 +295,22 @@
     }
 
     /// Another voter has told what it knows.
-    fn learnt(&mut self, from: VoterId, highest: Epoch, life: u64, whole: bool) {
+    fn learnt(&mut self, from: VoterId, asked: u64, highest: Epoch, life: u64, whole: bool) {
         if life >= self.life {
             // Danger: what it started with is an older copy, in which later grants are missing; it would give their epochs away
             // again. So it has lost what it knew, and this life begins after the one that was known.
             self.whole = false;
-            self.life = life + 1;
-            self.changed += 1;
+            self.life = life;
             if self.stage == Stage::Votes {
-                self.stage = Stage::Learns(BTreeSet::new());
+                self.learn();
+            } else {
+                self.life += 1;
+                self.changed += 1;
             }
             return;
         }
         let Stage::Learns(told) = &mut self.stage else { return };
-        if !whole || from == self.me {
+        if !whole || from == self.me || asked != self.life {
             return;
         }
         told.insert(from);
--- a/crates/arrowyard-leases/tests/parts.rs
+++ b/crates/arrowyard-leases/tests/parts.rs
@@ -119,7 +119,7 @@
             Word::Answer { from: VoterId(2), round, clock: Point::from_micros(-5), verdicts },
             Word::Vacant { from: VoterId(1), lease: lease("a"), epoch: Epoch(epoch) },
             Word::Learn { from: VoterId(1), life: round, start: epoch },
-            Word::Learnt { from: VoterId(1), highest: Epoch(epoch), life: round, whole: true },
+            Word::Learnt { from: VoterId(1), asked: epoch, highest: Epoch(epoch), life: round, whole: true },
         ];
         for word in words {
             let bytes = write(&word, 7);
@@ -181,12 +181,20 @@
     let terms = Terms { voters: 5, ..Terms::default() };
     let mut voter = Voter::start(at(0), terms, VoterId(0), None, 3);
     let tell = |voter: &mut Voter, now: i64, from: u8, highest: u64, whole: bool| {
-        let word = Word::Learnt { from: VoterId(from), highest: Epoch(highest), life: 0, whole };
+        let asked = voter.life();
+        let word = Word::Learnt { from: VoterId(from), asked, highest: Epoch(highest), life: 0, whole };
         voter.heard(at(now), &word);
     };
     (1..5).for_each(|from| tell(&mut voter, 10, from, 9, true));
     assert!(matches!(voter.stage(), Stage::Waits(_)), "what they know may still change by its former grants");
+    let early = voter.life();
     voter.tick(at(TERM));
+    for from in 1..5 {
+        // Answered before the wait was over, and late on the way.
+        let (from, highest) = (VoterId(from), Epoch(3));
+        voter.heard(at(TERM), &Word::Learnt { from, asked: early, highest, life: 0, whole: true });
+    }
+    assert!(matches!(voter.stage(), Stage::Learns(_)), "what they knew then may have changed since");
     tell(&mut voter, TERM, 1, 9, true);
     tell(&mut voter, TERM, 1, 9, true);
     tell(&mut voter, TERM, 2, 12, false);
