Module split by concern and pinned ops; the router follows small clock steps

Change: `src/logic.rs` is split into choice, health, pressure, probing and sending, all in `policy`; ops may be pinned to a host, op types may change, control may name who leads. The router follows steps of its machine's clock from 0.5 ms to 1 s forward; hosts that leave are told of four times.

--- a/crates/arrowyard-core/src/admit.rs
+++ b/crates/arrowyard-core/src/admit.rs
@@ -136,6 +136,7 @@
             again: call.again,
             token_age,
             floor: None,
+            pinned: None,
             due: arrived + Span::from_millis(call.wait_ms.into()),
         };
         let claim = self.cells.then(|| {
@@ -195,6 +196,7 @@
             again: true,
             token_age: Some(Span::from_millis(100)),
             floor: None,
+            pinned: None,
             due: Point::from_micros(5_080_000),
         };
         assert_eq!(ask, wanted);
--- a/crates/arrowyard-core/src/clock.rs
+++ b/crates/arrowyard-core/src/clock.rs
@@ -2,33 +2,64 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::atomic::AtomicI64;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use arrowyard_types::{Point, Span};
 use tokio::time::{Instant, sleep};
 
+/// How far the machine's clock may be set forward at once and be followed. Further away is no correction.
+const STEP: Span = Span::from_millis(1000);
+/// Less than this is no step: two readings of one clock lie so far apart.
+const NOISE: Span = Span::from_micros(500);
+
+/// Copies show the same time.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     started: Instant,
     unix: Point,
+    /// By how many microseconds the machine's clock was set forward since the start, as far as that was followed. One
+    /// of a process, never freed: the clock is copied to threads of other fronts.
+    gained: &'static AtomicI64,
 }
 
 impl Clock {
     pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), unix: Point::from_micros(unix.as_micros() as i64) }
+        Clock { started: Instant::now(), unix: machine(), gained: Box::leak(Box::default()) }
     }
 
     pub fn now(&self) -> Point {
-        self.unix + Span::from_micros(self.started.elapsed().as_micros() as i64)
+        self.unix + self.gained() + Span::from_micros(self.started.elapsed().as_micros() as i64)
     }
 
     /// The moment at which this clock shows the point; at once for points gone by.
     pub fn when(&self, point: Point) -> Instant {
-        self.started + duration(point - self.unix)
+        self.started + duration(point - self.unix - self.gained())
+    }
+
+    fn gained(&self) -> Span {
+        Span::from_micros(self.gained.load(Relaxed))
+    }
+
+    /// Goes with the machine's clock where that was set forward by a little, and says by how much. Danger: hosts tell
+    /// their positions by clocks that were set as well; one that stays behind takes each of them for one in the
+    /// future, and all reads go to the primaries from then on.
+    pub fn follow(&self, machine: Point) -> Option<Span> {
+        let step = machine - self.now();
+        (NOISE < step && step <= STEP).then(|| {
+            self.gained.fetch_add(step.micros(), Relaxed);
+            step
+        })
     }
 }
 
+/// What the machine's clock shows, which may be set at any time.
+fn machine() -> Point {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Point::from_micros(unix.as_micros() as i64)
+}
+
 pub fn duration(span: Span) -> Duration {
     // A timer further away than a day is none.
     Duration::from_micros(span.micros().clamp(0, 86_400_000_000) as u64)
@@ -57,6 +88,9 @@
     }
 
     fn strike(&self) {
+        if let Some(step) = self.clock.follow(machine()) {
+            tracing::info!(micros = step.micros(), "the machine's clock was set forward");
+        }
         self.before.set(self.last.replace(self.clock.now()));
     }
 
--- a/crates/arrowyard-core/src/hints.rs
+++ b/crates/arrowyard-core/src/hints.rs
@@ -35,6 +35,10 @@
 /// Hosts that are closed by others' word at most, as a share of those that are ready.
 const BY_WORD: usize = 4;
 
+/// So often is a host told of that left the own list: each time to others that are drawn. Danger: told once, a router
+/// that is cut off from discovery hears it of fewer than two in one case of twelve (three of five are drawn).
+const TOLD: u8 = 4;
+
 /// What is known of one host that others say is leaving.
 #[derive(Debug)]
 struct Hint {
@@ -54,13 +58,35 @@
     asked: Point,
     /// Hosts that were closed by others' word since the own list spoke.
     closed: usize,
+    /// Hosts that the own list left out: when they are told of again, and how often.
+    own: BTreeMap<u32, (Point, u8)>,
 }
 
 impl Hints {
     /// `wait` is how long the own watch is given, `gap` the least time between two looks.
     #[must_use]
     pub fn new(wait: Span, gap: Span) -> Hints {
-        Hints { hosts: BTreeMap::new(), wait, gap, asked: Point::DAWN, closed: 0 }
+        Hints { hosts: BTreeMap::new(), wait, gap, asked: Point::DAWN, closed: 0, own: BTreeMap::new() }
+    }
+
+    /// The own list has left out a host: others are to hear of it, now and again.
+    pub fn ceased(&mut self, now: Point, tag: u32) {
+        if self.own.len() < MOST || self.own.contains_key(&tag) {
+            self.own.insert(tag, (now, TOLD));
+        }
+    }
+
+    /// Hosts that are told of now.
+    pub fn tell(&mut self, now: Point) -> SmallVec<[u32; 4]> {
+        let due = self.own.iter_mut().filter(|(_, (at, _))| *at <= now);
+        let told: SmallVec<[u32; 4]> = due
+            .map(|(&tag, (at, left))| {
+                (*at, *left) = (now + self.wait, *left - 1);
+                tag
+            })
+            .collect();
+        self.own.retain(|_, (_, left)| *left > 0);
+        told
     }
 
     /// Another router says that the host is leaving.
--- a/crates/arrowyard-core/src/route.rs
+++ b/crates/arrowyard-core/src/route.rs
@@ -395,8 +395,10 @@
         if let Some(returns) = self.returns.as_mut().filter(|_| saved == Some(false)) {
             returns.listed(self.yard.clock.now(), list.version);
         }
-        if let Some(peers) = self.yard.peers.as_ref().filter(|_| saved != Some(true)) {
-            ceased.into_iter().for_each(|tag| drop(peers.try_send(Errand::Tell(hint(tag)))));
+        if saved != Some(true) {
+            let now = self.yard.clock.now();
+            ceased.into_iter().for_each(|tag| self.hints.ceased(now, tag));
+            self.tell_of_ceased(now);
         }
         match note {
             Note::Listed { form, entries } if self.ward.is_some() => {
@@ -469,6 +471,7 @@
                     wish(&self.yard.wishes, Wish::Fetch);
                 }
                 self.close_by_word(now);
+                self.tell_of_ceased(now);
                 Ending::Done
             }
             Chore::Start => {
@@ -491,6 +494,13 @@
         self.chores.done(ended, chore, ended - now, end);
     }
 
+    /// Other routers hear which hosts the own list has left out.
+    fn tell_of_ceased(&mut self, now: Point) {
+        let told = self.hints.tell(now);
+        let Some(peers) = &self.yard.peers else { return };
+        told.into_iter().for_each(|tag| drop(peers.try_send(Errand::Tell(hint(tag)))));
+    }
+
     /// Closes hosts that others say are leaving, where the own list cannot be had.
     fn close_by_word(&mut self, now: Point) {
         let Yard { roster, .. } = &self.yard;
--- /dev/null
+++ b/crates/arrowyard-core/tests/hints.rs
@@ -0,0 +1,25 @@
+//! Hosts that left the own list are told of more than once, and no more hosts than there is room for.
+
+use arrowyard_core::hints::Hints;
+use arrowyard_types::{Point, Span};
+
+fn at(ms: i64) -> Point {
+    Point::from_micros(ms * 1000)
+}
+
+#[test]
+fn a_host_that_left_is_told_of_four_times_with_pauses() {
+    let mut hints = Hints::new(Span::from_millis(400), Span::from_millis(1000));
+    hints.ceased(at(0), 7);
+    let told = |hints: &mut Hints, ms: i64| hints.tell(at(ms)).to_vec();
+    assert_eq!(told(&mut hints, 0), [7], "at once");
+    assert!(told(&mut hints, 399).is_empty());
+    hints.ceased(at(399), 9);
+    assert_eq!(told(&mut hints, 400), [7, 9]);
+    assert_eq!(told(&mut hints, 800), [7, 9]);
+    assert_eq!(told(&mut hints, 1_200), [7, 9]);
+    assert_eq!(told(&mut hints, 1_600), [9], "four times each");
+    assert!(told(&mut hints, 9_000).is_empty());
+    (0..1000).for_each(|tag| hints.ceased(at(9_000), tag));
+    assert!(told(&mut hints, 9_000).len() <= 64, "a list that empties floods nobody");
+}
--- a/crates/arrowyard-types/src/interface.rs
+++ b/crates/arrowyard-types/src/interface.rs
@@ -3,7 +3,8 @@
 use smallvec::SmallVec;
 
 use crate::{
-    CellId, Cookie, GroupId, HostId, OpId, OpTypeId, PeerId, Point, SendNo, SessionId, Span, TenantId, ZoneId,
+    CellId, Cookie, GroupId, HostId, OpId, OpType, OpTypeId, PeerId, Point, SendNo, SessionId, Span,
+    TenantId, ZoneId,
 };
 
 /// What a router is told when it starts: names to values. Rows carry their number in the name, as in
@@ -149,6 +150,8 @@
     pub again: bool,
     /// When the client gives up.
     pub due: Point,
+    /// The only host that it may go to: the one that holds the transaction which it is part of.
+    pub pinned: Option<HostId>,
 }
 
 /// The end of a send.
@@ -195,6 +198,13 @@
         from: PeerId,
         bytes: Vec<u8>,
     },
+    /// From now on these are the op types. A row that was told before still says the same.
+    OpTypes(Vec<OpType>),
+    /// Whoever knows which host is primary says so, as of now.
+    Named {
+        host: HostId,
+        role: Role,
+    },
     /// Shares are reckoned by this number of routers from now on.
     Fleet {
         routers: f64,
--- a/src/post.rs
+++ b/src/post.rs
@@ -45,6 +45,8 @@
     /// Whether the other routers are told what it brings.
     Probe(bool),
     Probed(Option<Word>),
+    /// Whoever knows the group's primary says what this one is.
+    Named(Role),
     /// What another router's probe brought.
     Told(Word),
     /// So much time has passed, a warm host gets so much weight a second, and could surely take so many times that.
--- /dev/null
+++ b/src/sending.rs
@@ -0,0 +1,181 @@
+//! Whether, when and how often an op goes out, and its one answer. Every send of an op goes through `route`.
+
+use arrowyard_types::*;
+
+use crate::post::{HostNote, Post};
+use crate::pressure::MOST_BACK;
+use crate::probing::PATIENCE;
+use crate::state::{Desk, Op};
+
+/// A tenant is over its share from this multiple of it on.
+const OVER: f64 = 1.1;
+/// What a tenant asks beyond its share is given back so many times as readily.
+const OVER_FIRST: f64 = 3.0;
+/// Sessions whose last commit is kept.
+const SESSIONS: usize = 65_536;
+
+impl Desk {
+    pub fn asked(&mut self, ask: Ask, post: &mut Post) {
+        let need = self.op_types[ask.op_type.0 as usize].need;
+        let floor = if need != Need::Session {
+            None
+        } else if self.charter.text("tokens") == "carried" {
+            let age = ask.token_age.unwrap_or_default();
+            (age > Span::ZERO || ask.token_age.is_none()).then(|| self.now - age)
+        } else {
+            self.commits.last(ask.session)
+        };
+        let floor = floor.max(ask.floor);
+        let back = self.groups.get(&ask.group).map_or(0.0, |group| match need {
+            Need::Write => group.held_back,
+            _ => (group.back * if self.over_share(&ask) { OVER_FIRST } else { 1.0 }).min(MOST_BACK),
+        });
+        let place = self.ops.insert(Op { ask, arrived: self.now, floor, ..Op::default() });
+        self.places.insert(ask.op, place);
+        if ask.pinned.is_none() && self.rng.borrow_mut().f64() < back {
+            return self.give_up(place, post);
+        }
+        post.ops.push_back(place);
+    }
+
+    /// Until when an answer is worth anything, and is sure to come before the client's time is up.
+    pub fn pays_until(&self, op: &Op) -> Point {
+        let (kind, tick) = (self.op_type(op), self.charter.span("tick"));
+        let target = op.arrived + kind.latency_target - tick * 2.0;
+        if kind.late_value > 0.0 { op.ask.due - tick } else { target.min(op.ask.due - tick) }
+    }
+
+    /// Rule 2: whether the op may go out again, to this host if one is named.
+    pub fn may_send(&self, op: &Op, host: Option<HostId>) -> bool {
+        let most = self.charter.number_or("max_sends", 1.0) as usize;
+        // Danger: further sends of a cell in trouble, spent by all. What its budget leaves is told.
+        let spent = op.sends.len() > 0 && self.spares.get(&op.ask.cell) == Some(&0);
+        if op.sends.len() >= most || spent {
+            return false;
+        }
+        match (self.op_type(op).effect, op.sends.may_have_run()) {
+            (Effect::Retryable, _) | (_, None) => true,
+            (Effect::Tokened { memory, scope }, Some(first)) => {
+                let far = host.is_some_and(|h| self.face(h).zone != self.face(first.host).zone);
+                !(far && scope == Scope::Zone) && self.now + self.charter.span("tick") < first.at + memory
+            }
+            (Effect::NonRetryable, Some(_)) => false,
+        }
+    }
+
+    /// Sends the op on, holds it, or answers at once when waiting cannot pay. Never two sends at once.
+    pub fn route(&mut self, place: usize, post: &mut Post) {
+        let Some(op) = self.ops.get(place).filter(|op| !op.over && !op.sends.is_out()) else { return };
+        // Danger: what is held for most of its time and then given back keeps its client from coming back in time.
+        let half = op.arrived + (op.ask.due - op.arrived) * 0.5 - self.charter.span("tick") * 2.0;
+        let held = op.sends.len() == 0 && self.now >= half;
+        if held || self.now >= self.pays_until(op) || !self.may_send(op, None) {
+            self.give_up(place, post);
+        } else if self.rested(op)
+            && let Some(host) = self.choose(place, post)
+            && self.may_send(&self.ops[place], Some(host))
+        {
+            self.send(place, host, post);
+        } else if self.waits_in_vain(&self.ops[place]) {
+            self.give_up(place, post);
+        } else if !self.held.contains(&place) {
+            self.held.push(place);
+            self.try_soon(post);
+        }
+    }
+
+    /// Where it is told how long an op may wait for a host: whether that time is over, and nothing of it ever ran. Its
+    /// client asks elsewhere, and wants to know soon.
+    pub fn waits_in_vain(&self, op: &Op) -> bool {
+        let told = self.charter.number_or("held", 0.0);
+        let until = op.arrived + self.op_type(op).latency_target * told;
+        told > 0.0 && self.now >= until && op.sends.may_have_run().is_none()
+    }
+
+    /// Danger: hosts that fail at once draw a storm of further sends. Each pause is twice the last.
+    pub fn rested(&self, op: &Op) -> bool {
+        let pause = self.least_target * PATIENCE * ((1 << op.sends.len().min(16)) as f64 * 0.5 - 1.0);
+        op.sends.last().is_none_or(|last| self.now >= last.at + pause)
+    }
+
+    pub fn send(&mut self, place: usize, host: HostId, post: &mut Post) {
+        let op = &self.ops[place];
+        let (weight, until) = (self.weight(self.op_type(op)), self.pays_until(op));
+        self.held.retain(|&held| held != place);
+        let op = &mut self.ops[place];
+        if let Some(spare) = self.spares.get_mut(&op.ask.cell).filter(|_| op.sends.len() > 0) {
+            *spare = spare.saturating_sub(1);
+        }
+        op.sends.begin(host, self.now);
+        for (row, (_, used)) in self.tenants.iter_mut().enumerate() {
+            *used = *used * 0.99 + f64::from(op.ask.tenant.is_some_and(|tenant| tenant.0 as usize == row));
+        }
+        post.actions.push(Action::Send { op: op.ask.op, host, until });
+        post.hosts.put(host, HostNote::Took(weight));
+    }
+
+    pub fn over_share(&self, ask: &Ask) -> bool {
+        let row = ask.tenant.and_then(|tenant| self.tenants.get(tenant.0 as usize));
+        let all: f64 = self.tenants.iter().map(|(_, used)| used).sum();
+        row.is_some_and(|(share, used)| *used > all * share * OVER)
+    }
+
+    /// What an op is worth for the work it asks. A tenant that had more than its share of sends waits.
+    pub fn rank(&self, op: &Op) -> f64 {
+        let kind = self.op_type(op);
+        let over = self.over_share(&op.ask);
+        let late = if self.now > op.arrived + kind.latency_target { kind.late_value } else { 1.0 };
+        let part = if over { self.charter.number_or("over_share_value", 1.0) } else { 1.0 };
+        kind.value / self.weight(kind) * late * part
+    }
+
+    pub fn give_up(&mut self, place: usize, post: &mut Post) {
+        let op = &self.ops[place];
+        let harmless = match self.op_type(op).effect {
+            Effect::Retryable | Effect::Tokened { scope: Scope::All, .. } => true,
+            _ => op.sends.may_have_run().is_none(),
+        };
+        let op = op.ask.op;
+        let retry_after = self.charter.flag("retry_after").then(|| self.charter.span("max_retry_after"));
+        post.actions.push(match harmless {
+            true => Action::BusyReply { op, retry_after },
+            false => Action::ErrorReply { op },
+        });
+        self.finish(place, post);
+    }
+
+    /// The op has its final answer; its place is free once all its sends have ended.
+    pub fn finish(&mut self, place: usize, post: &mut Post) {
+        self.held.retain(|&held| held != place);
+        let op = &mut self.ops[place];
+        let first = !std::mem::replace(&mut op.over, true);
+        if !op.sends.is_out() {
+            let op = self.ops.remove(place);
+            self.places.remove(&op.ask.op);
+        } else if first && self.charter.flag("cancel") {
+            post.actions.extend(op.sends.out().map(|(send, _)| Action::Cancel { op: op.ask.op, send }));
+        }
+    }
+
+    pub fn ended(&mut self, end: Ended, post: &mut Post) {
+        let Some(&place) = self.places.get(&end.op) else { return };
+        let kind = self.op_type(&self.ops[place]);
+        let (used, weight, writes) =
+            (end.took / kind.latency_target, self.weight(kind), kind.need == Need::Write);
+        let op = &mut self.ops[place];
+        let Some(one) = op.sends.end(end.send, end.outcome) else { return };
+        if let Some(session) = op.ask.session.filter(|_| writes && end.outcome == Outcome::Acked) {
+            self.commits.keep(session, end.word.position.unwrap_or(self.now), SESSIONS);
+        }
+        let group = op.ask.group;
+        if op.over || end.finished {
+            self.finish(place, post);
+        } else if !op.sends.is_out() {
+            post.ops.push_back(place);
+        }
+        if !writes {
+            self.throttle(group, end.outcome, used);
+        }
+        post.hosts.put(one.host, HostNote::Ended(end, weight, used));
+    }
+}
