--- /dev/null
+++ b/crates/arrowyard-basin/src/bin/arrowyard-basin.rs
@@ -0,0 +1,320 @@
+//! Plays days of the emulator: one, or many that are drawn, and says what was broken and what was served.
+
+use std::io::BufRead;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use arrowyard_basin::capacity::{configuration, measure};
+use arrowyard_basin::chart::draw;
+use arrowyard_basin::experiment::{Difference, FIGURES, Outcome, compare, outcomes};
+use arrowyard_basin::failover::{Cause, outages};
+use arrowyard_basin::models::{Checked, ledger, promotion};
+use arrowyard_basin::{Day, Played, drawn, play};
+use bpaf::Bpaf;
+
+/// The emulator of the whole system.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+enum Command {
+    /// Plays the day of a file.
+    #[bpaf(command)]
+    Play {
+        #[bpaf(positional("FILE"))]
+        day: PathBuf,
+    },
+    /// Plays drawn days, and prints each that breaks a rule so that it can be kept.
+    #[bpaf(command)]
+    Hunt {
+        /// How many.
+        #[bpaf(argument("N"), fallback(100))]
+        days: u64,
+        /// The first seed.
+        #[bpaf(argument("SEED"), fallback(1))]
+        from: u64,
+    },
+    /// Measures how long services are without a primary, by cause.
+    #[bpaf(command)]
+    Failover {
+        /// Of each cause.
+        #[bpaf(argument("N"), fallback(30))]
+        cases: u64,
+        /// The first seed.
+        #[bpaf(argument("SEED"), fallback(1))]
+        from: u64,
+    },
+    /// Plays drawn days and prints a line for each: seed, shares served in aim, late, lost, p50 and p99 in ms, rules broken.
+    #[bpaf(command)]
+    Outcomes {
+        /// How many.
+        #[bpaf(argument("N"), fallback(100))]
+        days: u64,
+        /// The first seed.
+        #[bpaf(argument("SEED"), fallback(1))]
+        from: u64,
+        /// A setting of every day, NAME=VALUE.
+        #[bpaf(long("set"), argument("NAME=VALUE"), many)]
+        settings: Vec<String>,
+    },
+    /// Plays the same drawn days twice, under other settings or with another build of this program, and tells what
+    /// differs.
+    #[bpaf(command)]
+    Compare {
+        /// How many.
+        #[bpaf(argument("N"), fallback(100))]
+        days: u64,
+        /// The first seed.
+        #[bpaf(argument("SEED"), fallback(1))]
+        from: u64,
+        /// The other build; this one if none is named.
+        #[bpaf(argument("PROGRAM"), optional)]
+        against: Option<PathBuf>,
+        /// A setting of both, NAME=VALUE.
+        #[bpaf(long("set"), argument("NAME=VALUE"), many)]
+        settings: Vec<String>,
+        /// A setting of the second alone, NAME=VALUE.
+        #[bpaf(long("second"), argument("NAME=VALUE"), many)]
+        second: Vec<String>,
+    },
+    /// Explores the ledger and the change of primary to exhaustion, scene by scene, with the code that ships.
+    #[bpaf(command)]
+    Check,
+    /// Draws the day of a file, as SVG: operations asked and served by second, and what happened when.
+    #[bpaf(command)]
+    Chart {
+        /// The picture.
+        #[bpaf(argument("SVG"))]
+        out: PathBuf,
+        #[bpaf(positional("FILE"))]
+        day: PathBuf,
+    },
+    /// Measures what control costs, by the number of routers, hosts, sessions and routes.
+    #[bpaf(command)]
+    Capacity {
+        /// What is to grow: routers, hosts, sessions, changes, routes.
+        #[bpaf(positional("WHAT"))]
+        what: String,
+        /// The sizes.
+        #[bpaf(positional("N"))]
+        sizes: Vec<usize>,
+    },
+}
+
+fn capacity(what: &str, sizes: &[usize]) -> Result<(), String> {
+    println!(
+        "{what:>8}  controls routers hosts  users | control bytes/s  writes/s  events/s  busy us/s | router bytes/s  busy us/s | \
+         memory MB  statements"
+    );
+    for &size in sizes {
+        if what == "routes" {
+            let (adjust, layout, bytes) = configuration(size);
+            println!("{size:>8}  change {adjust:?}, layout {layout:?}, whole {bytes} bytes");
+            continue;
+        }
+        let cost = match what {
+            "routers" => measure(3, size, 3, 0, 0),
+            "hosts" => measure(3, 6, size / 3, 0, 0),
+            "sessions" => measure(3, 1, 3, size / 9, 0),
+            "load" => measure(3, 3, 3, size, 0),
+            "changes" => measure(3, 60, 3, 0, size),
+            "controls" => measure(size, 60, 3, 0, 0),
+            _ => {
+                return Err(format!(
+                    "{what}: is none of routers, hosts, sessions, load, changes, controls, routes"
+                ));
+            }
+        };
+        println!(
+            "{size:>8}  {:>8} {:>7} {:>5} {:>6} | {:>15.0} {:>9.0} {:>9.0} {:>10.0} | {:>14.0} {:>10.0} | {:>9.2} {:>11}",
+            cost.controls,
+            cost.routers,
+            cost.hosts,
+            cost.users,
+            cost.control.bytes,
+            cost.control.writes,
+            cost.control.events,
+            cost.control.busy * 1e6,
+            cost.router.bytes,
+            cost.router.busy * 1e6,
+            cost.memory as f64 / 1e6,
+            cost.statements,
+        );
+    }
+    Ok(())
+}
+
+fn failover(cases: u64, from: u64) {
+    println!("{:>24}  cases  p50 ms  p99 ms  worst ms  never  days with a rule broken", "cause");
+    for cause in Cause::ALL {
+        let outages = outages(cause, cases, from);
+        println!(
+            "{:>24}  {:>5}  {:>6}  {:>6}  {:>8}  {:>5}  {}",
+            cause.name(),
+            outages.cases,
+            outages.p50,
+            outages.p99,
+            outages.worst,
+            outages.never,
+            outages.broken
+        );
+    }
+}
+
+/// How a part's scenes are explored, by name.
+type Explore = fn(&str) -> Option<Checked>;
+
+/// Explores all scenes; whether every property holds in each.
+fn check() -> bool {
+    let parts: [(&str, &[&str], Explore); 2] = [
+        ("ledger", &ledger::SCENES, |name| ledger::check(name, None)),
+        ("promotion", &promotion::SCENES, |name| promotion::check(name, None)),
+    ];
+    let mut holds = true;
+    for (part, scenes, explore) in parts {
+        for name in scenes {
+            let began = std::time::Instant::now();
+            let Some(checked) = explore(name) else { continue };
+            let word = if checked.broken.is_empty() && checked.lives { "holds" } else { "does not hold" };
+            println!(
+                "{part:>10}  {name:<30}  {:>9} states  {:>6.1?}  {word}",
+                checked.states,
+                began.elapsed()
+            );
+            checked.broken.iter().for_each(|(property, way)| println!("{property}: {way}"));
+            holds &= checked.broken.is_empty() && checked.lives;
+        }
+    }
+    holds
+}
+
+/// The days as a program plays them, read from what it prints; progress goes to standard error.
+fn played_by(
+    program: &Path,
+    days: u64,
+    from: u64,
+    settings: &[&String],
+) -> Result<Vec<Outcome>, Box<dyn std::error::Error>> {
+    let mut command = std::process::Command::new(program);
+    command.args(["outcomes", "--days", &days.to_string(), "--from", &from.to_string()]);
+    for setting in settings {
+        command.args(["--set", setting]);
+    }
+    let mut child = command.stdout(std::process::Stdio::piped()).spawn()?;
+    let lines = std::io::BufReader::new(child.stdout.take().ok_or("its output cannot be read")?).lines();
+    let mut outcomes = Vec::new();
+    for line in lines {
+        outcomes.push(line?.parse::<Outcome>()?);
+        eprint!("\r{} of {days} days", outcomes.len());
+    }
+    eprintln!();
+    if child.wait()?.success() { Ok(outcomes) } else { Err("it did not play to the end".into()) }
+}
+
+fn compared(
+    (days, from): (u64, u64),
+    against: Option<PathBuf>,
+    settings: &[String],
+    second: &[String],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let this = std::env::current_exe()?;
+    let both: Vec<&String> = settings.iter().collect();
+    let other: Vec<&String> = settings.iter().chain(second).collect();
+    let one = played_by(&against.unwrap_or_else(|| this.clone()), days, from, &both)?;
+    let two = played_by(&this, days, from, &other)?;
+    println!("{:>8}  {:>12}  {:>12}  {:>12}  within (95 of 100)", "figure", "first", "second", "second less");
+    for (name, difference) in FIGURES.iter().zip(compare(&one, &two)?) {
+        let Difference { first, second, mean, within } = difference;
+        let sure = if mean.abs() > within { "" } else { "  no difference shown" };
+        println!("{name:>8}  {first:>12.4}  {second:>12.4}  {mean:>+12.4}  {within:.4}{sure}");
+    }
+    Ok(())
+}
+
+fn read_day(file: &Path) -> Result<Day, String> {
+    let text = std::fs::read_to_string(file).map_err(|fault| format!("{}: {fault}", file.display()))?;
+    serde_saphyr::from_str(&text).map_err(|fault| format!("{}: {fault}", file.display()))
+}
+
+/// What could not be done is told, and is exit code 2.
+fn ended<T>(done: Result<T, impl std::fmt::Display>) -> ExitCode {
+    match done {
+        Ok(_) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn tells(played: &Played) -> String {
+    let tally = played.tally;
+    format!(
+        "asked {}, in aim {}, late {}, refused {}, failed {}; p50 {:.1} ms, p99 {:.1} ms; {} promotions, {} statements run, {} \
+         connections over the cap, {} rules broken",
+        tally.asked,
+        tally.served,
+        tally.late,
+        tally.refused,
+        tally.failed,
+        played.p50_ms,
+        played.p99_ms,
+        played.promotions,
+        played.runs,
+        played.over_cap,
+        played.breaches.len()
+    )
+}
+
+fn shown(played: &Played) {
+    for breach in played.breaches.iter().take(8) {
+        println!("  {} at {:.3} s: {}", breach.rule, breach.at.micros() as f64 / 1e6, breach.what);
+    }
+}
+
+fn main() -> ExitCode {
+    match command().run() {
+        Command::Capacity { what, sizes } => ended(capacity(&what, &sizes)),
+        Command::Failover { cases, from } => {
+            failover(cases, from);
+            ExitCode::SUCCESS
+        }
+        Command::Outcomes { days, from, settings } => {
+            ended(outcomes(from..from + days, &settings, |outcome| println!("{outcome}")))
+        }
+        Command::Compare { days, from, against, settings, second } => {
+            ended(compared((days, from), against, &settings, &second))
+        }
+        Command::Check => ExitCode::from(u8::from(!check())),
+        Command::Chart { out, day } => {
+            let drawn = read_day(&day).map_err(Into::into).and_then(|day| draw(&day, &play(&day), &out));
+            ended(drawn)
+        }
+        Command::Play { day } => {
+            let day = match read_day(&day) {
+                Ok(day) => day,
+                Err(fault) => return ended(Err::<(), _>(fault)),
+            };
+            let played = play(&day);
+            println!("{}", tells(&played));
+            for (second, asked, served) in &played.seconds {
+                println!("{second:3} s  asked {asked:5}  served {served:5}");
+            }
+            shown(&played);
+            ExitCode::from(u8::from(!played.breaches.is_empty()))
+        }
+        Command::Hunt { days, from } => {
+            let mut broken = 0;
+            for seed in from..from + days {
+                let day = drawn(seed);
+                let played = play(&day);
+                if !played.breaches.is_empty() {
+                    broken += 1;
+                    println!("seed {seed}: {}", tells(&played));
+                    shown(&played);
+                    println!("{}", serde_saphyr::to_string(&day).unwrap_or_default());
+                }
+            }
+            println!("{days} days, {broken} with a rule broken");
+            ExitCode::from(u8::from(broken > 0))
+        }
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-basin/src/history.rs
@@ -0,0 +1,277 @@
+//! What clients, hosts, operator and platform saw, and the auditors that look for broken rules in it.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use arrowyard_types::{Point, Span};
+
+use crate::shard::Shard;
+
+/// A broken rule: its name on the users' page, and what was seen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    pub rule: &'static str,
+    pub at: Point,
+    pub what: String,
+}
+
+/// How fresh the reads of a route must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fresh {
+    Primary,
+    Bounded(Span),
+    Own(Span),
+}
+
+/// What a client asked with one id.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub at: Point,
+    /// Of its transaction's first byte.
+    pub since: Point,
+    pub service: String,
+    pub session: u64,
+    pub operation: u64,
+    pub text: String,
+    /// For `RUN`: the shape that its name stands for.
+    pub shape: Option<String>,
+    /// The value of `tag` that was acknowledged to its session.
+    pub tag: Option<String>,
+    pub fresh: Fresh,
+    pub inside: bool,
+    pub stamp: Option<String>,
+    pub rows: Option<String>,
+}
+
+/// What became of a write, as its client knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Acknowledged {
+        at: Point,
+        service: String,
+        session: u64,
+    },
+    /// The client was promised that nothing is kept.
+    Promised {
+        at: Point,
+        service: String,
+    },
+    Unknown,
+}
+
+/// How operations ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    pub asked: u64,
+    pub served: u64,
+    pub late: u64,
+    pub refused: u64,
+    pub failed: u64,
+}
+
+/// Everything that was seen.
+#[derive(Debug, Default)]
+pub struct History {
+    pub asked: BTreeMap<String, Asked>,
+    pub fates: BTreeMap<String, Fate>,
+    /// Where each write stands in its service's log; and, by service and by session, how far the log was acknowledged
+    /// when: reads are held against it.
+    pub placed: BTreeMap<String, usize>,
+    acknowledged: BTreeMap<String, Vec<(Point, usize)>>,
+    own: BTreeMap<u64, Vec<(Point, usize)>>,
+    /// When every machine was back after a loss of power.
+    pub back: Option<Point>,
+    pub breaches: Vec<Breach>,
+    pub tally: Tally,
+    /// By second of the day: asked and served.
+    pub seconds: BTreeMap<i64, (u64, u64)>,
+    pub runs: u64,
+    pub reset_over_cap: u64,
+    pub latencies: Vec<Span>,
+    /// The revision that was acknowledged last, and the one that was read back at the end.
+    pub in_place: u64,
+    pub read_back: Option<u64>,
+    last: u64,
+}
+
+/// One history, written by all stand-ins.
+pub type Shared = Rc<RefCell<History>>;
+
+impl History {
+    pub fn number(&mut self) -> u64 {
+        self.last += 1;
+        self.last
+    }
+
+    pub fn breach(&mut self, rule: &'static str, at: Point, what: String) {
+        self.breaches.push(Breach { rule, at, what });
+    }
+
+    /// UNASKED, PINNED: a host runs a statement. `own` is whether it runs inside a transaction, and of which operation.
+    pub fn runs(
+        &mut self,
+        at: Point,
+        id: &str,
+        text: &str,
+        shape: Option<&str>,
+        tag: Option<&str>,
+        inside: Option<Option<u64>>,
+    ) {
+        self.runs += 1;
+        let Some(asked) = self.asked.get(id).cloned() else {
+            return self.breach("UNASKED", at, format!("{id} was not asked: {text}"));
+        };
+        let (word, rest) = arrowyard_flume::split(text);
+        let same = if word == "RUN" {
+            let (_, of) = arrowyard_flume::split(rest);
+            let (mine, asked_rest) = arrowyard_flume::split(&asked.text);
+            mine == "RUN" && arrowyard_flume::split(asked_rest).1 == of
+        } else {
+            asked.text == text
+        };
+        if !same {
+            self.breach("UNASKED", at, format!("{id}: {text} for {}", asked.text));
+        }
+        if shape.map(str::to_string) != asked.shape {
+            self.breach("PINNED", at, format!("{id} runs {shape:?} for {:?}", asked.shape));
+        }
+        if tag.map(str::to_string) != asked.tag {
+            self.breach("PINNED", at, format!("{id} runs under {tag:?} for {:?}", asked.tag));
+        }
+        match inside {
+            Some(Some(operation)) if operation != asked.operation => {
+                self.breach("PINNED", at, format!("{id} runs in the transaction of operation {operation}"));
+            }
+            None if asked.inside => self.breach("PINNED", at, format!("{id} runs outside its transaction")),
+            _ => {}
+        }
+    }
+
+    /// A write was acknowledged to a session.
+    pub fn acknowledges(&mut self, at: Point, service: &str, session: u64, token: &str) {
+        let Some(&place) = self.placed.get(token) else { return };
+        let service = self.acknowledged.entry(service.to_string()).or_default();
+        for list in [service, self.own.entry(session).or_default()] {
+            let most = list.last().map_or(place, |(_, most)| place.max(*most));
+            list.push((at, most));
+        }
+    }
+
+    /// When writes were acknowledged, by service.
+    pub fn acknowledged_at(&self) -> BTreeMap<String, Vec<Point>> {
+        let times = |list: &Vec<(Point, usize)>| list.iter().map(|(at, _)| *at).collect();
+        self.acknowledged.iter().map(|(service, list)| (service.clone(), times(list))).collect()
+    }
+
+    /// The writes of a service that were acknowledged.
+    pub fn acknowledged_of(&self, service: &str) -> Vec<String> {
+        let of = |fate: &Fate| matches!(fate, Fate::Acknowledged { service: of, .. } if of == service);
+        self.fates.iter().filter(|(_, fate)| of(fate)).map(|(token, _)| token.clone()).collect()
+    }
+
+    /// STALE: a host runs a read with so many commits of a log of this length applied. What a promote cut back does not
+    /// count; that it was acknowledged is another rule's matter.
+    pub fn reads(&mut self, at: Point, id: &str, applied: usize, log: usize, host: &str) {
+        let Some(asked) = self.asked.get(id) else { return };
+        let before = |list: Option<&Vec<(Point, usize)>>, time: Point| {
+            let list = list.map(Vec::as_slice).unwrap_or_default();
+            let place = list.partition_point(|(when, _)| *when < time);
+            place.checked_sub(1).map_or(0, |last| list[last].1)
+        };
+        let all = self.acknowledged.get(&asked.service);
+        let wanted = match asked.fresh {
+            Fresh::Primary => before(all, asked.since),
+            Fresh::Bounded(bound) => before(all, asked.since - bound),
+            Fresh::Own(bound) => {
+                before(all, asked.since - bound).max(before(self.own.get(&asked.session), asked.since))
+            }
+        };
+        if wanted.min(log) > applied {
+            let what = format!("{id} ({:?}) runs at {host} with {applied} of {wanted} commits", asked.fresh);
+            self.breach("STALE", at, what);
+        }
+    }
+
+    /// DRAIN: a host runs a single statement, or the first of a transaction, though it said long ago that it leaves, and
+    /// that was acknowledged.
+    pub fn arrives(&mut self, at: Point, id: &str, acknowledged: Option<Point>, bound: Span, host: &str) {
+        if let Some(late) = acknowledged.filter(|when| at - *when > bound) {
+            let after = at - late;
+            self.breach("DRAIN", at, format!("{id} reaches {host} {} ms after that", after.micros() / 1000));
+        }
+    }
+
+    /// RECOVER: less than a quarter is served once all machines are back for so long.
+    pub fn audit_recovery(&mut self, now: Point, after: Span) {
+        let Some(back) = self.back else { return };
+        let second = |at: Point| at.micros().div_euclid(1_000_000);
+        let sum = |seconds: &mut dyn Iterator<Item = &(u64, u64)>| {
+            seconds.fold((0, 0), |sum: (u64, u64), one| (sum.0 + one.0, sum.1 + one.1))
+        };
+        let (asked, served) = sum(&mut self.seconds.range(second(back + after) + 1..).map(|(_, one)| one));
+        let before = sum(&mut self.seconds.range(..second(back) - 1).map(|(_, one)| one));
+        if served * 4 < asked && before.1 * 4 >= before.0 {
+            self.breach("RECOVER", now, format!("{served} of {asked} were served"));
+        }
+    }
+
+    /// MIXED: a client gets a success.
+    pub fn succeeds(&mut self, at: Point, id: &str, stamp: &str, rows: &str) {
+        let Some(asked) = self.asked.get(id) else { return };
+        if asked.stamp.as_deref() != Some(stamp) || asked.rows.as_deref() != Some(rows) {
+            let what =
+                format!("{id}: {stamp} {rows:?}, where the host said {:?} {:?}", asked.stamp, asked.rows);
+            self.breach("MIXED", at, what);
+        }
+    }
+
+    /// TWICE, REFUSED, LOST: what the logs hold at the end of a day.
+    pub fn audit_logs(&mut self, now: Point, shards: &[Rc<RefCell<Shard>>]) {
+        let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+        for shard in shards {
+            for token in shard.borrow().log().iter().flat_map(|commit| &commit.writes) {
+                *counts.entry(token.clone()).or_default() += 1;
+            }
+        }
+        for (token, count) in &counts {
+            if *count > 1 {
+                self.breach("TWICE", now, format!("{token} is there {count} times"));
+            }
+        }
+        for (token, fate) in self.fates.clone() {
+            match fate {
+                Fate::Acknowledged { at, service, .. } if !counts.contains_key(&token) => {
+                    self.breach(
+                        "LOST",
+                        at,
+                        format!("{token} of {service} was acknowledged and is not there"),
+                    );
+                }
+                Fate::Promised { at, service } if counts.contains_key(&token) => {
+                    self.breach(
+                        "REFUSED",
+                        at,
+                        format!("{token} of {service} is there though nothing was to be kept"),
+                    );
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// CONFIG, LOST: what was read back at the end of a day.
+    pub fn audit_configuration(&mut self, now: Point) {
+        if self.read_back.is_none_or(|revision| revision < self.in_place) {
+            let what = format!("{:?} was read back, {} was acknowledged", self.read_back, self.in_place);
+            self.breach("CONFIG", now, what);
+        }
+    }
+
+    pub fn ends(&mut self, started: Point, served: bool) {
+        let second = started.micros().div_euclid(1_000_000);
+        let entry = self.seconds.entry(second).or_default();
+        entry.0 += 1;
+        entry.1 += u64::from(served);
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-basin/src/host.rs
@@ -0,0 +1,564 @@
+//! A database host: takes sessions, runs statements, says that it is there. It checks what routers do to its sessions.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use arrowyard_flume::{Answer, Ask, Lines, Position, State, split};
+use arrowyard_penstock::http::{Messages, call};
+use arrowyard_penstock::{Conn, Event, Orders, Plane, Timers};
+use arrowyard_types::{Point, Span};
+use fastrand::Rng;
+
+use crate::history::Shared;
+use crate::shard::Shard;
+use crate::system::Callable;
+
+/// A call to control without an answer in so long goes to the next machine.
+const CALL: Span = Span::from_millis(1000);
+/// Statements that run at a time; more wait, and beyond that they are refused.
+const SLOTS: usize = 5;
+/// A host that leaves serves for so long after that was acknowledged, and a little longer; then nothing may come.
+const DRAIN: Span = Span::from_millis(7000);
+const QUEUE: usize = 40;
+
+/// What is wrong with a host on purpose.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HostFaults {
+    /// The share of answers that are lost though the statement ran.
+    pub lost: f64,
+    /// The share of statements that fail; what they did is rolled back.
+    pub failing: f64,
+    /// How many times slower it works.
+    pub slow: f64,
+    /// It works no time at all, for measurements of what stands before it.
+    pub quick: bool,
+    pub draining: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Transaction {
+    reads: bool,
+    failed: bool,
+    term: u64,
+    operation: Option<u64>,
+    writes: Vec<String>,
+}
+
+struct Session {
+    lines: Lines,
+    open: bool,
+    values: BTreeMap<String, String>,
+    defined: BTreeMap<String, (bool, String)>,
+    transaction: Option<Transaction>,
+    busy: bool,
+    queue: std::collections::VecDeque<(String, String)>,
+}
+
+#[derive(Clone, Debug)]
+enum Due {
+    /// A statement has been worked on for its time.
+    Done {
+        conn: Conn,
+        id: String,
+        text: String,
+    },
+    /// A commit waits for a replica.
+    Safe {
+        conn: Conn,
+        id: String,
+        number: usize,
+        tries: u32,
+    },
+    Beat,
+    Late(Conn),
+}
+
+/// One database host.
+pub struct DatabaseHost {
+    id: String,
+    address: SocketAddrV4,
+    zone: String,
+    shard: Rc<RefCell<Shard>>,
+    history: Shared,
+    faults: Rc<RefCell<HostFaults>>,
+    controls: Callable,
+    target: Option<SocketAddrV4>,
+    turn: usize,
+    period: Span,
+    limit: usize,
+    sessions: BTreeMap<Conn, Session>,
+    calls: BTreeMap<Conn, (Messages, String)>,
+    timers: Timers<Due>,
+    rng: Rng,
+    seq: Rc<RefCell<u64>>,
+    running: usize,
+    waiting: std::collections::VecDeque<(Conn, String, String)>,
+    role: Option<bool>,
+    /// When control acknowledged that it leaves.
+    left_at: Option<Point>,
+}
+
+/// What one is made of.
+pub struct HostPlan {
+    pub id: String,
+    pub address: SocketAddrV4,
+    pub zone: String,
+    pub controls: Callable,
+    pub period: Span,
+    pub limit: usize,
+    pub seed: u64,
+}
+
+impl DatabaseHost {
+    pub fn new(
+        plan: HostPlan,
+        shard: Rc<RefCell<Shard>>,
+        history: Shared,
+        faults: Rc<RefCell<HostFaults>>,
+        seq: Rc<RefCell<u64>>,
+    ) -> Self {
+        let HostPlan { id, address, zone, controls, period, limit, seed } = plan;
+        if let Some(copy) = shard.borrow_mut().copies.get_mut(&id) {
+            (copy.up, copy.paused) = (true, false);
+        }
+        DatabaseHost {
+            id,
+            address,
+            zone,
+            shard,
+            history,
+            faults,
+            controls,
+            target: None,
+            turn: seed as usize,
+            period,
+            limit,
+            sessions: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            timers: Timers::default(),
+            rng: Rng::with_seed(seed),
+            seq,
+            running: 0,
+            waiting: std::collections::VecDeque::new(),
+            role: None,
+            left_at: None,
+        }
+    }
+
+    fn beat(&mut self, now: Point, orders: &mut Orders) {
+        let target = self.target.unwrap_or_else(|| {
+            let controls = self.controls.borrow();
+            controls[self.turn % controls.len()]
+        });
+        let leads = self.shard.borrow().leads(&self.id);
+        self.role = Some(leads);
+        *self.seq.borrow_mut() += 1;
+        let body = format!(
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"revision\":\"v1\",\"capacity\":{SLOTS},\"phase\":\"{}\",\
+             \"cold-left-ms\":0,\"db-role\":\"{}\",\"call-seq\":{}}}",
+            self.shard.borrow().service,
+            self.address,
+            self.zone,
+            if self.faults.borrow().draining { "draining" } else { "in_service" },
+            if leads { "primary" } else { "replica" },
+            self.seq.borrow(),
+        );
+        let text = call("POST", &format!("/Instances.Beat/{}", self.id), &target.to_string(), &[], &body);
+        let conn = orders.dial(target);
+        self.calls.insert(conn, (Messages::default(), text));
+        self.timers.set(now + CALL, Due::Late(conn));
+    }
+
+    fn call_failed(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
+        if self.calls.remove(&conn).is_some() {
+            orders.drop(conn);
+            self.target = None;
+            self.turn += 1;
+            let wait = Span::from_millis(100) * (1.0 + self.rng.f64());
+            self.timers.set(now + wait, Due::Beat);
+        }
+    }
+
+    fn line(&mut self, now: Point, conn: Conn, line: &str, orders: &mut Orders) {
+        let open = self.sessions.values().filter(|session| session.open).count();
+        let Some(session) = self.sessions.get_mut(&conn) else { return };
+        match Ask::read(line) {
+            Some(Ask::Open { database, who }) if !session.open => {
+                let wanted = split(who).1;
+                let wrong =
+                    database != self.shard.borrow().service || !wanted.is_empty() && wanted != self.id;
+                if wrong || open >= self.limit {
+                    self.history.borrow_mut().reset_over_cap += u64::from(!wrong);
+                    orders.line(conn, &["FAULT ", if wrong { "MISROUTED " } else { "OVERLOAD " }, &self.id]);
+                    orders.close(conn);
+                    self.sessions.remove(&conn);
+                    return;
+                }
+                session.open = true;
+                self.idle(conn, orders);
+            }
+            Some(Ask::Query { id, text }) if session.open => {
+                session.queue.push_back((id.to_string(), text.to_string()));
+                self.next(now, conn, orders);
+            }
+            _ => {
+                orders.close(conn);
+                self.sessions.remove(&conn);
+            }
+        }
+    }
+
+    fn idle(&mut self, conn: Conn, orders: &mut Orders) {
+        let Some(session) = self.sessions.get(&conn) else { return };
+        let state = match &session.transaction {
+            None => State::Idle,
+            Some(transaction) if transaction.failed => State::Failed,
+            Some(_) => State::InTransaction,
+        };
+        let (applied, _) = self.shard.borrow().positions(&self.id);
+        orders.line(conn, &["IDLE ", state.letter(), " ", &applied.to_string()]);
+    }
+
+    fn next(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
+        loop {
+            let Some(session) = self.sessions.get_mut(&conn) else { return };
+            if session.busy {
+                return;
+            }
+            let Some((id, text)) = session.queue.pop_front() else { return };
+            let word = split(&text).0;
+            let plain = if word == "AFTER" { split(split(split(&text).1).1).0 } else { word };
+            if matches!(plain, "READ" | "WRITE" | "COMMIT" | "RUN" | "OBSERVE") {
+                if self.running < SLOTS {
+                    self.work(now, conn, id, text);
+                } else if self.waiting.len() < QUEUE {
+                    session.busy = true;
+                    self.waiting.push_back((conn, id, text));
+                } else {
+                    self.fault(conn, "SATURATED", orders);
+                }
+            } else {
+                self.at_once(conn, &id, &text, orders);
+            }
+        }
+    }
+
+    fn work(&mut self, now: Point, conn: Conn, id: String, text: String) {
+        self.running += 1;
+        if let Some(session) = self.sessions.get_mut(&conn) {
+            session.busy = true;
+        }
+        let slow = self.faults.borrow().slow.max(1.0);
+        let works = Span::from_micros(1500) * (slow * (0.5 + 3.0 * self.rng.f64()));
+        let takes = if self.faults.borrow().quick { Span::ZERO } else { works };
+        self.timers.set(now + takes, Due::Done { conn, id, text });
+    }
+
+    fn fault(&mut self, conn: Conn, code: &str, orders: &mut Orders) {
+        if let Some(transaction) =
+            self.sessions.get_mut(&conn).and_then(|session| session.transaction.as_mut())
+        {
+            transaction.failed = true;
+        }
+        orders.line(conn, &["FAULT ", code, " ", &self.id]);
+        self.idle(conn, orders);
+    }
+
+    fn settled(&mut self, conn: Conn, stamp: &str, orders: &mut Orders) {
+        orders.line(conn, &["SETTLED ", stamp]);
+        self.idle(conn, orders);
+    }
+
+    /// Whether the host's log lacks a position that a statement must see; and the statement without it.
+    fn after<'a>(&self, text: &'a str) -> (bool, &'a str) {
+        let (word, rest) = split(text);
+        if word != "AFTER" {
+            return (false, text);
+        }
+        let (position, text) = split(rest);
+        let (applied, _) = self.shard.borrow().positions(&self.id);
+        (Position::read(position).is_none_or(|wanted| applied < wanted), text)
+    }
+
+    fn at_once(&mut self, conn: Conn, id: &str, text: &str, orders: &mut Orders) {
+        let (lacks, text) = self.after(text);
+        let leads = self.shard.borrow().leads(&self.id);
+        let term = self.shard.borrow().term;
+        let Some(session) = self.sessions.get_mut(&conn) else { return };
+        let (word, rest) = split(text);
+        if session.transaction.as_ref().is_some_and(|transaction| transaction.failed) && word != "ABORT" {
+            return self.fault(conn, "MALFORMED", orders);
+        }
+        match word {
+            "BEGIN" if lacks => return self.fault(conn, "LAGGING", orders),
+            "BEGIN" if rest != "READ" && !leads => return self.fault(conn, "READONLY", orders),
+            "BEGIN" => {
+                session.transaction =
+                    Some(Transaction { reads: rest == "READ", term, ..Transaction::default() });
+            }
+            "ABORT" => session.transaction = None,
+            "CLEAR" => {
+                session.values.clear();
+                session.defined.clear();
+            }
+            "ASSIGN" => {
+                let (name, value) = split(rest);
+                session.values.insert(name.to_string(), value.to_string());
+            }
+            "DEFINE" => {
+                let (name, rest) = split(rest);
+                let (mode, shape) = split(rest);
+                session.defined.insert(name.to_string(), (mode == "WRITE", shape.to_string()));
+            }
+            "PAUSE" | "CONTINUE" => {
+                let mut shard = self.shard.borrow_mut();
+                if let Some(copy) = shard.copies.get_mut(&self.id).filter(|_| !leads) {
+                    copy.paused = word == "PAUSE";
+                }
+                if word == "CONTINUE" {
+                    drop(shard);
+                    return self.observe(conn, orders);
+                }
+                drop(shard);
+                return self.observe(conn, orders);
+            }
+            _ => return self.fault(conn, "MALFORMED", orders),
+        }
+        let _ = id;
+        self.settled(conn, "-", orders);
+    }
+
+    fn observe(&mut self, conn: Conn, orders: &mut Orders) {
+        let shard = self.shard.borrow();
+        let (_, received) = shard.positions(&self.id);
+        let role = if shard.leads(&self.id) { "primary" } else { "replica" };
+        let term = shard.copies[&self.id].term;
+        let row = format!("ROW {role} {term} {received} {term} 0 0 {}", self.sessions.len());
+        drop(shard);
+        orders.line(conn, &[&row]);
+        self.settled(conn, "-", orders);
+    }
+
+    /// A statement has had its time: it runs.
+    fn done(&mut self, now: Point, conn: Conn, id: &str, text: &str, orders: &mut Orders) {
+        self.running -= 1;
+        if let Some((conn, id, text)) = self.waiting.pop_front() {
+            self.work(now, conn, id, text);
+        }
+        let (lacks, text) = self.after(text);
+        let (word, rest) = split(text);
+        let leads = self.shard.borrow().leads(&self.id);
+        let term = self.shard.borrow().term;
+        let Some(session) = self.sessions.get_mut(&conn) else { return };
+        session.busy = false;
+        if word == "OBSERVE" {
+            return self.observe(conn, orders);
+        }
+        let lost_lead =
+            session.transaction.as_ref().is_some_and(|tx| !tx.reads && (!leads || tx.term != term));
+        let shape = (word == "RUN").then(|| session.defined.get(split(rest).0).cloned());
+        let writes = match &shape {
+            Some(Some((writes, _))) => *writes,
+            Some(None) => return self.fault(conn, "UNDEFINED", orders),
+            None => word == "WRITE",
+        };
+        if session.transaction.as_ref().is_some_and(|transaction| transaction.failed) {
+            if word == "COMMIT" {
+                session.transaction = None;
+                return self.fault(conn, "REVERTED", orders);
+            }
+            return self.fault(conn, "MALFORMED", orders);
+        }
+        if lacks {
+            return self.fault(conn, "LAGGING", orders);
+        }
+        let wrote = session.transaction.as_ref().is_some_and(|tx| !tx.writes.is_empty());
+        if writes && !leads || lost_lead && (word != "COMMIT" || wrote) {
+            if word == "COMMIT" {
+                session.transaction = None;
+            }
+            return self.fault(conn, "READONLY", orders);
+        }
+        if self.rng.f64() < self.faults.borrow().failing {
+            if word == "COMMIT" {
+                session.transaction = None;
+            }
+            self.fault(conn, "FAILED", orders);
+            return self.next(now, conn, orders);
+        }
+        // It runs.
+        let inside = session.transaction.as_ref().map(|transaction| transaction.operation);
+        let tag = session.values.get("tag").cloned();
+        let shape = shape.flatten().map(|(_, shape)| shape);
+        let mut history = self.history.borrow_mut();
+        history.runs(now, id, text, shape.as_deref(), tag.as_deref(), inside);
+        if inside.flatten().is_none() {
+            history.arrives(now, id, self.left_at, DRAIN, &self.id);
+        }
+        let operation = history.asked.get(id).map(|asked| asked.operation);
+        if let Some(transaction) = &mut session.transaction {
+            transaction.operation = operation;
+        }
+        let stamp = format!("{}.{id}", self.id);
+        let row = if writes || word == "COMMIT" { String::new() } else { format!("row-{id}-{}", self.id) };
+        if let Some(asked) = history.asked.get_mut(id) {
+            (asked.stamp, asked.rows) = (Some(stamp.clone()), Some(row.clone()));
+        }
+        if !writes && word != "COMMIT" {
+            let shard = self.shard.borrow();
+            history.reads(now, id, shard.copies[&self.id].applied, shard.log().len(), &self.id);
+        }
+        drop(history);
+        let token = rest.rsplit(' ').next().unwrap_or_default().to_string();
+        let commits = match (&mut session.transaction, word) {
+            (Some(transaction), "COMMIT") => {
+                let writes = std::mem::take(&mut transaction.writes);
+                session.transaction = None;
+                (!writes.is_empty()).then_some(writes)
+            }
+            (Some(transaction), _) => {
+                if writes {
+                    transaction.writes.push(token);
+                }
+                None
+            }
+            (None, _) => writes.then(|| vec![token]),
+        };
+        if let Some(writes) = commits {
+            let number = self.shard.borrow_mut().commit(now, &self.id, writes.clone());
+            self.history.borrow_mut().placed.extend(writes.into_iter().map(|token| (token, number)));
+            let due = Due::Safe { conn, id: id.to_string(), number, tries: 0 };
+            session.busy = true;
+            self.timers.set(now + Span::from_micros(600), due);
+            return;
+        }
+        let lost = self.rng.f64() < self.faults.borrow().lost;
+        if !lost {
+            if !row.is_empty() {
+                orders.line(conn, &["ROW ", &row]);
+            }
+            self.settled(conn, &stamp, orders);
+        }
+        self.next(now, conn, orders);
+    }
+
+    /// A commit is answered once a replica has it; without one it waits.
+    fn safe(&mut self, now: Point, conn: Conn, id: &str, number: usize, tries: u32, orders: &mut Orders) {
+        let leads = self.shard.borrow().leads(&self.id);
+        if !leads {
+            // Whether it is kept, nobody can say any more.
+            self.sessions.remove(&conn);
+            return orders.drop(conn);
+        }
+        if !self.shard.borrow().is_safe(&self.id, number) {
+            if tries % 50 == 49 {
+                let others: Vec<String> = self.shard.borrow().copies.keys().cloned().collect();
+                others.iter().for_each(|other| self.shard.borrow_mut().pass_on(now, other));
+            }
+            let due = Due::Safe { conn, id: id.to_string(), number, tries: tries + 1 };
+            self.timers.set(now + Span::from_micros(900), due);
+            return;
+        }
+        if let Some(session) = self.sessions.get_mut(&conn) {
+            session.busy = false;
+            let lost = self.rng.f64() < self.faults.borrow().lost;
+            if !lost {
+                let stamp = format!("{}.{id}", self.id);
+                self.settled(conn, &stamp, orders);
+            }
+            self.next(now, conn, orders);
+        }
+    }
+}
+
+impl Plane for DatabaseHost {
+    fn handle(&mut self, now: Point, event: Event<'_>, orders: &mut Orders) {
+        self.shard.borrow_mut().advance(now);
+        match event {
+            Event::Start => drop(self.timers.set(now + self.period * self.rng.f64(), Due::Beat)),
+            Event::Accepted { conn, .. } => {
+                let session = Session {
+                    lines: Lines::default(),
+                    open: false,
+                    values: BTreeMap::new(),
+                    defined: BTreeMap::new(),
+                    transaction: None,
+                    busy: false,
+                    queue: std::collections::VecDeque::new(),
+                };
+                self.sessions.insert(conn, session);
+            }
+            Event::Opened { conn } => {
+                if let Some((_, text)) = self.calls.get(&conn) {
+                    orders.write(conn, &[text.as_bytes()]);
+                }
+            }
+            Event::Came { conn, bytes } => {
+                if let Some((messages, _)) = self.calls.get_mut(&conn) {
+                    messages.put(bytes);
+                    match messages.response() {
+                        Ok(None) => {}
+                        Ok(Some(response)) if response.status == 200 => {
+                            let said = self.calls.remove(&conn).map(|(_, text)| text).unwrap_or_default();
+                            if said.contains("\"phase\":\"draining\"") {
+                                self.left_at.get_or_insert(now);
+                            }
+                            orders.close(conn);
+                            let body = String::from_utf8_lossy(&response.body).into_owned();
+                            if let Some(target) =
+                                body.split('"').nth(3).and_then(|target| target.parse().ok())
+                            {
+                                self.target = Some(target);
+                            }
+                        }
+                        _ => self.call_failed(now, conn, orders),
+                    }
+                    return;
+                }
+                if let Some(session) = self.sessions.get_mut(&conn) {
+                    session.lines.put(bytes);
+                }
+                while let Some(Ok(Some(line))) =
+                    self.sessions.get_mut(&conn).map(|session| session.lines.take())
+                {
+                    let line = String::from_utf8_lossy(&line).into_owned();
+                    self.line(now, conn, &line, orders);
+                }
+            }
+            Event::Closed { conn, .. } => {
+                self.call_failed(now, conn, orders);
+                self.sessions.remove(&conn);
+                self.waiting.retain(|(waiting, _, _)| *waiting != conn);
+            }
+            Event::Woke | Event::Sign(_) | Event::Stored { .. } => {}
+        }
+        while let Some(due) = self.timers.take(now) {
+            match due {
+                Due::Done { conn, id, text } => self.done(now, conn, &id, &text, orders),
+                Due::Safe { conn, id, number, tries } => self.safe(now, conn, &id, number, tries, orders),
+                Due::Beat => {
+                    self.timers.set(now + self.period, Due::Beat);
+                    self.beat(now, orders);
+                }
+                Due::Late(conn) => self.call_failed(now, conn, orders),
+            }
+        }
+        // Any change of its role is told at once.
+        let leads = self.shard.borrow().leads(&self.id);
+        if self.role.is_some_and(|told| told != leads) {
+            self.beat(now, orders);
+        }
+    }
+
+    fn due(&self) -> Option<Point> {
+        // It looks at its role a few times between its calls.
+        self.timers.due().into_iter().chain(self.shard.borrow().due()).min()
+    }
+}
+
+/// Reads an answer's line; for stand-ins that are clients.
+pub(crate) fn answer(line: &[u8]) -> Option<Answer<'_>> {
+    std::str::from_utf8(line).ok().and_then(Answer::read)
+}
--- /dev/null
+++ b/crates/arrowyard-basin/src/lib.rs
@@ -0,0 +1,28 @@
+//! An emulator of the whole system in simulated time, in one process: the planes as they ship, database hosts, clients,
+//! the operator and the platform as stand-ins, and faults. What clients, hosts, operator and platform saw is written
+//! down in a [`History`], and its auditors look for broken rules; they do not look into the planes.
+
+pub mod capacity;
+pub mod chart;
+mod clients;
+mod day;
+pub mod experiment;
+pub mod failover;
+mod history;
+mod host;
+pub mod models;
+mod operator;
+mod platform;
+mod shard;
+mod system;
+mod world;
+
+pub use clients::Clients;
+pub use day::{Day, Fault, Played, Trouble, drawn, play};
+pub use history::{Asked, Breach, Fate, Fresh, History, Shared, Tally};
+pub use host::{DatabaseHost, HostFaults, HostPlan};
+pub use operator::Operator;
+pub use platform::Platform;
+pub use shard::Shard;
+pub use system::{Callable, Plan, System};
+pub use world::{Disk, MachineId, World};
--- /dev/null
+++ b/crates/arrowyard-basin/src/models/promotion.rs
@@ -0,0 +1,533 @@
+//! The shipped change of primary, not a copy of it, under a model checker, before hosts that replicate: commits at any
+//! moment, replicas that fall behind or receive nothing, hosts that crash and come back, suspicions without a reason,
+//! questions whose answers are lost, a platform that acts late or twice. Whoever leads must have every commit that was
+//! acknowledged. Variants that are wrong on purpose have to be caught.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{BuildHasher, Hash, Hasher};
+
+use arrowyard_conduit::{DbRole, Host, Phase};
+use arrowyard_flume::{Observed, Position};
+use arrowyard_headworks::{Ask, Cell, Promotion, Reply, Sight, Stage, To, is_repeated};
+use arrowyard_types::{Point, Span};
+use rustc_hash::FxBuildHasher;
+use stateright::{Model, Property};
+
+use super::{Checked, LIVES, explored};
+
+/// What is wrong on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flaw {
+    /// Hosts say that they stopped receiving, and go on.
+    PausesNothing,
+    /// A host that does not answer is taken for one that has nothing.
+    SilentHasNothing,
+    /// Any row counts as word that a host stopped.
+    AnyRowIsAPause,
+    /// Nobody asks what the primary has when a replica falls silent.
+    NoFloors,
+    /// Each question is asked once.
+    AskedOnce,
+}
+
+#[derive(Clone, Debug)]
+struct Scene {
+    flaw: Option<Flaw>,
+    commits: u8,
+    crashes: u8,
+    starts: u8,
+    /// Replicas that receive nothing from some moment on; the last of the hosts only.
+    deaf: u8,
+    suspicions: u8,
+    planned: bool,
+    /// Questions whose answers are lost, carried out or not.
+    lost: u8,
+    /// Calls to the platform that are carried out after they were given up.
+    late: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Server {
+    up: bool,
+    leads: bool,
+    paused: bool,
+    deaf: bool,
+    draining: bool,
+    /// Commits: their terms and numbers.
+    log: Vec<(u64, u8)>,
+    /// As it told control last.
+    told: (bool, bool),
+    queue: VecDeque<Ask>,
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    servers: Vec<Server>,
+    term: u64,
+    promotion: Promotion,
+    silent: BTreeMap<String, Point>,
+    crashed_at: BTreeMap<String, Point>,
+    acknowledged: BTreeSet<(u64, u8)>,
+    calls: Vec<String>,
+    late_calls: Vec<String>,
+    replies: Vec<u16>,
+    left: Scene,
+    changes: u8,
+    lost_commit: bool,
+    /// Steps so far, each 10 s.
+    clock: i64,
+}
+
+impl Hash for World {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let left = &self.left;
+        // Of a turn it counts only whether it is the last one.
+        let mut servers = self.servers.clone();
+        for ask in servers.iter_mut().flat_map(|server| &mut server.queue) {
+            if let Ask::Pause { turn, .. } = ask {
+                *turn = u64::from(*turn == self.promotion.turn());
+            }
+        }
+        (&servers, self.term, &self.promotion, &self.acknowledged).hash(state);
+        (self.silent.keys().collect::<Vec<_>>(), self.changes, self.lost_commit).hash(state);
+        (&self.calls, &self.late_calls, &self.replies).hash(state);
+        (left.commits, left.crashes, left.starts, left.deaf, left.suspicions, left.lost, left.late)
+            .hash(state);
+    }
+}
+
+impl PartialEq for World {
+    fn eq(&self, other: &World) -> bool {
+        let hash = |world: &World| FxBuildHasher.hash_one(world);
+        hash(self) == hash(other)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Step {
+    Commit,
+    Replicate(usize),
+    Crash(usize),
+    Start(usize),
+    Deafen(usize),
+    Drain,
+    /// A host's call tells how it sees itself.
+    Call(usize),
+    /// It is missed.
+    Miss(usize),
+    Suspect,
+    Look,
+    /// A host takes the next question; the answer comes, is lost, or the question was.
+    Answer(usize),
+    AnswerLost(usize),
+    QuestionLost(usize),
+    Platform,
+    PlatformLost,
+    PlatformLate,
+    LateCall,
+    Status,
+}
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+fn place(name: &str) -> usize {
+    NAMES.iter().position(|other| *other == name).expect("one of three")
+}
+
+impl Server {
+    fn received(&self) -> Position {
+        let term = self.log.last().map_or(1, |(term, _)| *term);
+        Position { term, number: self.log.len() as u64 }
+    }
+}
+
+impl World {
+    fn now(&mut self) -> Point {
+        self.clock += 1;
+        Point::from_micros(0) + Span::from_millis(10_000 * self.clock)
+    }
+
+    fn leader(&self) -> Option<usize> {
+        self.servers.iter().position(|server| server.up && server.leads)
+    }
+
+    /// Lets the promotion decide, with hosts as they told control of themselves.
+    fn decide(&mut self, act: impl FnOnce(&mut Promotion, Point, &Sight<'_>, &mut Vec<Ask>)) {
+        let (now, mut cell, mut asks) = (self.now(), Cell::default(), Vec::new());
+        for (number, server) in self.servers.iter().enumerate() {
+            let (leads, draining) = server.told;
+            cell.told(
+                now,
+                Host {
+                    id: NAMES[number].into(),
+                    service: "s".into(),
+                    ip: number as u32,
+                    role: if leads { DbRole::Primary } else { DbRole::Replica } as i32,
+                    phase: if draining { Phase::Draining } else { Phase::InService } as i32,
+                    call_seq: 1,
+                    ..Host::default()
+                },
+            );
+        }
+        let sight = Sight { cell: &cell, silent: &self.silent, left: &[] };
+        act(&mut self.promotion, now, &sight, &mut asks);
+        for ask in asks {
+            match &ask {
+                Ask::Promote { host, .. } => self.calls.push(host.clone()),
+                Ask::Observe { host } | Ask::Pause { host, .. } | Ask::Continue { host } => {
+                    let queue = &mut self.servers[place(host)].queue;
+                    if !is_repeated(queue.iter(), &ask) {
+                        queue.push_back(ask);
+                    }
+                }
+            }
+        }
+        if self.left.flaw == Some(Flaw::AskedOnce) && self.promotion.stage == Stage::Steady {
+            self.promotion = Promotion::new("s");
+        }
+    }
+
+    fn hear(&mut self, reply: Reply) {
+        let reply = match reply {
+            Reply::Silent { host }
+                if self.left.flaw == Some(Flaw::SilentHasNothing)
+                    && !matches!(self.promotion.stage, Stage::Checking { .. }) =>
+            {
+                let row = Observed { primary: false, term: 1, received: Position::default() };
+                let to = if matches!(self.promotion.stage, Stage::Pausing { .. }) {
+                    To::Pause(self.promotion.turn())
+                } else {
+                    To::Observe
+                };
+                Reply::Row { host, to, row }
+            }
+            Reply::Row { host, to: To::Observe, row }
+                if self.left.flaw == Some(Flaw::AnyRowIsAPause)
+                    && matches!(self.promotion.stage, Stage::Pausing { .. }) =>
+            {
+                Reply::Row { host, to: To::Pause(self.promotion.turn()), row }
+            }
+            reply => reply,
+        };
+        self.decide(|promotion, now, sight, asks| promotion.take(now, reply, sight, asks));
+    }
+
+    /// A host does what the next question asks of it.
+    fn obey(&mut self, number: usize) -> Option<Reply> {
+        let ask = self.servers[number].queue.pop_front()?;
+        let flaw = self.left.flaw;
+        let server = &mut self.servers[number];
+        match &ask {
+            // Nobody stops for a term that is no newer than the newest.
+            Ask::Pause { term, .. } if !server.leads && *term > self.term => {
+                server.paused = flaw != Some(Flaw::PausesNothing)
+            }
+            Ask::Continue { .. } => server.paused = false,
+            _ => {}
+        }
+        let row = Observed { primary: server.leads, term: self.term, received: server.received() };
+        Some(Reply::Row { host: NAMES[number].into(), to: ask.to()?, row })
+    }
+
+    /// The platform makes a host lead with what it has; what others have beyond that is cut back.
+    fn promote(&mut self, host: &str) -> u16 {
+        let heir = place(host);
+        if !self.servers[heir].up {
+            return 409;
+        }
+        if self.servers[heir].leads {
+            return 200;
+        }
+        self.term += 1;
+        self.changes += 1;
+        let log = self.servers[heir].log.clone();
+        if !self.acknowledged.iter().all(|commit| log.contains(commit)) {
+            self.lost_commit = true;
+        }
+        for (number, server) in self.servers.iter_mut().enumerate() {
+            server.leads = number == heir;
+            if server.up {
+                server.paused = false;
+                let common = server.log.iter().zip(&log).take_while(|(mine, its)| mine == its).count();
+                server.log.truncate(common);
+            }
+        }
+        200
+    }
+}
+
+impl Model for Scene {
+    type State = World;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<World> {
+        let server = |leads| Server {
+            up: true,
+            leads,
+            paused: false,
+            deaf: false,
+            draining: false,
+            log: Vec::new(),
+            told: (leads, false),
+            queue: VecDeque::new(),
+        };
+        vec![World {
+            servers: vec![server(true), server(false), server(false)],
+            term: 1,
+            promotion: Promotion::new("s"),
+            silent: BTreeMap::new(),
+            crashed_at: BTreeMap::new(),
+            acknowledged: BTreeSet::new(),
+            calls: Vec::new(),
+            late_calls: Vec::new(),
+            replies: Vec::new(),
+            left: self.clone(),
+            changes: 0,
+            lost_commit: false,
+            clock: 0,
+        }]
+    }
+
+    fn actions(&self, world: &World, steps: &mut Vec<Step>) {
+        if world.lost_commit {
+            return;
+        }
+        let (left, leader) = (&world.left, world.leader());
+        // Questions wait 400 ms at most: before more are asked, the first has its answer.
+        if let Some(number) = world.servers.iter().position(|server| server.queue.len() > 3) {
+            steps.push(if world.servers[number].up {
+                Step::Answer(number)
+            } else {
+                Step::QuestionLost(number)
+            });
+            return;
+        }
+        if leader.is_some() && left.commits > 0 {
+            steps.push(Step::Commit);
+        }
+        for (number, server) in world.servers.iter().enumerate() {
+            if server.up {
+                let behind = leader.is_some_and(|leader| world.servers[leader].log != server.log);
+                if behind && !server.paused && !server.deaf && !server.leads {
+                    steps.push(Step::Replicate(number));
+                }
+                if left.crashes > 0 {
+                    steps.push(Step::Crash(number));
+                }
+                if left.deaf > 0 && !server.leads && !server.deaf && number == 2 {
+                    steps.push(Step::Deafen(number));
+                }
+                if server.told != (server.leads, server.draining) || world.silent.contains_key(NAMES[number])
+                {
+                    steps.push(Step::Call(number));
+                }
+            } else {
+                // Not borne, and said in the design note: a replica that is counted out, or has stopped, comes back within
+                // the change, and receives from a primary that answers control no more and is alive.
+                let changing = !matches!(world.promotion.stage, Stage::Steady | Stage::Checking { .. });
+                if left.starts > 0 && !changing {
+                    steps.push(Step::Start(number));
+                }
+                if !world.silent.contains_key(NAMES[number]) {
+                    steps.push(Step::Miss(number));
+                }
+            }
+            if !server.queue.is_empty() {
+                if server.up {
+                    steps.push(Step::Answer(number));
+                }
+                if left.lost > 0 && server.up {
+                    steps.push(Step::AnswerLost(number));
+                }
+                if !server.up || left.lost > 0 {
+                    steps.push(Step::QuestionLost(number));
+                }
+            }
+        }
+        if left.planned && leader.is_some_and(|leader| !world.servers[leader].draining) && world.changes == 0
+        {
+            steps.push(Step::Drain);
+        }
+        if left.suspicions > 0 {
+            steps.push(Step::Suspect);
+        }
+        steps.push(Step::Look);
+        if !world.calls.is_empty() {
+            steps.push(Step::Platform);
+            if left.late > 0 {
+                steps.extend([Step::PlatformLost, Step::PlatformLate]);
+            }
+        }
+        if !world.late_calls.is_empty() {
+            steps.push(Step::LateCall);
+        }
+        if !world.replies.is_empty() {
+            steps.push(Step::Status);
+        }
+    }
+
+    fn next_state(&self, last: &World, step: Step) -> Option<World> {
+        let mut world = last.clone();
+        match step {
+            Step::Commit => {
+                let leader = world.leader()?;
+                let (term, number) = (world.term, world.left.commits);
+                world.left.commits -= 1;
+                world.servers[leader].log.push((term, number));
+            }
+            Step::Replicate(number) => {
+                let log = world.servers[world.leader()?].log.clone();
+                let server = &mut world.servers[number];
+                let common = server.log.iter().zip(&log).take_while(|(mine, its)| mine == its).count();
+                server.log.truncate(common);
+                server.log.extend(log.get(common));
+                // Its primary lives, and answers its client.
+                world.acknowledged.extend(log.get(common));
+            }
+            Step::Crash(number) => {
+                world.left.crashes -= 1;
+                world.servers[number].up = false;
+                // Whoever crashes after a silent replica was asked about lived long enough; else both fell at once.
+                let told = self.flaw == Some(Flaw::NoFloors)
+                    || !world.servers[number].told.0
+                    || world.silent.is_empty()
+                    || world.promotion.has_floors(world.silent.keys());
+                let now = world.now();
+                let at = if told { now } else { Point::from_micros(0) };
+                world.crashed_at.insert(NAMES[number].into(), at);
+            }
+            Step::Start(number) => {
+                world.left.starts -= 1;
+                let other = world.servers.iter().any(|server| server.leads && server.up);
+                let server = &mut world.servers[number];
+                (server.up, server.paused) = (true, false);
+                server.leads &= !other;
+            }
+            Step::Deafen(number) => {
+                world.left.deaf -= 1;
+                world.servers[number].deaf = true;
+            }
+            Step::Drain => {
+                let leader = world.leader()?;
+                world.servers[leader].draining = true;
+            }
+            Step::Call(number) => {
+                let server = &mut world.servers[number];
+                server.told = (server.leads, server.draining);
+                world.silent.remove(NAMES[number]);
+            }
+            Step::Miss(number) => {
+                let name = NAMES[number].to_string();
+                let since = world.crashed_at.get(&name).copied()?;
+                world.silent.insert(name, since);
+            }
+            Step::Suspect => {
+                world.left.suspicions -= 1;
+                let primary = world.servers.iter().position(|server| server.told.0)?;
+                world.decide(|promotion, now, sight, asks| {
+                    promotion.suspect(now, NAMES[primary], sight, asks);
+                });
+            }
+            Step::Look => {
+                world.decide(|promotion, now, sight, asks| promotion.look(now, sight, asks));
+                if world.left.flaw == Some(Flaw::NoFloors) {
+                    world.promotion.forget_floors();
+                }
+            }
+            Step::Answer(number) => {
+                let reply = world.obey(number)?;
+                world.hear(reply);
+            }
+            Step::AnswerLost(number) => {
+                world.left.lost -= 1;
+                world.obey(number)?;
+                world.servers[number].queue.clear();
+                world.hear(Reply::Silent { host: NAMES[number].into() });
+            }
+            Step::QuestionLost(number) => {
+                world.left.lost -= u8::from(world.servers[number].up);
+                world.servers[number].queue.clear();
+                world.hear(Reply::Silent { host: NAMES[number].into() });
+            }
+            Step::Platform => {
+                let host = world.calls.remove(0);
+                let status = world.promote(&host);
+                world.replies.push(status);
+            }
+            Step::PlatformLost => {
+                world.left.late -= 1;
+                let host = world.calls.remove(0);
+                world.promote(&host);
+                world.replies.push(0);
+            }
+            Step::PlatformLate => {
+                world.left.late -= 1;
+                let host = world.calls.remove(0);
+                world.late_calls.push(host);
+                world.replies.push(0);
+            }
+            Step::LateCall => {
+                let host = world.late_calls.remove(0);
+                world.promote(&host);
+            }
+            Step::Status => {
+                let status = world.replies.remove(0);
+                world.hear(Reply::Platform { status });
+            }
+        }
+        Some(world)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("nothing lost", |_: &Scene, world: &World| !world.lost_commit),
+            // One that is held goes on in the end: somebody will ask for it.
+            Property::always("nobody is left behind", |_: &Scene, world: &World| {
+                let held = |server: &Server| server.up && server.paused && server.queue.is_empty();
+                let names = world.servers.iter().zip(NAMES).filter(|(server, _)| held(server));
+                world.promotion.stage != Stage::Steady
+                    || names.into_iter().all(|(_, name)| world.promotion.holds(name))
+            }),
+            Property::sometimes(LIVES, |_: &Scene, world: &World| {
+                world.changes > 0 && world.promotion.stage == Stage::Steady
+            }),
+        ]
+    }
+}
+
+fn scene(name: &str, flaw: Option<Flaw>) -> Option<Scene> {
+    let base = Scene {
+        flaw,
+        commits: 2,
+        crashes: 0,
+        starts: 0,
+        deaf: 0,
+        suspicions: 1,
+        planned: false,
+        lost: 0,
+        late: 0,
+    };
+    Some(match name {
+        "a crash" => Scene { crashes: 1, starts: 1, suspicions: 2, ..base },
+        "a replica before the primary" => Scene { crashes: 2, deaf: 1, starts: 1, ..base },
+        "a plan" => Scene { planned: true, suspicions: 1, lost: 2, ..base },
+        "a plan and a crash" => Scene { planned: true, crashes: 1, ..base },
+        "a late platform" => Scene { crashes: 1, late: 1, commits: 1, planned: true, ..base },
+        "lost answers" => Scene { crashes: 1, lost: 2, starts: 1, ..base },
+        _ => return None,
+    })
+}
+
+pub const SCENES: [&str; 6] = [
+    "a crash",
+    "a replica before the primary",
+    "a plan",
+    "a plan and a crash",
+    "a late platform",
+    "lost answers",
+];
+
+/// Explores a scene, with something wrong on purpose or with nothing; nothing where there is no such scene.
+pub fn check(name: &str, flaw: Option<Flaw>) -> Option<Checked> {
+    Some(explored(scene(name, flaw)?, flaw.is_some()))
+}
--- /dev/null
+++ b/crates/arrowyard-conduit/src/lib.rs
@@ -0,0 +1,8 @@
+//! What the system's own processes say to each other: control to control, and control to routers. A frame is its
+//! length, four bytes with the highest first, and a message of protobuf. No I/O.
+
+mod frame;
+mod message;
+
+pub use frame::{Broken, Frames, frame};
+pub use message::*;
--- /dev/null
+++ b/crates/arrowyard-conduit/src/message.rs
@@ -0,0 +1,431 @@
+//! The messages. Machines are named by their address, a number of 32 bits.
+
+use std::net::Ipv4Addr;
+
+use prost::{Enumeration, Message, Oneof};
+
+/// One thing that is said.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Frame {
+    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
+    pub word: Option<Word>,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash, Oneof)]
+pub enum Word {
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    #[prost(message, tag = "2")]
+    Beat(Beat),
+    #[prost(message, tag = "3")]
+    Prepare(Prepare),
+    #[prost(message, tag = "4")]
+    Promise(Promise),
+    #[prost(message, tag = "5")]
+    Accept(Accept),
+    #[prost(message, tag = "6")]
+    Accepted(Accepted),
+    #[prost(message, tag = "7")]
+    Chosen(Chosen),
+    #[prost(message, tag = "8")]
+    Fetch(Fetch),
+    #[prost(message, tag = "9")]
+    Ledger(Ledger),
+    #[prost(message, tag = "10")]
+    Whole(Whole),
+    #[prost(message, tag = "11")]
+    Change(Change),
+    #[prost(message, tag = "12")]
+    Seen(Seen),
+    #[prost(message, tag = "13")]
+    Suspect(Suspect),
+    #[prost(message, tag = "14")]
+    Cell(Cell),
+    #[prost(message, tag = "15")]
+    Probe(Probe),
+    #[prost(message, tag = "16")]
+    Probed(Probed),
+}
+
+/// The first frame on a connection, from both ends.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Hello {
+    #[prost(string, tag = "1")]
+    pub node: String,
+    #[prost(fixed32, tag = "2")]
+    pub ip: u32,
+    #[prost(string, tag = "3")]
+    pub zone: String,
+    /// Drawn anew at each start of the process.
+    #[prost(fixed64, tag = "4")]
+    pub life: u64,
+    #[prost(bool, tag = "5")]
+    pub control: bool,
+    #[prost(message, repeated, tag = "6")]
+    pub view: Vec<Known>,
+}
+
+/// A control machine that somebody knows of.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Known {
+    #[prost(fixed32, tag = "1")]
+    pub ip: u32,
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Rounds of exchange since it was last heard of itself.
+    #[prost(uint32, tag = "3")]
+    pub age: u32,
+}
+
+/// Between control machines: still here, and whom it knows.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Beat {
+    /// Entries that it has in its ledger.
+    #[prost(uint64, tag = "1")]
+    pub chosen: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub view: Vec<Known>,
+    /// Routers that are connected to it.
+    #[prost(uint32, tag = "3")]
+    pub routers: u32,
+    /// A sum over its cell's hosts, by which two cells see that they differ.
+    #[prost(fixed64, tag = "4")]
+    pub digest: u64,
+    #[prost(bool, tag = "5")]
+    pub votes: bool,
+    #[prost(message, repeated, tag = "6")]
+    pub silent: Vec<Silent>,
+}
+
+/// A host that does not call any more, for so many milliseconds.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Silent {
+    #[prost(string, tag = "1")]
+    pub id: String,
+    #[prost(uint64, tag = "2")]
+    pub ms: u64,
+}
+
+/// Rounds are told apart by their number, then by who began them.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Message)]
+pub struct Ballot {
+    #[prost(uint64, tag = "1")]
+    pub round: u64,
+    #[prost(fixed32, tag = "2")]
+    pub by: u32,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct Prepare {
+    #[prost(uint64, tag = "1")]
+    pub slot: u64,
+    #[prost(message, required, tag = "2")]
+    pub ballot: Ballot,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Promise {
+    #[prost(uint64, tag = "1")]
+    pub slot: u64,
+    #[prost(message, required, tag = "2")]
+    pub ballot: Ballot,
+    /// The highest that it promised; above `ballot` it is a refusal.
+    #[prost(message, required, tag = "3")]
+    pub promised: Ballot,
+    #[prost(message, optional, tag = "4")]
+    pub accepted: Option<Accept>,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Accept {
+    #[prost(uint64, tag = "1")]
+    pub slot: u64,
+    #[prost(message, required, tag = "2")]
+    pub ballot: Ballot,
+    #[prost(message, required, tag = "3")]
+    pub entry: Entry,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct Accepted {
+    #[prost(uint64, tag = "1")]
+    pub slot: u64,
+    #[prost(message, required, tag = "2")]
+    pub ballot: Ballot,
+    #[prost(message, required, tag = "3")]
+    pub promised: Ballot,
+}
+
+/// A slot's entry is known to be chosen.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Chosen {
+    #[prost(uint64, tag = "1")]
+    pub slot: u64,
+    #[prost(message, required, tag = "2")]
+    pub entry: Entry,
+}
+
+/// Asks for what is chosen from a slot on.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct Fetch {
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+}
+
+/// Entries from a slot on, or a snapshot that stands for all before them.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Ledger {
+    #[prost(message, optional, tag = "1")]
+    pub snapshot: Option<Snapshot>,
+    #[prost(message, repeated, tag = "2")]
+    pub entries: Vec<Chosen>,
+}
+
+/// What all entries up to a slot lead to.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Snapshot {
+    /// The last slot that is in it.
+    #[prost(uint64, tag = "1")]
+    pub slot: u64,
+    #[prost(bytes = "vec", tag = "2")]
+    pub configuration: Vec<u8>,
+    #[prost(message, repeated, tag = "3")]
+    pub duties: Vec<Duty>,
+    #[prost(fixed32, repeated, tag = "4")]
+    pub voters: Vec<u32>,
+    /// Of the last changes: revision and the sum of their bodies.
+    #[prost(message, repeated, tag = "5")]
+    pub taken: Vec<Taken>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct Taken {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(fixed64, tag = "2")]
+    pub sum: u64,
+}
+
+/// What is agreed on in one slot.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Entry {
+    #[prost(oneof = "Matter", tags = "1, 2, 3, 4")]
+    pub matter: Option<Matter>,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash, Oneof)]
+pub enum Matter {
+    #[prost(message, tag = "1")]
+    Configuration(Revised),
+    #[prost(message, tag = "2")]
+    Duty(Duty),
+    /// A voter whose disk was lost votes again from here on.
+    #[prost(message, tag = "3")]
+    Rejoin(Rejoin),
+    /// Who votes in the slots behind it: one more, or one less.
+    #[prost(message, tag = "4")]
+    Voters(Voters),
+}
+
+/// A change of the configuration as the operator sent it.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Revised {
+    #[prost(bool, tag = "1")]
+    pub whole: bool,
+    #[prost(uint64, tag = "2")]
+    pub base: u64,
+    #[prost(bytes = "vec", tag = "3")]
+    pub body: Vec<u8>,
+}
+
+/// Who holds a duty; its fence is the slot in which that was agreed. In an entry `fence` is that of the holder before.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Duty {
+    #[prost(string, tag = "1")]
+    pub duty: String,
+    #[prost(fixed32, tag = "2")]
+    pub holder: u32,
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
+    #[prost(string, tag = "4")]
+    pub node: String,
+    #[prost(uint64, tag = "5")]
+    pub fence: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct Rejoin {
+    #[prost(fixed32, tag = "1")]
+    pub voter: u32,
+    #[prost(fixed64, tag = "2")]
+    pub life: u64,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Voters {
+    #[prost(fixed32, repeated, tag = "1")]
+    pub voters: Vec<u32>,
+    /// In an entry: who voted before it. It holds only on top of these.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub before: Vec<u32>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Enumeration)]
+pub enum Phase {
+    InService = 0,
+    Draining = 1,
+    Gone = 2,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Enumeration)]
+pub enum DbRole {
+    Replica = 0,
+    Primary = 1,
+}
+
+/// A database host, as its newest call told of it.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Host {
+    #[prost(string, tag = "1")]
+    pub id: String,
+    #[prost(string, tag = "2")]
+    pub service: String,
+    #[prost(fixed32, tag = "3")]
+    pub ip: u32,
+    #[prost(uint32, tag = "4")]
+    pub port: u32,
+    #[prost(string, tag = "5")]
+    pub zone: String,
+    #[prost(uint32, tag = "6")]
+    pub capacity: u32,
+    #[prost(enumeration = "Phase", tag = "7")]
+    pub phase: i32,
+    #[prost(enumeration = "DbRole", tag = "8")]
+    pub role: i32,
+    #[prost(uint64, tag = "9")]
+    pub call_seq: u64,
+}
+
+/// Between control machines: hosts that changed, or all that it has.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Cell {
+    #[prost(message, repeated, tag = "1")]
+    pub hosts: Vec<Host>,
+    #[prost(bool, tag = "2")]
+    pub whole: bool,
+}
+
+/// To a router: all that it must know, as of a number.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Whole {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(uint64, tag = "2")]
+    pub slot: u64,
+    #[prost(bytes = "vec", tag = "3")]
+    pub configuration: Vec<u8>,
+    #[prost(message, repeated, tag = "4")]
+    pub hosts: Vec<Host>,
+    #[prost(uint32, tag = "5")]
+    pub routers: u32,
+    #[prost(message, repeated, tag = "6")]
+    pub view: Vec<Known>,
+}
+
+/// To a router: what changed, under the next number.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Change {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub revised: Vec<Step>,
+    #[prost(message, repeated, tag = "3")]
+    pub hosts: Vec<Host>,
+    /// 0: as before.
+    #[prost(uint32, tag = "4")]
+    pub routers: u32,
+    #[prost(message, repeated, tag = "5")]
+    pub view: Vec<Known>,
+}
+
+/// A change of the configuration in the order of slots.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Step {
+    #[prost(uint64, tag = "1")]
+    pub slot: u64,
+    #[prost(message, required, tag = "2")]
+    pub revised: Revised,
+}
+
+/// From a router: it has all up to this number; or, if `lost`, it needs the whole again.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct Seen {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(bool, tag = "2")]
+    pub lost: bool,
+    /// The revision of the configuration that it serves by.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+}
+
+/// From a router, and between control machines: this primary does not answer.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Suspect {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(string, tag = "2")]
+    pub host: String,
+    /// Who saw it first.
+    #[prost(fixed32, tag = "3")]
+    pub by: u32,
+}
+
+/// Asks a voter what it has accepted behind its last chosen slot; it promises nothing.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct Probe {
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct Probed {
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// The last slot that it knows to be chosen, and the highest in which it accepted anything.
+    #[prost(uint64, tag = "2")]
+    pub chosen: u64,
+    #[prost(uint64, tag = "3")]
+    pub accepted: u64,
+    #[prost(bool, tag = "4")]
+    pub votes: bool,
+    /// Entries of voters that are still undecided here are below this ballot.
+    #[prost(message, required, tag = "5")]
+    pub promised: Ballot,
+}
+
+impl Phase {
+    pub fn word(self) -> &'static str {
+        match self {
+            Phase::InService => "in_service",
+            Phase::Draining => "draining",
+            Phase::Gone => "gone",
+        }
+    }
+}
+
+impl DbRole {
+    pub fn word(self) -> &'static str {
+        if self == DbRole::Primary { "primary" } else { "replica" }
+    }
+}
+
+/// A machine's number.
+pub fn number(ip: Ipv4Addr) -> u32 {
+    u32::from(ip)
+}
+
+/// A frame of a word.
+pub fn said(word: Word) -> Vec<u8> {
+    crate::frame(&Frame { word: Some(word) })
+}
--- /dev/null
+++ b/crates/arrowyard-gauge/src/change.rs
@@ -0,0 +1,30 @@
+use crate::{Configuration, Refusal};
+
+/// Whether a change brings a whole configuration or named items of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Replace,
+    Adjust,
+}
+
+/// A change of the configuration, as the operator sent it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    pub kind: Kind,
+    /// The version that it builds on.
+    pub base: u64,
+    pub body: Vec<u8>,
+}
+
+impl Change {
+    /// What the configuration is after it.
+    ///
+    /// # Errors
+    /// Why it is not taken.
+    pub fn apply(&self, to: &Configuration) -> Result<Configuration, Refusal> {
+        match self.kind {
+            Kind::Replace => to.replace(&self.body),
+            Kind::Adjust => to.adjust(&self.body),
+        }
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-gauge/src/configuration.rs
@@ -0,0 +1,327 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use sonic_rs::{JsonContainerTrait, JsonType, JsonValueTrait, Value};
+
+/// How fresh what a route reads must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Kind {
+    Primary,
+    BoundedStaleness,
+    OwnRegion,
+}
+
+/// A route: from a database's name to a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Channel {
+    pub name: String,
+    /// The database's name.
+    pub plant: String,
+    pub prefix: String,
+    pub kind: Kind,
+    pub deadline_ms: f64,
+    /// The latency target of an operation.
+    pub setpoint_ms: f64,
+    /// 0 is the highest.
+    pub priority: u32,
+    pub service: String,
+    pub tries: u32,
+    pub staleness_bound_ms: f64,
+}
+
+/// A service: one primary together with its replicas.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    pub name: String,
+    /// Connections that a host takes from all callers together.
+    pub conn_limit: u32,
+    /// How many replicas must have a commit before it is acknowledged.
+    pub sync_replicas: u32,
+}
+
+/// What holds for every session.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    pub header_wait_ms: f64,
+    pub idle_bound_ms: f64,
+    pub tx_idle_ms: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { header_wait_ms: 3000.0, idle_bound_ms: 15_000.0, tx_idle_ms: 3000.0 }
+    }
+}
+
+/// Why a configuration is not taken: its place and what is wrong there.
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum Refusal {
+    /// it cannot be read: {0}
+    Unreadable(String),
+    /// {0}: {1}
+    Wrong(String, &'static str),
+    /// revision: {0} is not above {1}, which is in place
+    Old(u64, u64),
+}
+
+/// An item as it was sent, and what is read of it.
+#[derive(Clone, Debug, PartialEq)]
+struct Item<T> {
+    sent: String,
+    read: T,
+}
+
+/// A whole configuration, checked.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    pub revision: u64,
+    channels: Vec<Item<Channel>>,
+    services: Vec<Item<Service>>,
+    limits: Option<Item<Limits>>,
+    /// Fields that are not known here; they are kept as they were sent.
+    others: BTreeMap<String, String>,
+}
+
+fn wrong(place: impl Into<String>, what: &'static str) -> Refusal {
+    Refusal::Wrong(place.into(), what)
+}
+
+fn text(item: &Value, field: &str, place: &str) -> Result<String, Refusal> {
+    match item.pointer([field]).and_then(|value| value.as_str()) {
+        Some(text) if !text.is_empty() => Ok(text.to_string()),
+        _ => Err(wrong(format!("{place}/{field}"), "is no text")),
+    }
+}
+
+/// A number that is not below 0; `otherwise` where the field is not there.
+fn number(item: &Value, field: &str, place: &str, otherwise: f64) -> Result<f64, Refusal> {
+    match item.pointer([field]) {
+        None => Ok(otherwise),
+        Some(value) => match value.as_f64() {
+            Some(number) if number >= 0.0 && number.is_finite() => Ok(number),
+            _ => Err(wrong(format!("{place}/{field}"), "is no number from 0 on")),
+        },
+    }
+}
+
+impl Channel {
+    fn read(item: &Value, place: &str) -> Result<Self, Refusal> {
+        let kind = match item.pointer(["kind"]).and_then(|kind| kind.as_str()) {
+            Some("primary") | None => Kind::Primary,
+            Some("bounded_staleness") => Kind::BoundedStaleness,
+            Some("own_region") => Kind::OwnRegion,
+            Some(_) => return Err(wrong(format!("{place}/kind"), "is no kind of route")),
+        };
+        let deadline_ms = number(item, "deadline-ms", place, 1000.0)?;
+        if deadline_ms <= 0.0 {
+            return Err(wrong(format!("{place}/deadline-ms"), "is 0"));
+        }
+        Ok(Channel {
+            name: text(item, "name", place)?,
+            plant: item.pointer(["plant"]).and_then(|plant| plant.as_str()).unwrap_or_default().to_string(),
+            prefix: item
+                .pointer(["path-prefix"])
+                .and_then(|prefix| prefix.as_str())
+                .unwrap_or("/")
+                .to_string(),
+            kind,
+            deadline_ms,
+            setpoint_ms: number(item, "setpoint-ms", place, deadline_ms)?.max(1.0),
+            priority: number(item, "priority", place, 0.0)? as u32,
+            service: text(item, "service", place)?,
+            tries: number(item, "tries", place, 1.0)?.clamp(1.0, 16.0) as u32,
+            staleness_bound_ms: number(item, "staleness-bound-ms", place, 0.0)?,
+        })
+    }
+}
+
+impl Service {
+    fn read(item: &Value, place: &str) -> Result<Self, Refusal> {
+        Ok(Service {
+            name: text(item, "name", place)?,
+            conn_limit: number(item, "conn-limit", place, 64.0)? as u32,
+            sync_replicas: number(item, "sync-replicas", place, 0.0)? as u32,
+        })
+    }
+}
+
+impl Limits {
+    fn read(item: &Value, place: &str) -> Result<Self, Refusal> {
+        let otherwise = Limits::default();
+        Ok(Limits {
+            header_wait_ms: number(item, "header-wait-ms", place, otherwise.header_wait_ms)?,
+            idle_bound_ms: number(item, "idle-bound-ms", place, otherwise.idle_bound_ms)?,
+            tx_idle_ms: number(item, "tx-idle-ms", place, otherwise.tx_idle_ms)?,
+        })
+    }
+}
+
+/// Reads the items of a list, each with its name, which no two share.
+fn items<T>(
+    list: Option<&Value>,
+    place: &str,
+    read: impl Fn(&Value, &str) -> Result<T, Refusal>,
+    name: impl Fn(&T) -> &str,
+) -> Result<Vec<Item<T>>, Refusal> {
+    let Some(list) = list else { return Ok(Vec::new()) };
+    let list = list.as_array().ok_or_else(|| wrong(place, "is no list"))?;
+    let mut names = BTreeSet::new();
+    let mut items = Vec::with_capacity(list.len());
+    for (row, value) in list.iter().enumerate() {
+        let place = format!("{place}/{row}");
+        if value.get_type() != JsonType::Object {
+            return Err(wrong(place, "is no object"));
+        }
+        let read = read(value, &place)?;
+        if !names.insert(name(&read).to_string()) {
+            return Err(wrong(place, "has a name that another one has"));
+        }
+        items.push(Item { sent: written(value), read });
+    }
+    Ok(items)
+}
+
+fn written(value: &Value) -> String {
+    sonic_rs::to_string(value).unwrap_or_default()
+}
+
+fn document(body: &[u8]) -> Result<Value, Refusal> {
+    let document: Value = sonic_rs::from_slice(body).map_err(|fault| {
+        Refusal::Unreadable(fault.to_string().lines().next().unwrap_or_default().to_string())
+    })?;
+    if document.get_type() != JsonType::Object {
+        return Err(Refusal::Unreadable("it is no object".to_string()));
+    }
+    Ok(document)
+}
+
+fn revision(document: &Value) -> Result<u64, Refusal> {
+    document
+        .pointer(["revision"])
+        .and_then(|value| value.as_u64())
+        .ok_or_else(|| wrong("/revision", "is no number"))
+}
+
+fn names(list: Option<&Value>, place: &str) -> Result<BTreeSet<String>, Refusal> {
+    let Some(list) = list else { return Ok(BTreeSet::new()) };
+    let list = list.as_array().ok_or_else(|| wrong(place, "is no list"))?;
+    list.iter()
+        .map(|name| name.as_str().map(str::to_string).ok_or_else(|| wrong(place, "holds no name")))
+        .collect()
+}
+
+/// Adds items, or replaces those of the same name in their places.
+fn upsert<T>(into: &mut Vec<Item<T>>, items: Vec<Item<T>>, name: impl Fn(&T) -> &str) {
+    let places: BTreeMap<String, usize> =
+        into.iter().enumerate().map(|(place, item)| (name(&item.read).to_string(), place)).collect();
+    for item in items {
+        match places.get(name(&item.read)) {
+            Some(&place) => into[place] = item,
+            None => into.push(item),
+        }
+    }
+}
+
+impl Configuration {
+    pub fn channels(&self) -> impl Iterator<Item = &Channel> {
+        self.channels.iter().map(|item| &item.read)
+    }
+
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.iter().map(|item| &item.read)
+    }
+
+    pub fn limits(&self) -> Limits {
+        self.limits.as_ref().map(|item| item.read).unwrap_or_default()
+    }
+
+    /// Reads a whole configuration that is to take the place of this one.
+    ///
+    /// # Errors
+    /// The first thing that makes it invalid.
+    pub fn replace(&self, body: &[u8]) -> Result<Self, Refusal> {
+        let document = document(body)?;
+        let mut new = Configuration { revision: revision(&document)?, ..Configuration::default() };
+        let fields = document.as_object().into_iter().flat_map(|object| object.iter());
+        for (field, value) in fields {
+            let value: &Value = value;
+            match field {
+                "revision" => {}
+                "channels" => {
+                    new.channels = items(Some(value), "/channels", Channel::read, |channel| &channel.name)?;
+                }
+                "services" => {
+                    new.services = items(Some(value), "/services", Service::read, |service| &service.name)?;
+                }
+                "limits" => {
+                    let read = Limits::read(value, "/limits")?;
+                    new.limits = Some(Item { sent: written(value), read });
+                }
+                _ => drop(new.others.insert(field.to_string(), written(value))),
+            }
+        }
+        new.checked(self.revision)
+    }
+
+    /// Reads a change of named items of this one.
+    ///
+    /// # Errors
+    /// The first thing that makes the change, or what it leads to, invalid.
+    pub fn adjust(&self, body: &[u8]) -> Result<Self, Refusal> {
+        let document = document(body)?;
+        let mut new = Configuration { revision: revision(&document)?, ..self.clone() };
+        let at = |part: &str, list: &str| document.pointer([part, list]);
+        for part in ["upsert", "remove"] {
+            if document.pointer([part]).is_some_and(|value| value.get_type() != JsonType::Object) {
+                return Err(wrong(format!("/{part}"), "is no object"));
+            }
+        }
+        let gone = names(at("remove", "channels"), "/remove/channels")?;
+        new.channels.retain(|item| !gone.contains(&item.read.name));
+        let gone = names(at("remove", "services"), "/remove/services")?;
+        new.services.retain(|item| !gone.contains(&item.read.name));
+        let added =
+            items(at("upsert", "channels"), "/upsert/channels", Channel::read, |channel| &channel.name)?;
+        upsert(&mut new.channels, added, |channel| &channel.name);
+        let added =
+            items(at("upsert", "services"), "/upsert/services", Service::read, |service| &service.name)?;
+        upsert(&mut new.services, added, |service| &service.name);
+        if let Some(limits) = at("upsert", "limits") {
+            new.limits = Some(Item { sent: written(limits), read: Limits::read(limits, "/upsert/limits")? });
+        }
+        new.checked(self.revision)
+    }
+
+    fn checked(self, current: u64) -> Result<Self, Refusal> {
+        if self.revision <= current {
+            return Err(Refusal::Old(self.revision, current));
+        }
+        let services: BTreeSet<&str> = self.services().map(|service| service.name.as_str()).collect();
+        let mut places = BTreeSet::new();
+        for (row, channel) in self.channels().enumerate() {
+            if !services.contains(channel.service.as_str()) {
+                return Err(wrong(format!("/channels/{row}/service"), "names a service that is not there"));
+            }
+            if !places.insert((channel.plant.as_str(), channel.prefix.as_str())) {
+                return Err(wrong(format!("/channels/{row}"), "has the host and prefix of another one"));
+            }
+        }
+        Ok(self)
+    }
+
+    /// The whole of it, as it would be sent.
+    pub fn body(&self) -> String {
+        fn list<T>(items: &[Item<T>]) -> String {
+            items.iter().map(|item| item.sent.as_str()).collect::<Vec<_>>().join(",")
+        }
+        let mut fields = vec![
+            format!("\"revision\":{}", self.revision),
+            format!("\"channels\":[{}]", list(&self.channels)),
+            format!("\"services\":[{}]", list(&self.services)),
+        ];
+        fields.extend(self.limits.iter().map(|limits| format!("\"limits\":{}", limits.sent)));
+        for (name, value) in &self.others {
+            fields.push(format!("{}:{value}", sonic_rs::to_string(name).unwrap_or_default()));
+        }
+        format!("{{{}}}", fields.join(","))
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-gauge/src/settings.rs
@@ -0,0 +1,164 @@
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use serde::Deserialize;
+
+/// What the platform tells a process in its settings file. Fields that are not known are passed over; those that are
+/// not told have the value named here.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Settings {
+    pub node: String,
+    #[serde(default)]
+    pub role: String,
+    pub ip: Ipv4Addr,
+    pub zone: String,
+    #[serde(default)]
+    pub region: String,
+    /// Zone to region.
+    #[serde(default)]
+    pub zones: BTreeMap<String, String>,
+    #[serde(default)]
+    pub bind_addrs: BTreeMap<String, SocketAddrV4>,
+    /// The first and the last port that are free for what the system's processes say to each other.
+    pub internal_ports: (u16, u16),
+    /// `control` addresses of up to three machines.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddrV4>,
+    /// Whether the whole system starts for the first time.
+    #[serde(default)]
+    pub bootstrap: bool,
+    #[serde(default)]
+    pub counts_loss: bool,
+    #[serde(default)]
+    pub limits: Machine,
+    #[serde(default)]
+    pub data_dir: Option<String>,
+    #[serde(default = "period")]
+    pub beat_period_ms: u64,
+    #[serde(default)]
+    pub tolerance: Tolerance,
+    #[serde(default)]
+    pub envelope: Envelope,
+    #[serde(default)]
+    pub platform_api: Option<Platform>,
+}
+
+fn period() -> u64 {
+    1200
+}
+
+/// The machine's limits.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Machine {
+    pub memory_mb: u64,
+    pub fd_limit: usize,
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Machine { memory_mb: 256, fd_limit: 1024 }
+    }
+}
+
+/// What may be lost at once while all rules are kept.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Tolerance {
+    pub machines: u32,
+    pub zones: u32,
+    pub regions: u32,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Envelope {
+    pub seed_delay_s: f64,
+    pub reuse_delay_s: f64,
+    pub contact_ms: f64,
+    pub ack_bound_ms: f64,
+    pub settle_s: f64,
+    pub drain_bound_ms: f64,
+    pub grace_s: f64,
+    pub apply_ms: f64,
+    pub revert_slack_ms: f64,
+    pub recovery_s: f64,
+}
+
+impl Default for Envelope {
+    fn default() -> Self {
+        Envelope {
+            seed_delay_s: 3.0,
+            reuse_delay_s: 2.0,
+            contact_ms: 4000.0,
+            ack_bound_ms: 5000.0,
+            settle_s: 4.0,
+            drain_bound_ms: 7000.0,
+            grace_s: 6.0,
+            apply_ms: 3000.0,
+            revert_slack_ms: 250.0,
+            recovery_s: 12.0,
+        }
+    }
+}
+
+/// Where duties are carried out.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Platform {
+    pub address: SocketAddrV4,
+    #[serde(default)]
+    pub duties: Vec<String>,
+    #[serde(default = "rate")]
+    pub duty_rate_s: f64,
+}
+
+fn rate() -> f64 {
+    50.0
+}
+
+/// What is wrong with a settings file, all of it, each with its place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault(pub Vec<String>);
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0.join("; "))
+    }
+}
+
+impl Settings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    /// Every fault that is found, with its place.
+    pub fn read(text: &str) -> Result<Self, Fault> {
+        let settings: Settings =
+            serde_saphyr::from_str(text).map_err(|fault| Fault(vec![fault.to_string()]))?;
+        let mut faults = Vec::new();
+        let mut check = |sound: bool, fault: &str| {
+            if !sound {
+                faults.push(fault.to_string())
+            }
+        };
+        check(!settings.node.is_empty(), "node: is empty");
+        check(!settings.zone.is_empty(), "zone: is empty");
+        check(
+            settings.internal_ports.0 <= settings.internal_ports.1,
+            "internal-ports: the first is after the last",
+        );
+        check(settings.internal_ports.0 > 0, "internal-ports: 0 is no port");
+        check(settings.beat_period_ms > 0, "beat-period-ms: is 0");
+        check(settings.limits.fd_limit >= 64, "limits.fd-limit: under 64");
+        check(settings.limits.memory_mb >= 16, "limits.memory-mb: under 16");
+        check(settings.envelope.grace_s > 0.0, "envelope.grace-s: is not above 0");
+        if faults.is_empty() { Ok(settings) } else { Err(Fault(faults)) }
+    }
+
+    /// Where control processes meet each other and the routers, on each machine.
+    pub fn internal(&self, machine: Ipv4Addr) -> SocketAddrV4 {
+        SocketAddrV4::new(machine, self.internal_ports.0)
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-gauge/tests/configuration.rs
@@ -0,0 +1,87 @@
+//! What is invalid is refused with its place; what is valid comes back as it was sent.
+
+use arrowyard_gauge::{Change, ChangeKind, Configuration, Kind, Refusal, Settings};
+use proptest::prelude::*;
+
+const FIRST: &str = r#"{"revision":7,"channels":[
+  {"name":"a","plant":"db1","path-prefix":"/","kind":"primary","deadline-ms":800,"setpoint-ms":120,"priority":1,"service":"s1","tries":2},
+  {"name":"b","plant":"db2","path-prefix":"/","kind":"bounded_staleness","deadline-ms":1500,"service":"s1","staleness-bound-ms":1500,"unknown":{"x":[1,2.5]}}],
+  "services":[{"name":"s1","probe-path":"/health","conn-limit":53,"sync-replicas":1}],"limits":{"tx-idle-ms":3000},"later":[1]}"#;
+
+fn first() -> Configuration {
+    Configuration::default().replace(FIRST.as_bytes()).expect("it is valid")
+}
+
+fn refused(body: &str) -> String {
+    first().replace(body.as_bytes()).expect_err("it is invalid").to_string()
+}
+
+#[test]
+fn what_is_valid_comes_back_as_it_was_sent() {
+    let read = first();
+    let body = read.body();
+    assert_eq!(Configuration::default().replace(body.as_bytes()), Ok(read));
+    for kept in [r#""unknown":{"x":[1,2.5]}"#, r#""later":[1]"#, r#""probe-path":"/health""#] {
+        assert!(body.contains(kept), "{kept} is not in {body}");
+    }
+    let read = first();
+    let kinds: Vec<Kind> = read.channels().map(|channel| channel.kind).collect();
+    assert_eq!(kinds, [Kind::Primary, Kind::BoundedStaleness]);
+    assert_eq!(read.limits().tx_idle_ms, 3000.0);
+}
+
+#[test]
+fn what_is_invalid_is_refused_with_its_place() {
+    assert!(refused(&FIRST[..FIRST.len() - 9]).contains("cannot be read"));
+    assert!(refused("[]").contains("cannot be read"));
+    let channel = |fields: &str| {
+        format!(
+            r#"{{"revision":9,"channels":[{{"name":"a","service":"s1",{fields}}}],"services":[{{"name":"s1"}}]}}"#
+        )
+    };
+    assert!(refused(&channel(r#""deadline-ms":0"#)).contains("/channels/0/deadline-ms"));
+    assert!(refused(&channel(r#""deadline-ms":"soon""#)).contains("/channels/0/deadline-ms"));
+    assert!(refused(&channel(r#""deadline-ms":-5"#)).contains("/channels/0/deadline-ms"));
+    assert!(refused(&channel(r#""kind":"any""#)).contains("/channels/0/kind"));
+    let unknown =
+        FIRST.replace("7", "9").replace(r#""service":"s1","staleness"#, r#""service":"s9","staleness"#);
+    assert!(refused(&unknown).contains("/channels/1/service"));
+    let same = FIRST.replace("\"revision\":7", "\"revision\":9").replace("db2", "db1");
+    assert!(refused(&same).contains("/channels/1"));
+    assert_eq!(first().replace(FIRST.as_bytes()), Err(Refusal::Old(7, 7)));
+}
+
+#[test]
+fn named_items_are_added_replaced_and_removed() {
+    let body = r#"{"revision":9,"upsert":{"channels":[{"name":"b","plant":"db3","service":"s1","deadline-ms":10},{"name":"c","plant":"db4","service":"s1"}]},"remove":{"channels":["a","never"]}}"#;
+    let change = Change { kind: ChangeKind::Adjust, base: 7, body: body.into() };
+    let next = change.apply(&first()).expect("it is valid");
+    let names: Vec<(&str, &str)> =
+        next.channels().map(|channel| (channel.name.as_str(), channel.plant.as_str())).collect();
+    assert_eq!(names, [("b", "db3"), ("c", "db4")]);
+    assert_eq!(next.revision, 9);
+    let orphan = r#"{"revision":9,"remove":{"services":["s1"]}}"#;
+    assert!(first().adjust(orphan.as_bytes()).is_err(), "routes would name a service that is not there");
+}
+
+proptest! {
+    #[test]
+    fn whatever_comes_is_read_or_refused(body in prop::collection::vec(any::<u8>(), 0..300), cut in 0usize..400) {
+        drop(Configuration::default().replace(&body));
+        let part = &FIRST.as_bytes()[..cut.min(FIRST.len())];
+        prop_assert_eq!(Configuration::default().replace(part).is_ok(), part.len() == FIRST.len());
+        drop(Settings::read(&String::from_utf8_lossy(&body)));
+    }
+}
+
+const SETTINGS: &str = "node: \"edge-1\"\nip: \"10.1.0.8\"\nzone: \"a\"\ninternal-ports:\n  - 7440\n  - 7455\nnew-field: {x: 1}\n";
+
+#[test]
+fn settings_are_checked_whole_and_unknown_fields_passed_over() {
+    let read = Settings::read(SETTINGS).expect("they are sound");
+    assert_eq!((read.internal_ports, read.bootstrap, read.beat_period_ms), ((7440, 7455), false, 1200));
+    let wrong = SETTINGS.replace("edge-1", "").replace("7455", "7400") + "limits:\n  fd-limit: 3\n";
+    let faults = Settings::read(&wrong).expect_err("three faults").0;
+    assert_eq!(faults.len(), 3, "{faults:?}");
+    assert!(Settings::read("node: [").is_err());
+}
--- /dev/null
+++ b/crates/arrowyard-headworks/src/cell.rs
@@ -0,0 +1,166 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use arrowyard_conduit::{DbRole, Host, Phase};
+use arrowyard_types::{Point, Span};
+
+/// A host that is gone is remembered so long, so that nobody's old word brings it back.
+const REMEMBERED: Span = Span::from_millis(600_000);
+/// A call with a lower number than the last counts again after so long: its host began to count anew.
+const ANEW: Span = Span::from_millis(5_000);
+
+/// The hosts that control knows of; the cell of a zone hears its hosts' calls, the others hear of them from it.
+#[derive(Debug, Default)]
+pub struct Cell {
+    hosts: BTreeMap<String, Kept>,
+    /// Danger: services in their thousands that each look through all hosts. So each knows its own.
+    by_service: BTreeMap<String, BTreeSet<String>>,
+    digest: u64,
+}
+
+/// What one host adds to the sum over all.
+fn part(host: &Host) -> u64 {
+    let numbers = [host.ip, host.port, host.phase as u32, host.role as u32];
+    let bytes = numbers.iter().flat_map(|number| number.to_le_bytes());
+    host.id
+        .bytes()
+        .chain(bytes)
+        .fold(0xcbf2_9ce4_8422_2325, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+#[derive(Debug)]
+struct Kept {
+    host: Host,
+    changed_at: Point,
+    /// When it last called here itself.
+    called_at: Option<Point>,
+}
+
+/// What routers are told of a host: all but the number of its call.
+fn same(one: &Host, other: &Host) -> bool {
+    Host { call_seq: 0, ..one.clone() } == Host { call_seq: 0, ..other.clone() }
+}
+
+impl Cell {
+    /// A host called here. Whether something changed that others must hear of.
+    pub fn called(&mut self, now: Point, host: Host) -> bool {
+        let anew = self.hosts.get(&host.id).is_some_and(|kept| {
+            kept.host.phase() != Phase::Gone && kept.called_at.is_some_and(|at| now - at >= ANEW)
+        });
+        let id = host.id.clone();
+        let changed = self.take(now, host, anew);
+        if let Some(kept) = self.hosts.get_mut(&id) {
+            kept.called_at = Some(now);
+        }
+        changed
+    }
+
+    /// A host as it was known before this start. Those of the own zone are to call here soon, or are missed.
+    pub fn remember(&mut self, now: Point, host: Host, zone: &str) {
+        let called_at = (host.zone == zone).then_some(now);
+        self.put(Kept { host, changed_at: now, called_at });
+    }
+
+    /// Every change of what is known of a host: the list of its service and the sum go with it.
+    fn put(&mut self, kept: Kept) {
+        self.digest = self.digest.wrapping_add(part(&kept.host));
+        let (id, service) = (kept.host.id.clone(), kept.host.service.clone());
+        if let Some(old) = self.hosts.insert(id.clone(), kept) {
+            self.digest = self.digest.wrapping_sub(part(&old.host));
+            if old.host.service != service {
+                self.leave(&old.host);
+            }
+        }
+        self.by_service.entry(service).or_default().insert(id);
+    }
+
+    fn leave(&mut self, host: &Host) {
+        if let Some(ids) = self.by_service.get_mut(&host.service) {
+            ids.remove(&host.id);
+            if ids.is_empty() {
+                self.by_service.remove(&host.service);
+            }
+        }
+    }
+
+    fn of(&self, service: &str) -> impl Iterator<Item = &Kept> {
+        self.by_service.get(service).into_iter().flatten().filter_map(|id| self.hosts.get(id))
+    }
+
+    /// A host calls another control machine now.
+    pub fn moved(&mut self, id: &str) {
+        if let Some(kept) = self.hosts.get_mut(id) {
+            kept.called_at = None;
+        }
+    }
+
+    /// Somebody else's word of a host. Whether it was news.
+    pub fn told(&mut self, now: Point, host: Host) -> bool {
+        self.take(now, host, false)
+    }
+
+    /// Higher numbers win, whoever brings them, and a host that left stays gone: machines that tell each other what
+    /// they have come to the same, in whatever order.
+    fn take(&mut self, now: Point, host: Host, anew: bool) -> bool {
+        match self.hosts.get(&host.id) {
+            None => {
+                self.put(Kept { host, changed_at: now, called_at: None });
+                true
+            }
+            Some(kept) => {
+                let gone = (kept.host.phase() == Phase::Gone, host.phase() == Phase::Gone);
+                let newer = host.call_seq > kept.host.call_seq || anew;
+                if gone.0 || !newer && !gone.1 {
+                    return false;
+                }
+                let changed = !same(&kept.host, &host);
+                let (changed_at, called_at) = (if changed { now } else { kept.changed_at }, kept.called_at);
+                if changed {
+                    self.put(Kept { host, changed_at, called_at });
+                } else if let Some(kept) = self.hosts.get_mut(&host.id) {
+                    kept.host.call_seq = host.call_seq;
+                }
+                changed
+            }
+        }
+    }
+
+    /// Forgets hosts that are gone for long.
+    pub fn sweep(&mut self, now: Point) {
+        let old = |kept: &&Kept| kept.host.phase() == Phase::Gone && now - kept.changed_at >= REMEMBERED;
+        let gone: Vec<Host> = self.hosts.values().filter(old).map(|kept| kept.host.clone()).collect();
+        for host in gone {
+            self.hosts.remove(&host.id);
+            self.digest = self.digest.wrapping_sub(part(&host));
+            self.leave(&host);
+        }
+    }
+
+    pub fn get(&self, id: &str) -> Option<&Host> {
+        self.hosts.get(id).map(|kept| &kept.host)
+    }
+
+    /// When a host last called here itself.
+    pub fn called_at(&self, id: &str) -> Option<Point> {
+        self.hosts.get(id).and_then(|kept| kept.called_at)
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = &Host> {
+        self.hosts.values().map(|kept| &kept.host)
+    }
+
+    /// The hosts of a service that are not gone.
+    pub fn members(&self, service: &str) -> impl Iterator<Item = &Host> {
+        self.of(service).map(|kept| &kept.host).filter(|host| host.phase() != Phase::Gone)
+    }
+
+    /// Who is primary of a service: of several that say so, the one that began to say so last.
+    pub fn primary(&self, service: &str) -> Option<&Host> {
+        let leads = |kept: &&Kept| kept.host.phase() != Phase::Gone && kept.host.role() == DbRole::Primary;
+        self.of(service).filter(leads).max_by_key(|kept| kept.changed_at).map(|kept| &kept.host)
+    }
+
+    /// A sum over all hosts by which two machines see whether they know the same, whatever the order.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-headworks/src/control.rs
@@ -0,0 +1,461 @@
+//! A control machine: the parts of the plane put together. One function takes every event; each kind of connection
+//! has a file of its own.
+
+mod calls;
+mod feed;
+mod hosts;
+mod memory;
+mod mesh;
+mod seats;
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use arrowyard_conduit::{Host, Known, Word, number, said};
+use arrowyard_gauge::Settings;
+use arrowyard_penstock::{Conn, Door, Event, Orders, Plane, Sign};
+use arrowyard_types::{Point, Span};
+use fastrand::Rng;
+use rustc_hash::FxHashMap;
+
+use crate::promotion::{Ask, Promotions, Sight};
+use crate::{Cell, Duties, Ledger, Out, Ticket, View};
+
+use calls::Caller;
+use feed::Router;
+use hosts::Link;
+use mesh::{Peer, Platform};
+
+/// The doors of a control machine: the calls of hosts and operators, and the system's own processes.
+pub const DOORS: [Door; 2] = [Door(0), Door(1)];
+
+/// What is done at regular times is done this often.
+const TICK: Span = Span::from_millis(250);
+/// Hosts that are gone are looked through every so many ticks.
+const SWEEP: u64 = 40;
+/// The settings file is read again so often, since it may change without a signal.
+const REREAD: Span = Span::from_millis(2000);
+/// How long a process that is told to end goes on with what it has begun.
+const LAST: Span = Span::from_millis(800);
+
+/// Reads the settings file anew.
+pub type Reread = Box<dyn FnMut() -> Option<Settings>>;
+
+/// What stands at the other end of a connection.
+enum Line {
+    Caller(Caller),
+    /// One of the system's own that has not said who it is.
+    Stranger(arrowyard_conduit::Frames),
+    Peer(u32, arrowyard_conduit::Frames),
+    Router(Router),
+    /// A router that came before this machine heard of the voters.
+    Early(arrowyard_conduit::Hello, arrowyard_conduit::Frames, Point),
+    Link(String),
+    Platform(Platform),
+}
+
+/// One control machine.
+pub struct Control {
+    settings: Settings,
+    reread: Reread,
+    me: u32,
+    life: u64,
+    rng: Rng,
+    ledger: Ledger,
+    /// Records are kept in memory only where there is no disk.
+    disk: bool,
+    cell: Cell,
+    /// Of the hosts as they were last put on disk.
+    kept_digest: u64,
+    silent: BTreeMap<String, Point>,
+    left: Vec<(Point, Host)>,
+    view: View,
+    duty: Duties,
+    promotions: Promotions,
+    /// Under which fence the duty is carried out, since this machine took it up.
+    fence: Option<u64>,
+    lines: FxHashMap<Conn, Line>,
+    peers: BTreeMap<u32, Peer>,
+    links: BTreeMap<String, Link>,
+    /// Calls of the operator that wait for the ledger.
+    pending: FxHashMap<Ticket, calls::Pending>,
+    silent_here: Vec<arrowyard_conduit::Silent>,
+    platform_calls: Vec<(Conn, Point)>,
+    routers: u32,
+    fewer_since: Option<Point>,
+    /// When who votes may be changed next.
+    seat_at: Point,
+    told: Vec<Known>,
+    tick_at: Point,
+    reread_at: Point,
+    ticks: u64,
+    in_touch: bool,
+    ending: Option<Point>,
+    ready: Vec<Out>,
+}
+
+impl Control {
+    /// A control machine with what its disk holds.
+    ///
+    /// # Errors
+    /// When the disk's records cannot be read.
+    pub fn open(
+        settings: Settings,
+        life: u64,
+        records: &[Vec<u8>],
+        disk: bool,
+        reread: Reread,
+    ) -> Result<Self, String> {
+        let me = number(settings.ip);
+        let seeds: Vec<u32> = settings.seeds.iter().map(|seed| number(*seed.ip())).collect();
+        let founders = (settings.bootstrap && !seeds.is_empty()).then_some(seeds.as_slice());
+        let mut ready = Vec::new();
+        let ledger = Ledger::open(me, life, records, founders, &mut ready)?;
+        log::info!(
+            "ledger: {} entries, {} voters, {}.",
+            ledger.chosen(),
+            ledger.voters().len(),
+            if ledger.votes() { "votes" } else { "does not vote" }
+        );
+        let mut view = View::default();
+        seeds.iter().filter(|&&seed| seed != me).for_each(|&seed| view.seed(seed));
+        let duty = Duties::new("promote", me, life, &settings.node, Point::from_micros(0));
+        let memory = memory::read(records);
+        let mut cell = Cell::default();
+        let mut routers = 0;
+        if let Some(memory) = memory {
+            // What it knew before; whoever calls now knows better.
+            memory
+                .hosts
+                .into_iter()
+                .for_each(|host| cell.remember(Point::from_micros(0), host, &settings.zone));
+            routers = memory.routers;
+        }
+        Ok(Control {
+            me,
+            life,
+            rng: Rng::with_seed(life),
+            ledger,
+            disk,
+            kept_digest: cell.digest(),
+            cell,
+            silent: BTreeMap::new(),
+            left: Vec::new(),
+            view,
+            duty,
+            promotions: Promotions::default(),
+            fence: None,
+            lines: FxHashMap::default(),
+            peers: BTreeMap::new(),
+            links: BTreeMap::new(),
+            pending: FxHashMap::default(),
+            silent_here: Vec::new(),
+            platform_calls: Vec::new(),
+            routers,
+            fewer_since: None,
+            seat_at: Point::DAWN,
+            told: Vec::new(),
+            tick_at: Point::DAWN,
+            reread_at: Point::DAWN,
+            ticks: 0,
+            in_touch: false,
+            ending: None,
+            ready,
+            settings,
+            reread,
+        })
+    }
+
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Carries out what the ledger wants.
+    fn carry(&mut self, now: Point, out: Vec<Out>, orders: &mut Orders) {
+        let mut queue = std::collections::VecDeque::from(out);
+        while let Some(one) = queue.pop_front() {
+            match one {
+                Out::Send { to: 0, word } => self.say_to_peers(&word, orders),
+                Out::Send { to, word } => self.say_to_peer(to, &word, orders),
+                Out::Store { ticket, record } if self.disk => orders.store(ticket, record),
+                Out::Store { ticket, .. } => {
+                    let mut more = Vec::new();
+                    self.ledger.stored(now, ticket, true, &mut more);
+                    queue.extend(more);
+                }
+                Out::Chosen { slot } => self.tell_chosen(now, slot, orders),
+                Out::Answered { wish, answer } => self.answered(now, wish, answer, orders),
+            }
+        }
+    }
+
+    /// Hands something to the ledger and carries out what it wants.
+    fn with_ledger<T>(
+        &mut self,
+        now: Point,
+        orders: &mut Orders,
+        act: impl FnOnce(&mut Ledger, &mut Vec<Out>) -> T,
+    ) -> T {
+        let mut out = Vec::new();
+        let result = act(&mut self.ledger, &mut out);
+        self.carry(now, out, orders);
+        result
+    }
+
+    fn tick(&mut self, now: Point, orders: &mut Orders) {
+        self.tick_at = now + TICK;
+        self.ticks += 1;
+        if now >= self.reread_at {
+            self.reread(now);
+        }
+        self.meet(now, orders);
+        self.keep_touch(now, orders);
+        if self.ticks.is_multiple_of(SWEEP) {
+            self.cell.sweep(now);
+        }
+        self.left.retain(|(at, _)| now - *at < Span::from_millis(30_000));
+        self.drop_idle(now, orders);
+        self.count_routers(now, orders);
+        self.remember(now, orders);
+        self.tell_view(orders);
+        let mut rng = self.rng.clone();
+        if let Some(entry) = self.duty.turn(now, self.ledger.applied(), &mut rng) {
+            self.with_ledger(now, orders, |ledger, out| ledger.enter(now, entry, now + TICK * 4.0, out));
+        }
+        self.rng = rng;
+        self.take_up(now, orders);
+        self.fill_seats(now, orders);
+    }
+
+    /// Takes the duty up, or lays it down, as the ledger says.
+    fn take_up(&mut self, now: Point, orders: &mut Orders) {
+        let fence = self.duty.held(self.ledger.applied());
+        if fence == self.fence {
+            return;
+        }
+        let after_another = fence.is_some() && self.ledger.applied().fence("promote") > 0 && self.ticks > 8;
+        self.fence = fence;
+        self.promotions = Promotions::default();
+        match fence {
+            Some(fence) => log::info!("duty: Holds promote, fence {fence}."),
+            None => log::info!("duty: Holds promote no more."),
+        }
+        if after_another {
+            // Whoever held it before may have left replicas paused.
+            let replicas: Vec<String> = self.cell.all().map(|host| host.id.clone()).collect();
+            self.ask_hosts(now, replicas.into_iter().map(|host| Ask::Continue { host }).collect(), orders);
+        }
+    }
+
+    /// Looks at every service whose primary may have to change.
+    fn look(&mut self, now: Point, orders: &mut Orders) {
+        if self.fence.is_none() {
+            return;
+        }
+        let mut asks = Vec::new();
+        let services: Vec<String> =
+            self.ledger.applied().configuration.services().map(|service| service.name.clone()).collect();
+        let sight = Sight { cell: &self.cell, silent: &self.silent, left: &self.left };
+        for service in &services {
+            let promotion = self.promotions.of(service);
+            if let Some(primary) = sight.cell.primary(service)
+                && sight.silent.contains_key(&primary.id)
+            {
+                promotion.suspect(now, &primary.id, &sight, &mut asks);
+            }
+            promotion.look(now, &sight, &mut asks);
+        }
+        self.ask_hosts(now, asks, orders);
+    }
+
+    /// A host's word changed: the others hear of it, and the routers.
+    fn news_of(&mut self, now: Point, host: Host, orders: &mut Orders) {
+        if host.phase() == arrowyard_conduit::Phase::Gone {
+            self.left.push((now, host.clone()));
+        }
+        self.tell_hosts(vec![host], orders);
+        self.look(now, orders);
+    }
+
+    fn reread(&mut self, now: Point) {
+        self.reread_at = now + REREAD;
+        if let Some(settings) = (self.reread)() {
+            settings.seeds.iter().map(|seed| number(*seed.ip())).filter(|&seed| seed != self.me).for_each(
+                |seed| {
+                    self.view.seed(seed);
+                },
+            );
+            self.settings = settings;
+        }
+    }
+
+    /// Where another control machine takes the calls of hosts and operators: ports are alike on all machines.
+    fn control_of(&self, ip: u32) -> Option<SocketAddrV4> {
+        let port = self.settings.bind_addrs.get("control")?.port();
+        Some(SocketAddrV4::new(Ipv4Addr::from(ip), port))
+    }
+
+    fn end(&mut self, now: Point, orders: &mut Orders) {
+        let until = *self.ending.get_or_insert(now + LAST);
+        if self.pending.is_empty() || now >= until {
+            orders.stop();
+        }
+    }
+}
+
+impl Plane for Control {
+    fn handle(&mut self, now: Point, event: Event<'_>, orders: &mut Orders) {
+        match event {
+            Event::Start => {
+                let ready = std::mem::take(&mut self.ready);
+                self.carry(now, ready, orders);
+            }
+            Event::Accepted { conn, door } if door == DOORS[0] => {
+                drop(self.lines.insert(conn, Line::Caller(Caller::default())));
+            }
+            Event::Accepted { conn, .. } => {
+                drop(self.lines.insert(conn, Line::Stranger(arrowyard_conduit::Frames::default())));
+            }
+            Event::Opened { conn } => self.opened(now, conn, orders),
+            Event::Came { conn, bytes } => self.came(now, conn, bytes, orders),
+            Event::Closed { conn, .. } => self.closed(now, conn, orders),
+            Event::Stored { ticket, kept } => {
+                self.with_ledger(now, orders, |ledger, out| ledger.stored(now, ticket, kept, out));
+            }
+            Event::Sign(Sign::Terminate) => self.end(now, orders),
+            Event::Sign(Sign::Reread) => self.reread(now),
+            Event::Woke => {}
+        }
+        if self.ledger.due().is_some_and(|at| at <= now) {
+            self.with_ledger(now, orders, |ledger, out| ledger.woke(now, out));
+        }
+        if self.tick_at <= now {
+            self.tick(now, orders);
+            self.look(now, orders);
+        }
+        if self.links_due().is_some_and(|at| at <= now) {
+            self.drop_idle(now, orders);
+        }
+        if self.promotions.due().is_some_and(|at| at <= now) {
+            self.look(now, orders);
+        }
+        if self.ending.is_some() {
+            self.end(now, orders);
+        }
+    }
+
+    fn due(&self) -> Option<Point> {
+        let parts =
+            [Some(self.tick_at), self.ledger.due(), self.promotions.due(), self.links_due(), self.ending];
+        parts.into_iter().flatten().min()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.ledger.snapshot(Some(self.memory()))
+    }
+}
+
+impl Control {
+    fn opened(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
+        match self.lines.get(&conn) {
+            Some(Line::Peer(ip, _)) => self.greet(now, conn, *ip, orders),
+            Some(Line::Link(host)) => self.link_opened(host.clone(), orders),
+            Some(Line::Platform(platform)) => {
+                orders.write(conn, &[platform.call.as_bytes()]);
+            }
+            _ => {}
+        }
+    }
+
+    fn came(&mut self, now: Point, conn: Conn, bytes: &[u8], orders: &mut Orders) {
+        match self.lines.get_mut(&conn) {
+            Some(Line::Caller(caller)) => {
+                caller.messages.put(bytes);
+                self.calls(now, conn, orders);
+            }
+            Some(Line::Stranger(frames)) => {
+                frames.put(bytes);
+                self.strange(now, conn, orders);
+            }
+            Some(Line::Peer(ip, _)) => {
+                let ip = *ip;
+                self.peer_came(now, conn, ip, bytes, orders);
+            }
+            Some(Line::Early(_, frames, _)) => frames.put(bytes),
+            Some(Line::Router(router)) => {
+                router.frames.put(bytes);
+                self.router_came(now, conn, orders);
+            }
+            Some(Line::Link(host)) => {
+                let host = host.clone();
+                self.link_came(now, host, bytes, orders);
+            }
+            Some(Line::Platform(platform)) => {
+                platform.messages.put(bytes);
+                self.platform_came(now, conn, orders);
+            }
+            None => {}
+        }
+    }
+
+    fn closed(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
+        match self.lines.remove(&conn) {
+            Some(Line::Peer(ip, _)) => self.peer_closed(conn, ip),
+            Some(Line::Link(host)) => self.link_closed(now, host, conn, orders),
+            Some(Line::Platform(platform)) => self.platform_closed(now, &platform, orders),
+            _ => {}
+        }
+    }
+
+    /// What an operator may want to know, as JSON.
+    fn status(&self, now: Point) -> String {
+        let applied = self.ledger.applied();
+        let text = |text: &str| sonic_rs::to_string(text).unwrap_or_default();
+        let ip = |ip: u32| text(&Ipv4Addr::from(ip).to_string());
+        let list = |items: Vec<String>| format!("[{}]", items.join(","));
+        let hosts = self.cell.all().map(|host| {
+            format!(
+                "{{\"id\":{},\"service\":{},\"zone\":{},\"phase\":{},\"db-role\":{},\"silent\":{}}}",
+                text(&host.id),
+                text(&host.service),
+                text(&host.zone),
+                text(host.phase().word()),
+                text(host.role().word()),
+                self.silent.contains_key(&host.id)
+            )
+        });
+        let routers = self.routers_fed().map(|(_, router)| {
+            format!("{{\"node\":{},\"revision\":{}}}", text(&router.node), router.seen.revision)
+        });
+        let duties = applied.duties.values().map(|duty| {
+            format!(
+                "{{\"duty\":{},\"node\":{},\"fence\":{}}}",
+                text(&duty.duty),
+                text(&duty.node),
+                duty.fence
+            )
+        });
+        let stages = self.promotions.by_service.iter().map(|(service, promotion)| {
+            format!("{{\"service\":{},\"stage\":{}}}", text(service), text(&promotion.stage.to_string()))
+        });
+        format!(
+            "{{\"node\":{},\"revision\":{},\"slot\":{},\"votes\":{},\"voters\":{},\"controls\":{},\"routers-all\":{},\
+             \"routers\":{},\"hosts\":{},\"duties\":{},\"promotions\":{}}}",
+            text(&self.settings.node),
+            applied.configuration.revision,
+            applied.slot,
+            self.ledger.votes(),
+            list(self.ledger.voters().iter().map(|voter| ip(*voter)).collect()),
+            list(self.live_peers(now).map(|(peer, _)| ip(*peer)).collect()),
+            self.routers,
+            list(routers.collect()),
+            list(hosts.collect()),
+            list(duties.collect()),
+            list(stages.collect()),
+        )
+    }
+
+    fn say(&self, conn: Conn, word: Word, orders: &mut Orders) {
+        orders.write(conn, &[&said(word)]);
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-headworks/src/control/feed.rs
@@ -0,0 +1,181 @@
+//! What routers are told: all of it once, then numbered changes. A router says which number it has.
+
+use arrowyard_conduit::{Change, Frames, Hello, Host, Known, Matter, Seen, Step, Whole, Word};
+use arrowyard_penstock::{Conn, Orders};
+use arrowyard_types::{Point, Span};
+
+use super::{Control, Line};
+
+/// Fewer routers are believed after so long: one that only starts again still holds its share of the connections.
+const FEWER: Span = Span::from_millis(5000);
+
+/// A router that says nothing for so long is gone; it says what it has every two seconds.
+const SILENT: Span = Span::from_millis(6500);
+/// So many routers are taken to be there at a first start.
+const GUESS: u32 = 12;
+
+/// A router's connection.
+pub struct Router {
+    pub frames: Frames,
+    pub node: String,
+    number: u64,
+    pub seen: Seen,
+    heard_at: Point,
+}
+
+impl Control {
+    pub(super) fn admit_router(
+        &mut self,
+        now: Point,
+        conn: Conn,
+        hello: &Hello,
+        frames: Frames,
+        orders: &mut Orders,
+    ) {
+        log::info!("feed: {} is fed.", hello.node);
+        let router =
+            Router { frames, node: hello.node.clone(), number: 0, seen: Seen::default(), heard_at: now };
+        self.lines.insert(conn, Line::Router(router));
+        self.tell_whole(conn, orders);
+    }
+
+    fn tell_whole(&mut self, conn: Conn, orders: &mut Orders) {
+        let applied = self.ledger.applied();
+        let configuration =
+            if applied.begun { applied.configuration.body().into_bytes() } else { Vec::new() };
+        let mut whole = Whole {
+            number: 0,
+            slot: applied.slot,
+            configuration,
+            hosts: self.cell.all().cloned().collect(),
+            routers: self.routers,
+            view: self.controls(),
+        };
+        if let Some(Line::Router(router)) = self.lines.get_mut(&conn) {
+            router.number += 1;
+            whole.number = router.number;
+            self.say(conn, Word::Whole(whole), orders);
+        }
+    }
+
+    pub(super) fn router_came(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
+        loop {
+            let Some(Line::Router(router)) = self.lines.get_mut(&conn) else { return };
+            match router.frames.take() {
+                Ok(None) => return,
+                Err(broken) => {
+                    log::warn!("feed: {}: {broken}.", router.node);
+                    orders.drop(conn);
+                    drop(self.lines.remove(&conn));
+                    return;
+                }
+                Ok(Some(frame)) => match frame.word {
+                    Some(Word::Seen(seen)) => {
+                        router.heard_at = now;
+                        router.seen = seen;
+                        if seen.lost {
+                            self.tell_whole(conn, orders);
+                        }
+                    }
+                    Some(Word::Suspect(suspect)) => self.suspected(now, suspect, orders),
+                    _ => {}
+                },
+            }
+        }
+    }
+
+    /// Whether a router has said nothing for so long that it is gone.
+    pub(super) fn router_silent(&self, now: Point, conn: Conn) -> bool {
+        matches!(self.lines.get(&conn), Some(Line::Router(router)) if now - router.heard_at >= SILENT)
+    }
+
+    /// Every router gets the change under its own next number.
+    fn tell_routers(&mut self, change: &Change, orders: &mut Orders) {
+        let mut fed = Vec::new();
+        for (conn, line) in &mut self.lines {
+            if let Line::Router(router) = line {
+                router.number += 1;
+                fed.push((*conn, router.number));
+            }
+        }
+        fed.sort_unstable();
+        for (conn, number) in fed {
+            self.say(conn, Word::Change(Change { number, ..change.clone() }), orders);
+        }
+    }
+
+    /// A slot is known: what it changes of the configuration goes out.
+    pub(super) fn tell_chosen(&mut self, now: Point, slot: u64, orders: &mut Orders) {
+        let entry = self.ledger.entry(slot);
+        match entry.map(|entry| entry.matter.clone()) {
+            Some(Some(Matter::Configuration(revised))) => {
+                let change = Change { revised: vec![Step { slot, revised }], ..Change::default() };
+                self.tell_routers(&change, orders);
+            }
+            Some(_) => {}
+            None => {
+                // It came as a snapshot: routers need all of it.
+                let fed: Vec<Conn> = self.routers_fed().map(|(conn, _)| conn).collect();
+                fed.into_iter().for_each(|conn| self.tell_whole(conn, orders));
+            }
+        }
+        self.take_up(now, orders);
+    }
+
+    pub(super) fn routers_fed(&self) -> impl Iterator<Item = (Conn, &Router)> {
+        self.lines.iter().filter_map(|(conn, line)| match line {
+            Line::Router(router) => Some((*conn, router)),
+            _ => None,
+        })
+    }
+
+    /// News of hosts, to the other control machines and to the routers.
+    pub(super) fn tell_hosts(&mut self, hosts: Vec<Host>, orders: &mut Orders) {
+        let cell = arrowyard_conduit::Cell { hosts: hosts.clone(), whole: false };
+        self.say_to_peers(&Word::Cell(cell), orders);
+        self.tell_routers(&Change { hosts, ..Change::default() }, orders);
+    }
+
+    /// News of hosts that came from another control machine.
+    pub(super) fn pass_on(&mut self, hosts: Vec<Host>, orders: &mut Orders) {
+        self.tell_routers(&Change { hosts, ..Change::default() }, orders);
+    }
+
+    pub(super) fn count_routers(&mut self, now: Point, orders: &mut Orders) {
+        let here = self.routers_fed().count() as u32;
+        let elsewhere: u32 = self.live_peers(now).map(|(_, peer)| peer.routers).sum();
+        let routers = here + elsewhere;
+        // A start counts its routers one by one: until it has them, it goes by what it knew, or by a careful guess.
+        if self.routers == 0 && routers > 0 {
+            self.routers = GUESS.max(routers);
+        }
+        if routers < self.routers {
+            let since = *self.fewer_since.get_or_insert(now);
+            if now - since < FEWER {
+                return;
+            }
+        }
+        self.fewer_since = None;
+        if routers != self.routers {
+            self.routers = routers;
+            self.tell_routers(&Change { routers, ..Change::default() }, orders);
+        }
+    }
+
+    /// Control machines that are up, for routers to turn to.
+    fn controls(&self) -> Vec<Known> {
+        let me = Known { ip: self.me, zone: self.settings.zone.clone(), age: 0 };
+        let up = self.peers.iter().filter(|(_, peer)| peer.is_open());
+        let others =
+            up.map(|(ip, _)| Known { ip: *ip, zone: self.view.zone(*ip).unwrap_or_default().into(), age: 0 });
+        std::iter::once(me).chain(others).collect()
+    }
+
+    pub(super) fn tell_view(&mut self, orders: &mut Orders) {
+        let view = self.controls();
+        if view != self.told {
+            self.told.clone_from(&view);
+            self.tell_routers(&Change { view, ..Change::default() }, orders);
+        }
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-headworks/src/control/hosts.rs
@@ -0,0 +1,208 @@
+//! What the holder of the duty asks of hosts: one question at a time on a connection of its own.
+
+use std::collections::VecDeque;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use arrowyard_flume::{Answer, Code, Lines, Observed};
+use arrowyard_penstock::{Conn, Orders};
+use arrowyard_types::{Point, Span};
+
+use super::{Control, Line};
+use crate::promotion::{Ask, Reply, Sight, is_repeated};
+
+/// A host that does not answer a question in so long is silent.
+const ANSWER: Span = Span::from_millis(400);
+/// A connection without a question is closed after so long.
+const IDLE: Span = Span::from_millis(2000);
+
+/// A connection to a host.
+pub struct Link {
+    conn: Option<Conn>,
+    service: String,
+    lines: Lines,
+    open: bool,
+    asked: Option<(Ask, Point)>,
+    queue: VecDeque<Ask>,
+    row: Option<Observed>,
+    fault: Option<Code>,
+    used_at: Point,
+}
+
+fn host_of(ask: &Ask) -> &str {
+    match ask {
+        Ask::Observe { host }
+        | Ask::Pause { host, .. }
+        | Ask::Continue { host }
+        | Ask::Promote { host, .. } => host,
+    }
+}
+
+impl Control {
+    pub(super) fn ask_hosts(&mut self, now: Point, asks: Vec<Ask>, orders: &mut Orders) {
+        for ask in asks {
+            if let Ask::Promote { service, host } = &ask {
+                self.ask_platform(now, service, host, orders);
+                continue;
+            }
+            let id = host_of(&ask).to_string();
+            let Some(host) = self.cell.get(&id) else { continue };
+            let service = host.service.clone();
+            let link = self.links.entry(id.clone()).or_insert_with(|| Link {
+                conn: None,
+                service,
+                lines: Lines::default(),
+                open: false,
+                asked: None,
+                queue: VecDeque::new(),
+                row: None,
+                fault: None,
+                used_at: now,
+            });
+            let waiting = link.asked.iter().map(|(asked, _)| asked).chain(&link.queue);
+            if is_repeated(waiting, &ask) {
+                continue;
+            }
+            link.queue.push_back(ask);
+            self.ask_next(now, &id, orders);
+        }
+    }
+
+    fn ask_next(&mut self, now: Point, id: &str, orders: &mut Orders) {
+        let Some(link) = self.links.get_mut(id) else { return };
+        if link.asked.is_some() {
+            return;
+        }
+        let Some(ask) = link.queue.pop_front() else { return };
+        link.asked = Some((ask, now + ANSWER));
+        link.used_at = now;
+        (link.row, link.fault) = (None, None);
+        match link.conn {
+            Some(conn) if link.open => question(link, conn, orders),
+            Some(_) => {}
+            None => {
+                let Some(host) = self.cell.get(id) else { return };
+                let conn = orders.dial(SocketAddrV4::new(Ipv4Addr::from(host.ip), host.port as u16));
+                (link.conn, link.open, link.lines) = (Some(conn), false, Lines::default());
+                self.lines.insert(conn, Line::Link(id.to_string()));
+            }
+        }
+    }
+
+    pub(super) fn link_opened(&mut self, id: String, orders: &mut Orders) {
+        if let Some(link) = self.links.get(&id)
+            && let Some(conn) = link.conn
+        {
+            orders.line(conn, &["OPEN ", &link.service, " headworks ", &id]);
+        }
+    }
+
+    pub(super) fn link_came(&mut self, now: Point, id: String, bytes: &[u8], orders: &mut Orders) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.lines.put(bytes);
+        }
+        while let Some(link) = self.links.get_mut(&id) {
+            let Some(conn) = link.conn else { return };
+            let line = match link.lines.take() {
+                Ok(Some(line)) => line,
+                Ok(None) => return,
+                Err(_) => return self.link_fails(now, &id, orders),
+            };
+            match std::str::from_utf8(&line).ok().and_then(Answer::read) {
+                Some(Answer::Row(row)) => link.row = Observed::read(row),
+                Some(Answer::Settled(_)) => {}
+                Some(Answer::Fault { code, .. }) if link.open => link.fault = Some(code),
+                Some(Answer::Idle { .. }) if !link.open => {
+                    link.open = true;
+                    question(link, conn, orders);
+                }
+                Some(Answer::Idle { .. }) => {
+                    let (row, fault) = (link.row.take(), link.fault.take());
+                    let Some((ask, _)) = link.asked.take() else { continue };
+                    let service = link.service.clone();
+                    let host = id.clone();
+                    let reply = match (row, fault) {
+                        (Some(row), _) => ask.to().map(|to| Reply::Row { host, to, row }),
+                        (None, Some(Code::Saturated | Code::Overload)) => Some(Reply::Busy { host }),
+                        (None, Some(_)) => Some(Reply::Silent { host }),
+                        (None, None) => None,
+                    };
+                    log::debug!("hosts: {ask:?}: {reply:?}.");
+                    reply.into_iter().for_each(|reply| self.replied(now, &service, reply, orders));
+                    self.ask_next(now, &id, orders);
+                }
+                // A host that has no room lives.
+                Some(Answer::Fault { code: Code::Overload | Code::Saturated, .. }) => {
+                    let service = link.service.clone();
+                    self.drop_link(&id, orders);
+                    return self.replied(now, &service, Reply::Busy { host: id }, orders);
+                }
+                _ => return self.link_fails(now, &id, orders),
+            }
+        }
+    }
+
+    fn drop_link(&mut self, id: &str, orders: &mut Orders) {
+        if let Some(conn) = self.links.remove(id).and_then(|link| link.conn) {
+            orders.drop(conn);
+            self.lines.remove(&conn);
+        }
+    }
+
+    fn link_fails(&mut self, now: Point, id: &str, orders: &mut Orders) {
+        let Some(link) = self.links.get(id) else { return };
+        let (service, asked) = (link.service.clone(), link.asked.is_some());
+        self.drop_link(id, orders);
+        if asked {
+            self.replied(now, &service, Reply::Silent { host: id.to_string() }, orders);
+        }
+    }
+
+    pub(super) fn link_closed(&mut self, now: Point, id: String, conn: Conn, orders: &mut Orders) {
+        if self.links.get(&id).is_some_and(|link| link.conn == Some(conn)) {
+            self.link_fails(now, &id, orders);
+        }
+    }
+
+    /// A service's change of primary takes an answer.
+    pub(super) fn replied(&mut self, now: Point, service: &str, reply: Reply, orders: &mut Orders) {
+        if self.fence.is_none() {
+            return;
+        }
+        let mut asks = Vec::new();
+        let sight = Sight { cell: &self.cell, silent: &self.silent, left: &self.left };
+        self.promotions.of(service).take(now, reply, &sight, &mut asks);
+        self.ask_hosts(now, asks, orders);
+    }
+
+    /// Questions without an answer, and connections without a question.
+    pub(super) fn drop_idle(&mut self, now: Point, orders: &mut Orders) {
+        let late = |link: &Link| link.asked.as_ref().is_some_and(|(_, until)| *until <= now);
+        let silent: Vec<String> =
+            self.links.iter().filter(|(_, link)| late(link)).map(|(id, _)| id.clone()).collect();
+        silent.iter().for_each(|id| self.link_fails(now, id, orders));
+        let rests = |link: &Link| link.asked.is_none() && now - link.used_at >= IDLE;
+        let idle: Vec<String> =
+            self.links.iter().filter(|(_, link)| rests(link)).map(|(id, _)| id.clone()).collect();
+        for id in idle {
+            if let Some(conn) = self.links.remove(&id).and_then(|link| link.conn) {
+                orders.line(conn, &["CLOSE"]);
+                orders.close(conn);
+                self.lines.remove(&conn);
+            }
+        }
+        self.drop_late_calls(now, orders);
+    }
+
+    pub(super) fn links_due(&self) -> Option<Point> {
+        self.links.values().filter_map(|link| link.asked.as_ref().map(|(_, until)| *until)).min()
+    }
+}
+
+fn question(link: &Link, conn: Conn, orders: &mut Orders) {
+    match &link.asked {
+        Some((Ask::Observe { .. }, _)) => orders.line(conn, &["QUERY - OBSERVE"]),
+        Some((Ask::Pause { term, .. }, _)) => orders.line(conn, &["QUERY - PAUSE ", &term.to_string()]),
+        Some((Ask::Continue { .. }, _)) => orders.line(conn, &["QUERY - CONTINUE"]),
+        Some((Ask::Promote { .. }, _)) | None => {}
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-headworks/src/control/mesh.rs
@@ -0,0 +1,462 @@
+//! Control machines among themselves, and the platform.
+
+use std::net::Ipv4Addr;
+
+use arrowyard_conduit::{Beat, Cell, Frames, Hello, Suspect, Word, said};
+use arrowyard_penstock::http::{Messages, call};
+use arrowyard_penstock::{Conn, Orders};
+use arrowyard_types::{Point, Span};
+
+use super::{Control, Line};
+use crate::promotion::{Reply, Sight};
+
+/// A control machine that says nothing for so long is away.
+const AWAY: Span = Span::from_millis(1500);
+/// A dial without an answer is given up after so long, and tried again at the earliest after so long.
+const DIAL: Span = Span::from_millis(1000);
+/// Beats are so many ticks apart, and every so many of them tell of other machines.
+const BEAT: u64 = 2;
+const SHUFFLE: u64 = 8;
+/// A router that came too early is sent away after so long.
+const EARLY: Span = Span::from_millis(600);
+/// Routers hear that it is here every so many ticks.
+const HEARTBEAT: u64 = 2;
+/// A platform that does not answer in so long is asked anew.
+pub const PLATFORM: Span = Span::from_millis(1200);
+
+/// Another control machine.
+#[derive(Default)]
+pub struct Peer {
+    /// Open connections, the newest last. Danger: two machines that dial each other at once have two; each hears the
+    /// other on both, and speaks on the newest that it has.
+    conns: Vec<Conn>,
+    /// A dial of ours that has not come through.
+    dialled: Option<(Conn, Point)>,
+    life: u64,
+    pub routers: u32,
+    /// Whether it said that its vote counts.
+    pub votes: bool,
+    /// Since when it is heard of without a break, and when it was last.
+    since: Point,
+    heard_at: Point,
+    tried_at: Point,
+    differs: u32,
+}
+
+impl Peer {
+    /// It said something.
+    fn hear(&mut self, now: Point) {
+        if now - self.heard_at >= AWAY || self.since == Point::default() {
+            self.since = now;
+        }
+        self.heard_at = now;
+    }
+
+    /// For how long it has been heard of, or not.
+    pub fn heard_for(&self, now: Point) -> Result<Span, Span> {
+        let silence = now - self.heard_at;
+        if self.is_open() && silence < AWAY { Ok(now - self.since) } else { Err(silence) }
+    }
+
+    pub fn is_open(&self) -> bool {
+        !self.conns.is_empty()
+    }
+}
+
+/// A call to the platform.
+pub struct Platform {
+    pub messages: Messages,
+    pub call: String,
+    pub service: String,
+}
+
+impl Control {
+    fn hello(&mut self) -> Word {
+        Word::Hello(Hello {
+            node: self.settings.node.clone(),
+            ip: self.me,
+            zone: self.settings.zone.clone(),
+            life: self.life,
+            control: true,
+            view: self.view.part(&mut self.rng),
+        })
+    }
+
+    /// Keeps a connection to every control machine that is known, and tells them that it is here.
+    pub(super) fn meet(&mut self, now: Point, orders: &mut Orders) {
+        let known: Vec<u32> =
+            self.view.all().map(|known| known.ip).chain(self.ledger.voters().to_vec()).collect();
+        // A machine that is gone for good is dialled till it has fallen out of the view.
+        self.peers.retain(|ip, peer| peer.is_open() || peer.dialled.is_some() || known.contains(ip));
+        for ip in known.into_iter().filter(|ip| *ip != self.me) {
+            self.peers.entry(ip).or_default();
+        }
+        let mut dial = Vec::new();
+        for (ip, peer) in &mut self.peers {
+            if let Some((conn, at)) = peer.dialled
+                && now - at >= DIAL
+            {
+                orders.drop(conn);
+                self.lines.remove(&conn);
+                peer.dialled = None;
+            }
+            if now - peer.heard_at >= AWAY * 2.0 {
+                for conn in peer.conns.drain(..) {
+                    orders.drop(conn);
+                    self.lines.remove(&conn);
+                }
+            }
+            if !peer.is_open() && peer.dialled.is_none() && now - peer.tried_at >= DIAL * 0.5 {
+                peer.tried_at = now;
+                dial.push(*ip);
+            }
+        }
+        for ip in dial {
+            let conn = orders.dial(self.settings.internal(Ipv4Addr::from(ip)));
+            self.lines.insert(conn, Line::Peer(ip, Frames::default()));
+            self.peers.entry(ip).or_default().dialled = Some((conn, now));
+        }
+        if self.ticks.is_multiple_of(BEAT) {
+            self.beat_peers(now, orders);
+        }
+        if self.ticks.is_multiple_of(BEAT) {
+            self.hush(now);
+        }
+    }
+
+    fn beat_peers(&mut self, _now: Point, orders: &mut Orders) {
+        self.view.age();
+        let view =
+            if self.ticks.is_multiple_of(SHUFFLE) { self.view.part(&mut self.rng) } else { Vec::new() };
+        let beat = Beat {
+            chosen: self.ledger.chosen(),
+            view,
+            routers: self.routers_fed().count() as u32,
+            digest: self.cell.digest(),
+            votes: self.ledger.votes(),
+            silent: self.silent_here.clone(),
+        };
+        self.say_to_peers(&Word::Beat(beat), orders);
+    }
+
+    /// Hosts that called here and do so no more.
+    fn hush(&mut self, now: Point) {
+        let late = Span::from_millis((self.settings.beat_period_ms as f64 * 2.5) as i64);
+        let quiet = |id: &str| self.cell.called_at(id).is_some_and(|at| now - at >= late);
+        let live = self.cell.all().filter(|host| host.phase() != arrowyard_conduit::Phase::Gone);
+        let ids: Vec<String> = live.filter(|host| quiet(&host.id)).map(|host| host.id.clone()).collect();
+        for id in &ids {
+            let since = self.cell.called_at(id).unwrap_or(now);
+            self.silent.entry(id.clone()).or_insert(since);
+        }
+        self.silent_here = ids
+            .into_iter()
+            .map(|id| {
+                let since = self.cell.called_at(&id).unwrap_or(now);
+                arrowyard_conduit::Silent { id, ms: ((now - since).micros() / 1000) as u64 }
+            })
+            .collect();
+    }
+
+    pub(super) fn live_peers(&self, now: Point) -> impl Iterator<Item = (&u32, &Peer)> {
+        self.peers.iter().filter(move |(_, peer)| peer.is_open() && now - peer.heard_at < AWAY)
+    }
+
+    /// Whether it hears of more than half of the voters, itself among them if it is one. Danger: a machine that is cut
+    /// off takes calls and feeds routers as before, and nothing that it says is news to anyone.
+    pub(super) fn is_in_touch(&self, now: Point) -> bool {
+        let voters = self.ledger.voters();
+        let live = voters
+            .iter()
+            .filter(|&&voter| voter == self.me || self.live_peers(now).any(|(ip, _)| *ip == voter));
+        live.count() * 2 > voters.len()
+    }
+
+    /// Lets routers go to another control machine while this one is cut off.
+    pub(super) fn keep_touch(&mut self, now: Point, orders: &mut Orders) {
+        let in_touch = self.is_in_touch(now);
+        if in_touch != self.in_touch {
+            self.in_touch = in_touch;
+            log::info!(
+                "mesh: {}.",
+                if in_touch { "In touch with the voters" } else { "Cut off from the voters" }
+            );
+        }
+        self.admit_early(now, in_touch, orders);
+        let fed: Vec<Conn> = self.routers_fed().map(|(conn, _)| conn).collect();
+        for conn in fed {
+            let silent = self.router_silent(now, conn);
+            if !in_touch || silent {
+                orders.drop(conn);
+                self.lines.remove(&conn);
+            } else if self.ticks.is_multiple_of(HEARTBEAT) {
+                self.say(conn, Word::Beat(Beat::default()), orders);
+            }
+        }
+    }
+
+    /// Routers that came while the voters were not heard of yet are fed, or sent away.
+    fn admit_early(&mut self, now: Point, in_touch: bool, orders: &mut Orders) {
+        let early = |(conn, line): (&Conn, &Line)| match line {
+            Line::Early(_, _, since) if in_touch || now - *since >= EARLY => Some(*conn),
+            _ => None,
+        };
+        let mut waiting: Vec<Conn> = self.lines.iter().filter_map(early).collect();
+        waiting.sort_unstable();
+        for conn in waiting {
+            match self.lines.remove(&conn) {
+                Some(Line::Early(hello, frames, _)) if in_touch => {
+                    self.admit_router(now, conn, &hello, frames, orders);
+                    self.router_came(now, conn, orders);
+                }
+                _ => orders.close(conn),
+            }
+        }
+    }
+
+    /// A control machine that is up in a zone.
+    pub(super) fn peer_in(&self, now: Point, zone: &str) -> Option<u32> {
+        self.live_peers(now).map(|(ip, _)| *ip).find(|ip| self.view.zone(*ip) == Some(zone))
+    }
+
+    pub(super) fn say_to_peers(&mut self, word: &Word, orders: &mut Orders) {
+        let bytes = said(word.clone());
+        for conn in self.peers.values().filter_map(|peer| peer.conns.last().copied()) {
+            orders.write(conn, &[&bytes]);
+        }
+    }
+
+    pub(super) fn say_to_peer(&mut self, ip: u32, word: &Word, orders: &mut Orders) {
+        if let Some(conn) = self.peers.get(&ip).and_then(|peer| peer.conns.last().copied()) {
+            orders.write(conn, &[&said(word.clone())]);
+        }
+    }
+
+    /// A dial of ours came through.
+    pub(super) fn greet(&mut self, now: Point, conn: Conn, ip: u32, orders: &mut Orders) {
+        let hello = self.hello();
+        self.say(conn, hello, orders);
+        let peer = self.peers.entry(ip).or_default();
+        if peer.dialled.is_some_and(|(dialled, _)| dialled == conn) {
+            peer.dialled = None;
+        }
+        peer.hear(now);
+        peer.conns.push(conn);
+        self.with_ledger(now, orders, |ledger, out| ledger.is_ahead(now, ip, 0, out));
+    }
+
+    /// Somebody of the system's own that has not said who it is.
+    pub(super) fn strange(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
+        let Some(Line::Stranger(frames)) = self.lines.get_mut(&conn) else { return };
+        match frames.take() {
+            Ok(None) => {}
+            Ok(Some(frame)) if matches!(&frame.word, Some(Word::Hello(_))) => {
+                let frames = std::mem::take(frames);
+                let Some(Word::Hello(hello)) = frame.word else { return };
+                if !hello.control {
+                    if !self.is_in_touch(now) {
+                        // At a start the others are heard of in a moment.
+                        self.lines.insert(conn, Line::Early(hello, frames, now));
+                        return;
+                    }
+                    self.admit_router(now, conn, &hello, frames, orders);
+                    return self.router_came(now, conn, orders);
+                }
+                let ip = hello.ip;
+                self.lines.insert(conn, Line::Peer(ip, frames));
+                let mine = self.hello();
+                self.say(conn, mine, orders);
+                let peer = self.peers.entry(ip).or_default();
+                peer.hear(now);
+                peer.conns.push(conn);
+                self.know(now, &hello, orders);
+                self.peer_came(now, conn, ip, &[], orders);
+            }
+            _ => {
+                orders.drop(conn);
+                drop(self.lines.remove(&conn));
+            }
+        }
+    }
+
+    fn know(&mut self, now: Point, hello: &Hello, orders: &mut Orders) {
+        self.view.heard(hello.ip, &hello.zone);
+        self.view.merge(&hello.view, self.me);
+        if let Some(peer) = self.peers.get_mut(&hello.ip) {
+            peer.life = hello.life;
+        }
+        let cell = Cell { hosts: self.cell.all().cloned().collect(), whole: true };
+        self.say_to_peer(hello.ip, &Word::Cell(cell), orders);
+        self.with_ledger(now, orders, |ledger, out| ledger.is_ahead(now, hello.ip, 0, out));
+        if !self.in_touch && self.is_in_touch(now) {
+            self.keep_touch(now, orders);
+        }
+    }
+
+    pub(super) fn peer_came(&mut self, now: Point, conn: Conn, ip: u32, bytes: &[u8], orders: &mut Orders) {
+        if let Some(Line::Peer(_, frames)) = self.lines.get_mut(&conn) {
+            frames.put(bytes);
+        }
+        while let Some(Line::Peer(_, frames)) = self.lines.get_mut(&conn) {
+            match frames.take() {
+                Ok(None) => return,
+                Err(broken) => {
+                    log::warn!("mesh: {}: {broken}.", Ipv4Addr::from(ip));
+                    self.peer_closed(conn, ip);
+                    orders.drop(conn);
+                    drop(self.lines.remove(&conn));
+                    return;
+                }
+                Ok(Some(frame)) => {
+                    let peer = self.peers.entry(ip).or_default();
+                    peer.hear(now);
+                    let life = peer.life;
+                    self.duty.heard(now, ip, life, self.ledger.applied());
+                    if let Some(word) = frame.word {
+                        self.peer_says(now, ip, word, orders);
+                    }
+                }
+            }
+        }
+    }
+
+    fn peer_says(&mut self, now: Point, ip: u32, word: Word, orders: &mut Orders) {
+        match word {
+            Word::Hello(hello) => self.know(now, &hello, orders),
+            Word::Beat(beat) => self.peer_beat(now, ip, &beat, orders),
+            Word::Cell(cell) => {
+                let mut news = Vec::new();
+                for host in cell.hosts {
+                    self.silent.remove(&host.id);
+                    if !cell.whole {
+                        self.cell.moved(&host.id);
+                    }
+                    if self.cell.told(now, host.clone()) {
+                        if host.phase() == arrowyard_conduit::Phase::Gone {
+                            self.left.push((now, host.clone()));
+                        }
+                        news.push(host);
+                    }
+                }
+                if !news.is_empty() {
+                    self.pass_on(news, orders);
+                    self.look(now, orders);
+                }
+            }
+            Word::Suspect(suspect) => self.suspected(now, suspect, orders),
+            word => self.with_ledger(now, orders, |ledger, out| ledger.hear(now, ip, &word, out)),
+        }
+    }
+
+    fn peer_beat(&mut self, now: Point, ip: u32, beat: &Beat, orders: &mut Orders) {
+        let zone = self.view.zone(ip).unwrap_or_default().to_string();
+        self.view.heard(ip, &zone);
+        self.view.merge(&beat.view, self.me);
+        let mine = self.cell.digest();
+        let Some(peer) = self.peers.get_mut(&ip) else { return };
+        (peer.routers, peer.votes) = (beat.routers, beat.votes);
+        // What is under way makes them differ for a moment; what stays is swept up.
+        peer.differs = if beat.digest == mine { 0 } else { peer.differs + 1 };
+        if peer.differs >= 2 {
+            peer.differs = 0;
+            let cell = Cell { hosts: self.cell.all().cloned().collect(), whole: true };
+            self.say_to_peer(ip, &Word::Cell(cell), orders);
+        }
+        for silent in &beat.silent {
+            // Danger: it may call here by now; then whoever misses it is told so.
+            let here = self
+                .cell
+                .called_at(&silent.id)
+                .is_some_and(|at| (now - at).micros() / 1000 < silent.ms as i64);
+            if here {
+                let hosts = self.cell.get(&silent.id).cloned().into_iter().collect();
+                self.say_to_peers(&Word::Cell(Cell { hosts, whole: false }), orders);
+            } else {
+                let since = now - Span::from_millis(silent.ms as i64);
+                self.silent.entry(silent.id.clone()).or_insert(since);
+            }
+        }
+        let (chosen, from) = (beat.chosen, ip);
+        self.with_ledger(now, orders, |ledger, out| ledger.is_ahead(now, from, chosen, out));
+    }
+
+    pub(super) fn peer_closed(&mut self, conn: Conn, ip: u32) {
+        if let Some(peer) = self.peers.get_mut(&ip) {
+            peer.conns.retain(|open| *open != conn);
+            if peer.dialled.is_some_and(|(dialled, _)| dialled == conn) {
+                peer.dialled = None;
+            }
+        }
+    }
+
+    /// A router, or a control machine for it, says that a primary does not answer: the holder of the duty looks.
+    pub(super) fn suspected(&mut self, now: Point, suspect: Suspect, orders: &mut Orders) {
+        if self.fence.is_some() {
+            let mut asks = Vec::new();
+            let sight = Sight { cell: &self.cell, silent: &self.silent, left: &self.left };
+            self.promotions.of(&suspect.service).suspect(now, &suspect.host, &sight, &mut asks);
+            self.ask_hosts(now, asks, orders);
+        } else if suspect.by == 0 {
+            // It is passed on once, to the holder alone.
+            let holder = self.ledger.applied().duties.get("promote").map(|duty| duty.holder);
+            if let Some(holder) = holder.filter(|holder| *holder != self.me) {
+                let word = Word::Suspect(Suspect { by: self.me, ..suspect });
+                self.say_to_peer(holder, &word, orders);
+            }
+        }
+    }
+
+    /// Asks the platform to make a host primary.
+    pub(super) fn ask_platform(&mut self, now: Point, service: &str, host: &str, orders: &mut Orders) {
+        let (Some(platform), Some(fence)) = (&self.settings.platform_api, self.fence) else {
+            log::error!("promotion: {service}: There is no platform to ask.");
+            return;
+        };
+        log::info!("promotion: {service}: The platform is asked for {host}, fence {fence}.");
+        let text = |text: &str| sonic_rs::to_string(text).unwrap_or_default();
+        let body = format!("{{\"service\":{},\"id\":{}}}", text(service), text(host));
+        let fence = fence.to_string();
+        let headers =
+            [("Arrowyard-Duty-Holder", self.settings.node.as_str()), ("Arrowyard-Fence", fence.as_str())];
+        let call = call("POST", "/promotion", &platform.address.to_string(), &headers, &body);
+        let conn = orders.dial(platform.address);
+        let platform = Platform { messages: Messages::default(), call, service: service.to_string() };
+        self.lines.insert(conn, Line::Platform(platform));
+        self.platform_calls.push((conn, now + PLATFORM));
+    }
+
+    pub(super) fn platform_came(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
+        let Some(Line::Platform(platform)) = self.lines.get_mut(&conn) else { return };
+        let status = match platform.messages.response() {
+            Ok(None) => return,
+            Ok(Some(response)) => response.status,
+            Err(_) => 0,
+        };
+        let service = platform.service.clone();
+        orders.close(conn);
+        drop(self.lines.remove(&conn));
+        self.platform_said(now, &service, status, orders);
+    }
+
+    pub(super) fn platform_closed(&mut self, now: Point, platform: &Platform, orders: &mut Orders) {
+        self.platform_said(now, &platform.service, 0, orders);
+    }
+
+    fn platform_said(&mut self, now: Point, service: &str, status: u16, orders: &mut Orders) {
+        log::info!("promotion: {service}: The platform says {status}.");
+        self.replied(now, service, Reply::Platform { status }, orders);
+    }
+
+    /// Calls that were not answered in time.
+    pub(super) fn drop_late_calls(&mut self, now: Point, orders: &mut Orders) {
+        let late: Vec<Conn> =
+            self.platform_calls.iter().filter(|(_, until)| *until <= now).map(|(conn, _)| *conn).collect();
+        self.platform_calls.retain(|(_, until)| *until > now);
+        for conn in late {
+            if let Some(Line::Platform(platform)) = self.lines.remove(&conn) {
+                orders.drop(conn);
+                self.platform_closed(now, &platform, orders);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-headworks/src/duty.rs
@@ -0,0 +1,72 @@
+use arrowyard_conduit::{Duty, Entry, Matter};
+use arrowyard_types::{Point, Span};
+use fastrand::Rng;
+
+use crate::Applied;
+
+/// A holder that nobody heard of for so long has left its duty vacant.
+const VACANT: Span = Span::from_millis(1500);
+/// Whoever sees a vacancy waits up to so long before it asks for a ballot: mostly one is enough.
+const SPREAD: Span = Span::from_millis(250);
+
+/// One duty that one control machine does for all. Whoever holds it, and with which fence, is an entry of the ledger.
+#[derive(Debug)]
+pub struct Duties {
+    pub duty: &'static str,
+    me: u32,
+    life: u64,
+    node: String,
+    /// When its holder was last heard of, and of which ballot it is the winner.
+    holder_at: Point,
+    fence: u64,
+    try_at: Option<Point>,
+}
+
+impl Duties {
+    pub fn new(duty: &'static str, me: u32, life: u64, node: &str, now: Point) -> Self {
+        Duties { duty, me, life, node: node.to_string(), holder_at: now, fence: 0, try_at: None }
+    }
+
+    /// The fence under which this machine holds it.
+    pub fn held(&self, applied: &Applied) -> Option<u64> {
+        let duty = applied.duties.get(self.duty)?;
+        ((duty.holder, duty.life) == (self.me, self.life)).then_some(duty.fence)
+    }
+
+    /// A control machine was heard of, in this life.
+    pub fn heard(&mut self, now: Point, ip: u32, life: u64, applied: &Applied) {
+        if applied.duties.get(self.duty).is_some_and(|duty| (duty.holder, duty.life) == (ip, life)) {
+            self.holder_at = now;
+        }
+    }
+
+    /// What is to be entered now, if the duty is vacant and it is this machine's turn to ask.
+    pub fn turn(&mut self, now: Point, applied: &Applied, rng: &mut Rng) -> Option<Entry> {
+        let fence = applied.fence(self.duty);
+        if fence != self.fence {
+            (self.fence, self.holder_at, self.try_at) = (fence, now, None);
+        }
+        if self.held(applied).is_some() {
+            self.holder_at = now;
+        }
+        let vacant = fence == 0 || now - self.holder_at >= VACANT;
+        if !vacant {
+            self.try_at = None;
+            return None;
+        }
+        let at = *self.try_at.get_or_insert_with(|| now + SPREAD * rng.f64());
+        if now < at {
+            return None;
+        }
+        // The next try, should this one come to nothing.
+        self.try_at = Some(now + VACANT);
+        let (duty, node) = (self.duty.to_string(), self.node.clone());
+        Some(Entry {
+            matter: Some(Matter::Duty(Duty { duty, holder: self.me, life: self.life, node, fence })),
+        })
+    }
+
+    pub fn due(&self) -> Option<Point> {
+        self.try_at
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-headworks/src/lib.rs
@@ -0,0 +1,21 @@
+//! The control plane: which hosts and routers there are, what the configuration is, who holds a duty. All of it
+//! decides without I/O; `arrowyard-penstock` carries out what it orders.
+
+mod applied;
+mod cell;
+mod control;
+mod duty;
+mod ledger;
+mod promotion;
+mod record;
+pub mod seats;
+mod view;
+
+pub use applied::{Applied, sum};
+pub use cell::Cell;
+pub use control::{Control, DOORS};
+pub use duty::Duties;
+pub use ledger::{Answer, Ledger, Out, Ticket};
+pub use promotion::{Ask, Promotion, Promotions, Reply, Sight, Stage, To, is_repeated};
+pub use record::{Kept, Memory, Record};
+pub use view::View;
--- /dev/null
+++ b/crates/arrowyard-headworks/tests/control.rs
@@ -0,0 +1,380 @@
+//! Cells that hear of hosts in whatever order, views that age, duties that fall vacant, changes of primary.
+
+use std::collections::BTreeMap;
+
+use arrowyard_conduit::{DbRole, Duty, Entry, Host, Known, Matter, Phase};
+use arrowyard_flume::{Observed, Position};
+use arrowyard_headworks::{Applied, Ask, Cell, Duties, Promotion, Reply, Sight, Stage, To, View};
+use arrowyard_types::{Point, Span};
+use fastrand::Rng;
+
+fn at(ms: i64) -> Point {
+    Point::from_micros(ms * 1000)
+}
+
+fn host(id: &str, role: DbRole, phase: Phase, call_seq: u64) -> Host {
+    let port = u32::from(id.as_bytes().last().copied().unwrap_or_default());
+    let (role, phase) = (role.into(), phase.into());
+    Host {
+        id: id.into(),
+        service: "s".into(),
+        ip: 1,
+        port,
+        zone: "z".into(),
+        capacity: 4,
+        phase,
+        role,
+        call_seq,
+    }
+}
+
+#[test]
+fn cells_that_hear_the_same_in_any_order_know_the_same() {
+    for seed in 0..200 {
+        let mut rng = Rng::with_seed(seed);
+        let mut words: Vec<Host> = (1..12)
+            .map(|seq| {
+                let role = if rng.bool() { DbRole::Primary } else { DbRole::Replica };
+                let phase = [Phase::InService, Phase::InService, Phase::Draining][rng.usize(0..3)];
+                host(["a", "b", "c"][rng.usize(0..3)], role, phase, seq)
+            })
+            .collect();
+        if rng.bool() {
+            words.push(host("b", DbRole::Replica, Phase::Gone, 3));
+        }
+        let heard = |words: &[Host]| {
+            let mut cell = Cell::default();
+            words.iter().for_each(|word| _ = cell.told(at(0), word.clone()));
+            (cell.digest(), cell.all().cloned().collect::<Vec<_>>())
+        };
+        let first = heard(&words);
+        rng.shuffle(&mut words);
+        let again = heard(&words);
+        assert_eq!(first.0, again.0, "seed {seed}");
+        let phases = |hosts: &[Host]| {
+            hosts.iter().map(|host| (host.id.clone(), host.phase, host.role)).collect::<Vec<_>>()
+        };
+        assert_eq!(phases(&first.1).len(), phases(&again.1).len());
+    }
+}
+
+#[test]
+fn a_late_call_changes_nothing_and_a_host_that_left_stays_gone() {
+    let mut cell = Cell::default();
+    assert!(cell.called(at(0), host("a", DbRole::Primary, Phase::InService, 5)));
+    assert!(!cell.called(at(1), host("a", DbRole::Replica, Phase::InService, 4)));
+    assert_eq!(cell.primary("s").map(|host| host.id.as_str()), Some("a"));
+    // A host that counts anew after a long silence is heard again.
+    assert!(cell.called(at(9000), host("a", DbRole::Replica, Phase::InService, 1)));
+    assert!(cell.called(at(9001), host("a", DbRole::Replica, Phase::Gone, 2)));
+    assert!(!cell.called(at(9002), host("a", DbRole::Primary, Phase::InService, 9)));
+    assert_eq!(cell.members("s").count(), 0);
+    cell.sweep(at(9_000_000));
+    assert_eq!(cell.all().count(), 0);
+}
+
+#[test]
+fn views_shuffled_between_neighbours_know_who_is_up_and_forget_who_is_gone() {
+    let (machines, mut rng) = (40_u32, Rng::with_seed(3));
+    let mut views: Vec<View> = (0..machines).map(|_| View::default()).collect();
+    for (me, view) in views.iter_mut().enumerate() {
+        (1..4).for_each(|step| view.heard((me as u32 + step) % machines, "z"));
+    }
+    let gone = 7;
+    for round in 0..200 {
+        for me in (0..machines).filter(|&me| me != gone || round < 20) {
+            let known: Vec<Known> =
+                views[me as usize].all().filter(|known| known.ip != gone || round < 20).cloned().collect();
+            if let Some(other) = rng.choice(known) {
+                let (mine, theirs) =
+                    (views[me as usize].part(&mut rng), views[other.ip as usize].part(&mut rng));
+                views[other.ip as usize].merge(&mine, other.ip);
+                views[other.ip as usize].heard(me, "z");
+                views[me as usize].merge(&theirs, me);
+                views[me as usize].heard(other.ip, "z");
+            }
+            views[me as usize].age();
+        }
+    }
+    for (me, view) in views.iter().enumerate().filter(|(me, _)| *me != gone as usize) {
+        assert!(view.all().count() >= 6, "{me} knows only {}", view.all().count());
+        assert!(view.all().all(|known| known.ip != gone), "{me} still knows the machine that is gone");
+    }
+}
+
+#[test]
+fn a_vacant_duty_is_asked_for_once_its_holder_is_silent_or_lives_anew() {
+    let (mut applied, mut rng) = (Applied::default(), Rng::with_seed(1));
+    let mut duties = Duties::new("promote", 1, 11, "one", at(0));
+    let first =
+        (0..400).find_map(|ms| duties.turn(at(ms), &applied, &mut rng)).expect("it is vacant at first");
+    applied.apply(&first);
+    assert_eq!(duties.held(&applied), Some(1));
+    let other = Duty { duty: "promote".into(), holder: 2, life: 22, node: "two".into(), fence: 1 };
+    applied.apply(&Entry { matter: Some(Matter::Duty(other)) });
+    assert_eq!(duties.held(&applied), None);
+    assert!((500..4000).all(|ms| {
+        duties.heard(at(ms), 2, 22, &applied);
+        duties.turn(at(ms), &applied, &mut rng).is_none()
+    }));
+    // The holder started again: its earlier life holds nothing any more.
+    let again = (4000..9000).find_map(|ms| {
+        duties.heard(at(ms), 2, 23, &applied);
+        duties.turn(at(ms), &applied, &mut rng)
+    });
+    assert!(matches!(
+        again.and_then(|entry| entry.matter),
+        Some(Matter::Duty(Duty { holder: 1, fence: 2, .. }))
+    ));
+}
+
+struct Scene {
+    cell: Cell,
+    silent: BTreeMap<String, Point>,
+    promotion: Promotion,
+    asks: Vec<Ask>,
+    now: i64,
+}
+
+impl Scene {
+    fn new() -> Self {
+        let mut cell = Cell::default();
+        cell.told(at(0), host("a", DbRole::Primary, Phase::InService, 1));
+        cell.told(at(0), host("b", DbRole::Replica, Phase::InService, 1));
+        cell.told(at(0), host("c", DbRole::Replica, Phase::InService, 1));
+        Scene { cell, silent: BTreeMap::new(), promotion: Promotion::new("s"), asks: Vec::new(), now: 1000 }
+    }
+
+    fn sight(&mut self, act: impl FnOnce(&mut Promotion, Point, &Sight<'_>, &mut Vec<Ask>)) -> Vec<Ask> {
+        let sight = Sight { cell: &self.cell, silent: &self.silent, left: &[] };
+        let mut asks = Vec::new();
+        act(&mut self.promotion, at(self.now), &sight, &mut asks);
+        self.asks.extend(asks.clone());
+        asks
+    }
+
+    fn suspect(&mut self) -> Vec<Ask> {
+        self.sight(|promotion, now, sight, asks| promotion.suspect(now, "a", sight, asks))
+    }
+
+    fn pass(&mut self, ms: i64) -> Vec<Ask> {
+        self.now += ms;
+        self.sight(|promotion, now, sight, asks| promotion.look(now, sight, asks))
+    }
+
+    fn row(&mut self, host: &str, primary: bool, number: u64) -> Vec<Ask> {
+        let row = Observed { primary, term: 3, received: Position { term: 3, number } };
+        let pausing = matches!(self.promotion.stage, Stage::Pausing { .. });
+        let to = if pausing { To::Pause(1) } else { To::Observe };
+        let reply = Reply::Row { host: host.into(), to, row };
+        self.sight(|promotion, now, sight, asks| promotion.take(now, reply, sight, asks))
+    }
+
+    fn silent(&mut self, host: &str) -> Vec<Ask> {
+        let reply = Reply::Silent { host: host.into() };
+        self.sight(|promotion, now, sight, asks| promotion.take(now, reply, sight, asks))
+    }
+
+    fn status(&mut self, status: u16) -> Vec<Ask> {
+        self.sight(|promotion, now, sight, asks| promotion.take(now, Reply::Platform { status }, sight, asks))
+    }
+
+    /// The primary does not answer, twice: heirs are asked.
+    fn fall(&mut self) {
+        self.suspect();
+        self.silent("a");
+        self.pass(100);
+        self.silent("a");
+        assert!(matches!(self.promotion.stage, Stage::Surveying { planned: false, .. }));
+    }
+}
+
+fn promoted(asks: &[Ask]) -> Option<&str> {
+    asks.iter().find_map(|ask| match ask {
+        Ask::Promote { host, .. } => Some(host.as_str()),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_primary_that_answers_stays() {
+    let mut scene = Scene::new();
+    assert_eq!(scene.suspect(), [Ask::Observe { host: "a".into() }]);
+    scene.silent("a");
+    assert_eq!(scene.pass(100), [Ask::Observe { host: "a".into() }]);
+    scene.row("a", true, 9);
+    assert_eq!(scene.promotion.stage, Stage::Steady);
+    assert!(scene.suspect().is_empty(), "it was asked a moment ago");
+}
+
+#[test]
+fn the_replica_that_has_most_leads_once_all_have_stopped_receiving() {
+    let mut scene = Scene::new();
+    scene.fall();
+    assert!(promoted(&scene.row("b", false, 20)).is_none(), "the other one may have more");
+    let asks = scene.row("c", false, 10);
+    let paused: Vec<Ask> =
+        ["b", "c"].iter().map(|host| Ask::Pause { host: host.to_string(), term: 4, turn: 1 }).collect();
+    assert_eq!(asks, paused);
+    // Meanwhile the other one received more.
+    assert!(promoted(&scene.row("b", false, 20)).is_none());
+    assert_eq!(promoted(&scene.row("c", false, 25)), Some("c"));
+}
+
+#[test]
+fn a_replica_that_cannot_be_asked_may_hold_the_only_copy() {
+    let mut scene = Scene::new();
+    scene.fall();
+    scene.row("b", false, 20);
+    for _ in 0..50 {
+        scene.silent("c");
+        scene.pass(200);
+    }
+    assert!(promoted(&scene.asks).is_none(), "nobody may lead without its word");
+    // What it alone acknowledged may be all that the primary did, till it was silent for long before the primary was.
+    scene.silent = BTreeMap::from([("c".to_string(), at(100)), ("a".to_string(), at(100 + 4000))]);
+    assert!(promoted(&scene.pass(200)).is_none() && promoted(&scene.row("b", false, 21)).is_none());
+    scene.silent = BTreeMap::from([("c".to_string(), at(100)), ("a".to_string(), at(100 + 4200))]);
+    scene.pass(200);
+    assert_eq!(promoted(&scene.row("b", false, 21)), Some("b"));
+}
+
+#[test]
+fn a_silent_replica_is_not_waited_for_once_another_has_what_the_primary_had_since() {
+    for (received, leads) in [(49, None), (50, Some("b"))] {
+        let mut scene = Scene::new();
+        scene.silent = BTreeMap::from([("c".to_string(), at(900))]);
+        assert_eq!(scene.pass(100), [Ask::Observe { host: "a".into() }], "what has the primary?");
+        assert!(scene.pass(10).is_empty(), "one question at a time");
+        scene.row("a", true, 50);
+        assert!(scene.pass(5000).is_empty(), "once for each silence");
+        scene.fall();
+        scene.row("b", false, received);
+        assert!(
+            promoted(&scene.row("b", false, received)).is_none(),
+            "it may be back and not have called yet"
+        );
+        scene.silent("c");
+        assert_eq!(promoted(&scene.row("b", false, received)), leads, "{received} of 50");
+    }
+}
+
+/// Also where it came back and fell silent while another change was under way.
+#[test]
+fn what_the_primary_had_holds_for_one_silence() {
+    let mut scene = Scene::new();
+    let silent = BTreeMap::from([("c".to_string(), at(900))]);
+    scene.silent = silent.clone();
+    scene.pass(100);
+    scene.row("a", true, 50);
+    scene.fall();
+    scene.silent.clear();
+    scene.pass(250);
+    scene.silent = silent;
+    scene.silent("c");
+    scene.row("b", false, 60);
+    scene.silent("c");
+    assert!(
+        matches!(scene.promotion.stage, Stage::Surveying { .. }),
+        "it may have acknowledged more meanwhile"
+    );
+}
+
+#[test]
+fn an_answer_to_an_earlier_question_is_no_word_that_a_replica_stopped() {
+    let mut scene = Scene::new();
+    scene.fall();
+    scene.row("b", false, 20);
+    scene.row("c", false, 20);
+    assert!(matches!(scene.promotion.stage, Stage::Pausing { .. }));
+    let late = Observed { primary: false, term: 3, received: Position { term: 3, number: 20 } };
+    for host in ["b", "c"] {
+        let reply = Reply::Row { host: host.into(), to: To::Observe, row: late };
+        scene.sight(|promotion, now, sight, asks| promotion.take(now, reply, sight, asks));
+    }
+    assert!(promoted(&scene.asks).is_none());
+}
+
+#[test]
+fn replicas_that_were_held_are_asked_to_go_on_until_they_say_so() {
+    let mut scene = Scene::new();
+    scene.cell.told(at(900), host("a", DbRole::Primary, Phase::Draining, 2));
+    scene.pass(0);
+    scene.row("b", false, 20);
+    scene.row("c", false, 22);
+    scene.row("b", false, 24);
+    scene.silent("c");
+    assert_eq!(scene.promotion.stage, Stage::Steady, "its heir does not answer");
+    let on = Ask::Continue { host: "b".into() };
+    assert_eq!(scene.asks.last(), Some(&on));
+    scene.cell.told(at(900), host("a", DbRole::Primary, Phase::InService, 3));
+    scene.pass(0);
+    assert_eq!(scene.pass(1000), [on], "the question was lost");
+    let row = Observed { primary: false, term: 3, received: Position { term: 3, number: 24 } };
+    let reply = Reply::Row { host: "b".into(), to: To::Continue, row };
+    scene.sight(|promotion, now, sight, asks| promotion.take(now, reply, sight, asks));
+    assert!(scene.pass(1000).is_empty() && scene.pass(9000).is_empty());
+}
+
+#[test]
+fn a_primary_that_leaves_serves_until_its_heir_has_all() {
+    let mut scene = Scene::new();
+    scene.cell.told(at(900), host("a", DbRole::Primary, Phase::Draining, 2));
+    scene.pass(0);
+    assert!(matches!(scene.promotion.stage, Stage::Surveying { planned: true, .. }));
+    scene.row("b", false, 20);
+    let asks = scene.row("c", false, 22);
+    assert_eq!(asks, [Ask::Pause { host: "b".into(), term: 4, turn: 1 }], "the heir goes on receiving");
+    let asks = scene.row("b", false, 24);
+    assert_eq!(asks, [Ask::Observe { host: "c".into() }]);
+    assert!(promoted(&scene.row("c", false, 23)).is_none(), "it lacks one that was acknowledged");
+    scene.pass(50);
+    assert_eq!(promoted(&scene.row("c", false, 24)), Some("c"));
+}
+
+#[test]
+fn another_primary_ends_a_change_in_order_and_the_one_that_leaves_does_not() {
+    let mut scene = Scene::new();
+    scene.cell.told(at(900), host("a", DbRole::Primary, Phase::Draining, 2));
+    scene.pass(0);
+    scene.row("a", true, 30);
+    assert!(matches!(scene.promotion.stage, Stage::Surveying { planned: true, .. }), "a question of before");
+    scene.row("b", true, 20);
+    assert_eq!(scene.promotion.stage, Stage::Steady, "it leads already, and its call is late");
+}
+
+#[test]
+fn a_call_to_the_platform_without_an_answer_names_the_same_host_again() {
+    let mut scene = Scene::new();
+    scene.fall();
+    for host in ["b", "c", "b", "c"] {
+        scene.row(host, false, 20);
+    }
+    assert!(promoted(&scene.asks).is_some());
+    let heir = promoted(&scene.asks).map(str::to_string);
+    scene.status(0);
+    let again = scene.pass(2000);
+    assert_eq!(promoted(&again).map(str::to_string), heir);
+    scene.status(503);
+    assert_eq!(promoted(&scene.pass(2000)).map(str::to_string), heir);
+    // A refusal means that something is not as it was thought to be: all are asked again.
+    scene.status(409);
+    assert!(matches!(scene.promotion.stage, Stage::Surveying { .. }));
+}
+
+#[test]
+fn it_is_over_once_the_heir_says_that_it_leads() {
+    let mut scene = Scene::new();
+    scene.fall();
+    for host in ["b", "c", "b", "c"] {
+        scene.row(host, false, 20);
+    }
+    let heir = promoted(&scene.asks).expect("one was named").to_string();
+    scene.status(200);
+    scene.pass(300);
+    assert!(matches!(scene.promotion.stage, Stage::Settling { .. }));
+    scene.cell.told(at(scene.now), host(&heir, DbRole::Primary, Phase::InService, 7));
+    scene.pass(300);
+    assert_eq!(scene.promotion.stage, Stage::Steady);
+    assert!(scene.pass(Span::from_millis(60_000).micros() / 1000).is_empty());
+}
