--- a/crates/arrowyard-basin/src/bin/arrowyard-basin.rs
+++ b/crates/arrowyard-basin/src/bin/arrowyard-basin.rs
@@ -75,6 +75,21 @@
         #[bpaf(long("second"), argument("NAME=VALUE"), many)]
         second: Vec<String>,
     },
+    /// Plays the rainy-season morning with hosts divided and not: what each kind of requests keeps of its pace.
+    #[bpaf(command)]
+    Shares {
+        /// Without a primary replaced, one lost, answers lost, a router killed.
+        #[bpaf(long("calm"), switch)]
+        calm: bool,
+        /// Services, of three databases and three hosts each.
+        #[bpaf(argument("N"), fallback(1))]
+        services: usize,
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        /// How many routers there are, one morning after the other.
+        #[bpaf(positional("N"))]
+        routers: Vec<usize>,
+    },
     /// Explores the ledger and the change of primary to exhaustion, scene by scene, with the code that ships.
     #[bpaf(command)]
     Check,
@@ -283,6 +298,10 @@
         Command::Compare { days, from, against, settings, second } => {
             ended(compared((days, from), against, &settings, &second))
         }
+        Command::Shares { calm, services, seed, routers } => {
+            arrowyard_basin::shares::compare(&routers, services, !calm, seed);
+            ExitCode::SUCCESS
+        }
         Command::Check => ExitCode::from(u8::from(!check())),
         Command::Chart { out, day } => {
             let drawn = read_day(&day).map_err(Into::into).and_then(|day| draw(&day, &play(&day), &out));
--- a/crates/arrowyard-basin/src/capacity.rs
+++ b/crates/arrowyard-basin/src/capacity.rs
@@ -78,6 +78,9 @@
         limit: 57,
         zones: 3,
         tolerance: 1,
+        surges: Vec::new(),
+        divides: true,
+        shares: String::new(),
     };
     let mut system = System::new(plan);
     system.world.run(at(from));
--- a/crates/arrowyard-basin/src/clients.rs
+++ b/crates/arrowyard-basin/src/clients.rs
@@ -12,7 +12,7 @@
 use fastrand::Rng;
 
 use crate::history::{Asked, Fate, Fresh, Shared};
-use crate::host::answer;
+use crate::host::{COSTLY, answer};
 
 const AIM: Span = Span::from_millis(150);
 const DEADLINE: Span = Span::from_millis(1000);
@@ -80,9 +80,18 @@
     think: Span,
     until: Point,
     from: Point,
+    /// What it asks for is found by more work than usual.
+    costly: bool,
 }
 
 impl Clients {
+    /// They ask for what takes hosts more work.
+    #[must_use]
+    pub fn costly(mut self, costly: bool) -> Self {
+        self.costly = costly;
+        self
+    }
+
     /// `users` of each of the databases; each rests about `think` between two operations.
     pub fn new(
         fronts: Rc<RefCell<Vec<SocketAddrV4>>>,
@@ -122,6 +131,7 @@
             think,
             until,
             from,
+            costly: false,
         }
     }
 
@@ -189,6 +199,8 @@
             (false, _) => history.tally.failed += 1,
         }
         history.ends(operation.started, served);
+        let kind = user.fresh.name();
+        history.ends_of(kind, operation.started, took, served && took <= AIM, served);
         drop(history);
         let rest = self.think * (0.5 + self.rng.f64());
         self.timers.set(now + rest, Due::Think(place));
@@ -260,7 +272,8 @@
 
     fn step(&mut self, now: Point, place: usize, orders: &mut Orders) {
         let id = format!("{:016x}", self.history.borrow_mut().number());
-        let thing = self.rng.u32(0..200);
+        let letter = if self.costly { COSTLY } else { 't' };
+        let thing = format!("{letter}{}", self.rng.u32(0..200));
         let user = &mut self.users[place];
         let (Some(conn), Some(operation)) = (user.conn, user.operation.as_mut()) else { return };
         let step = operation.steps[operation.next].clone();
@@ -292,11 +305,11 @@
                 (own, operation.since) = (true, now);
                 if *reads { "BEGIN READ".to_string() } else { "BEGIN".to_string() }
             }
-            Step::Read { run } => format!("{} t{thing}", prepared(false, *run)),
+            Step::Read { run } => format!("{} {thing}", prepared(false, *run)),
             Step::Write { run } => {
                 let token = format!("k{id}");
                 operation.tokens.push(token.clone());
-                format!("{} t{thing} {token}", prepared(true, *run))
+                format!("{} {thing} {token}", prepared(true, *run))
             }
             Step::Commit => {
                 operation.commit_sent = true;
--- a/crates/arrowyard-basin/src/day.rs
+++ b/crates/arrowyard-basin/src/day.rs
@@ -7,8 +7,8 @@
 use fastrand::Rng;
 use serde::{Deserialize, Serialize};
 
-use crate::history::{Breach, Tally};
-use crate::system::{Plan, System};
+use crate::history::{Breach, Kept, Tally};
+use crate::system::{Plan, Surge, System};
 
 /// What can happen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -139,6 +139,18 @@
     /// The share of operations that must be served, for a day that is kept.
     #[serde(default = "half")]
     pub least_served: f64,
+    #[serde(default)]
+    pub surges: Vec<Surge>,
+    /// Whether pressed hosts are divided.
+    #[serde(default = "yes")]
+    pub divides: bool,
+    /// What the operator promises kinds of requests, as the configuration has it; nothing if empty.
+    #[serde(default)]
+    pub shares: String,
+}
+
+fn yes() -> bool {
+    true
 }
 
 fn limit() -> u32 {
@@ -173,6 +185,9 @@
             tolerance: one(),
             limit: limit(),
             least_served: half(),
+            surges: Vec::new(),
+            divides: true,
+            shares: String::new(),
         }
     }
 }
@@ -191,6 +206,7 @@
     pub writes: BTreeMap<String, Vec<Point>>,
     pub p50_ms: f64,
     pub p99_ms: f64,
+    pub kinds: BTreeMap<&'static str, Kept>,
 }
 
 fn at(seconds: f64) -> Point {
@@ -250,8 +266,7 @@
         changes: vec![4.0 + 6.0 * rng.f64(), 12.0 + 3.0 * rng.f64()],
         faults,
         think_ms: 120,
-        limit: limit(),
-        least_served: half(),
+        ..Day::default()
     }
 }
 
@@ -279,6 +294,9 @@
         limit: day.limit,
         zones: 3,
         tolerance: day.tolerance,
+        surges: day.surges.clone(),
+        divides: day.divides,
+        shares: day.shares.clone(),
     };
     let mut system = System::new(plan);
     let mut turns: Vec<(Point, Turn)> =
@@ -319,6 +337,7 @@
         runs: history.runs,
         over_cap: history.reset_over_cap,
         writes: history.acknowledged_at(),
+        kinds: history.kinds.clone(),
     }
 }
 
--- a/crates/arrowyard-basin/src/history.rs
+++ b/crates/arrowyard-basin/src/history.rs
@@ -24,6 +24,18 @@
     Own(Span),
 }
 
+impl Fresh {
+    /// The kind of requests, as routes name it.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Fresh::Primary => "primary",
+            Fresh::Bounded(_) => "bounded",
+            Fresh::Own(_) => "own",
+        }
+    }
+}
+
 /// What a client asked with one id.
 #[derive(Clone, Debug)]
 pub struct Asked {
@@ -60,6 +72,45 @@
     Unknown,
 }
 
+/// Pace is looked at in windows of so many microseconds.
+pub const WINDOW: i64 = 100_000;
+
+/// What became of one kind of requests.
+#[derive(Clone, Debug, Default)]
+pub struct Kept {
+    pub asked: u64,
+    pub in_aim: u64,
+    pub served: u64,
+    pub took: Vec<Span>,
+    /// By window in which operations began: how many, and how many of them inside their aim.
+    pub windows: BTreeMap<i64, (u32, u32)>,
+}
+
+impl Kept {
+    /// Operations that began from one time to another, and those of them inside their aim.
+    #[must_use]
+    pub fn between(&self, from: Point, until: Point) -> (u64, u64) {
+        let windows = self.windows.range(from.micros() / WINDOW..until.micros() / WINDOW);
+        windows.fold((0, 0), |sum, (_, (asked, kept))| (sum.0 + u64::from(*asked), sum.1 + u64::from(*kept)))
+    }
+
+    /// Of the windows from one time to another: the share in which this part of the operations was inside its aim, and
+    /// the least part in ten windows together.
+    #[must_use]
+    pub fn pace(&self, from: Point, until: Point, part: f64) -> (f64, f64) {
+        let (from, until) = (from.micros() / WINDOW, until.micros() / WINDOW);
+        let windows: Vec<(u32, u32)> = self.windows.range(from..until).map(|(_, window)| *window).collect();
+        let kept =
+            windows.iter().filter(|(asked, kept)| f64::from(*kept) >= f64::from(*asked) * part).count();
+        let part_of = |ten: &[(u32, u32)]| {
+            let (asked, kept) = ten.iter().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+            f64::from(kept) / f64::from(asked.max(1))
+        };
+        let worst = windows.windows(10).map(part_of).fold(1.0, f64::min);
+        (kept as f64 / windows.len().max(1) as f64, worst)
+    }
+}
+
 /// How operations ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
@@ -89,6 +140,8 @@
     pub runs: u64,
     pub reset_over_cap: u64,
     pub latencies: Vec<Span>,
+    /// By kind of requests.
+    pub kinds: BTreeMap<&'static str, Kept>,
     /// The revision that was acknowledged last, and the one that was read back at the end.
     pub in_place: u64,
     pub read_back: Option<u64>,
@@ -268,6 +321,16 @@
         }
     }
 
+    /// An operation of a kind is over: when it began, when it ended, whether it was served inside its aim, and at all.
+    pub fn ends_of(&mut self, kind: &'static str, started: Point, took: Span, in_aim: bool, served: bool) {
+        let kept = self.kinds.entry(kind).or_default();
+        (kept.asked, kept.served) = (kept.asked + 1, kept.served + u64::from(served));
+        kept.in_aim += u64::from(in_aim);
+        kept.took.push(took);
+        let window = kept.windows.entry(started.micros().div_euclid(WINDOW)).or_default();
+        (window.0, window.1) = (window.0 + 1, window.1 + u32::from(in_aim));
+    }
+
     pub fn ends(&mut self, started: Point, served: bool) {
         let second = started.micros().div_euclid(1_000_000);
         let entry = self.seconds.entry(second).or_default();
--- a/crates/arrowyard-basin/src/host.rs
+++ b/crates/arrowyard-basin/src/host.rs
@@ -22,6 +22,9 @@
 /// A host that leaves serves for so long after that was acknowledged, and a little longer; then nothing may come.
 const DRAIN: Span = Span::from_millis(7000);
 const QUEUE: usize = 40;
+/// Things that begin so take so many times the work of others.
+pub const COSTLY: char = 'w';
+const COSTS: f64 = 5.0;
 
 /// What is wrong with a host on purpose.
 #[derive(Clone, Copy, Debug, Default)]
@@ -251,7 +254,8 @@
             session.busy = true;
         }
         let slow = self.faults.borrow().slow.max(1.0);
-        let works = Span::from_micros(1500) * (slow * (0.5 + 3.0 * self.rng.f64()));
+        let costs = if text.contains(&format!(" {COSTLY}")) { COSTS } else { 1.0 };
+        let works = Span::from_micros(1500) * (costs * slow * (0.5 + 3.0 * self.rng.f64()));
         let takes = if self.faults.borrow().quick { Span::ZERO } else { works };
         self.timers.set(now + takes, Due::Done { conn, id, text });
     }
--- a/crates/arrowyard-basin/src/lib.rs
+++ b/crates/arrowyard-basin/src/lib.rs
@@ -14,15 +14,16 @@
 mod operator;
 mod platform;
 mod shard;
+pub mod shares;
 mod system;
 mod world;
 
 pub use clients::Clients;
 pub use day::{Day, Fault, Played, Trouble, drawn, play};
-pub use history::{Asked, Breach, Fate, Fresh, History, Shared, Tally};
+pub use history::{Asked, Breach, Fate, Fresh, History, Kept, Shared, Tally};
 pub use host::{DatabaseHost, HostFaults, HostPlan};
 pub use operator::Operator;
 pub use platform::Platform;
 pub use shard::Shard;
-pub use system::{Callable, Plan, System};
+pub use system::{Callable, Plan, Surge, System};
 pub use world::{Disk, MachineId, World};
--- /dev/null
+++ b/crates/arrowyard-basin/src/shares.rs
@@ -0,0 +1,112 @@
+//! The rainy-season morning: one kind of requests comes at many times its pace, and what the others keep of theirs.
+
+use arrowyard_types::Point;
+
+use crate::day::{Day, Fault, Played, Trouble, play};
+use crate::system::Surge;
+
+/// The surge lasts from one to the other, in seconds.
+pub const FROM: f64 = 6.0;
+pub const UNTIL: f64 = 16.0;
+/// A window is kept where so many of its operations were inside their aim.
+pub const KEPT: f64 = 0.9;
+
+/// What one kind kept of its pace while the surge lasted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    pub kind: &'static str,
+    pub asked: u64,
+    /// The part inside their aim of all that began in the surge.
+    pub in_aim: f64,
+    /// The part of windows of 100 ms that were kept, and the least part in a second.
+    pub windows: f64,
+    pub worst: f64,
+    pub p99_ms: f64,
+}
+
+/// A morning: residents ask for what takes hosts five times the work, at some 20 times the usual pace, of each of
+/// `services`. With `troubles` a primary is replaced and another lost meanwhile, answers are lost and a router is killed.
+#[must_use]
+pub fn morning(seed: u64, routers: usize, services: usize, divides: bool, troubles: bool) -> Day {
+    let surge = Surge {
+        at: FROM,
+        for_s: UNTIL - FROM,
+        kind: "bounded".to_string(),
+        users: 260,
+        think_ms: 50,
+        costly: true,
+        routers: Vec::new(),
+    };
+    let fault = |at, for_s, what, which| Fault { at, for_s, what, which };
+    let faults = vec![
+        fault(8.0, 4.0, Trouble::ReleasePrimary, 0),
+        fault(10.0, 3.0, Trouble::LoseAnswers, 1),
+        fault(12.0, 3.0, Trouble::CrashPrimary, 1),
+        fault(13.0, 1.0, Trouble::KillRouter, 1),
+    ];
+    Day {
+        seed,
+        routers,
+        services,
+        users: 20,
+        think_ms: 120,
+        seconds: 21.0,
+        faults: if troubles { faults } else { Vec::new() },
+        surges: vec![surge],
+        divides,
+        ..Day::default()
+    }
+}
+
+fn at(seconds: f64) -> Point {
+    Point::from_micros((seconds * 1e6) as i64)
+}
+
+/// What each kind kept while the surge lasted.
+#[must_use]
+pub fn paces(played: &Played) -> Vec<Pace> {
+    let of = |(kind, kept): (&&'static str, &crate::Kept)| {
+        let (windows, worst) = kept.pace(at(FROM), at(UNTIL), KEPT);
+        let mut took = kept.took.clone();
+        took.sort_unstable();
+        let p99 = took.get(took.len().saturating_sub(1) * 99 / 100);
+        let (asked, in_aim) = kept.between(at(FROM), at(UNTIL));
+        let in_aim = in_aim as f64 / asked.max(1) as f64;
+        Pace {
+            kind,
+            asked,
+            in_aim,
+            windows,
+            worst,
+            p99_ms: p99.map_or(0.0, |p99| p99.as_secs_f64() * 1000.0),
+        }
+    };
+    played.kinds.iter().map(of).collect()
+}
+
+/// Plays a morning with hosts divided and not, and prints what each kind kept.
+pub fn compare(routers: &[usize], services: usize, troubles: bool, seed: u64) {
+    println!(
+        "{:>7}  {:>8}  {:>8}  {:>7}  {:>6}  {:>7}  {:>6}  {:>7}  {:>7}  broken",
+        "routers", "divided", "kind", "asked", "in aim", "windows", "worst", "p99 ms", "all run"
+    );
+    for &routers in routers {
+        for divides in [false, true] {
+            let played = play(&morning(seed, routers, services, divides, troubles));
+            for pace in paces(&played) {
+                println!(
+                    "{routers:>7}  {:>8}  {:>8}  {:>7}  {:>6.3}  {:>7.3}  {:>6.3}  {:>7.0}  {:>7}  {}",
+                    if divides { "yes" } else { "no" },
+                    pace.kind,
+                    pace.asked,
+                    pace.in_aim,
+                    pace.windows,
+                    pace.worst,
+                    pace.p99_ms,
+                    played.runs,
+                    played.breaches.len()
+                );
+            }
+        }
+    }
+}
--- a/crates/arrowyard-basin/src/system.rs
+++ b/crates/arrowyard-basin/src/system.rs
@@ -9,6 +9,7 @@
 use arrowyard_penstock::Plane;
 use arrowyard_sluice::Sluice;
 use arrowyard_types::{Point, Span};
+use serde::{Deserialize, Serialize};
 
 use crate::clients::Clients;
 use crate::history::{Fresh, History, Shared};
@@ -35,6 +36,29 @@
     pub zones: usize,
     /// How many control machines may be lost at once.
     pub tolerance: u32,
+    pub surges: Vec<Surge>,
+    /// Whether pressed hosts are divided, and what the operator promises: the text of the list.
+    pub divides: bool,
+    pub shares: String,
+}
+
+/// More clients of one kind, for a while.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Surge {
+    pub at: f64,
+    pub for_s: f64,
+    /// primary, bounded or own.
+    pub kind: String,
+    /// Users more of each service, and how long each rests, in milliseconds.
+    pub users: usize,
+    pub think_ms: i64,
+    /// What they ask for takes hosts more work.
+    #[serde(default)]
+    pub costly: bool,
+    /// At which routers they are; at all, if none is named.
+    #[serde(default)]
+    pub routers: Vec<usize>,
 }
 
 /// One host's place, and what outlives its process.
@@ -129,9 +153,11 @@
             .push(format!("{{\"name\":\"s{service}\",\"conn-limit\":{},\"sync-replicas\":1}}", plan.limit));
     }
     format!(
-        "{{\"revision\":3,\"channels\":[{}],\"services\":[{}],\"limits\":{{\"tx-idle-ms\":3000,\"header-wait-ms\":3000}}}}",
+        "{{\"revision\":3,\"channels\":[{}],\"services\":[{}],\"limits\":{{\"tx-idle-ms\":3000,\"header-wait-ms\":3000}}{}{}}}",
         channels.join(","),
-        services.join(",")
+        services.join(","),
+        if plan.divides { "" } else { ",\"arrowyard-division\":false" },
+        if plan.shares.is_empty() { String::new() } else { format!(",\"arrowyard-shares\":{}", plan.shares) },
     )
 }
 
@@ -248,6 +274,41 @@
             let machine = self.world.add("clients", Vec::new(), nothing(), Span::ZERO);
             self.world.start(machine, Box::new(clients));
         }
+        for (number, surge) in self.plan.surges.clone().into_iter().enumerate() {
+            self.surge(number, &surge);
+        }
+    }
+
+    /// More clients of one kind, on a machine of their own.
+    fn surge(&mut self, number: usize, surge: &Surge) {
+        let ms = Span::from_millis;
+        let (letter, fresh) = match surge.kind.as_str() {
+            "primary" => ('p', Fresh::Primary),
+            "own" => ('o', Fresh::Own(ms(2500))),
+            _ => ('b', Fresh::Bounded(ms(1500))),
+        };
+        let database = |service: usize| (format!("{letter}{service}"), format!("s{service}"), fresh);
+        let databases: Vec<_> = (0..self.plan.services).map(database).collect();
+        let fronts = match surge.routers.as_slice() {
+            [] => self.fronts.clone(),
+            some => {
+                let front = |router: &usize| SocketAddrV4::new(ip(1, router % self.plan.routers), FRONT);
+                Rc::new(RefCell::new(some.iter().map(front).collect()))
+            }
+        };
+        let at = |seconds: f64| Point::from_micros((seconds * 1e6) as i64);
+        let clients = Clients::new(
+            fronts,
+            &databases,
+            surge.users,
+            ms(surge.think_ms),
+            (at(surge.at), at(surge.at + surge.for_s)),
+            self.history.clone(),
+            self.plan.seed ^ 0x5137 ^ (number as u64) << 20,
+        );
+        let nothing = Rc::new(RefCell::new(Disk::default()));
+        let machine = self.world.add(&format!("surge-{number}"), Vec::new(), nothing, Span::ZERO);
+        self.world.start(machine, Box::new(clients.costly(surge.costly)));
     }
 
     fn life(&mut self) -> u64 {
--- a/crates/arrowyard-conduit/src/message.rs
+++ b/crates/arrowyard-conduit/src/message.rs
@@ -7,7 +7,7 @@
 /// One thing that is said.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Frame {
-    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
+    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
     pub word: Option<Word>,
 }
 
@@ -45,6 +45,12 @@
     Probe(Probe),
     #[prost(message, tag = "16")]
     Probed(Probed),
+    #[prost(message, tag = "17")]
+    Needs(Needs),
+    #[prost(message, tag = "18")]
+    Allots(Allots),
+    #[prost(message, tag = "19")]
+    Pressed(Pressed),
 }
 
 /// The first frame on a connection, from both ends.
@@ -381,6 +387,98 @@
     pub by: u32,
 }
 
+/// From a router, by way of its control machine, to whoever divides: what its services need of hosts.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Needs {
+    /// The life of the router's process.
+    #[prost(fixed64, tag = "1")]
+    pub router: u64,
+    /// Rises with each word of this life.
+    #[prost(uint64, tag = "2")]
+    pub echo: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub hosts: Vec<HostNeeds>,
+}
+
+/// What one router needs of one host.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct HostNeeds {
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Statements that the host runs at a time.
+    #[prost(uint32, tag = "2")]
+    pub slots: u32,
+    /// The last part that the router took up, by whom.
+    #[prost(uint64, tag = "3")]
+    pub fence: u64,
+    #[prost(uint64, tag = "4")]
+    pub answers: u64,
+    #[prost(message, repeated, tag = "5")]
+    pub needs: Vec<Need>,
+    /// The databases that the host holds a copy of.
+    #[prost(string, tag = "6")]
+    pub group: String,
+}
+
+/// Of one service, in thousandths of a place.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Need {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(uint32, tag = "2")]
+    pub runs: u32,
+    #[prost(uint32, tag = "3")]
+    pub waits: u32,
+}
+
+/// From whoever divides to one router, by way of its control machine.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Allots {
+    #[prost(fixed64, tag = "1")]
+    pub router: u64,
+    #[prost(uint64, tag = "2")]
+    pub fence: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub allots: Vec<Allot>,
+}
+
+/// A router's part of one host. Services that are not named go free.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Allot {
+    #[prost(string, tag = "1")]
+    pub host: String,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// The router's word that this answers.
+    #[prost(uint64, tag = "3")]
+    pub echo: u64,
+    #[prost(bool, tag = "4")]
+    pub pressed: bool,
+    #[prost(message, repeated, tag = "5")]
+    pub caps: Vec<ServiceCap>,
+    /// The host's places in thousandths, and how many routers share them.
+    #[prost(uint32, tag = "6")]
+    pub places: u32,
+    #[prost(uint32, tag = "7")]
+    pub routers: u32,
+}
+
+/// How many of a service's statements may be under way, in thousandths.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct ServiceCap {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(uint32, tag = "2")]
+    pub cap: u32,
+}
+
+/// From whoever divides to all control machines and all routers: tell what you need of these hosts.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Pressed {
+    #[prost(string, repeated, tag = "1")]
+    pub hosts: Vec<String>,
+}
+
 /// Asks a voter what it has accepted behind its last chosen slot; it promises nothing.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
 pub struct Probe {
--- a/crates/arrowyard-gauge/src/configuration.rs
+++ b/crates/arrowyard-gauge/src/configuration.rs
@@ -2,6 +2,15 @@
 
 use sonic_rs::{JsonContainerTrait, JsonType, JsonValueTrait, Value};
 
+/// Fields of the system's own in the operator's configuration: what kinds of requests are promised, and, at a route, what
+/// it counts as. Their names are no deployment's.
+pub const SHARES: &str = "arrowyard-shares";
+/// Whether pressed hosts are divided at all; they are unless this is false.
+pub const DIVISION: &str = "arrowyard-division";
+const SHARE: &str = "arrowyard-share";
+/// The weight of the highest priority.
+const HIGHEST: f64 = 4.0;
+
 /// How fresh what a route reads must be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Kind {
@@ -26,6 +35,24 @@
     pub service: String,
     pub tries: u32,
     pub staleness_bound_ms: f64,
+    /// The kind of requests that it counts as where hosts are divided: what the operator names, or else its kind and
+    /// priority.
+    pub share: String,
+}
+
+/// What the operator promises a kind of requests of the places at a host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Share {
+    pub name: String,
+    /// Its weight beside the others, from 0 on.
+    pub weight: f64,
+    /// The parts of a host's places, 0 to 1, that it gets at least if it asks for them, and at most.
+    pub least: f64,
+    pub most: f64,
+    /// Whether others may use its least while it does not ask for it.
+    pub lends: bool,
+    /// Whether it may have more than its weight's part.
+    pub borrows: bool,
 }
 
 /// A service: one primary together with its replicas.
@@ -77,6 +104,9 @@
     channels: Vec<Item<Channel>>,
     services: Vec<Item<Service>>,
     limits: Option<Item<Limits>>,
+    shares: Vec<Item<Share>>,
+    /// Pressed hosts are left whole: nothing is divided.
+    whole: bool,
     /// Fields that are not known here; they are kept as they were sent.
     others: BTreeMap<String, String>,
 }
@@ -130,8 +160,61 @@
             service: text(item, "service", place)?,
             tries: number(item, "tries", place, 1.0)?.clamp(1.0, 16.0) as u32,
             staleness_bound_ms: number(item, "staleness-bound-ms", place, 0.0)?,
+            share: match item.pointer([SHARE]) {
+                None => String::new(),
+                Some(_) => text(item, SHARE, place)?,
+            },
+        })
+        .map(|channel| match channel.share.as_str() {
+            "" => Channel { share: channel.usual_share(), ..channel },
+            _ => channel,
         })
     }
+
+    /// What it counts as where the operator says nothing.
+    fn usual_share(&self) -> String {
+        let kind = match self.kind {
+            Kind::Primary => "primary",
+            Kind::BoundedStaleness => "bounded_staleness",
+            Kind::OwnRegion => "own_region",
+        };
+        format!("{kind}/{}", self.priority)
+    }
+
+    /// The weight of what it counts as where the operator says nothing: the higher the priority, the more.
+    pub fn usual_weight(&self) -> f64 {
+        HIGHEST / (f64::from(self.priority) + 1.0)
+    }
+}
+
+fn flag(item: &Value, field: &str, place: &str) -> Result<bool, Refusal> {
+    match item.pointer([field]) {
+        None => Ok(true),
+        Some(value) => {
+            value.as_bool().ok_or_else(|| wrong(format!("{place}/{field}"), "is neither true nor false"))
+        }
+    }
+}
+
+impl Share {
+    fn read(item: &Value, place: &str) -> Result<Self, Refusal> {
+        let part = |field: &str, otherwise: f64| {
+            let part = number(item, field, place, otherwise)?;
+            if part > 1.0 { Err(wrong(format!("{place}/{field}"), "is above 1")) } else { Ok(part) }
+        };
+        let share = Share {
+            name: text(item, "name", place)?,
+            weight: number(item, "weight", place, 1.0)?,
+            least: part("least", 0.0)?,
+            most: part("most", 1.0)?,
+            lends: flag(item, "lends", place)?,
+            borrows: flag(item, "borrows", place)?,
+        };
+        if share.least > share.most {
+            return Err(wrong(format!("{place}/least"), "is above its most"));
+        }
+        Ok(share)
+    }
 }
 
 impl Service {
@@ -230,6 +313,15 @@
         self.services.iter().map(|item| &item.read)
     }
 
+    /// Whether pressed hosts are divided between kinds of requests.
+    pub fn divides(&self) -> bool {
+        !self.whole
+    }
+
+    pub fn shares(&self) -> impl Iterator<Item = &Share> {
+        self.shares.iter().map(|item| &item.read)
+    }
+
     pub fn limits(&self) -> Limits {
         self.limits.as_ref().map(|item| item.read).unwrap_or_default()
     }
@@ -256,6 +348,14 @@
                     let read = Limits::read(value, "/limits")?;
                     new.limits = Some(Item { sent: written(value), read });
                 }
+                DIVISION => {
+                    new.whole = !value
+                        .as_bool()
+                        .ok_or_else(|| wrong("/arrowyard-division", "is neither true nor false"))?;
+                }
+                SHARES => {
+                    new.shares = items(Some(value), "/arrowyard-shares", Share::read, |share| &share.name)?;
+                }
                 _ => drop(new.others.insert(field.to_string(), written(value))),
             }
         }
@@ -285,6 +385,16 @@
         let added =
             items(at("upsert", "services"), "/upsert/services", Service::read, |service| &service.name)?;
         upsert(&mut new.services, added, |service| &service.name);
+        let gone = names(at("remove", SHARES), "/remove/arrowyard-shares")?;
+        new.shares.retain(|item| !gone.contains(&item.read.name));
+        let added =
+            items(at("upsert", SHARES), "/upsert/arrowyard-shares", Share::read, |share| &share.name)?;
+        upsert(&mut new.shares, added, |share| &share.name);
+        if let Some(value) = at("upsert", DIVISION) {
+            let divides = value.as_bool();
+            new.whole =
+                !divides.ok_or_else(|| wrong("/upsert/arrowyard-division", "is neither true nor false"))?;
+        }
         if let Some(limits) = at("upsert", "limits") {
             new.limits = Some(Item { sent: written(limits), read: Limits::read(limits, "/upsert/limits")? });
         }
@@ -296,6 +406,7 @@
             return Err(Refusal::Old(self.revision, current));
         }
         let services: BTreeSet<&str> = self.services().map(|service| service.name.as_str()).collect();
+        let shares: BTreeSet<&str> = self.shares().map(|share| share.name.as_str()).collect();
         let mut places = BTreeSet::new();
         for (row, channel) in self.channels().enumerate() {
             if !services.contains(channel.service.as_str()) {
@@ -304,6 +415,16 @@
             if !places.insert((channel.plant.as_str(), channel.prefix.as_str())) {
                 return Err(wrong(format!("/channels/{row}"), "has the host and prefix of another one"));
             }
+            if channel.share != channel.usual_share() && !shares.contains(channel.share.as_str()) {
+                return Err(wrong(format!("/channels/{row}/{SHARE}"), "names a share that is not there"));
+            }
+        }
+        let mut promised = 0.0;
+        for (row, share) in self.shares().enumerate() {
+            promised += share.least;
+            if promised > 1.0 + 1e-9 {
+                return Err(wrong(format!("/{SHARES}/{row}/least"), "promises more than there is"));
+            }
         }
         Ok(self)
     }
@@ -319,6 +440,12 @@
             format!("\"services\":[{}]", list(&self.services)),
         ];
         fields.extend(self.limits.iter().map(|limits| format!("\"limits\":{}", limits.sent)));
+        if self.whole {
+            fields.push(format!("\"{DIVISION}\":false"));
+        }
+        if !self.shares.is_empty() {
+            fields.push(format!("\"{SHARES}\":[{}]", list(&self.shares)));
+        }
         for (name, value) in &self.others {
             fields.push(format!("{}:{value}", sonic_rs::to_string(name).unwrap_or_default()));
         }
--- a/crates/arrowyard-gauge/src/lib.rs
+++ b/crates/arrowyard-gauge/src/lib.rs
@@ -6,5 +6,5 @@
 mod settings;
 
 pub use change::{Change, Kind as ChangeKind};
-pub use configuration::{Channel, Configuration, Kind, Limits, Refusal, Service};
+pub use configuration::{Channel, Configuration, Kind, Limits, Refusal, SHARES, Service, Share};
 pub use settings::{Envelope, Fault, Settings, Tolerance};
--- a/crates/arrowyard-headworks/src/control.rs
+++ b/crates/arrowyard-headworks/src/control.rs
@@ -7,6 +7,7 @@
 mod memory;
 mod mesh;
 mod seats;
+mod shares;
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -25,6 +26,7 @@
 use feed::Router;
 use hosts::Link;
 use mesh::{Peer, Platform};
+use shares::Shares;
 
 /// The doors of a control machine: the calls of hosts and operators, and the system's own processes.
 pub const DOORS: [Door; 2] = [Door(0), Door(1)];
@@ -90,6 +92,7 @@
     reread_at: Point,
     ticks: u64,
     in_touch: bool,
+    shares: Shares,
     ending: Option<Point>,
     ready: Vec<Out>,
 }
@@ -159,6 +162,7 @@
             reread_at: Point::DAWN,
             ticks: 0,
             in_touch: false,
+            shares: Shares::default(),
             ending: None,
             ready,
             settings,
@@ -225,6 +229,7 @@
         self.rng = rng;
         self.take_up(now, orders);
         self.fill_seats(now, orders);
+        self.divide(now, orders);
     }
 
     /// Takes the duty up, or lays it down, as the ledger says.
@@ -235,6 +240,7 @@
         }
         let after_another = fence.is_some() && self.ledger.applied().fence("promote") > 0 && self.ticks > 8;
         self.fence = fence;
+        self.divide_from(now, after_another);
         self.promotions = Promotions::default();
         match fence {
             Some(fence) => log::info!("duty: Holds promote, fence {fence}."),
@@ -438,9 +444,21 @@
         let stages = self.promotions.by_service.iter().map(|(service, promotion)| {
             format!("{{\"service\":{},\"stage\":{}}}", text(service), text(&promotion.stage.to_string()))
         });
+        let shares = self.shares.shown().into_iter().map(|(row, name)| {
+            format!(
+                "{{\"host\":{},\"service\":{},\"owed\":\"{:.2}\",\"runs\":\"{:.2}\",\"waits\":\"{:.2}\",\"held\":{},\"pressed-ms\":{}}}",
+                text(&row.host),
+                text(name),
+                row.owed,
+                row.runs,
+                row.waits,
+                row.held,
+                (now - row.since).micros().max(0) / 1000 * i64::from(row.since != Point::default()),
+            )
+        });
         format!(
             "{{\"node\":{},\"revision\":{},\"slot\":{},\"votes\":{},\"voters\":{},\"controls\":{},\"routers-all\":{},\
-             \"routers\":{},\"hosts\":{},\"duties\":{},\"promotions\":{}}}",
+             \"routers\":{},\"hosts\":{},\"duties\":{},\"promotions\":{},\"divides\":{},\"shares\":{}}}",
             text(&self.settings.node),
             applied.configuration.revision,
             applied.slot,
@@ -452,6 +470,8 @@
             list(hosts.collect()),
             list(duties.collect()),
             list(stages.collect()),
+            self.fence.is_some(),
+            list(shares.collect()),
         )
     }
 
--- a/crates/arrowyard-headworks/src/control/feed.rs
+++ b/crates/arrowyard-headworks/src/control/feed.rs
@@ -18,6 +18,8 @@
 pub struct Router {
     pub frames: Frames,
     pub node: String,
+    /// Of its process.
+    pub life: u64,
     number: u64,
     pub seen: Seen,
     heard_at: Point,
@@ -33,8 +35,14 @@
         orders: &mut Orders,
     ) {
         log::info!("feed: {} is fed.", hello.node);
-        let router =
-            Router { frames, node: hello.node.clone(), number: 0, seen: Seen::default(), heard_at: now };
+        let router = Router {
+            frames,
+            node: hello.node.clone(),
+            life: hello.life,
+            number: 0,
+            seen: Seen::default(),
+            heard_at: now,
+        };
         self.lines.insert(conn, Line::Router(router));
         self.tell_whole(conn, orders);
     }
@@ -78,6 +86,7 @@
                         }
                     }
                     Some(Word::Suspect(suspect)) => self.suspected(now, suspect, orders),
+                    Some(Word::Needs(needs)) => self.needs(now, None, needs, orders),
                     _ => {}
                 },
             }
--- a/crates/arrowyard-headworks/src/control/mesh.rs
+++ b/crates/arrowyard-headworks/src/control/mesh.rs
@@ -344,6 +344,9 @@
                 }
             }
             Word::Suspect(suspect) => self.suspected(now, suspect, orders),
+            Word::Needs(needs) => self.needs(now, Some(ip), needs, orders),
+            Word::Allots(allots) => self.allots(allots, orders),
+            word @ Word::Pressed(_) => self.pressed(&word, orders),
             word => self.with_ledger(now, orders, |ledger, out| ledger.hear(now, ip, &word, out)),
         }
     }
--- /dev/null
+++ b/crates/arrowyard-headworks/src/control/shares.rs
@@ -0,0 +1,147 @@
+//! The division of pressed hosts between services: whoever holds the duty divides, the others carry words to and from the
+//! routers that they feed.
+
+use arrowyard_conduit::{Allot, Allots, HostNeeds, Needs, Pressed, ServiceCap, Word};
+use arrowyard_penstock::{Conn, Orders};
+use arrowyard_types::{Point, Span};
+use arrowyard_weir::{Allotter, At, Need, Router as RouterId, Shown, Terms};
+use rustc_hash::FxHashMap;
+
+use super::{Control, Line};
+
+/// How long whoever held the duty before may go on dividing: till it notices that it is cut off.
+const BEFORE: Span = Span::from_millis(1750);
+/// Routers whose control machine is remembered.
+const MOST_ROUTERS: usize = 65_536;
+
+/// What a control machine knows of shares.
+#[derive(Default)]
+pub struct Shares {
+    terms: Terms,
+    /// The slot of the configuration that the terms are of.
+    slot: u64,
+    /// While it holds the duty.
+    allotter: Option<Allotter>,
+    /// By way of which control machine each router is reached; none where it is fed here.
+    ways: FxHashMap<u64, Option<u32>>,
+}
+
+impl Shares {
+    pub fn shown(&self) -> Vec<(Shown, &str)> {
+        let rows = self.allotter.iter().flat_map(Allotter::shown);
+        rows.map(|row| {
+            let name = self.terms.name(row.service);
+            (row, name)
+        })
+        .collect()
+    }
+}
+
+impl Control {
+    /// The duty was taken up, or laid down.
+    pub(super) fn divide_from(&mut self, now: Point, after_another: bool) {
+        let waits = if after_another { BEFORE } else { Span::ZERO };
+        self.shares.allotter = self.fence.map(|fence| Allotter::begin(now, fence, waits));
+    }
+
+    /// A router's needs, from itself or from the control machine that feeds it.
+    pub(super) fn needs(&mut self, now: Point, from: Option<u32>, needs: Needs, orders: &mut Orders) {
+        if self.shares.allotter.is_none() {
+            // It is passed on once, to the holder alone.
+            let holder = self.ledger.applied().duties.get("promote").map(|duty| duty.holder);
+            if let Some(holder) = holder.filter(|holder| from.is_none() && *holder != self.me) {
+                self.say_to_peer(holder, &Word::Needs(needs), orders);
+            }
+            return;
+        }
+        self.read_terms();
+        if !self.ledger.applied().configuration.divides() {
+            return;
+        }
+        let Shares { terms, allotter, ways, .. } = &mut self.shares;
+        let Some(allotter) = allotter else { return };
+        if ways.len() >= MOST_ROUTERS {
+            ways.clear();
+        }
+        ways.insert(needs.router, from);
+        for HostNeeds { host, slots, fence, answers, needs: list, group } in needs.hosts {
+            let need = |need: arrowyard_conduit::Need| Need {
+                service: terms.id(&need.service),
+                runs: need.runs,
+                waits: need.waits,
+            };
+            let answers = if Some(fence) == self.fence { answers } else { 0 };
+            let list = list.into_iter().take(MOST_SERVICES).map(need).collect();
+            let at = At { id: &host, group: &group, slots };
+            allotter.heard(now, &at, RouterId(needs.router), (needs.echo, answers), list);
+        }
+        self.divide(now, orders);
+    }
+
+    fn read_terms(&mut self) {
+        let applied = self.ledger.applied();
+        if self.shares.slot != applied.slot {
+            self.shares.slot = applied.slot;
+            self.shares.terms.configure(&applied.configuration);
+        }
+    }
+
+    /// Divides what is due, and says what came of it.
+    pub(super) fn divide(&mut self, now: Point, orders: &mut Orders) {
+        let (routers, fence) = (self.routers, self.fence.unwrap_or_default());
+        let Shares { terms, allotter, ways, .. } = &mut self.shares;
+        let Some(allotter) = allotter else { return };
+        let division = allotter.divide(now, terms, routers);
+        let mut by_router: std::collections::BTreeMap<u64, Vec<Allot>> = std::collections::BTreeMap::new();
+        for (router, allot) in division.allots {
+            let caps = allot.caps.iter();
+            let cap = |(of, cap): &(_, u32)| ServiceCap { service: terms.name(*of).to_string(), cap: *cap };
+            by_router.entry(router.0).or_default().push(Allot {
+                host: allot.host,
+                number: allot.number,
+                echo: allot.echo,
+                pressed: allot.pressed,
+                caps: caps.map(cap).collect(),
+                places: allot.places,
+                routers: allot.routers,
+            });
+        }
+        let said: Vec<(Option<u32>, Allots)> = by_router
+            .into_iter()
+            .filter_map(|(router, allots)| Some((*ways.get(&router)?, Allots { router, fence, allots })))
+            .collect();
+        for (way, allots) in said {
+            match way {
+                Some(peer) => self.say_to_peer(peer, &Word::Allots(allots), orders),
+                None => self.allots(allots, orders),
+            }
+        }
+        if !division.ask.is_empty() {
+            let word = Word::Pressed(Pressed { hosts: division.ask });
+            self.say_to_peers(&word, orders);
+            self.pressed(&word, orders);
+        }
+    }
+
+    /// Parts for a router that is fed here, or was.
+    pub(super) fn allots(&mut self, allots: Allots, orders: &mut Orders) {
+        let fed = self.routers_fed().find(|(_, router)| router.life == allots.router).map(|(conn, _)| conn);
+        if let Some(conn) = fed {
+            self.say(conn, Word::Allots(allots), orders);
+        }
+    }
+
+    /// Routers are asked what they need of hosts that are pressed.
+    pub(super) fn pressed(&mut self, word: &Word, orders: &mut Orders) {
+        let mut fed: Vec<Conn> = self
+            .lines
+            .iter()
+            .filter_map(|(conn, line)| matches!(line, Line::Router(_)).then_some(*conn))
+            .collect();
+        fed.sort_unstable();
+        fed.into_iter().for_each(|conn| self.say(conn, word.clone(), orders));
+    }
+}
+
+/// Services of one router at one host.
+const MOST_SERVICES: usize = 256;
--- a/crates/arrowyard-sluice/src/link.rs
+++ b/crates/arrowyard-sluice/src/link.rs
@@ -6,6 +6,7 @@
 use arrowyard_flume::{Code, Lines, Mode, Position};
 use arrowyard_penstock::Conn;
 use arrowyard_types::{HostId, OpId, Point, SendNo};
+use arrowyard_weir::ServiceId;
 use rustc_hash::FxHashSet;
 
 /// A session's values, by name. Sessions and connections that have the same ones share them.
@@ -42,6 +43,8 @@
     /// When the module sent it, and when its bytes went out.
     pub at: Point,
     pub wired: Option<Point>,
+    /// What it counts as.
+    pub service: ServiceId,
 }
 
 /// One connection to a host.
@@ -56,6 +59,8 @@
     pub defined: FxHashSet<u32>,
     pub in_transaction: bool,
     pub sent: Option<Sent>,
+    /// What whoever has it counts as.
+    pub service: Option<ServiceId>,
     /// Statements that went out to the same host later and are answered already.
     pub overtaken: u32,
     /// Of the answer under way: its rows as they came, its stamp, its fault.
@@ -78,6 +83,7 @@
             defined: FxHashSet::default(),
             in_transaction: false,
             sent: None,
+            service: None,
             overtaken: 0,
             rows: Vec::new(),
             stamp: None,
--- a/crates/arrowyard-sluice/src/module.rs
+++ b/crates/arrowyard-sluice/src/module.rs
@@ -9,6 +9,7 @@
     ZoneId,
 };
 use rustc_hash::{FxHashMap, FxHashSet};
+use smallvec::SmallVec;
 
 use crate::routes::Groups;
 
@@ -47,6 +48,8 @@
         ("host_checks".to_string(), text("told")),
         ("list".to_string(), text("pushed")),
         ("tokens".to_string(), text("router")),
+        // Hosts may be divided between tenants: services, in the operator's words.
+        ("tenants_held".to_string(), Fact::Flag(true)),
     ])
 }
 
@@ -103,6 +106,21 @@
         self.hosts.iter()
     }
 
+    pub fn id_of(&self, name: &str) -> Option<HostId> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Hosts of a service that may take a read, or else what only its primary may take. Danger: reads that find no room
+    /// at replicas go to the primary; whoever counts them as waiting for replicas alone lets them all go there at once.
+    pub fn takers(&self, service: &str, reads: bool) -> SmallVec<[HostId; 4]> {
+        let group = self.groups.get(service).and_then(|group| self.by_group.get(&group));
+        let fits = |id: &HostId| {
+            let host = &self.host(*id).host;
+            host.phase() == Phase::InService && (reads || host.role() == DbRole::Primary)
+        };
+        group.into_iter().flatten().copied().filter(fits).collect()
+    }
+
     fn entry(&mut self, now: Point, id: HostId) -> Entry {
         let Known { host, until, .. } = self.hosts[id.0 as usize].clone();
         let zones = self.zones.len() as u32;
--- a/crates/arrowyard-sluice/src/plane.rs
+++ b/crates/arrowyard-sluice/src/plane.rs
@@ -4,6 +4,7 @@
 mod feed;
 mod hosts;
 mod ops;
+mod shares;
 
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -24,6 +25,7 @@
 
 use feed::Feed;
 use hosts::Pool;
+use shares::Shares;
 
 /// The doors of a router: clients, and whoever asks whether it is ready.
 pub const DOORS: [Door; 2] = [Door(0), Door(1)];
@@ -61,6 +63,8 @@
     /// A connection to a host was not opened, or an orphan was not answered.
     Link(Conn),
     Feed,
+    /// Needs of hosts are looked at.
+    Shares,
     Reread,
     /// Connections to hosts that are of no use any more.
     Rested(HostId),
@@ -96,6 +100,7 @@
     shapes: FxHashMap<(arrowyard_flume::Mode, Rc<str>), u32>,
     timers: Timers<Alarm>,
     feed: Feed,
+    shares: Shares,
     /// How many routers share the hosts' connections.
     routers: u32,
     controls: Vec<Known>,
@@ -135,6 +140,7 @@
             shapes: FxHashMap::default(),
             timers: Timers::default(),
             feed: Feed::default(),
+            shares: Shares::default(),
             routers: UNCOUNTED,
             controls,
             draining: None,
@@ -194,6 +200,7 @@
             Alarm::Lost(conn) => self.look_for_lost(now, conn, orders),
             Alarm::Link(conn) => self.link_late(now, conn, orders),
             Alarm::Feed => self.feed_due(now, orders),
+            Alarm::Shares => self.shares_due(now, orders),
             Alarm::Reread => {
                 self.timers.set(now + REREAD, Alarm::Reread);
                 self.reread();
--- a/crates/arrowyard-sluice/src/plane/clients.rs
+++ b/crates/arrowyard-sluice/src/plane/clients.rs
@@ -374,7 +374,7 @@
             Some((true, None)) => Kind::Read,
             Some((false, None)) => Kind::First,
         };
-        self.start(now, conn, channel, Ask { id, text, kind, ends, writes, define });
+        self.start(now, conn, channel, Ask { id, text, kind, ends, writes, define }, orders);
     }
 
     fn shape(&mut self, mode: Mode, shape: &Rc<str>) -> u32 {
--- a/crates/arrowyard-sluice/src/plane/feed.rs
+++ b/crates/arrowyard-sluice/src/plane/feed.rs
@@ -40,6 +40,12 @@
     failed: Option<u32>,
 }
 
+impl Feed {
+    pub(super) fn open_conn(&self) -> Option<Conn> {
+        self.conn.filter(|_| self.open)
+    }
+}
+
 impl Sluice {
     pub(super) fn feed_due(&mut self, now: Point, orders: &mut Orders) {
         match self.feed.conn {
@@ -142,6 +148,8 @@
                 Ok(Some(frame)) => match frame.word {
                     Some(Word::Whole(whole)) => self.take_whole(now, conn, &whole, orders),
                     Some(Word::Change(change)) => self.take_change(now, conn, &change, orders),
+                    Some(Word::Allots(allots)) => self.take_allots(now, allots, orders),
+                    Some(Word::Pressed(pressed)) => self.hosts_pressed(now, &pressed.hosts, orders),
                     _ => {}
                 },
                 Err(broken) => {
@@ -166,6 +174,7 @@
         self.take_hosts(now, &whole.hosts);
         self.take_routers(now, whole.routers, orders);
         self.take_view(&whole.view);
+        self.renew_shares(now);
         self.say_seen(now, conn, false, orders);
     }
 
@@ -201,6 +210,7 @@
     fn put_in_force(&mut self, now: Point, configuration: Configuration, slot: u64, orders: &mut Orders) {
         log::info!("configuration: Revision {} is in force.", configuration.revision);
         self.configured.routes = Rc::new(Routes::new(&configuration));
+        self.shares.terms.configure(&configuration);
         (self.configured.configuration, self.configured.slot) = (configuration, slot);
         self.greet_waiting(now, orders);
     }
--- a/crates/arrowyard-sluice/src/plane/hosts.rs
+++ b/crates/arrowyard-sluice/src/plane/hosts.rs
@@ -43,7 +43,7 @@
     idle: Vec<Conn>,
     all: usize,
     opening: usize,
-    waiting: VecDeque<(Conn, Sent)>,
+    pub(super) waiting: VecDeque<(Conn, Sent)>,
     /// Since when something is asked of it and nothing is heard.
     mute_since: Option<Point>,
     failures: u32,
@@ -162,6 +162,7 @@
         let Some(held) = self.link(link) else { return };
         held.shift(now, Stage::Held(conn));
         held.sent = Some(sent);
+        held.service = Some(sent.service);
         let dress =
             held.dress(&values, define.as_ref().map(|(number, mode, shape)| (*number, *mode, &**shape)));
         for text in &dress {
@@ -404,8 +405,11 @@
         let Some(link) = self.link(conn) else { return };
         link.shift(now, Stage::Idle);
         let host = link.host;
-        if let Some((session, sent)) = self.pools[host.0 as usize].waiting.pop_front() {
-            return self.hand_over(now, session, conn, sent, orders);
+        if !self.pools[host.0 as usize].waiting.is_empty() {
+            let place = self.next_waiting(host);
+            if let Some((session, sent)) = self.pools[host.0 as usize].waiting.remove(place) {
+                return self.hand_over(now, session, conn, sent, orders);
+            }
         }
         let share = self.share(host);
         let gone = self.module.host(host).host.phase() == arrowyard_conduit::Phase::Gone;
--- a/crates/arrowyard-sluice/src/plane/ops.rs
+++ b/crates/arrowyard-sluice/src/plane/ops.rs
@@ -4,8 +4,9 @@
 use arrowyard_gauge::{Channel, Kind as Freshness};
 use arrowyard_penstock::{Conn, Orders};
 use arrowyard_types::{
-    Ask as Asked, Ended, HostId, Note, OpId, Outcome, Point, Role, SendNo, SessionId, Span, Word,
+    Ask as Asked, Ended, HostId, Note, OpId, Outcome, Point, Role, SendNo, SessionId, Span, TenantId, Word,
 };
+use smallvec::SmallVec;
 
 use super::clients::Ask;
 use super::{Alarm, Sluice};
@@ -28,7 +29,16 @@
 
 impl Sluice {
     /// Hands a statement to the module.
-    pub(super) fn start(&mut self, now: Point, conn: Conn, channel: &Channel, ask: Ask<'_>) {
+    pub(super) fn start(
+        &mut self,
+        now: Point,
+        conn: Conn,
+        channel: &Channel,
+        ask: Ask<'_>,
+        orders: &mut Orders,
+    ) {
+        self.look_now_and_then(now, orders);
+        let service = self.service_of(channel);
         let row = self.op_types.row(channel, ask.kind);
         if let Some(rows) = self.op_types.news() {
             self.note(now, Note::OpTypes(rows));
@@ -46,6 +56,8 @@
             text: ask.text,
             op,
             op_type: row,
+            service,
+            waits: SmallVec::new(),
             kind: ask.kind,
             ends: ask.ends,
             writes: ask.writes,
@@ -65,7 +77,10 @@
         self.ops.insert(op, conn);
         let due = now + (deadline - BEFORE).max(Span::from_millis(1));
         let session = Some(SessionId(conn.0));
-        let asked = Asked { op, op_type: row, group, session, floor, due, pinned, ..Asked::default() };
+        self.awaits(now, conn, channel);
+        let tenant = Some(TenantId(service.0));
+        let asked =
+            Asked { op, op_type: row, tenant, group, session, floor, due, pinned, ..Asked::default() };
         self.note(now, Note::Asked(asked));
     }
 
@@ -73,14 +88,17 @@
     pub(super) fn send(&mut self, now: Point, op: OpId, host: HostId, until: Point, orders: &mut Orders) {
         let Some(&conn) = self.ops.get(&op) else { return self.moot(now, op, host) };
         let timer = self.timers.set(until, Alarm::Statement(conn));
+        self.awaits_no_more(now, conn);
         let Some(statement) = self.session(conn).and_then(|session| session.asks()) else { return };
         let number = SendNo(statement.sends);
         statement.sends += 1;
         statement.host = Some(host);
         let old = statement.timer.replace(timer);
         let (link, later) = (statement.link, statement.kind == Kind::Later);
+        let service = statement.service;
+        self.shares.meter.began(now, host, service);
         old.into_iter().for_each(|key| self.timers.cancel(key));
-        let sent = Sent { op, number, at: now, wired: None };
+        let sent = Sent { op, number, at: now, wired: None, service };
         match link.filter(|link| self.link(*link).is_some()) {
             // Its transaction holds a connection.
             Some(link) => self.hand_over(now, conn, link, sent, orders),
@@ -96,7 +114,7 @@
             transaction.link = None;
         }
         self.ended(now, sent, host, Outcome::Moot, Word::default(), true);
-        let Some(statement) = self.finish(conn) else { return };
+        let Some(statement) = self.finish(now, conn) else { return };
         self.answer(now, conn, &statement, Code::Reverted, "the transaction was ended", orders);
         self.next_line(now, conn, orders);
     }
@@ -126,6 +144,10 @@
         finished: bool,
     ) {
         let took = now - sent.at;
+        self.shares.meter.ended(now, host, sent.service);
+        if !finished && let Some(&conn) = self.ops.get(&sent.op) {
+            self.waits_again(now, conn);
+        }
         let ended = Ended { op: sent.op, send: sent.number, host, outcome, took, finished, word };
         self.note(now, Note::SendEnded(ended));
     }
@@ -271,11 +293,13 @@
     }
 
     /// Takes the statement that a session waits for; its timer and its number are given back.
-    pub(super) fn finish(&mut self, conn: Conn) -> Option<Box<Statement>> {
+    pub(super) fn finish(&mut self, now: Point, conn: Conn) -> Option<Box<Statement>> {
         let session = self.session(conn)?;
         if !matches!(session.stage, Stage::Asks(_)) {
             return None;
         }
+        self.awaits_no_more(now, conn);
+        let session = self.session(conn)?;
         let Stage::Asks(statement) = session.shift(Stage::Rests) else { return None };
         statement.timer.into_iter().for_each(|key| self.timers.cancel(key));
         self.ops.remove(&statement.op);
@@ -283,7 +307,7 @@
     }
 
     fn succeed(&mut self, now: Point, conn: Conn, link: Conn, answer: &Answered, orders: &mut Orders) {
-        let Some(statement) = self.finish(conn) else { return };
+        let Some(statement) = self.finish(now, conn) else { return };
         let Some(session) = self.session(conn) else { return };
         let mut over = true;
         if statement.ends {
@@ -309,7 +333,7 @@
 
     /// Answers with the fault that a host gave last. The transaction that it happened in has failed.
     fn answer_fault(&mut self, now: Point, conn: Conn, link: Option<Conn>, orders: &mut Orders) {
-        let Some(statement) = self.finish(conn) else { return };
+        let Some(statement) = self.finish(now, conn) else { return };
         let (code, text) =
             statement.fault.clone().unwrap_or((Code::Unknown, "no answer of the host".to_string()));
         let code = if code == Code::Other { Code::Unknown } else { code };
@@ -348,7 +372,7 @@
     /// The module gives a statement up that has not run: its client hears when to come back.
     pub(super) fn give_up(&mut self, now: Point, op: OpId, after: Option<Span>, orders: &mut Orders) {
         let Some(&conn) = self.ops.get(&op) else { return };
-        let Some(statement) = self.finish(conn) else { return };
+        let Some(statement) = self.finish(now, conn) else { return };
         // Danger: a commit that stays behind on its connection is rolled back, or it is no promise.
         let millis = after.unwrap_or(crate::module::COME_BACK).micros() / 1000;
         let text = format!("come back in {millis} ms");
@@ -378,7 +402,7 @@
                     link.sent = None;
                 }
                 self.ended(now, sent, host, Outcome::TimedOut, Word::default(), true);
-                let Some(statement) = self.finish(conn) else { return };
+                let Some(statement) = self.finish(now, conn) else { return };
                 let writes = kind == Kind::Write || statement.ends;
                 let code = if writes { Code::Unknown } else { Code::Expired };
                 if self.link(link).is_some_and(|link| link.overtaken >= OVERTAKEN) {
@@ -408,7 +432,7 @@
 
     /// Whoever asked is gone. A statement that has not gone out does not run; one that has is let run.
     pub(super) fn abandon(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
-        let Some(statement) = self.finish(conn) else { return };
+        let Some(statement) = self.finish(now, conn) else { return };
         self.hang_up(now, statement.op);
         let Some(host) = statement.host else { return };
         let on_wire = statement.link.and_then(|link| self.link(link)).and_then(|link| link.sent);
@@ -461,7 +485,7 @@
                 transaction.link = None;
             }
             self.ended(now, sent, host, outcome, Word::default(), true);
-            let Some(statement) = self.finish(conn) else { return };
+            let Some(statement) = self.finish(now, conn) else { return };
             self.answer(now, conn, &statement, code, text, orders);
             return self.next_line(now, conn, orders);
         }
--- /dev/null
+++ b/crates/arrowyard-sluice/src/plane/shares.rs
@@ -0,0 +1,248 @@
+//! This router's side of the division of hosts between services: what is under way and what waits is counted, told to
+//! control where it matters, and what is allotted is told to the module, which chooses hosts within it.
+
+use std::collections::BTreeMap;
+
+use arrowyard_conduit::{Allots, HostNeeds, Needs, Word, said};
+use arrowyard_gauge::{Channel, Kind as Freshness};
+use arrowyard_penstock::{Conn, Orders};
+use arrowyard_types::{HostId, Note, Point, Span, TenantId};
+use arrowyard_weir::{Allot, Holder, Meter, Milli, Need, ServiceId, Terms, places};
+
+use super::{Alarm, Line, Sluice};
+use crate::link::Stage;
+use crate::routes::Statement as Kind;
+
+/// Needs are looked at so often at most, and told again after so long where nothing moved.
+const LOOK: Span = Span::from_millis(50);
+const AGAIN: Span = Span::from_millis(250);
+/// What moved by less, in thousandths of a place and as a part of itself, is not told.
+const MOVES: Milli = 100;
+const MOVES_PART: Milli = 8;
+
+/// What this router knows of shares.
+#[derive(Default)]
+pub struct Shares {
+    pub terms: Terms,
+    pub meter: Meter<HostId>,
+    holder: Holder,
+    looked_at: Point,
+    /// An alarm for the next look is set.
+    looks: bool,
+    /// What control was told last of each host, and when.
+    told: BTreeMap<HostId, (Point, Vec<Need>)>,
+    /// What was read of each host at the last look.
+    needs: BTreeMap<HostId, Vec<Need>>,
+    /// What the module goes by.
+    held: BTreeMap<(HostId, ServiceId), Milli>,
+}
+
+fn moved(old: &[Need], new: &[Need]) -> bool {
+    let of = |list: &[Need], service| {
+        list.iter().copied().find(|need| need.service == service).unwrap_or_default()
+    };
+    let far = |a: Milli, b: Milli| a.abs_diff(b) > MOVES.max(a.max(b) / MOVES_PART);
+    let differs = |need: &Need| {
+        let (old, new) = (of(old, need.service), of(new, need.service));
+        far(old.runs, new.runs) || far(old.waits, new.waits)
+    };
+    old.iter().chain(new).any(differs)
+}
+
+impl Sluice {
+    /// What a route counts as.
+    pub(super) fn service_of(&mut self, channel: &Channel) -> ServiceId {
+        self.shares.terms.id(&channel.share)
+    }
+
+    /// A session's statement waits for a host.
+    pub(super) fn awaits(&mut self, now: Point, conn: Conn, channel: &Channel) {
+        let Some(statement) = self.session(conn).and_then(|session| session.asks()) else { return };
+        let (kind, service) = (statement.kind, statement.service);
+        if kind == Kind::Later {
+            return;
+        }
+        let reads = kind == Kind::Read && channel.kind != Freshness::Primary;
+        let hosts = self.module.takers(&channel.service, reads);
+        self.shares.meter.waits(now, &hosts, service, 1.0);
+        if let Some(statement) = self.session(conn).and_then(|session| session.asks()) {
+            statement.waits = hosts;
+        }
+    }
+
+    /// It waits no more.
+    pub(super) fn awaits_no_more(&mut self, now: Point, conn: Conn) {
+        let Some(statement) = self.session(conn).and_then(|session| session.asks()) else { return };
+        let (service, hosts) = (statement.service, std::mem::take(&mut statement.waits));
+        if !hosts.is_empty() {
+            self.shares.meter.waits(now, &hosts, service, -1.0);
+        }
+    }
+
+    /// Needs are looked at where that was not done for a while.
+    pub(super) fn look_now_and_then(&mut self, now: Point, orders: &mut Orders) {
+        if now - self.shares.looked_at >= LOOK {
+            self.look_at_needs(now, orders);
+        }
+    }
+
+    /// Tells control what is needed of hosts of which this router alone needs its even part, and of those that control
+    /// asks for. Where all need more than there is, one of them needs more than its even part.
+    pub(super) fn look_at_needs(&mut self, now: Point, orders: &mut Orders) {
+        self.shares.looked_at = now;
+        self.shares.needs.clear();
+        if !self.configured.configuration.divides() {
+            self.shares.holder = Holder::default();
+            return self.hold_to_parts(now);
+        }
+        let mut hosts = Vec::new();
+        let all: Vec<HostId> = self.shares.meter.places().collect();
+        for host in all {
+            let known = &self.module.host(host).host;
+            let (id, group, slots) = (known.id.clone(), known.service.clone(), known.capacity);
+            let needs = self.shares.meter.read(now, host);
+            let sum: f64 = needs.iter().map(|need| f64::from(need.runs) + f64::from(need.waits)).sum();
+            let asked = self.shares.holder.is_asked(now, &id);
+            let much = sum * f64::from(self.routers) >= f64::from(places(slots));
+            let last = self.shares.told.get(&host);
+            let due = match last {
+                Some((at, old)) => now - *at >= AGAIN || moved(old, &needs),
+                None => sum > 0.0,
+            };
+            if !(asked || much) {
+                if self.shares.told.remove(&host).is_none() {
+                    continue;
+                }
+                // Control hears that it is over.
+            } else if !due {
+                self.shares.needs.insert(host, needs);
+                continue;
+            } else {
+                self.shares.told.insert(host, (now, needs.clone()));
+            }
+            let (fence, answers) = self.shares.holder.answers(&id);
+            let need = |need: &Need| arrowyard_conduit::Need {
+                service: self.shares.terms.name(need.service).to_string(),
+                runs: need.runs,
+                waits: need.waits,
+            };
+            let list = needs.iter().filter(|need| need.runs > 0 || need.waits > 0).map(need).collect();
+            hosts.push(HostNeeds { host: id, slots, fence, answers, needs: list, group });
+            self.shares.needs.insert(host, needs);
+        }
+        if let Some(conn) = self.feed.open_conn().filter(|_| !hosts.is_empty()) {
+            let echo = self.shares.holder.says(now);
+            orders.write(conn, &[&said(Word::Needs(Needs { router: self.life, echo, hosts }))]);
+        }
+        self.shares.holder.sweep(now);
+        self.hold_to_parts(now);
+        self.look_again(now);
+    }
+
+    /// While anything was told or is held, needs are looked at though nothing comes.
+    fn look_again(&mut self, now: Point) {
+        let busy = !self.shares.told.is_empty() || self.shares.holder.pressed().next().is_some();
+        if busy && !self.shares.looks {
+            self.shares.looks = true;
+            self.timers.set(now + LOOK, Alarm::Shares);
+        }
+    }
+
+    pub(super) fn shares_due(&mut self, now: Point, orders: &mut Orders) {
+        self.shares.looks = false;
+        self.look_at_needs(now, orders);
+    }
+
+    /// Control asks what is needed of hosts.
+    pub(super) fn hosts_pressed(&mut self, now: Point, hosts: &[String], orders: &mut Orders) {
+        hosts.iter().for_each(|host| self.shares.holder.asked(now, host));
+        self.look_now_and_then(now, orders);
+        self.look_again(now);
+    }
+
+    /// Whoever divides says what this router may have of hosts.
+    pub(super) fn take_allots(&mut self, now: Point, allots: Allots, orders: &mut Orders) {
+        if allots.router != self.life {
+            return;
+        }
+        for allot in allots.allots {
+            let caps = allot.caps.iter().map(|cap| (self.shares.terms.id(&cap.service), cap.cap)).collect();
+            let allot = Allot {
+                host: allot.host,
+                fence: allots.fence,
+                number: allot.number,
+                echo: allot.echo,
+                pressed: allot.pressed,
+                caps,
+                places: allot.places,
+                routers: allot.routers,
+            };
+            self.shares.holder.heard(now, allot);
+        }
+        self.hold_to_parts(now);
+        self.look_now_and_then(now, orders);
+        self.look_again(now);
+    }
+
+    /// The feed is new.
+    pub(super) fn renew_shares(&mut self, now: Point) {
+        self.shares.holder.renewed(now);
+        self.hold_to_parts(now);
+    }
+
+    /// Tells the module what of the parts is new to it.
+    fn hold_to_parts(&mut self, now: Point) {
+        let mut held = BTreeMap::new();
+        for name in self.shares.holder.pressed() {
+            let Some(host) = self.module.id_of(name) else { continue };
+            let needs = self.shares.needs.get(&host).map_or(&[][..], Vec::as_slice);
+            for (service, cap) in self.shares.holder.caps(now, name, needs, &self.shares.terms) {
+                held.insert((host, service), cap);
+            }
+        }
+        let old = std::mem::replace(&mut self.shares.held, held);
+        let new = self.shares.held.clone();
+        for ((host, service), cap) in &new {
+            if old.get(&(*host, *service)) != Some(cap) {
+                let most = Some(f64::from(*cap) / 1000.0);
+                self.note(now, Note::Held { host: *host, tenant: TenantId(service.0), most });
+            }
+        }
+        for (host, service) in old.keys().filter(|key| !new.contains_key(key)) {
+            self.note(now, Note::Held { host: *host, tenant: TenantId(service.0), most: None });
+        }
+    }
+
+    /// Which of those that wait for a connection to a host gets the one that is free: of the services that wait, the one
+    /// that holds the fewest by its weight; of that one, whoever waits longest.
+    pub(super) fn next_waiting(&self, host: HostId) -> usize {
+        let waiting = &self.pools[host.0 as usize].waiting;
+        let first = waiting.front().map(|(_, sent)| sent.service);
+        if waiting.iter().all(|(_, sent)| Some(sent.service) == first) {
+            return 0;
+        }
+        let mut held: BTreeMap<ServiceId, f64> = BTreeMap::new();
+        for line in self.lines.values() {
+            if let Line::Link(link) = line
+                && link.host == host
+                && let (Stage::Held(_), Some(service)) = (link.stage, link.service)
+            {
+                *held.entry(service).or_default() += 1.0;
+            }
+        }
+        let has = |service: ServiceId| {
+            held.get(&service).copied().unwrap_or(0.0) / self.shares.terms.weight(service).max(1e-9)
+        };
+        let places = waiting.iter().enumerate().map(|(place, (_, sent))| (has(sent.service), place));
+        places.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map_or(0, |(_, place)| place)
+    }
+
+    /// A send of a statement has ended, and the statement has not: it waits for a host again.
+    pub(super) fn waits_again(&mut self, now: Point, conn: Conn) {
+        let Some(Line::Client(session)) = self.lines.get(&conn) else { return };
+        let inside = session.transaction.as_ref().map(|transaction| transaction.channel.clone());
+        let channel = inside.or_else(|| self.configured.routes.of(&session.database).cloned());
+        self.awaits_no_more(now, conn);
+        channel.into_iter().for_each(|channel| self.awaits(now, conn, &channel));
+    }
+}
--- a/crates/arrowyard-sluice/src/session.rs
+++ b/crates/arrowyard-sluice/src/session.rs
@@ -7,8 +7,10 @@
 use arrowyard_gauge::Channel;
 use arrowyard_penstock::Conn;
 use arrowyard_types::{HostId, OpId, OpTypeId, Point, Span};
+use arrowyard_weir::ServiceId;
 use bytes::Bytes;
 use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
 
 use crate::link::Values;
 use crate::routes::Statement as Kind;
@@ -33,6 +35,9 @@
     pub text: String,
     pub op: OpId,
     pub op_type: OpTypeId,
+    /// What it counts as, and the hosts that it waits for one of.
+    pub service: ServiceId,
+    pub waits: SmallVec<[HostId; 4]>,
     pub kind: Kind,
     pub ends: bool,
     pub writes: bool,
--- a/crates/arrowyard-types/src/interface.rs
+++ b/crates/arrowyard-types/src/interface.rs
@@ -205,6 +205,13 @@
         host: HostId,
         role: Role,
     },
+    /// So many ops of a tenant may be unfinished at a host from now on; with nothing, as many as the host bears. With a
+    /// broken number one more is out for that part of the time.
+    Held {
+        host: HostId,
+        tenant: TenantId,
+        most: Option<f64>,
+    },
     /// Shares are reckoned by this number of routers from now on.
     Fleet {
         routers: f64,
--- /dev/null
+++ b/crates/arrowyard-weir/src/meter.rs
@@ -0,0 +1,124 @@
+//! What a router has under way and what waits, by host and service, averaged over the time since it was told last.
+
+use std::collections::BTreeMap;
+
+use arrowyard_types::{Point, Span};
+
+use crate::{Milli, Need, ServiceId};
+
+/// A count, and its integral over time since it was read last.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    now: f64,
+    area: f64,
+    since: Point,
+    read_at: Point,
+}
+
+impl Count {
+    fn pass(&mut self, now: Point) {
+        self.area += self.now * (now - self.since).max(Span::ZERO).as_secs_f64();
+        self.since = now;
+    }
+
+    fn add(&mut self, now: Point, more: f64) {
+        self.pass(now);
+        self.now = (self.now + more).max(0.0);
+    }
+
+    /// Its mean since it was read last; what it is now, if that was this moment.
+    fn read(&mut self, now: Point) -> f64 {
+        self.pass(now);
+        let span = (now - self.read_at).as_secs_f64();
+        let mean = if span > 0.0 { self.area / span } else { self.now };
+        (self.area, self.read_at) = (0.0, now);
+        mean
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    runs: Count,
+    waits: Count,
+}
+
+/// By place `P` (a host): what runs there and what waits for it. What waits for one of several counts a part at each.
+#[derive(Clone, Debug)]
+pub struct Meter<P> {
+    counts: BTreeMap<(P, ServiceId), Counts>,
+}
+
+impl<P> Default for Meter<P> {
+    fn default() -> Self {
+        Meter { counts: BTreeMap::new() }
+    }
+}
+
+fn milli(places: f64) -> Milli {
+    (places * 1000.0).round().clamp(0.0, f64::from(u32::MAX / 4)) as Milli
+}
+
+impl<P: Copy + Ord> Meter<P> {
+    fn at(&mut self, now: Point, place: P, service: ServiceId) -> &mut Counts {
+        let fresh = || {
+            let count = Count { since: now, read_at: now, ..Count::default() };
+            Counts { runs: count, waits: count }
+        };
+        self.counts.entry((place, service)).or_insert_with(fresh)
+    }
+
+    /// A statement goes to a host.
+    pub fn began(&mut self, now: Point, place: P, service: ServiceId) {
+        self.at(now, place, service).runs.add(now, 1.0);
+    }
+
+    /// It is there no more.
+    pub fn ended(&mut self, now: Point, place: P, service: ServiceId) {
+        self.at(now, place, service).runs.add(now, -1.0);
+    }
+
+    /// So many statements wait for one of these hosts; more, or with a minus, fewer.
+    pub fn waits(&mut self, now: Point, places: &[P], service: ServiceId, more: f64) {
+        let part = more / places.len().max(1) as f64;
+        places.iter().for_each(|place| self.at(now, *place, service).waits.add(now, part));
+    }
+
+    /// What is under way and waits at a host at this moment, in places.
+    #[must_use]
+    pub fn load(&self, place: P) -> f64 {
+        let of = self.counts.range((place, ServiceId(0))..=(place, ServiceId(u32::MAX)));
+        of.map(|(_, counts)| counts.runs.now + counts.waits.now).sum()
+    }
+
+    /// The need of a host: means since this was read last.
+    pub fn read(&mut self, now: Point, place: P) -> Vec<Need> {
+        let of = self.counts.range_mut((place, ServiceId(0))..=(place, ServiceId(u32::MAX)));
+        of.map(|((_, service), counts)| Need {
+            service: *service,
+            runs: milli(counts.runs.read(now)),
+            waits: milli(counts.waits.read(now)),
+        })
+        .collect()
+    }
+
+    /// What is under way of a service at a host.
+    #[must_use]
+    pub fn running(&self, place: P, service: ServiceId) -> u32 {
+        self.counts.get(&(place, service)).map_or(0, |counts| counts.runs.now as u32)
+    }
+
+    /// Hosts where anything is or was counted.
+    pub fn places(&self) -> impl Iterator<Item = P> {
+        let mut last = None;
+        self.counts.keys().filter_map(move |(place, _)| {
+            let new = last != Some(*place);
+            last = Some(*place);
+            new.then_some(*place)
+        })
+    }
+
+    /// Forgets hosts that are gone.
+    pub fn forget(&mut self, place: P) {
+        self.counts.retain(|(of, _), _| *of != place);
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-weir/tests/allotment.rs
@@ -0,0 +1,294 @@
+//! Routers and whoever divides, with words lost, doubled and late between them: what routers go by never sums up to more
+//! than the host's places, and with news flowing the parts come to what is owed.
+
+use arrowyard_types::{Point, Span};
+use arrowyard_weir::{Allot, Allotter, At, Holder, Need, Router, ServiceId, Terms, owed};
+use proptest::prelude::*;
+
+const HOST: &str = "h";
+const SLOTS: u32 = 5;
+const AT: At<'static> = At { id: HOST, group: "g", slots: SLOTS };
+
+fn places() -> f64 {
+    f64::from(arrowyard_weir::places(SLOTS)) / 1000.0
+}
+
+fn at(ms: i64) -> Point {
+    Point::from_micros(1_000_000 + ms * 1000)
+}
+
+struct Edge {
+    holder: Holder,
+    /// By service: what its clients want, in places.
+    wants: Vec<f64>,
+}
+
+impl Edge {
+    fn cap(&self, now: Point, service: ServiceId, terms: &Terms) -> Option<f64> {
+        let caps = self.holder.caps(now, HOST, &[], terms);
+        caps.into_iter().find(|(of, _)| *of == service).map(|(_, cap)| f64::from(cap) / 1000.0)
+    }
+
+    /// What it runs: what is wanted, up to its part.
+    fn needs(&self, now: Point, terms: &Terms) -> Vec<Need> {
+        let of = |(number, wants): (usize, &f64)| {
+            let service = ServiceId(number as u32);
+            let runs = self.cap(now, service, terms).unwrap_or(f64::INFINITY).min(*wants);
+            Need { service, runs: (runs * 1000.0) as u32, waits: ((wants - runs) * 1000.0) as u32 }
+        };
+        self.wants.iter().enumerate().map(of).collect()
+    }
+}
+
+type Said = (Router, u64, u64, Vec<Need>);
+
+/// A step of a history: who wants what, which words arrive, how much time passes.
+#[derive(Clone, Debug)]
+enum Step {
+    Want(usize, usize, f64),
+    /// A router tells its need.
+    Tell(usize),
+    /// The word at this place of those under way arrives; it stays, if it is doubled.
+    ToAllotter(usize, bool),
+    ToRouter(usize, bool),
+    LoseToAllotter(usize),
+    LoseToRouter(usize),
+    Divide,
+    Pass(i64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        1 => (0..4_usize, 0..3_usize, 0.0..8.0_f64).prop_map(|(who, service, wants)| Step::Want(who, service, wants)),
+        4 => (0..4_usize).prop_map(Step::Tell),
+        6 => (0..8_usize, prop::bool::weighted(0.1)).prop_map(|(place, doubled)| Step::ToAllotter(place, doubled)),
+        6 => (0..8_usize, prop::bool::weighted(0.1)).prop_map(|(place, doubled)| Step::ToRouter(place, doubled)),
+        1 => (0..8_usize).prop_map(Step::LoseToAllotter),
+        1 => (0..8_usize).prop_map(Step::LoseToRouter),
+        4 => Just(Step::Divide),
+        3 => (1..60_i64).prop_map(Step::Pass),
+        1 => (200..900_i64).prop_map(Step::Pass),
+    ]
+}
+
+struct World {
+    now: i64,
+    terms: Terms,
+    allotter: Allotter,
+    edges: Vec<Edge>,
+    up: Vec<Said>,
+    down: Vec<(Router, Allot)>,
+    asked: Vec<String>,
+}
+
+impl World {
+    fn new(edges: usize) -> World {
+        let mut terms = Terms::default();
+        for name in ["a", "b", "c"] {
+            terms.id(name);
+        }
+        let edge = |_| Edge { holder: Holder::default(), wants: vec![0.0; 3] };
+        let allotter = Allotter::begin(at(0), 7, Span::ZERO);
+        World {
+            now: 0,
+            terms,
+            allotter,
+            edges: (0..edges).map(edge).collect(),
+            up: Vec::new(),
+            down: Vec::new(),
+            asked: Vec::new(),
+        }
+    }
+
+    fn tell(&mut self, who: usize) {
+        let now = at(self.now);
+        let edge = &mut self.edges[who];
+        let echo = edge.holder.says(now);
+        let needs = edge.needs(now, &self.terms);
+        self.up.push((Router(who as u64), echo, edge.holder.answers(HOST).1, needs));
+    }
+
+    fn divide(&mut self) {
+        let division = self.allotter.divide(at(self.now), &self.terms, self.edges.len() as u32);
+        self.down.extend(division.allots);
+        self.asked.extend(division.ask);
+    }
+
+    fn up(&mut self, place: usize, doubled: bool) {
+        if place < self.up.len() {
+            let (router, echo, answers, needs) =
+                if doubled { self.up[place].clone() } else { self.up.remove(place) };
+            self.allotter.heard(at(self.now), &AT, router, (echo, answers), needs);
+        }
+    }
+
+    fn down(&mut self, place: usize, doubled: bool) {
+        if place < self.down.len() {
+            let (router, allot) = if doubled { self.down[place].clone() } else { self.down.remove(place) };
+            self.edges[router.0 as usize].holder.heard(at(self.now), allot);
+        }
+    }
+
+    /// The sum of what routers that were told anything go by, over all services that are held.
+    fn sum(&self) -> f64 {
+        let caps = |edge: &Edge| -> f64 {
+            (0..3).filter_map(|service| edge.cap(at(self.now), ServiceId(service), &self.terms)).sum()
+        };
+        self.edges.iter().map(caps).sum()
+    }
+
+    fn settle(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            (0..self.edges.len()).for_each(|who| self.tell(who));
+            while !self.up.is_empty() {
+                self.up(0, false);
+            }
+            self.now += 11;
+            self.divide();
+            while !self.down.is_empty() {
+                self.down(0, false);
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    #[test]
+    fn whatever_is_lost_doubled_and_late_parts_sum_up_to_no_more_than_the_places(
+        steps in prop::collection::vec(step(), 1..160),
+    ) {
+        let mut world = World::new(4);
+        for step in steps {
+            match step {
+                Step::Want(who, service, wants) => world.edges[who].wants[service] = wants,
+                Step::Tell(who) => world.tell(who),
+                Step::ToAllotter(place, doubled) => world.up(place, doubled),
+                Step::ToRouter(place, doubled) => world.down(place, doubled),
+                Step::LoseToAllotter(place) if place < world.up.len() => drop(world.up.remove(place)),
+                Step::LoseToRouter(place) if place < world.down.len() => drop(world.down.remove(place)),
+                Step::Divide => world.divide(),
+                Step::Pass(ms) => world.now += ms,
+                _ => {}
+            }
+            let sum = world.sum();
+            prop_assert!(sum <= places() + 0.01, "{sum} places at {}", world.now);
+        }
+    }
+
+    #[test]
+    fn with_news_flowing_parts_come_to_max_min_within_four_rounds(
+        wants in prop::collection::vec(prop::collection::vec(0.0..6.0_f64, 3), 2..6),
+    ) {
+        let mut world = World::new(wants.len());
+        world.edges.iter_mut().zip(&wants).for_each(|(edge, wants)| edge.wants.clone_from(wants));
+        world.settle(4);
+        let asked: Vec<f64> = (0..3).map(|service| wants.iter().map(|of| of[service]).sum()).collect();
+        let asks: Vec<(ServiceId, f64)> =
+            asked.iter().enumerate().map(|(of, wants)| (ServiceId(of as u32), *wants)).collect();
+        let owed = owed(places(), &world.terms.claims(places(), &asks));
+        for service in 0..3 {
+            let id = ServiceId(service as u32);
+            let ran: f64 = world
+                .edges
+                .iter()
+                .map(|edge| edge.cap(at(world.now), id, &world.terms).unwrap_or(f64::INFINITY).min(edge.wants[service]))
+                .sum();
+            prop_assert!((ran - owed[service]).abs() <= 0.1 * owed[service] + 0.3, "{service}: {ran}, owed {owed:?}");
+        }
+    }
+}
+
+#[test]
+fn a_router_that_is_cut_off_shrinks_to_its_fixed_part_and_what_it_had_passes_on() {
+    let mut world = World::new(2);
+    world.edges[0].wants = vec![20.0, 0.0, 0.0];
+    world.edges[1].wants = vec![0.0, 2.0, 0.0];
+    world.settle(4);
+    let has = world.edges[0].cap(at(world.now), ServiceId(0), &world.terms).expect("it is held");
+    assert!((7.5..=8.1).contains(&has), "{has}");
+    // The other one wants the same, and is heard; the first one is not any more.
+    world.edges[1].wants = vec![20.0, 2.0, 0.0];
+    let cut_at = world.now;
+    let mut last = has;
+    while world.now < cut_at + 1400 {
+        world.tell(1);
+        while !world.up.is_empty() {
+            world.up(0, false);
+        }
+        world.now += 20;
+        world.divide();
+        let down = std::mem::take(&mut world.down);
+        for (router, allot) in down.into_iter().filter(|(router, _)| *router == Router(1)) {
+            world.edges[router.0 as usize].holder.heard(at(world.now), allot);
+        }
+        let now = world.edges[0].cap(at(world.now), ServiceId(0), &world.terms).expect("it is held");
+        assert!(now <= last + 1e-9, "it is never more than it was");
+        last = now;
+    }
+    let needs = [Need { service: ServiceId(0), runs: 1000, waits: 19_000 }];
+    let caps = world.edges[0].holder.caps(at(world.now), HOST, &needs, &world.terms);
+    assert_eq!(caps, [(ServiceId(0), 5000)], "half of the places: there are two routers");
+    let passed = world.edges[1].cap(at(world.now), ServiceId(0), &world.terms).expect("it is held");
+    assert!(passed > 7.0, "{passed}");
+}
+
+#[test]
+fn an_older_holder_of_the_duty_is_not_heard_and_a_new_one_divides_nothing_before_old_leases_end() {
+    let mut world = World::new(1);
+    let old = |number| Allot {
+        host: HOST.into(),
+        fence: 6,
+        number,
+        pressed: true,
+        caps: vec![(ServiceId(0), 9000)],
+        ..Allot::default()
+    };
+    let holder = &mut world.edges[0].holder;
+    assert!(holder.heard(at(0), Allot { fence: 7, number: 1, caps: vec![(ServiceId(0), 100)], ..old(1) }));
+    assert!(!holder.heard(at(1), old(99)));
+    let mut new = Allotter::begin(at(0), 8, Span::from_millis(1500));
+    let needs = vec![
+        Need { service: ServiceId(0), runs: 9000, waits: 0 },
+        Need { service: ServiceId(1), runs: 9000, waits: 0 },
+    ];
+    for ms in (0..2600).step_by(100) {
+        new.heard(at(ms), &AT, Router(0), (1 + ms as u64, 0), needs.clone());
+        let said = new.divide(at(ms), &world.terms, 1).allots;
+        assert!(said.is_empty() || ms >= 2500, "{said:?} at {ms}");
+    }
+    new.heard(at(2700), &AT, Router(0), (9000, 0), needs);
+    assert!(!new.divide(at(2700), &world.terms, 1).allots.is_empty());
+}
+
+#[test]
+fn one_service_alone_is_not_held_and_a_calm_host_is_free_again() {
+    let mut world = World::new(2);
+    world.edges[0].wants = vec![30.0, 0.0, 0.0];
+    world.settle(4);
+    assert_eq!(world.edges[0].cap(at(world.now), ServiceId(0), &world.terms), None);
+    world.edges[1].wants = vec![0.0, 1.0, 0.0];
+    world.settle(3);
+    assert!(world.edges[0].cap(at(world.now), ServiceId(0), &world.terms).is_some());
+    assert_eq!(
+        world.edges[1].cap(at(world.now), ServiceId(1), &world.terms),
+        None,
+        "it wants less than it is owed"
+    );
+    world.edges[0].wants = vec![1.0, 0.0, 0.0];
+    world.settle(40);
+    assert!(!world.edges[0].holder.is_pressed(HOST));
+    assert!(!world.edges[1].holder.is_pressed(HOST));
+}
+
+#[test]
+fn routers_with_little_need_are_asked_once_a_host_is_pressed_and_not_before() {
+    let mut world = World::new(3);
+    world.edges[0].wants = vec![4.0, 0.0, 0.0];
+    world.settle(1);
+    assert!(world.asked.is_empty(), "it is not pressed");
+    world.edges[0].wants = vec![30.0, 0.0, 0.0];
+    world.settle(1);
+    assert_eq!(world.asked, [HOST]);
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -60,7 +60,7 @@
         }
         if writes {
             if primary.is_some() {
-                among.extend(primary.filter(|&host| self.bears(host, 1.0)));
+                among.extend(primary.filter(|&host| self.bears(host, 1.0) && self.has_room(op, host)));
             } else if (kind.need == Need::Write || checks) && (op.sends.len() as f64) < half {
                 // None known: members in turn, the most advanced first; of known replicas that one alone,
                 // which takes over if any does. Danger: a fresh read answered by one that checks no reads.
@@ -79,7 +79,8 @@
         let most = replicas.iter().filter(|&&host| self.face(host).sound()).count() * 2 < replicas.len();
         let sound = |host: &HostId| self.face(*host).sound() || most && !self.face(*host).quiet;
         let fit: Hosts = replicas.iter().copied().filter(|h| self.qualifies(op, *h) && sound(h)).collect();
-        among = fit.iter().copied().filter(|&host| self.bears(host, 1.0)).collect();
+        among =
+            fit.iter().copied().filter(|&host| self.bears(host, 1.0) && self.has_room(op, host)).collect();
         if among.iter().any(|&host| !op.sends.tried(host)) {
             among.retain(|&mut host| !op.sends.tried(host));
         }
@@ -88,10 +89,12 @@
             group.wanted.set(group.wanted.get() || primary.is_none() && !replicas.iter().any(sound));
             // Replicas are at their limit while the primary idles, or none qualifies: then, where hosts check
             // reads, the most advanced one has the first word.
-            let able = replicas.iter().copied().filter(|h| sound(h) && self.bears(*h, 1.0));
+            let able = replicas.iter().copied();
+            let able = able.filter(|h| sound(h) && self.bears(*h, 1.0) && self.has_room(op, *h));
             let ahead = able.max_by_key(|&host| self.face(host).position);
             let ahead = ahead.filter(|_| checks && fit.is_empty() && op.sends.len() == 0);
-            among.extend(ahead.or(primary.filter(|&host| self.bears(host, FOR_READS))));
+            let primary_takes = |host: &HostId| self.bears(*host, FOR_READS) && self.has_room(op, *host);
+            among.extend(ahead.or(primary.filter(primary_takes)));
             // Danger: a router with few ops knows no position that is still within the bound, and sends all
             // to the primary. So the replicas are asked in turn, and the read waits a moment for their word.
             // With a primary that answers quickly they are asked at most once, or not at all: the question costs as
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -123,6 +123,10 @@
                 post.hosts.put(host, HostNote::Named(role));
                 self.try_held(post);
             }
+            Note::Held { host, tenant, most } => {
+                self.hold(host, tenant, most);
+                self.try_held(post);
+            }
             Note::Fleet { routers } => {
                 drop(self.charter.insert("routers".to_string(), Fact::Number(routers)))
             }
--- a/src/pressure.rs
+++ b/src/pressure.rs
@@ -6,7 +6,7 @@
 use crate::choice::{FOR_READS, LONG};
 use crate::logic::{EASY, Hosts, PULSE, REST, STEP, TRY_HELD};
 use crate::post::{HostNote, Post};
-use crate::state::Desk;
+use crate::state::{Desk, Op, Room};
 
 /// How far a slow and a quick answer move the share of reads given back.
 const BACK_UP: f64 = 0.2;
@@ -18,6 +18,20 @@
 /// While most replicas are behind, the share of writes sent back grows by this in a connect time-out.
 const CATCH_UP: f64 = 0.25;
 pub const MOST_BACK: f64 = 0.9;
+/// So many ops beyond its part a tenant may have unfinished at a host for a while, out of what it saved up; and it saves up
+/// what its part amounts to in so long. What it owes at most is as much of one op.
+const BEYOND: f64 = 1.0;
+const SAVES: f64 = 0.05;
+const OWES: f64 = 1.0;
+
+impl Room {
+    /// Time has passed with so many ops unfinished.
+    pub fn pass(&mut self, now: Point, running: f64) {
+        let passed = (now - self.as_of).as_secs_f64();
+        self.credit = (self.credit + (self.most - running) * passed).clamp(-OWES, self.most * SAVES);
+        self.as_of = now;
+    }
+}
 
 impl Desk {
     /// Danger: a jam that feeds itself, as hosts work on sends that nobody waits for any more. The share of
@@ -85,6 +99,44 @@
         }
     }
 
+    /// Whoever divides hosts between tenants says how many ops of one may be unfinished at a host.
+    pub fn hold(&mut self, host: HostId, tenant: TenantId, most: Option<f64>) {
+        let (running, now) = (self.running(host, tenant), self.now);
+        match (most, self.rooms.get_mut(&(host, tenant))) {
+            (Some(most), Some(room)) => {
+                room.pass(now, running);
+                room.most = most;
+            }
+            (Some(most), None) => {
+                self.rooms.insert((host, tenant), Room { most, credit: 0.0, as_of: now });
+            }
+            (None, _) => drop(self.rooms.remove(&(host, tenant))),
+        }
+    }
+
+    fn running(&self, host: HostId, tenant: TenantId) -> f64 {
+        f64::from(self.running.get(&(host, tenant)).copied().unwrap_or(0))
+    }
+
+    /// Whether an op's tenant may have one more op unfinished at the host. Danger: of many routers each has a part of an
+    /// op only; a whole one is out at a time, and what it was out too long is owed.
+    pub fn has_room(&self, op: &Op, host: HostId) -> bool {
+        let Some(tenant) = op.ask.tenant.filter(|_| !self.rooms.is_empty()) else { return true };
+        let Some(mut room) = self.rooms.get(&(host, tenant)).copied() else { return true };
+        let running = self.running(host, tenant);
+        room.pass(self.now, running);
+        running + 1.0 <= room.most || running < room.most + BEYOND && room.credit >= 0.0
+    }
+
+    /// An op of a tenant goes to a host, or has ended there.
+    pub fn count(&mut self, tenant: Option<TenantId>, host: HostId, ended: bool) {
+        let Some(tenant) = tenant.filter(|_| self.charter.flag("tenants_held")) else { return };
+        let (before, now) = (self.running(host, tenant), self.now);
+        self.rooms.get_mut(&(host, tenant)).into_iter().for_each(|room| room.pass(now, before));
+        let running = self.running.entry((host, tenant)).or_default();
+        *running = if ended { running.saturating_sub(1) } else { *running + 1 };
+    }
+
     pub fn try_held(&mut self, post: &mut Post) {
         // Overload: within a rank the newest go first, since the oldest have the least time left.
         let mut held = std::mem::take(&mut self.held);
--- a/src/sending.rs
+++ b/src/sending.rs
@@ -11,6 +11,8 @@
 const OVER: f64 = 1.1;
 /// What a tenant asks beyond its share is given back so many times as readily.
 const OVER_FIRST: f64 = 3.0;
+/// How far one op moves what its tenant's ops are taken to be out for.
+const OUT_RATE: f64 = 0.05;
 /// Sessions whose last commit is kept.
 const SESSIONS: usize = 65_536;
 
@@ -80,16 +82,45 @@
             self.give_up(place, post);
         } else if !self.held.contains(&place) {
             self.held.push(place);
+            self.crowd_out(place, post);
             self.try_soon(post);
         }
     }
 
+    /// Where a tenant is held to a part of the hosts, no more of its ops wait than what will have a place in time: the
+    /// oldest is given up at once, while its client can still ask elsewhere.
+    pub fn crowd_out(&mut self, place: usize, post: &mut Post) {
+        let op = &self.ops[place];
+        let Some(tenant) = op.ask.tenant.filter(|_| !self.rooms.is_empty()) else { return };
+        let group = op.ask.group;
+        let Some(members) = self.groups.get(&group).map(|group| group.members.as_slice()) else { return };
+        let rooms = members.iter().map(|host| self.rooms.get(&(*host, tenant)));
+        // A host where it goes free: what it waits for is something else.
+        let Some(parts) = rooms.map(|room| room.map(|room| room.most)).collect::<Option<Vec<f64>>>() else {
+            return;
+        };
+        let waits = self.op_type(op).latency_target * self.charter.number_or("held", 0.0);
+        let out = self.outs.get(&tenant).copied().unwrap_or_default().max(1e-3);
+        let most = (parts.iter().sum::<f64>() * waits.as_secs_f64() / out).max(1.0) as usize;
+        let alike = |held: &usize| {
+            let other = &self.ops[*held];
+            other.ask.tenant == Some(tenant) && other.ask.group == group && other.sends.len() == 0
+        };
+        let of = self.held.iter().copied().filter(alike);
+        if of.clone().count() > most
+            && let Some(oldest) = of.min_by_key(|held| self.ops[*held].arrived)
+        {
+            self.give_up(oldest, post);
+        }
+    }
+
     /// Where it is told how long an op may wait for a host: whether that time is over, and nothing of it ever ran. Its
     /// client asks elsewhere, and wants to know soon.
     pub fn waits_in_vain(&self, op: &Op) -> bool {
         let told = self.charter.number_or("held", 0.0);
         let until = op.arrived + self.op_type(op).latency_target * told;
-        told > 0.0 && self.now >= until && op.sends.may_have_run().is_none()
+        // It is looked at again a tick from now: by then it would be late.
+        told > 0.0 && self.now + self.charter.span("tick") > until && op.sends.may_have_run().is_none()
     }
 
     /// Danger: hosts that fail at once draw a storm of further sends. Each pause is twice the last.
@@ -110,8 +141,10 @@
         for (row, (_, used)) in self.tenants.iter_mut().enumerate() {
             *used = *used * 0.99 + f64::from(op.ask.tenant.is_some_and(|tenant| tenant.0 as usize == row));
         }
-        post.actions.push(Action::Send { op: op.ask.op, host, until });
+        let (tenant, op) = (op.ask.tenant, op.ask.op);
+        post.actions.push(Action::Send { op, host, until });
         post.hosts.put(host, HostNote::Took(weight));
+        self.count(tenant, host, false);
     }
 
     pub fn over_share(&self, ask: &Ask) -> bool {
@@ -167,15 +200,24 @@
         if let Some(session) = op.ask.session.filter(|_| writes && end.outcome == Outcome::Acked) {
             self.commits.keep(session, end.word.position.unwrap_or(self.now), SESSIONS);
         }
-        let group = op.ask.group;
-        if op.over || end.finished {
+        let (group, tenant, over) = (op.ask.group, op.ask.tenant, op.over || end.finished);
+        self.count(tenant, one.host, true);
+        if let (Some(tenant), Outcome::Acked, false) = (tenant, end.outcome, self.rooms.is_empty()) {
+            let out = self.outs.entry(tenant).or_insert(end.took.as_secs_f64());
+            *out += (end.took.as_secs_f64() - *out) * OUT_RATE;
+        }
+        if over {
             self.finish(place, post);
-        } else if !op.sends.is_out() {
+        } else if !self.ops[place].sends.is_out() {
             post.ops.push_back(place);
         }
         if !writes {
             self.throttle(group, end.outcome, used);
         }
         post.hosts.put(one.host, HostNote::Ended(end, weight, used));
+        // Danger: with a place free, whoever waits for one of few places loses it for a tick.
+        if tenant.is_some_and(|tenant| self.rooms.contains_key(&(one.host, tenant))) {
+            self.try_held(post);
+        }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,6 +70,15 @@
     pub over: bool,
 }
 
+/// How many ops of a tenant may be unfinished at a host, on average; and what it has saved up of that, in ops times
+/// seconds, as of then.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    pub most: f64,
+    pub credit: f64,
+    pub as_of: Point,
+}
+
 #[derive(Default)]
 pub struct Group {
     pub members: Vec<HostId>,
@@ -105,6 +114,11 @@
     pub ops: Slab<Op>,
     pub places: FxHashMap<OpId, usize>,
     pub held: Vec<usize>,
+    /// By host and tenant: ops that are unfinished, where that is counted, and how many may be, where that is told.
+    pub running: FxHashMap<(HostId, TenantId), u32>,
+    pub rooms: FxHashMap<(HostId, TenantId), Room>,
+    /// By tenant that is counted: how long its ops are out, about, in seconds.
+    pub outs: FxHashMap<TenantId, f64>,
     /// An alarm is set to try the held ops again.
     pub trying: bool,
     pub told_at: Point,
