--- a/crates/arrowyard-weir/src/allotter.rs
+++ b/crates/arrowyard-weir/src/allotter.rs
@@ -145,7 +145,7 @@
 /// stands idle while answers travel, and none waits for much longer than one statement takes.
 #[must_use]
 pub fn places(slots: u32) -> Milli {
-    slots.clamp(1, 100_000) * 1400
+    slots.clamp(1, 100_000) * 2000
 }
 
 impl Allotter {
