--- /dev/null
+++ b/crates/arrowyard-gauge/tests/shares.rs
@@ -0,0 +1,77 @@
+//! What the operator promises kinds of requests: read, refused with its place, changed by name.
+
+use arrowyard_gauge::{Change, ChangeKind, Configuration, Share};
+
+fn body(revision: u64, route: &str, shares: &str) -> String {
+    format!(
+        r#"{{"revision":{revision},"channels":[{{"name":"a","plant":"d","kind":"primary","priority":1,"service":"s"{route}}},
+            {{"name":"b","plant":"e","kind":"bounded_staleness","priority":2,"service":"s"}}],"services":[{{"name":"s"}}]{shares}}}"#
+    )
+}
+
+fn read(text: &str) -> Configuration {
+    Configuration::default().replace(text.as_bytes()).expect("it is valid")
+}
+
+fn refused(route: &str, shares: &str) -> String {
+    let text = body(3, route, shares);
+    Configuration::default().replace(text.as_bytes()).expect_err("it is invalid").to_string()
+}
+
+const POSTINGS: &str = r#","arrowyard-shares":[{"name":"postings","weight":3,"least":0.4,"lends":false},{"name":"status","most":0.5,"borrows":false}]"#;
+
+#[test]
+fn routes_count_as_what_the_operator_names_or_as_their_kind_and_priority() {
+    let read = read(&body(3, r#","arrowyard-share":"postings""#, POSTINGS));
+    let shares: Vec<&str> = read.channels().map(|channel| channel.share.as_str()).collect();
+    assert_eq!(shares, ["postings", "bounded_staleness/2"]);
+    let weights: Vec<f64> = read.channels().map(|channel| channel.usual_weight()).collect();
+    assert!(weights[0] > weights[1], "the higher priority weighs more: {weights:?}");
+    let postings =
+        Share { name: "postings".into(), weight: 3.0, least: 0.4, most: 1.0, lends: false, borrows: true };
+    assert_eq!(read.shares().next(), Some(&postings));
+    assert!(read.divides());
+    let again = Configuration::default().replace(read.body().as_bytes()).expect("its own text is valid");
+    assert_eq!(again, read);
+}
+
+#[test]
+fn promises_that_cannot_be_kept_are_refused_with_their_place() {
+    for (route, shares, place) in [
+        (r#","arrowyard-share":"nobody""#, POSTINGS, "/channels/0/arrowyard-share"),
+        (r#","arrowyard-share":7"#, POSTINGS, "/channels/0/arrowyard-share"),
+        (
+            "",
+            r#","arrowyard-shares":[{"name":"a","least":0.6},{"name":"b","least":0.5}]"#,
+            "/arrowyard-shares/1/least",
+        ),
+        ("", r#","arrowyard-shares":[{"name":"a","least":0.6,"most":0.5}]"#, "/arrowyard-shares/0/least"),
+        ("", r#","arrowyard-shares":[{"name":"a","most":1.5}]"#, "/arrowyard-shares/0/most"),
+        ("", r#","arrowyard-shares":[{"name":"a","weight":-1}]"#, "/arrowyard-shares/0/weight"),
+        ("", r#","arrowyard-shares":[{"name":"a"},{"name":"a"}]"#, "/arrowyard-shares/1"),
+        ("", r#","arrowyard-shares":[{"name":"a","lends":"no"}]"#, "/arrowyard-shares/0/lends"),
+        ("", r#","arrowyard-shares":{}"#, "/arrowyard-shares"),
+        ("", r#","arrowyard-division":1"#, "/arrowyard-division"),
+    ] {
+        let said = refused(route, shares);
+        assert!(said.contains(place), "{said}, not {place}");
+    }
+}
+
+#[test]
+fn weights_change_services_come_and_go_and_the_division_is_turned_off() {
+    let first = read(&body(3, r#","arrowyard-share":"postings""#, POSTINGS));
+    let adjust = |base, body: &str| Change { kind: ChangeKind::Adjust, base, body: body.into() };
+    let next = adjust(
+        3,
+        r#"{"revision":4,"upsert":{"arrowyard-shares":[{"name":"postings","weight":9},{"name":"new","least":0.2}],
+            "arrowyard-division":false},"remove":{"arrowyard-shares":["status"]}}"#,
+    );
+    let next = next.apply(&first).expect("it is valid");
+    let weights: Vec<(&str, f64)> = next.shares().map(|share| (share.name.as_str(), share.weight)).collect();
+    assert_eq!(weights, [("postings", 9.0), ("new", 1.0)]);
+    assert!(!next.divides() && !read(&next.body()).divides());
+    // One that a route still counts as cannot go.
+    let gone = adjust(4, r#"{"revision":5,"remove":{"arrowyard-shares":["postings"]}}"#).apply(&next);
+    assert!(gone.expect_err("a route names it").to_string().contains("/channels/0/arrowyard-share"));
+}
--- a/crates/arrowyard-standins/src/rig.rs
+++ b/crates/arrowyard-standins/src/rig.rs
@@ -121,6 +121,27 @@
 /// other's lists, and the first that ends takes it away.
 static NUMBER: AtomicU32 = AtomicU32::new(0);
 
+/// A folder that is kept in memory, where the machine has one that takes files; else the usual one for what is temporary.
+/// Danger: voters answer once their votes are on disk. On a disk that others write to, that takes seconds now and then, and
+/// bounds that are meant for processes and words fail for it. What a rig kills are processes: memory outlives those.
+#[must_use]
+pub fn memory() -> PathBuf {
+    let mounts = std::fs::read_to_string("/proc/mounts").unwrap_or_default();
+    let mut folders = mounts.lines().filter_map(|line| {
+        let mut words = line.split(' ').skip(1);
+        let (folder, kind, how) = (words.next()?, words.next()?, words.next()?);
+        let fits = kind == "tmpfs" && how.split(',').any(|word| word == "rw") && !folder.starts_with("/sys");
+        fits.then(|| PathBuf::from(folder))
+    });
+    let takes_files = |folder: &PathBuf| {
+        let probe = folder.join(format!("arrowyard-probe-{}", std::process::id()));
+        let works = std::fs::write(&probe, [0; 4096]).is_ok();
+        drop(std::fs::remove_file(&probe));
+        works
+    };
+    folders.find(takes_files).unwrap_or_else(std::env::temp_dir)
+}
+
 impl Rig {
     /// Starts the processes; they know some seeds, one of which nobody listens at.
     ///
@@ -151,7 +172,7 @@
             wires,
             asks,
             program: program.to_path_buf(),
-            stores: std::env::temp_dir().join(format!(
+            stores: memory().join(format!(
                 "arrowyard-stores-{}-{}",
                 std::process::id(),
                 NUMBER.fetch_add(1, Ordering::Relaxed)
--- a/crates/arrowyard-weir/src/allotter.rs
+++ b/crates/arrowyard-weir/src/allotter.rs
@@ -24,8 +24,6 @@
 const CALM: f64 = 0.4;
 const CALMS: Span = Span::from_millis(300);
 const ASKS: Span = Span::from_millis(500);
-/// A service that is alone at a host may have so many times its places.
-const ALONE: f64 = 2.0;
 /// A lease runs out here so much later than at its router. Danger: clocks of the two run at different speeds.
 const LONGER: f64 = 1.1;
 /// A host is divided anew so often at most; a part that moves by less than this, in thousandths of a place and as a
@@ -296,11 +294,7 @@
             let here = self.owed.iter().find(|(of, _, _)| of == service);
             claim.has = (all - here.map_or(0.0, |(_, owed, demand)| owed.min(*demand))).max(0.0);
         }
-        // Danger: a service alone, held to the places, is refused what hosts would have queued, and nobody gains. But a
-        // host whose queue is long is no host to anybody else.
-        let several = asks.iter().filter(|(_, need)| *need > 0.0).count() > 1 || kept_back > 0.0;
-        let room = if several { free } else { free * ALONE };
-        let parts = owed(room, &claims);
+        let parts = owed(free, &claims);
         self.owed = asks.iter().zip(parts).map(|((of, need), part)| (*of, part, *need)).collect();
     }
 
--- a/crates/arrowyard-weir/tests/allotment.rs
+++ b/crates/arrowyard-weir/tests/allotment.rs
@@ -263,14 +263,17 @@
 }
 
 #[test]
-fn one_service_alone_is_not_held_and_a_calm_host_is_free_again() {
+fn who_wants_less_than_it_is_owed_goes_free_and_a_calm_host_is_free_again() {
     let mut world = World::new(2);
     world.edges[0].wants = vec![30.0, 0.0, 0.0];
     world.settle(4);
-    assert_eq!(world.edges[0].cap(at(world.now), ServiceId(0), &world.terms), None);
+    let alone =
+        world.edges[0].cap(at(world.now), ServiceId(0), &world.terms).expect("it wants more than there is");
+    assert!((alone - places()).abs() < 0.1, "one that is alone has all places: {alone}");
     world.edges[1].wants = vec![0.0, 1.0, 0.0];
     world.settle(3);
-    assert!(world.edges[0].cap(at(world.now), ServiceId(0), &world.terms).is_some());
+    let beside = world.edges[0].cap(at(world.now), ServiceId(0), &world.terms).expect("it is held");
+    assert!((beside - places() + 1.0).abs() < 0.1, "{beside}");
     assert_eq!(
         world.edges[1].cap(at(world.now), ServiceId(1), &world.terms),
         None,
--- a/crates/arrowyard-works/src/bin/arrowyard-headworks.rs
+++ b/crates/arrowyard-works/src/bin/arrowyard-headworks.rs
@@ -30,7 +30,7 @@
         /// Its control address.
         #[bpaf(positional("ADDRESS"))]
         address: SocketAddr,
-        /// members, routers, hosts or duties.
+        /// members, routers, hosts, duties or shares.
         #[bpaf(positional("PART"))]
         part: Part,
     },
--- a/crates/arrowyard-works/src/show.rs
+++ b/crates/arrowyard-works/src/show.rs
@@ -20,6 +20,7 @@
     Routers,
     Hosts,
     Duties,
+    Shares,
 }
 
 impl std::str::FromStr for Part {
@@ -31,7 +32,8 @@
             "routers" => Ok(Part::Routers),
             "hosts" => Ok(Part::Hosts),
             "duties" => Ok(Part::Duties),
-            _ => Err(format!("{word} is none of members, routers, hosts, duties")),
+            "shares" => Ok(Part::Shares),
+            _ => Err(format!("{word} is none of members, routers, hosts, duties, shares")),
         }
     }
 }
@@ -134,6 +136,17 @@
             rows.sort();
             Ok(table(&columns, &rows))
         }
+        Part::Shares => {
+            if status.get("divides").and_then(|divides| divides.as_bool()) != Some(true) {
+                return Ok("another machine holds the duty, and divides; see: duties\n".to_string());
+            }
+            let columns = ["host", "service", "owed", "runs", "waits", "held", "pressed-ms"];
+            let rows = rows(&status, "shares", &columns)?;
+            if rows.is_empty() {
+                return Ok("no host is pressed: every service has what it asks for\n".to_string());
+            }
+            Ok(table(&columns, &rows))
+        }
         Part::Duties => {
             let duties =
                 table(&["duty", "holder", "fence"], &rows(&status, "duties", &["duty", "node", "fence"])?);
--- a/crates/arrowyard-works/tests/helpers/mod.rs
+++ b/crates/arrowyard-works/tests/helpers/mod.rs
@@ -13,6 +13,7 @@
 
 use arrowyard_basin::{DatabaseHost, HostFaults, HostPlan, Platform, Shard};
 use arrowyard_penstock::{Plumbing, run};
+use arrowyard_standins::rig::memory;
 use arrowyard_types::Span;
 
 pub const LONG: Duration = Duration::from_secs(30);
@@ -96,7 +97,7 @@
 
     /// `quick`: hosts work no time at all.
     pub fn before(net: u8, quick: bool) -> Fleet {
-        let folder = std::env::temp_dir().join(format!("arrowyard-works-{}-{net}", std::process::id()));
+        let folder = memory().join(format!("arrowyard-works-{}-{net}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder of our own");
         let ports = ports();
         let platform = SocketAddrV4::new(Ipv4Addr::new(127, 9, net, 90), ports[3]);
--- a/crates/arrowyard-works/tests/processes.rs
+++ b/crates/arrowyard-works/tests/processes.rs
@@ -140,6 +140,8 @@
     let voters: Vec<String> = (0..3).map(|number| control_ip(fleet.net, number).to_string()).collect();
     assert!(members.contains(&voters.join(" ")), "{members}");
     assert_eq!(show(control(0), "duties").0, Some(0));
+    let shares: Vec<String> = (0..3).map(|number| show(control(number), "shares").1).collect();
+    assert_eq!(shares.iter().filter(|text| text.contains("no host is pressed")).count(), 1, "{shares:?}");
     let (code, _, fault) = show(control(7), "members");
     assert!(code == Some(2) && fault.contains(&control(7)), "{fault}");
     assert_ne!(show(control(0), "everything").0, Some(0));
--- a/crates/arrowyard-works/tests/show.rs
+++ b/crates/arrowyard-works/tests/show.rs
@@ -10,6 +10,8 @@
     "controls":["10.0.0.2"],"routers-all":3,"routers":[{"node":"edge-0","revision":9},{"node":"edge-1","revision":7}],
     "hosts":[{"id":"i-2","service":"s0","zone":"z","phase":"in_service","db-role":"replica","silent":true},
     {"id":"i-1","service":"s0","zone":"z","phase":"draining","db-role":"primary","silent":false}],
+    "divides":true,"shares":[{"host":"i-1","service":"postings","owed":"1.50","runs":"1.20","waits":"0.30","held":false,"pressed-ms":0},
+    {"host":"i-1","service":"status","owed":"8.50","runs":"8.40","waits":"40.00","held":true,"pressed-ms":1200}],
     "duties":[{"duty":"promote","node":"core-1","fence":4}],"promotions":[{"service":"s0","stage":"it is steady"}]}"#;
 
 #[test]
@@ -32,6 +34,17 @@
     assert!(
         part("duties").contains("promote  core-1  4\n") && part("duties").contains("s0       it is steady\n")
     );
+    assert_eq!(
+        lines(&part("shares")),
+        [
+            "host  service   owed  runs  waits  held  pressed-ms",
+            "i-1   postings  1.50  1.20  0.30   no    0",
+            "i-1   status    8.50  8.40  40.00  yes   1200"
+        ]
+    );
+    let calm = shown(&STATUS.replace("\"divides\":true", "\"divides\":false"), Part::Shares)
+        .expect("it can be read");
+    assert!(calm.contains("another machine"), "{calm}");
     assert!("everything".parse::<Part>().is_err());
 }
 
