--- a/crates/arrowyard-weir/src/terms.rs
+++ b/crates/arrowyard-weir/src/terms.rs
@@ -43,9 +43,16 @@
 /// The weight of a service of which nothing is said: that of the lowest priority that is in use.
 const UNTOLD: f64 = 1.0;
 
+/// Services that are told apart; the others count as one, under this name.
+const MOST: usize = 4096;
+const OTHERS: &str = "(others)";
+
 impl Terms {
     /// The number of a service; one that was never heard of gets the next.
     pub fn id(&mut self, name: &str) -> ServiceId {
+        // Danger: names that come from elsewhere, without end. Beyond so many they count as one.
+        let name =
+            if self.services.len() >= MOST && !self.numbers.contains_key(name) { OTHERS } else { name };
         if let Some(id) = self.numbers.get(name) {
             return *id;
         }
--- a/crates/arrowyard-weir/tests/division.rs
+++ b/crates/arrowyard-weir/tests/division.rs
@@ -107,3 +107,14 @@
     let both = owed(10.0, &[Claim { has: 2.0, ..claim(20.0, 1.0) }, claim(20.0, 1.0)]);
     assert!(near(both[0], 4.0) && near(both[1], 6.0), "{both:?}");
 }
+
+#[test]
+fn names_without_end_are_told_apart_up_to_a_number() {
+    let mut terms = Terms::default();
+    let first = terms.id("a");
+    let ids: std::collections::BTreeSet<_> =
+        (0..10_000).map(|number| terms.id(&format!("n{number}"))).collect();
+    assert!(ids.len() <= 4097, "{}", ids.len());
+    assert_eq!(terms.id("a"), first);
+    assert_eq!(terms.name(terms.clone().id("n9999")), "(others)");
+}
