Shares: what runs is reckoned from answers; a surge before real processes; paces drawn

A fifth of a primary's answers is lost for 4 s; each such statement was counted as under way till its client gave up, the primary was taken for pressed, and postings were held and refused that it had room for.

Change: what is under way is the time that answered statements took over the time that passed (Little's law); a test of it. Hosts that are gone are forgotten.

--- a/crates/arrowyard-basin/src/bin/arrowyard-basin.rs
+++ b/crates/arrowyard-basin/src/bin/arrowyard-basin.rs
@@ -5,11 +5,11 @@
 use std::process::ExitCode;
 
 use arrowyard_basin::capacity::{configuration, measure};
-use arrowyard_basin::chart::draw;
+use arrowyard_basin::chart::{draw, draw_paces};
 use arrowyard_basin::experiment::{Difference, FIGURES, Outcome, compare, outcomes};
 use arrowyard_basin::failover::{Cause, outages};
 use arrowyard_basin::models::{Checked, ledger, promotion};
-use arrowyard_basin::{Day, Played, drawn, play};
+use arrowyard_basin::{Day, Played, drawn, play, shares};
 use bpaf::Bpaf;
 
 /// The emulator of the whole system.
@@ -86,6 +86,12 @@
         services: usize,
         #[bpaf(argument("SEED"), fallback(1))]
         seed: u64,
+        /// Instead: of so many days, how soon a kind that was idle has its pace back.
+        #[bpaf(argument("N"), optional)]
+        back: Option<u64>,
+        /// Draws the last morning's paces by kind, as SVG.
+        #[bpaf(argument("SVG"), optional)]
+        out: Option<PathBuf>,
         /// How many routers there are, one morning after the other.
         #[bpaf(positional("N"))]
         routers: Vec<usize>,
@@ -298,10 +304,17 @@
         Command::Compare { days, from, against, settings, second } => {
             ended(compared((days, from), against, &settings, &second))
         }
-        Command::Shares { calm, services, seed, routers } => {
-            arrowyard_basin::shares::compare(&routers, services, !calm, seed);
+        Command::Shares { back: Some(cases), routers, .. } => {
+            routers.iter().for_each(|routers| shares::back(cases, *routers));
             ExitCode::SUCCESS
         }
+        Command::Shares { calm, services, seed, out, routers, .. } => {
+            let last = shares::compare(&routers, services, !calm, seed);
+            ended(match (out, last) {
+                (Some(out), Some((day, played))) => draw_paces(&day, &played, &out),
+                _ => Ok(()),
+            })
+        }
         Command::Check => ExitCode::from(u8::from(!check())),
         Command::Chart { out, day } => {
             let drawn = read_day(&day).map_err(Into::into).and_then(|day| draw(&day, &play(&day), &out));
--- a/crates/arrowyard-basin/src/shares.rs
+++ b/crates/arrowyard-basin/src/shares.rs
@@ -84,8 +84,61 @@
     played.kinds.iter().map(of).collect()
 }
 
-/// Plays a morning with hosts divided and not, and prints what each kind kept.
-pub fn compare(routers: &[usize], services: usize, troubles: bool, seed: u64) {
+/// When the ones who were not there begin to post, in `comes_back`.
+const BACK: f64 = 9.5;
+
+/// A day on which nobody posts until the surge has the hosts, and then all at once.
+#[must_use]
+pub fn back_at_once(seed: u64, routers: usize) -> Day {
+    let posts = Surge {
+        at: BACK,
+        for_s: UNTIL - BACK,
+        kind: "primary".to_string(),
+        users: 30,
+        think_ms: 50,
+        costly: false,
+        routers: Vec::new(),
+    };
+    let mut day = morning(seed, routers, 1, true, false);
+    day.users = 1;
+    day.surges.push(posts);
+    day
+}
+
+/// How many milliseconds after it came back the kind that was idle has its pace: from then on 0.95 of the operations of half a
+/// second are inside their aim. Nothing if it never has.
+#[must_use]
+pub fn comes_back(seed: u64, routers: usize) -> Option<i64> {
+    let played = play(&back_at_once(seed, routers));
+    let kept = played.kinds.get("primary")?;
+    let (from, until) = ((BACK * 10.0) as i64, (UNTIL * 10.0) as i64 - 5);
+    let at = |window: i64| Point::from_micros(window * 100_000);
+    let paced = |window: &i64| {
+        let (asked, in_aim) = kept.between(at(*window), at(*window + 5));
+        asked > 0 && in_aim as f64 >= 0.95 * asked as f64
+    };
+    (from..until).find(paced).map(|window| (window - from) * 100)
+}
+
+/// Plays such days, and prints how soon the pace was back.
+pub fn back(cases: u64, routers: usize) {
+    let mut took: Vec<Option<i64>> = (1..=cases).map(|seed| comes_back(seed, routers)).collect();
+    took.sort_unstable_by_key(|took| took.unwrap_or(i64::MAX));
+    let part = |share: f64| {
+        took.get((((cases as f64) * share).ceil() as usize).saturating_sub(1)).copied().flatten()
+    };
+    let text = |took: Option<i64>| took.map_or("never".to_string(), |ms| format!("{ms} ms"));
+    println!(
+        "{cases} days, {routers} routers: back within p50 {}, p99 {}, worst {}",
+        text(part(0.5)),
+        text(part(0.99)),
+        text(part(1.0))
+    );
+}
+
+/// Plays a morning with hosts divided and not, and prints what each kind kept; the last one, as it was played.
+pub fn compare(routers: &[usize], services: usize, troubles: bool, seed: u64) -> Option<(Day, Played)> {
+    let mut last = None;
     println!(
         "{:>7}  {:>8}  {:>8}  {:>7}  {:>6}  {:>7}  {:>6}  {:>7}  {:>7}  {:>10}  {:>9}  broken",
         "routers",
@@ -102,7 +155,8 @@
     );
     for &routers in routers {
         for divides in [false, true] {
-            let played = play(&morning(seed, routers, services, divides, troubles));
+            let day = morning(seed, routers, services, divides, troubles);
+            let played = play(&day);
             for pace in paces(&played) {
                 println!(
                     "{routers:>7}  {:>8}  {:>8}  {:>7}  {:>6.3}  {:>7.3}  {:>6.3}  {:>7.0}  {:>7}  {:>10.0}  {:>9.1}  {}",
@@ -119,6 +173,8 @@
                     played.breaches.len()
                 );
             }
+            last = Some((day, played));
         }
     }
+    last
 }
--- a/crates/arrowyard-basin/tests/shares.rs
+++ b/crates/arrowyard-basin/tests/shares.rs
@@ -1,7 +1,7 @@
 //! Fair shares in the emulator: the planes as they ship under a surge of one kind of requests, while machines and hosts
 //! come and go. No bound here is a clock's: time is simulated, and the same day plays the same.
 
-use arrowyard_basin::shares::{FROM, Pace, UNTIL, morning, paces};
+use arrowyard_basin::shares::{FROM, Pace, UNTIL, back_at_once, morning, paces};
 use arrowyard_basin::{Day, Fault, Played, Surge, Trouble, play};
 
 fn of(played: &Played, kind: &str) -> Pace {
@@ -79,21 +79,7 @@
 
 #[test]
 fn a_service_that_comes_back_has_its_share_at_once() {
-    // Nobody posts until the surge has the hosts; then all at once.
-    let surge = |at: f64, kind: &str, users, costly| Surge {
-        at,
-        for_s: UNTIL - at,
-        kind: kind.to_string(),
-        users,
-        think_ms: 50,
-        costly,
-        routers: Vec::new(),
-    };
-    let day = Day {
-        users: 1,
-        surges: vec![surge(FROM, "bounded", 260, true), surge(9.5, "primary", 30, false)],
-        ..day(6)
-    };
+    let day = back_at_once(3, 6);
     let played = play(&day);
     let kept = &played.kinds["primary"];
     let at = |seconds: f64| arrowyard_types::Point::from_micros((seconds * 1e6) as i64);
--- a/crates/arrowyard-sluice/src/plane/ops.rs
+++ b/crates/arrowyard-sluice/src/plane/ops.rs
@@ -144,7 +144,7 @@
         finished: bool,
     ) {
         let took = now - sent.at;
-        self.shares.meter.ended(now, host, sent.service);
+        self.shares.meter.ended(now, host, sent.service, outcome.is_answer().then_some(took));
         if !finished && let Some(&conn) = self.ops.get(&sent.op) {
             self.waits_again(now, conn);
         }
--- a/crates/arrowyard-sluice/src/plane/shares.rs
+++ b/crates/arrowyard-sluice/src/plane/shares.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use arrowyard_conduit::{Allots, HostNeeds, Needs, Word, said};
+use arrowyard_conduit::{Allots, HostNeeds, Needs, Phase, Word, said};
 use arrowyard_gauge::{Channel, Kind as Freshness};
 use arrowyard_penstock::{Conn, Orders};
 use arrowyard_types::{HostId, Note, Point, Span, TenantId};
@@ -98,10 +98,13 @@
         let mut hosts = Vec::new();
         let all: Vec<HostId> = self.shares.meter.places().collect();
         for host in all {
-            let known = &self.module.host(host).host;
-            let (id, group, slots) = (known.id.clone(), known.service.clone(), known.capacity);
             let needs = self.shares.meter.read(now, host);
             let sum: f64 = needs.iter().map(|need| f64::from(need.runs) + f64::from(need.waits)).sum();
+            let known = &self.module.host(host).host;
+            if known.phase() == Phase::Gone && self.shares.meter.is_idle(host) {
+                self.shares.meter.forget(host);
+            }
+            let (id, group, slots) = (known.id.clone(), known.service.clone(), known.capacity);
             let asked = self.shares.holder.is_asked(now, &id);
             let much = sum * f64::from(self.routers) >= f64::from(places(slots));
             let last = self.shares.told.get(&host);
--- a/crates/arrowyard-weir/src/holder.rs
+++ b/crates/arrowyard-weir/src/holder.rs
@@ -107,13 +107,6 @@
         self.taken.retain(|host, _| self.parts.contains_key(host) || self.asked.contains_key(host));
     }
 
-    /// When a part changes by itself next.
-    #[must_use]
-    pub fn due(&self, now: Point) -> Option<Point> {
-        let shrinks = |part: &Part| now - part.since < LEASE;
-        self.parts.values().any(shrinks).then(|| now + LEASE * 0.1)
-    }
-
     /// How many statements of each service may be under way at a host, in thousandths; services that are not named go
     /// free. `needs` is what this router needs there now.
     #[must_use]
--- a/crates/arrowyard-weir/src/meter.rs
+++ b/crates/arrowyard-weir/src/meter.rs
@@ -1,4 +1,7 @@
-//! What a router has under way and what waits, by host and service, averaged over the time since it was told last.
+//! What a router has under way and what waits, by host and service, averaged over the time since it was read last. What
+//! is under way is reckoned from answers, by Little's law: the time that answered statements took, over the time that
+//! passed. Danger: a statement whose answer is lost, or whose host is dark, is out for as long as its client waits, and holds no
+//! place at the host; a count of what is out took hosts that idle for pressed, and refused what they had room for.
 
 use std::collections::BTreeMap;
 
@@ -6,6 +9,9 @@
 
 use crate::{Milli, Need, ServiceId};
 
+/// How far what was just read moves what is told to be under way.
+const NEWEST: f64 = 0.5;
+
 /// A count, and its integral over time since it was read last.
 #[derive(Clone, Copy, Debug, Default)]
 struct Count {
@@ -38,7 +44,11 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
-    runs: Count,
+    /// Statements that are out, answered or not.
+    out: u32,
+    /// Seconds that answered statements took, since this was read last; and places, as they were read.
+    took: f64,
+    runs: f64,
     waits: Count,
 }
 
@@ -62,19 +72,21 @@
     fn at(&mut self, now: Point, place: P, service: ServiceId) -> &mut Counts {
         let fresh = || {
             let count = Count { since: now, read_at: now, ..Count::default() };
-            Counts { runs: count, waits: count }
+            Counts { waits: count, ..Counts::default() }
         };
         self.counts.entry((place, service)).or_insert_with(fresh)
     }
 
     /// A statement goes to a host.
     pub fn began(&mut self, now: Point, place: P, service: ServiceId) {
-        self.at(now, place, service).runs.add(now, 1.0);
+        self.at(now, place, service).out += 1;
     }
 
-    /// It is there no more.
-    pub fn ended(&mut self, now: Point, place: P, service: ServiceId) {
-        self.at(now, place, service).runs.add(now, -1.0);
+    /// It is there no more. `took`: what it took, if the host has answered.
+    pub fn ended(&mut self, now: Point, place: P, service: ServiceId, took: Option<Span>) {
+        let counts = self.at(now, place, service);
+        counts.out = counts.out.saturating_sub(1);
+        counts.took += took.map_or(0.0, Span::as_secs_f64);
     }
 
     /// So many statements wait for one of these hosts; more, or with a minus, fewer.
@@ -83,30 +95,27 @@
         places.iter().for_each(|place| self.at(now, *place, service).waits.add(now, part));
     }
 
-    /// What is under way and waits at a host at this moment, in places.
+    /// Whether nothing is out at a host.
     #[must_use]
-    pub fn load(&self, place: P) -> f64 {
-        let of = self.counts.range((place, ServiceId(0))..=(place, ServiceId(u32::MAX)));
-        of.map(|(_, counts)| counts.runs.now + counts.waits.now).sum()
+    pub fn is_idle(&self, place: P) -> bool {
+        let mut of = self.counts.range((place, ServiceId(0))..=(place, ServiceId(u32::MAX)));
+        of.all(|(_, counts)| counts.out == 0 && counts.waits.now <= 0.0)
     }
 
     /// The need of a host: means since this was read last.
     pub fn read(&mut self, now: Point, place: P) -> Vec<Need> {
         let of = self.counts.range_mut((place, ServiceId(0))..=(place, ServiceId(u32::MAX)));
-        of.map(|((_, service), counts)| Need {
-            service: *service,
-            runs: milli(counts.runs.read(now)),
-            waits: milli(counts.waits.read(now)),
+        of.map(|((_, service), counts)| {
+            let span = (now - counts.waits.read_at).as_secs_f64();
+            let taken = std::mem::take(&mut counts.took);
+            if span > 0.0 {
+                counts.runs += (taken / span - counts.runs) * NEWEST;
+            }
+            Need { service: *service, runs: milli(counts.runs), waits: milli(counts.waits.read(now)) }
         })
         .collect()
     }
 
-    /// What is under way of a service at a host.
-    #[must_use]
-    pub fn running(&self, place: P, service: ServiceId) -> u32 {
-        self.counts.get(&(place, service)).map_or(0, |counts| counts.runs.now as u32)
-    }
-
     /// Hosts where anything is or was counted.
     pub fn places(&self) -> impl Iterator<Item = P> {
         let mut last = None;
--- a/crates/arrowyard-works/tests/processes.rs
+++ b/crates/arrowyard-works/tests/processes.rs
@@ -7,6 +7,10 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Instant;
 
 use helpers::{Client, FIRST, Fleet, LONG, Process, control_ip, program, started};
 
@@ -140,9 +144,65 @@
     let voters: Vec<String> = (0..3).map(|number| control_ip(fleet.net, number).to_string()).collect();
     assert!(members.contains(&voters.join(" ")), "{members}");
     assert_eq!(show(control(0), "duties").0, Some(0));
-    let shares: Vec<String> = (0..3).map(|number| show(control(number), "shares").1).collect();
-    assert_eq!(shares.iter().filter(|text| text.contains("no host is pressed")).count(), 1, "{shares:?}");
+    // One of them divides, once it has won the duty.
+    let divides =
+        || (0..3).filter(|number| show(control(*number), "shares").1.contains("no host is pressed")).count();
+    let began = Instant::now();
+    while divides() != 1 {
+        assert!(began.elapsed() < LONG, "nobody takes up the duty, or two do");
+    }
     let (code, _, fault) = show(control(7), "members");
     assert!(code == Some(2) && fault.contains(&control(7)), "{fault}");
     assert_ne!(show(control(0), "everything").0, Some(0));
 }
+
+/// Sixty readers ask for what takes hosts long, again and again, till they are told to end.
+fn flood(fleet: &Fleet, over: &Arc<AtomicBool>) -> Vec<thread::JoinHandle<()>> {
+    let reader = |_| {
+        let (front, over) = (fleet.front(), over.clone());
+        thread::spawn(move || {
+            let mut client = Client::open(front, "b0");
+            while !over.load(Ordering::Relaxed) {
+                client.ask("READ w1");
+            }
+        })
+    };
+    (0..60).map(reader).collect()
+}
+
+#[test]
+fn a_surge_of_reads_is_held_and_shown_while_writes_go_on() {
+    let fleet = Fleet::new(6);
+    let _controls = started(&fleet);
+    let router = fleet.router();
+    router.says("Revision 3 is in force");
+    let mut writer = Client::open(fleet.front(), "p0");
+    writer.ask_till_served("WRITE t1 k0");
+    let held = || {
+        let status = |number| fleet.call(number, "GET /status HTTP/1.1\r\nConnection: close\r\n\r\n").1;
+        let row = "\"service\":\"bounded_staleness/1\"";
+        let held = |status: String| {
+            let rows = status.split("{\"host\":").filter(|text| text.contains(row));
+            rows.into_iter().any(|text| text.contains("\"held\":true"))
+        };
+        (0..3).map(status).any(held)
+    };
+    let until = |what: &str, wanted: bool| {
+        let began = Instant::now();
+        while held() != wanted {
+            assert!(began.elapsed() < LONG, "{what}");
+        }
+    };
+    let over = Arc::new(AtomicBool::new(false));
+    let readers = flood(&fleet, &over);
+    until("the surge is held", true);
+    let served = (0..40).filter(|n| {
+        let answer = writer.ask(&format!("WRITE t2 k{}", n + 1));
+        answer.iter().any(|line| line.starts_with("SETTLED"))
+    });
+    let served = served.count();
+    over.store(true, Ordering::Relaxed);
+    readers.into_iter().for_each(|reader| reader.join().expect("its session held"));
+    assert!(served >= 36, "{served} of 40 writes at the first try");
+    until("nobody is held once it is over", false);
+}
--- a/src/pressure.rs
+++ b/src/pressure.rs
@@ -135,6 +135,9 @@
         self.rooms.get_mut(&(host, tenant)).into_iter().for_each(|room| room.pass(now, before));
         let running = self.running.entry((host, tenant)).or_default();
         *running = if ended { running.saturating_sub(1) } else { *running + 1 };
+        if *running == 0 {
+            self.running.remove(&(host, tenant));
+        }
     }
 
     pub fn try_held(&mut self, post: &mut Post) {
