Shares: what one service gives up is another's only once it is known to be given up

Ruled out: leases and lost words; no word was lost or late in it.

Change: a raise is bounded by what is free of the host over all services, those that are held no more among them.

--- a/crates/arrowyard-weir/src/allotter.rs
+++ b/crates/arrowyard-weir/src/allotter.rs
@@ -318,6 +318,17 @@
             let believed: i64 = self.seats.values().map(|seat| i64::from(seat.believes(*service))).sum();
             free.insert(*service, (*owed * 1000.0) as i64 - believed);
         }
+        // Danger: what one service gives up may be another's only once it is known to be given up; and what a service had
+        // that is held no more is still gone by where that was not heard.
+        let mut services: std::collections::BTreeSet<ServiceId> =
+            self.owed.iter().map(|(of, ..)| *of).collect();
+        let told = self.seats.values().flat_map(|seat| &seat.told).flat_map(|(_, caps)| caps);
+        services.extend(told.map(|(of, _)| *of));
+        let mut all_free = i64::from(self.places);
+        for service in services {
+            let believed: i64 = self.seats.values().map(|seat| i64::from(seat.believes(service))).sum();
+            all_free -= believed;
+        }
         let mut out = Vec::new();
         for (router, seat) in &self.seats {
             let mut caps = Vec::new();
@@ -327,16 +338,18 @@
                 let part = (owed * wants / demand) as i64;
                 let has = i64::from(seat.believes(*service));
                 let free = free.get_mut(service).expect("all that are held are there");
+                let room = (*free).min(all_free);
                 let is_new = seat.last(*service).is_none();
                 let cap = if is_new {
                     // Danger: one that was never held to anything runs what it runs; it gets only what the others left.
-                    (has + *free).clamp(0, part)
+                    (has + room).clamp(0, part)
                 } else if part <= has {
                     part
                 } else {
-                    has + (part - has).min((*free).max(0))
+                    has + (part - has).min(room.max(0))
                 };
-                *free -= if is_new { cap - has } else { (cap - has).max(0) };
+                let more = if is_new { cap - has } else { (cap - has).max(0) };
+                (*free, all_free) = (*free - more, all_free - more);
                 caps.push((*service, cap.max(0) as Milli));
             }
             if self.pressed.is_none() {
