Shares: a raise starts from what a router was told, not from what it said that it runs

A router that said 7.4 before it heard that it is held to 3.1 was given 5.0 as if that were less, while another one had not heard yet of its lower part: 10.6 of 10 places.

Ruled out: judging a service as new by the last part alone (changed first; the kept history failed as before).

--- a/crates/arrowyard-weir/src/allotter.rs
+++ b/crates/arrowyard-weir/src/allotter.rs
@@ -83,9 +83,13 @@
 
     /// The most that it may go by, as far as can be known here.
     fn believes(&self, service: ServiceId) -> Milli {
+        self.told_most(service).unwrap_or(0).max(self.need(service).runs)
+    }
+
+    /// The most that it was told and may go by; none where it was never held to anything of this service.
+    fn told_most(&self, service: ServiceId) -> Option<Milli> {
         let told = self.told.iter().flat_map(|(_, caps)| caps).filter(|(of, _)| *of == service);
-        let most = told.map(|(_, cap)| *cap).max().unwrap_or(0);
-        most.max(self.need(service).runs)
+        told.map(|(_, cap)| *cap).max()
     }
 
     fn last(&self, service: ServiceId) -> Option<Milli> {
@@ -336,10 +340,13 @@
                 let need = seat.need(*service);
                 let wants = f64::from(need.runs) + f64::from(need.waits);
                 let part = (owed * wants / demand) as i64;
-                let has = i64::from(seat.believes(*service));
+                // Danger: what it runs may date from before it was held. A raise starts from what it was told, or a part
+                // that it was never given would pass for one that it only keeps.
+                let told = seat.told_most(*service);
+                let is_new = told.is_none();
+                let has = i64::from(told.unwrap_or(need.runs));
                 let free = free.get_mut(service).expect("all that are held are there");
                 let room = (*free).min(all_free);
-                let is_new = seat.last(*service).is_none();
                 let cap = if is_new {
                     // Danger: one that was never held to anything runs what it runs; it gets only what the others left.
                     (has + room).clamp(0, part)
