--- a/crates/arrowyard-basin/src/clients.rs
+++ b/crates/arrowyard-basin/src/clients.rs
@@ -461,7 +461,11 @@
                     self.lose(now, place, orders);
                 }
             }
-            Event::Woke | Event::Sign(_) | Event::Stored { .. } | Event::Accepted { .. } => {}
+            Event::Woke
+            | Event::Sign(_)
+            | Event::Stored { .. }
+            | Event::Disk { .. }
+            | Event::Accepted { .. } => {}
         }
         while let Some(due) = self.timers.take(now) {
             match due {
--- a/crates/arrowyard-basin/src/day.rs
+++ b/crates/arrowyard-basin/src/day.rs
@@ -9,6 +9,7 @@
 
 use crate::history::{Breach, Kept, Tally};
 use crate::system::{Plan, Surge, System};
+use crate::world::{DiskFault, MachineId};
 
 /// What can happen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,6 +25,14 @@
     FreezeControl,
     /// One control machine is cut off from the others, not from routers and hosts.
     CutControl,
+    /// Nothing that one control machine says reaches the others, and it hears them.
+    MuteControl,
+    /// One control machine hears nothing of the others, and they hear it.
+    DeafControl,
+    /// A control machine's disk refuses writes.
+    RefuseDisk,
+    /// A control machine's disk answers nothing.
+    HangDisk,
     KillRouter,
     RollRouter,
     CrashPrimary,
@@ -45,7 +54,7 @@
 }
 
 impl Trouble {
-    pub const ALL: [Trouble; 22] = [
+    pub const ALL: [Trouble; 26] = [
         Trouble::KillControl,
         Trouble::DarkControl,
         Trouble::WipeControl,
@@ -53,6 +62,10 @@
         Trouble::ReplaceControl,
         Trouble::FreezeControl,
         Trouble::CutControl,
+        Trouble::MuteControl,
+        Trouble::DeafControl,
+        Trouble::RefuseDisk,
+        Trouble::HangDisk,
         Trouble::KillRouter,
         Trouble::RollRouter,
         Trouble::CrashPrimary,
@@ -82,6 +95,10 @@
                 | ReplaceControl
                 | FreezeControl
                 | CutControl
+                | MuteControl
+                | DeafControl
+                | RefuseDisk
+                | HangDisk
         )
     }
 
@@ -362,6 +379,12 @@
     (0..system.plan.tolerance as usize).map(|next| system.control_of(fault.which + next)).collect()
 }
 
+/// From one control machine to each of the others.
+fn ways(system: &System, control: usize) -> Vec<(MachineId, MachineId)> {
+    let one = system.controls[control];
+    system.controls.iter().filter(|other| **other != one).map(|other| (one, *other)).collect()
+}
+
 fn take(system: &mut System, now: Point, turn: Turn) -> Vec<(Point, Turn)> {
     let later = |fault: &Fault, what: usize| {
         let ends = now + Span::from_micros((fault.for_s * 1e6) as i64);
@@ -394,6 +417,18 @@
                         system.world.cut(system.controls[control], system.controls[other]);
                     }
                 }
+                Trouble::MuteControl => {
+                    for (one, other) in ways(system, control) {
+                        system.world.mute(one, other);
+                    }
+                }
+                Trouble::DeafControl => {
+                    for (one, other) in ways(system, control) {
+                        system.world.mute(other, one);
+                    }
+                }
+                Trouble::RefuseDisk => system.world.fail_disk(system.controls[control], DiskFault::Refuses),
+                Trouble::HangDisk => system.world.fail_disk(system.controls[control], DiskFault::Hangs),
                 Trouble::KillRouter => system.world.kill(system.routers[router]),
                 Trouble::RollRouter => {
                     system.shun_router(router);
@@ -474,6 +509,19 @@
                         system.world.join(system.controls[place], system.controls[other]);
                     }
                 }
+                Trouble::MuteControl => {
+                    for (one, other) in ways(system, place) {
+                        system.world.unmute(one, other);
+                    }
+                }
+                Trouble::DeafControl => {
+                    for (one, other) in ways(system, place) {
+                        system.world.unmute(other, one);
+                    }
+                }
+                Trouble::RefuseDisk | Trouble::HangDisk => {
+                    system.world.fail_disk(system.controls[place], DiskFault::None);
+                }
                 Trouble::KillRouter | Trouble::RollRouter => {
                     if !system.world.is_up(system.routers[place]) {
                         system.start_router(place);
--- a/crates/arrowyard-basin/src/history.rs
+++ b/crates/arrowyard-basin/src/history.rs
@@ -145,6 +145,8 @@
     /// The revision that was acknowledged last, and the one that was read back at the end.
     pub in_place: u64,
     pub read_back: Option<u64>,
+    /// Since when a sound change has waited for its acknowledgement.
+    pub unacknowledged: Option<Point>,
     last: u64,
 }
 
@@ -319,6 +321,10 @@
             let what = format!("{:?} was read back, {} was acknowledged", self.read_back, self.in_place);
             self.breach("CONFIG", now, what);
         }
+        if let Some(since) = self.unacknowledged {
+            let what = format!("a sound change of {} ms was never acknowledged", since.micros() / 1000);
+            self.breach("ACKS", now, what);
+        }
     }
 
     /// An operation of a kind is over: when it began, when it ended, whether it was served inside its aim, and at all.
--- a/crates/arrowyard-basin/src/host.rs
+++ b/crates/arrowyard-basin/src/host.rs
@@ -536,7 +536,7 @@
                 self.sessions.remove(&conn);
                 self.waiting.retain(|(waiting, _, _)| *waiting != conn);
             }
-            Event::Woke | Event::Sign(_) | Event::Stored { .. } => {}
+            Event::Woke | Event::Sign(_) | Event::Stored { .. } | Event::Disk { .. } => {}
         }
         while let Some(due) = self.timers.take(now) {
             match due {
--- a/crates/arrowyard-basin/src/operator.rs
+++ b/crates/arrowyard-basin/src/operator.rs
@@ -119,6 +119,7 @@
 
     fn answered(&mut self, now: Point, status: u16) {
         let Some((path, _, body, _)) = self.sending.take() else { return };
+        self.history.borrow_mut().unacknowledged = None;
         match status {
             200 => {
                 self.revision = revision(&body).unwrap_or(self.revision);
@@ -232,6 +233,7 @@
                     );
                     self.extra = Some(database);
                     self.sending = Some(("/Config.Adjust".to_string(), self.revision, body, now));
+                    self.history.borrow_mut().unacknowledged = Some(now);
                     self.send(now, orders);
                 }
                 Due::Look(database) => {
--- a/crates/arrowyard-conduit/src/message.rs
+++ b/crates/arrowyard-conduit/src/message.rs
@@ -101,6 +101,12 @@
     pub votes: bool,
     #[prost(message, repeated, tag = "6")]
     pub silent: Vec<Silent>,
+    /// Whether its disk refuses or hangs.
+    #[prost(bool, tag = "7")]
+    pub disk_fails: bool,
+    /// Control machines that it has heard of lately.
+    #[prost(fixed32, repeated, tag = "8")]
+    pub hears: Vec<u32>,
 }
 
 /// A host that does not call any more, for so many milliseconds.
--- a/crates/arrowyard-headworks/src/control.rs
+++ b/crates/arrowyard-headworks/src/control.rs
@@ -2,6 +2,7 @@
 //! has a file of its own.
 
 mod calls;
+mod disk;
 mod feed;
 mod hosts;
 mod memory;
@@ -23,6 +24,7 @@
 use crate::{Cell, Duties, Ledger, Out, Ticket, View};
 
 use calls::Caller;
+pub use disk::DiskWatch;
 use feed::Router;
 use hosts::Link;
 use mesh::{Peer, Platform};
@@ -65,7 +67,10 @@
     rng: Rng,
     ledger: Ledger,
     /// Records are kept in memory only where there is no disk.
-    disk: bool,
+    has_disk: bool,
+    disk: DiskWatch,
+    /// Since when this machine's vote cannot be counted on.
+    unable_since: Option<Point>,
     cell: Cell,
     /// Of the hosts as they were last put on disk.
     kept_digest: u64,
@@ -139,7 +144,9 @@
             life,
             rng: Rng::with_seed(life),
             ledger,
-            disk,
+            has_disk: disk,
+            disk: DiskWatch::default(),
+            unable_since: None,
             kept_digest: cell.digest(),
             cell,
             silent: BTreeMap::new(),
@@ -181,7 +188,10 @@
             match one {
                 Out::Send { to: 0, word } => self.say_to_peers(&word, orders),
                 Out::Send { to, word } => self.say_to_peer(to, &word, orders),
-                Out::Store { ticket, record } if self.disk => orders.store(ticket, record),
+                Out::Store { ticket, record } if self.has_disk => {
+                    self.disk.asked(now, ticket);
+                    orders.store(ticket, record);
+                }
                 Out::Store { ticket, .. } => {
                     let mut more = Vec::new();
                     self.ledger.stored(now, ticket, true, &mut more);
@@ -227,6 +237,7 @@
             self.with_ledger(now, orders, |ledger, out| ledger.enter(now, entry, now + TICK * 4.0, out));
         }
         self.rng = rng;
+        self.unable_since = if self.is_able_to_vote(now) { None } else { self.unable_since.or(Some(now)) };
         self.take_up(now, orders);
         self.fill_seats(now, orders);
         self.divide(now, orders);
@@ -295,6 +306,21 @@
         }
     }
 
+    fn disk_changed(&mut self, works: bool) {
+        self.disk.works(works);
+        if works {
+            self.ledger.recovered();
+            log::info!("disk: All that this machine knows is on it; its vote counts again.");
+        } else {
+            log::error!("disk: It refuses records; this machine does not vote until it is well.");
+        }
+    }
+
+    /// Whether this machine's vote can be counted on: it has one, and a disk that keeps its word.
+    fn is_able_to_vote(&self, now: Point) -> bool {
+        self.ledger.is_vote_durable() && self.disk.is_well(now)
+    }
+
     /// Where another control machine takes the calls of hosts and operators: ports are alike on all machines.
     fn control_of(&self, ip: u32) -> Option<SocketAddrV4> {
         let port = self.settings.bind_addrs.get("control")?.port();
@@ -326,8 +352,10 @@
             Event::Came { conn, bytes } => self.came(now, conn, bytes, orders),
             Event::Closed { conn, .. } => self.closed(now, conn, orders),
             Event::Stored { ticket, kept } => {
+                self.disk.answered(ticket);
                 self.with_ledger(now, orders, |ledger, out| ledger.stored(now, ticket, kept, out));
             }
+            Event::Disk { works } => self.disk_changed(works),
             Event::Sign(Sign::Terminate) => self.end(now, orders),
             Event::Sign(Sign::Reread) => self.reread(now),
             Event::Woke => {}
@@ -457,12 +485,13 @@
             )
         });
         format!(
-            "{{\"node\":{},\"revision\":{},\"slot\":{},\"votes\":{},\"voters\":{},\"controls\":{},\"routers-all\":{},\
+            "{{\"node\":{},\"revision\":{},\"slot\":{},\"votes\":{},\"disk-works\":{},\"voters\":{},\"controls\":{},\"routers-all\":{},\
              \"routers\":{},\"hosts\":{},\"duties\":{},\"promotions\":{},\"divides\":{},\"shares\":{}}}",
             text(&self.settings.node),
             applied.configuration.revision,
             applied.slot,
-            self.ledger.votes(),
+            self.is_able_to_vote(now),
+            self.disk.is_well(now),
             list(self.ledger.voters().iter().map(|voter| ip(*voter)).collect()),
             list(self.live_peers(now).map(|(peer, _)| ip(*peer)).collect()),
             self.routers,
--- /dev/null
+++ b/crates/arrowyard-headworks/src/control/disk.rs
@@ -0,0 +1,39 @@
+//! Whether this machine's disk takes what it is told to keep. A voter whose disk refuses or hangs says so: it cannot
+//! acknowledge anything, and another machine may take its seat.
+
+use std::collections::BTreeMap;
+
+use arrowyard_types::{Point, Span};
+
+/// A record that is not durable after so long: the disk hangs.
+const HANGS: Span = Span::from_millis(800);
+
+/// The records that are under way to the disk.
+#[derive(Debug, Default)]
+pub struct DiskWatch {
+    since: BTreeMap<u64, Point>,
+    refuses: bool,
+}
+
+impl DiskWatch {
+    /// A record was handed to the disk.
+    pub fn asked(&mut self, now: Point, ticket: u64) {
+        self.since.insert(ticket, now);
+    }
+
+    /// The fate of a record is known.
+    pub fn answered(&mut self, ticket: u64) {
+        self.since.remove(&ticket);
+    }
+
+    /// The disk refuses records from now on, or has taken all that this machine knows.
+    pub fn works(&mut self, works: bool) {
+        self.refuses = !works;
+    }
+
+    /// Whether records are durable in good time.
+    pub fn is_well(&self, now: Point) -> bool {
+        let oldest = self.since.first_key_value().map(|(_, since)| *since);
+        !self.refuses && oldest.is_none_or(|since| now - since < HANGS)
+    }
+}
--- a/crates/arrowyard-headworks/src/control/mesh.rs
+++ b/crates/arrowyard-headworks/src/control/mesh.rs
@@ -34,8 +34,12 @@
     dialled: Option<(Conn, Point)>,
     life: u64,
     pub routers: u32,
-    /// Whether it said that its vote counts.
+    /// Whether it said that its vote counts, and since when it does not.
     pub votes: bool,
+    unable_since: Option<Point>,
+    pub disk_fails: bool,
+    /// When it last said that it hears of this machine.
+    hears_me_at: Option<Point>,
     /// Since when it is heard of without a break, and when it was last.
     since: Point,
     heard_at: Point,
@@ -52,6 +56,20 @@
         self.heard_at = now;
     }
 
+    fn says_that_it_votes(&mut self, now: Point, votes: bool) {
+        self.votes = votes;
+        if votes {
+            self.unable_since = None;
+        } else {
+            self.unable_since.get_or_insert(now);
+        }
+    }
+
+    /// For how long it has said that its vote does not count.
+    pub fn unable_for(&self, now: Point) -> Span {
+        self.unable_since.map_or(Span::ZERO, |since| now - since)
+    }
+
     /// For how long it has been heard of, or not.
     pub fn heard_for(&self, now: Point) -> Result<Span, Span> {
         let silence = now - self.heard_at;
@@ -124,7 +142,7 @@
         }
     }
 
-    fn beat_peers(&mut self, _now: Point, orders: &mut Orders) {
+    fn beat_peers(&mut self, now: Point, orders: &mut Orders) {
         self.view.age();
         let view =
             if self.ticks.is_multiple_of(SHUFFLE) { self.view.part(&mut self.rng) } else { Vec::new() };
@@ -133,8 +151,10 @@
             view,
             routers: self.routers_fed().count() as u32,
             digest: self.cell.digest(),
-            votes: self.ledger.votes(),
+            votes: self.is_able_to_vote(now),
             silent: self.silent_here.clone(),
+            disk_fails: !self.disk.is_well(now),
+            hears: self.live_peers(now).map(|(ip, _)| *ip).collect(),
         };
         self.say_to_peers(&Word::Beat(beat), orders);
     }
@@ -357,7 +377,12 @@
         self.view.merge(&beat.view, self.me);
         let mine = self.cell.digest();
         let Some(peer) = self.peers.get_mut(&ip) else { return };
-        (peer.routers, peer.votes) = (beat.routers, beat.votes);
+        peer.routers = beat.routers;
+        peer.says_that_it_votes(now, beat.votes);
+        peer.disk_fails = beat.disk_fails;
+        if beat.hears.contains(&self.me) {
+            peer.hears_me_at = Some(now);
+        }
         // What is under way makes them differ for a moment; what stays is swept up.
         peer.differs = if beat.digest == mine { 0 } else { peer.differs + 1 };
         if peer.differs >= 2 {
--- a/crates/arrowyard-headworks/src/control/seats.rs
+++ b/crates/arrowyard-headworks/src/control/seats.rs
@@ -21,11 +21,21 @@
             region: region(&zone),
             zone,
             heard: Ok(now - Point::from_micros(0)),
-            votes: self.ledger.votes(),
+            votes: self.is_able_to_vote(now),
+            unable: self.unable_since.map_or(Span::ZERO, |since| now - since),
+            disk_works: self.disk.is_well(now),
         };
         let others = self.peers.iter().map(|(ip, peer)| {
             let zone = self.view.zone(*ip).unwrap_or_default().to_string();
-            Machine { ip: *ip, region: region(&zone), zone, heard: peer.heard_for(now), votes: peer.votes }
+            Machine {
+                ip: *ip,
+                region: region(&zone),
+                zone,
+                heard: peer.heard_for(now),
+                votes: peer.votes,
+                unable: peer.unable_for(now),
+                disk_works: !peer.disk_fails,
+            }
         });
         [me].into_iter().chain(others).collect()
     }
--- a/crates/arrowyard-headworks/src/ledger.rs
+++ b/crates/arrowyard-headworks/src/ledger.rs
@@ -107,6 +107,8 @@
     kept_bytes: usize,
     /// Whether its word counts: a voter that lost its disk does not know what it promised.
     votes: bool,
+    /// The record by which a new vote becomes durable, until it is.
+    vote_record: Option<u64>,
     promised: Ballot,
     accepted: Option<Accept>,
     seen: u64,
@@ -126,7 +128,8 @@
 /// same that differ in nothing else.
 impl Hash for Ledger {
     fn hash<H: Hasher>(&self, state: &mut H) {
-        (self.me, self.life, self.votes, self.seen, self.last, self.last_record).hash(state);
+        (self.me, self.life, self.votes, self.vote_record, self.seen, self.last, self.last_record)
+            .hash(state);
         (self.applied.snapshot(), &self.kept, self.promised, &self.accepted, &self.after).hash(state);
         self.round.iter().for_each(|round| (round.slot, round.ballot, &round.phase).hash(state));
         self.waiting.iter().for_each(|waiting| (waiting.ticket, &waiting.wish).hash(state));
@@ -153,6 +156,7 @@
             kept: VecDeque::new(),
             kept_bytes: 0,
             votes: false,
+            vote_record: None,
             promised: Ballot::default(),
             accepted: None,
             seen: 0,
@@ -221,6 +225,15 @@
             self.take_entry(next);
         }
         let open = self.applied.slot + 1;
+        // Safety: a vote for a slot whose predecessors are not known here is one that this machine cannot answer for.
+        // Records are kept in order and without a gap, so such a disk is not the one that was written.
+        let beyond = |slot: &u64| *slot > open;
+        if promised.keys().any(beyond) || accepted.keys().any(beyond) || chosen.keys().any(beyond) {
+            log::error!(
+                "ledger: Records are missing before slot {open}; its word counts for nothing at first."
+            );
+            self.votes = false;
+        }
         self.accepted = accepted.remove(&open);
         let vote = self.accepted.as_ref().map(|accepted| accepted.ballot).unwrap_or_default();
         self.promised = promised.remove(&open).unwrap_or_default().max(vote);
@@ -237,6 +250,12 @@
         self.votes
     }
 
+    /// Whether its vote would survive a loss of power. Safety: only then may another voter give up its seat; before
+    /// that, one more loss could leave too few that vote.
+    pub fn is_vote_durable(&self) -> bool {
+        self.votes && self.vote_record.is_none()
+    }
+
     pub fn voters(&self) -> &[u32] {
         &self.applied.voters
     }
@@ -295,11 +314,19 @@
 
     /// A record is on disk, or could not be put there; then nothing is answered for it.
     pub fn stored(&mut self, now: Point, ticket: u64, kept: bool, out: &mut Vec<Out>) {
+        if kept && self.vote_record == Some(ticket) {
+            self.vote_record = None;
+        }
         if let Some((to, word)) = self.after.remove(&ticket).filter(|_| kept) {
             self.say(now, to, word, out);
         }
     }
 
+    /// A snapshot of all that this machine knows is on disk, after records were refused.
+    pub fn recovered(&mut self) {
+        self.vote_record = None;
+    }
+
     fn say(&mut self, now: Point, to: u32, word: Word, out: &mut Vec<Out>) {
         if to == self.me { self.hear(now, to, &word, out) } else { out.push(Out::Send { to, word }) }
     }
@@ -599,6 +626,7 @@
             log::info!("ledger: Votes again.");
             let record = self.snapshot(None);
             self.last_record += 1;
+            self.vote_record = Some(self.last_record);
             out.push(Out::Store { ticket: self.last_record, record });
         }
         let entered = |waiting: &Waiting| matches!(&waiting.wish, Wish::Enter(wished) if *wished == entry);
--- a/crates/arrowyard-headworks/src/lib.rs
+++ b/crates/arrowyard-headworks/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use applied::{Applied, sum};
 pub use cell::Cell;
-pub use control::{Control, DOORS};
+pub use control::{Control, DOORS, DiskWatch};
 pub use duty::Duties;
 pub use ledger::{Answer, Ledger, Out, Ticket};
 pub use promotion::{Ask, Promotion, Promotions, Reply, Sight, Stage, To, is_repeated};
--- a/crates/arrowyard-headworks/src/seats.rs
+++ b/crates/arrowyard-headworks/src/seats.rs
@@ -9,6 +9,9 @@
 /// A voter that was not heard of for so long loses its seat, if there is a machine for it. Danger: a new machine in the
 /// place of one that is gone must vote within `settle-s`, or the next loss is one too many.
 const GONE: Span = Span::from_millis(2500);
+/// A voter that is there, and has said for so long that its vote does not count, loses its seat likewise: its disk
+/// refuses or hangs. One that only lost its disk is let in again much sooner.
+const UNABLE: Span = Span::from_millis(4000);
 
 /// A control machine, as the holder of the duty sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,6 +23,10 @@
     pub heard: Result<Span, Span>,
     /// Whether its vote counts, as it said last.
     pub votes: bool,
+    /// For how long it has said that its vote does not count.
+    pub unable: Span,
+    /// Whether its disk takes what it is told to keep.
+    pub disk_works: bool,
 }
 
 /// So many voters bear the loss of what may be lost at once.
@@ -36,7 +43,9 @@
     let in_region = |region: &str| seated().filter(|machine| machine.region == region).count();
     let in_zone = |zone: &str| seated().filter(|machine| machine.zone == zone).count();
     let crowd = |machine: &Machine| (in_region(&machine.region), in_zone(&machine.zone), machine.ip);
-    let gone = |voter: u32| of(voter).is_none_or(|machine| machine.heard.is_err_and(|silent| silent >= GONE));
+    let is_lost =
+        |machine: &Machine| machine.heard.is_err_and(|silent| silent >= GONE) || machine.unable >= UNABLE;
+    let gone = |voter: u32| of(voter).is_none_or(is_lost);
     let lost = voters.iter().copied().find(|&voter| gone(voter));
     if voters.len() > wanted(tolerance) {
         let out = lost.or_else(|| seated().max_by_key(|machine| crowd(machine)).map(|machine| machine.ip))?;
@@ -45,9 +54,8 @@
         return settled.then(|| left.by_ref().collect());
     }
     // Of those that are there, one where fewest vote.
-    let free = machines
-        .iter()
-        .filter(|machine| !voters.contains(&machine.ip) && machine.heard.is_ok_and(|heard| heard >= FRESH));
+    let is_fit = |machine: &&Machine| machine.disk_works && machine.heard.is_ok_and(|heard| heard >= FRESH);
+    let free = machines.iter().filter(|machine| !voters.contains(&machine.ip)).filter(is_fit);
     let best = free.min_by_key(|machine| crowd(machine))?;
     // Danger: where a whole place may be lost, it must not take the majority with it.
     let most_in_region = seated().map(|machine| in_region(&machine.region)).max();
--- a/crates/arrowyard-headworks/tests/control.rs
+++ b/crates/arrowyard-headworks/tests/control.rs
@@ -4,7 +4,7 @@
 
 use arrowyard_conduit::{DbRole, Duty, Entry, Host, Known, Matter, Phase};
 use arrowyard_flume::{Observed, Position};
-use arrowyard_headworks::{Applied, Ask, Cell, Duties, Promotion, Reply, Sight, Stage, To, View};
+use arrowyard_headworks::{Applied, Ask, Cell, DiskWatch, Duties, Promotion, Reply, Sight, Stage, To, View};
 use arrowyard_types::{Point, Span};
 use fastrand::Rng;
 
@@ -378,3 +378,20 @@
     assert_eq!(scene.promotion.stage, Stage::Steady);
     assert!(scene.pass(Span::from_millis(60_000).micros() / 1000).is_empty());
 }
+
+#[test]
+fn a_disk_that_refuses_or_hangs_is_not_well_until_it_takes_records_again() {
+    let mut disk = DiskWatch::default();
+    assert!(disk.is_well(at(0)));
+    disk.asked(at(0), 1);
+    disk.asked(at(500), 2);
+    assert!(disk.is_well(at(799)));
+    assert!(!disk.is_well(at(800)), "the first record hangs");
+    disk.answered(1);
+    assert!(disk.is_well(at(900)));
+    disk.works(false);
+    disk.answered(2);
+    assert!(!disk.is_well(at(901)), "it refuses");
+    disk.works(true);
+    assert!(disk.is_well(at(902)));
+}
--- a/crates/arrowyard-headworks/tests/seats.rs
+++ b/crates/arrowyard-headworks/tests/seats.rs
@@ -19,6 +19,8 @@
         region: zone[..1].to_string(),
         heard: THERE,
         votes: true,
+        unable: Span::ZERO,
+        disk_works: true,
     };
     zones.iter().enumerate().map(machine).collect()
 }
@@ -77,3 +79,17 @@
     assert_eq!(four, [1, 2, 3, 4]);
     assert_eq!(next(&four, &machines, bears(1, 1, 0)), Some(vec![1, 3, 4]));
 }
+
+#[test]
+fn a_voter_whose_disk_refuses_or_hangs_gives_its_seat_to_a_machine_whose_disk_works() {
+    let mut machines = fleet(&["aa", "ab", "ac", "aa"]);
+    (machines[1].votes, machines[1].disk_works) = (false, false);
+    machines[1].unable = Span::from_millis(3000);
+    assert_eq!(next(&[1, 2, 3], &machines, bears(1, 0, 0)), None, "it may be well in a moment");
+    machines[1].unable = Span::from_millis(4000);
+    machines[3].disk_works = false;
+    assert_eq!(next(&[1, 2, 3], &machines, bears(1, 0, 0)), None, "the other one's disk is no better");
+    machines[3].disk_works = true;
+    assert_eq!(next(&[1, 2, 3], &machines, bears(1, 0, 0)), Some(vec![1, 2, 3, 4]));
+    assert_eq!(next(&[1, 2, 3, 4], &machines, bears(1, 0, 0)), Some(vec![1, 3, 4]));
+}
--- /dev/null
+++ b/crates/arrowyard-penstock/src/folder.rs
@@ -0,0 +1,122 @@
+//! The files under a journal. A journal is written to one file, a *generation*, until that file fails; see
+//! [`Journal`](crate::Journal). The trait stands between the journal and the file system, so that tests can bring
+//! storage faults about under the code that ships.
+
+use std::fs::{self, File, OpenOptions};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+use redb::StorageBackend;
+
+/// How the file of a generation is named, with its number behind.
+const PREFIX: &str = "journal-";
+
+/// A directory that holds the generations of one journal.
+pub trait Folder: Send {
+    type File: StorageBackend;
+
+    /// The numbers of the generations that are there, in ascending order.
+    ///
+    /// # Errors
+    /// When the directory cannot be listed.
+    fn generations(&self) -> io::Result<Vec<u64>>;
+
+    /// Opens a generation; one that does not exist is created empty.
+    ///
+    /// # Errors
+    /// When the file cannot be opened or created.
+    fn open(&self, generation: u64) -> io::Result<Self::File>;
+
+    /// Removes a generation. Whether the removal survives a loss of power is known only after [`Folder::sync`].
+    ///
+    /// # Errors
+    /// When the file cannot be removed.
+    fn remove(&self, generation: u64) -> io::Result<()>;
+
+    /// Makes creations and removals durable.
+    ///
+    /// # Errors
+    /// When the directory cannot be synced; nothing is known then of what was created or removed.
+    fn sync(&self) -> io::Result<()>;
+}
+
+/// A directory of the file system.
+#[derive(Debug)]
+pub struct Directory {
+    path: PathBuf,
+}
+
+impl Directory {
+    /// Creates the directory, if need be, and makes its name durable.
+    ///
+    /// # Errors
+    /// When it cannot be created or its parent cannot be synced.
+    pub fn create(path: &Path) -> io::Result<Self> {
+        fs::create_dir_all(path)?;
+        // Safety: without its name a directory takes all of its files with it at a loss of power.
+        if let Some(parent) = path.parent() {
+            File::open(parent)?.sync_all()?;
+        }
+        Ok(Directory { path: path.to_path_buf() })
+    }
+
+    fn file(&self, generation: u64) -> PathBuf {
+        self.path.join(format!("{PREFIX}{generation:08}"))
+    }
+}
+
+impl Folder for Directory {
+    type File = RegularFile;
+
+    fn generations(&self) -> io::Result<Vec<u64>> {
+        let mut generations = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            let name = entry?.file_name();
+            let number = name.to_str().and_then(|name| name.strip_prefix(PREFIX)?.parse::<u64>().ok());
+            generations.extend(number);
+        }
+        generations.sort_unstable();
+        Ok(generations)
+    }
+
+    fn open(&self, generation: u64) -> io::Result<RegularFile> {
+        let mut options = OpenOptions::new();
+        options.read(true).write(true).create(true).truncate(false);
+        options.open(self.file(generation)).map(RegularFile)
+    }
+
+    fn remove(&self, generation: u64) -> io::Result<()> {
+        fs::remove_file(self.file(generation))
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+}
+
+/// One file of a [`Directory`].
+#[derive(Debug)]
+pub struct RegularFile(File);
+
+impl StorageBackend for RegularFile {
+    fn len(&self) -> io::Result<u64> {
+        self.0.metadata().map(|metadata| metadata.len())
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.0.read_exact_at(out, offset)
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.0.set_len(len)
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        self.0.sync_data()
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.0.write_all_at(data, offset)
+    }
+}
--- a/crates/arrowyard-penstock/src/lib.rs
+++ b/crates/arrowyard-penstock/src/lib.rs
@@ -2,15 +2,19 @@
 //! A plane decides without I/O: it takes an [`Event`] with the time and leaves [`Orders`]; the loop carries them out.
 
 mod conn;
+mod folder;
 pub mod http;
+mod journal;
 mod orders;
 mod run;
 mod store;
 mod timers;
 
+pub use folder::{Directory, Folder, RegularFile};
+pub use journal::{CHECKPOINT_BYTES, Journal, JournalError};
 pub use orders::{Conn, Door, Event, Order, Orders, Sign, Why};
 pub use run::{Plumbing, run};
-pub use store::{Store, Stored, open as open_store};
+pub use store::{Recovered, Store, Stored, open as open_store};
 pub use timers::Timers;
 
 use arrowyard_types::Point;
--- a/crates/arrowyard-penstock/src/orders.rs
+++ b/crates/arrowyard-penstock/src/orders.rs
@@ -53,6 +53,10 @@
         ticket: u64,
         kept: bool,
     },
+    /// The disk refuses records from now on; or it has the plane's snapshot and takes records again.
+    Disk {
+        works: bool,
+    },
 }
 
 /// What a plane wants done, in this order.
--- a/crates/arrowyard-penstock/src/run.rs
+++ b/crates/arrowyard-penstock/src/run.rs
@@ -13,6 +13,7 @@
 
 use crate::conn::{Socket, Stage};
 use crate::orders::{Conn, Door, Event, Order, Orders, Sign, Why};
+use crate::store::Outcome;
 use crate::{Plane, Store, Timers};
 
 const WAKER: Token = Token(0);
@@ -144,8 +145,13 @@
                     self.tell(plane, Event::Sign(*sign));
                 }
             }
-            while let Some((ticket, kept)) = self.store.as_mut().and_then(|store| store.stored(plane)) {
-                self.tell(plane, Event::Stored { ticket, kept });
+            while let Some(outcome) = self.store.as_mut().and_then(|store| store.outcome(|| plane.snapshot()))
+            {
+                let event = match outcome {
+                    Outcome::Kept { ticket, kept } => Event::Stored { ticket, kept },
+                    Outcome::Disk { works } => Event::Disk { works },
+                };
+                self.tell(plane, event);
             }
             let now = self.now();
             while let Some(conn) = self.lingering.take(now) {
--- a/crates/arrowyard-sluice/src/plane.rs
+++ b/crates/arrowyard-sluice/src/plane.rs
@@ -319,7 +319,7 @@
             },
             Event::Sign(Sign::Terminate) => self.drain(now),
             Event::Sign(Sign::Reread) => self.reread(),
-            Event::Woke | Event::Stored { .. } => {}
+            Event::Woke | Event::Stored { .. } | Event::Disk { .. } => {}
         }
         while let Some(alarm) = self.timers.take(now) {
             self.rang(now, alarm, orders);
--- a/crates/arrowyard-works/src/bin/arrowyard-headworks.rs
+++ b/crates/arrowyard-works/src/bin/arrowyard-headworks.rs
@@ -3,13 +3,19 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use arrowyard_headworks::Control;
-use arrowyard_penstock::{Plumbing, open_store, run};
+use arrowyard_penstock::{Plumbing, Recovered, Store, open_store, run};
 use arrowyard_works as works;
 use arrowyard_works::show::{self, Part};
 use bpaf::Bpaf;
 
+/// The directory of the journal, in the data directory.
+const JOURNAL: &str = "journal";
+/// A disk that refuses at a start is tried again after so long.
+const DISK_RETRY: Duration = Duration::from_millis(200);
+
 /// A control machine: knows hosts and routers, agrees on the configuration, replaces primaries.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
@@ -43,24 +49,36 @@
 }
 
 fn serve(path: PathBuf) -> Result<(), String> {
-    let settings = works::settings(&path)?;
+    let mut settings = works::settings(&path)?;
     let control = settings.bind_addrs.get("control").copied();
     let control = control.ok_or("bind-addrs.control: is not told, and a control machine needs it")?;
     let doors = vec![control, settings.internal(settings.ip)];
     let most = settings.limits.fd_limit.saturating_sub(300).max(64);
-    let (store, records) = match &settings.data_dir {
+    let (store, recovered) = match &settings.data_dir {
         Some(folder) => {
-            let folder = Path::new(folder).join("ledger");
-            let (store, records) =
-                open_store(&folder).map_err(|fault| format!("{}: {fault}", folder.display()))?;
-            (Some(store), records)
+            let (store, recovered) = wait_for_disk(&Path::new(folder).join(JOURNAL));
+            (Some(store), recovered)
         }
-        None => (None, Vec::new()),
+        None => (None, Recovered::default()),
     };
+    // Safety: a machine that forgot what it promised must not found the system once more.
+    settings.bootstrap &= !recovered.forgot;
+    let records = recovered.records;
     let mut plane = Control::open(settings, works::life(), &records, store.is_some(), works::reread(path))?;
     run(Plumbing { doors, store, most }, &mut plane).map_err(|fault| fault.to_string())
 }
 
+/// Opens the journal. While the disk refuses, nothing is known of what this machine promised, so it waits.
+fn wait_for_disk(folder: &Path) -> (Store, Recovered) {
+    loop {
+        match open_store(folder) {
+            Ok(opened) => return opened,
+            Err(error) => log::error!("disk: {}: {error}; it is tried again.", folder.display()),
+        }
+        std::thread::sleep(DISK_RETRY);
+    }
+}
+
 fn main() -> ExitCode {
     let done = match command().run() {
         Command::Run { settings, log } => {
