--- a/crates/arrowyard-basin/src/lib.rs
+++ b/crates/arrowyard-basin/src/lib.rs
@@ -26,4 +26,4 @@
 pub use platform::Platform;
 pub use shard::Shard;
 pub use system::{Callable, Plan, Surge, System};
-pub use world::{Disk, MachineId, World};
+pub use world::{Disk, DiskFault, MachineId, World};
--- a/crates/arrowyard-basin/src/models/ledger.rs
+++ b/crates/arrowyard-basin/src/models/ledger.rs
@@ -6,7 +6,7 @@
 use std::hash::{BuildHasher, Hash, Hasher};
 
 use arrowyard_conduit::{Entry, Frame, Matter, Revised, Voters, Word};
-use arrowyard_headworks::{Answer, Kept, Ledger, Out, Record, Ticket, sum};
+use arrowyard_headworks::{Answer, Kept, Ledger, Out, Record, Ticket, digest};
 use arrowyard_types::{Point, Span};
 use prost::Message;
 use rustc_hash::FxBuildHasher;
@@ -117,7 +117,7 @@
 fn is_taken(ledger: &Ledger, entry: &Entry) -> bool {
     let Some(Matter::Configuration(revised)) = &entry.matter else { return false };
     let revision = ledger.applied().configuration.revision;
-    ledger.applied().taken(revision) == Some(sum(revised))
+    ledger.applied().taken(revision) == Some(digest(revised))
 }
 
 impl World {
--- a/crates/arrowyard-basin/src/platform.rs
+++ b/crates/arrowyard-basin/src/platform.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use arrowyard_penstock::http::{Messages, answer};
+use arrowyard_penstock::http::{Messages, Request, answer};
 use arrowyard_penstock::{Conn, Event, Orders, Plane, Timers};
 use arrowyard_types::{Point, Span};
 
@@ -18,24 +18,54 @@
     takes: Span,
     fences: BTreeMap<String, u64>,
     calls: BTreeMap<Conn, Messages>,
-    timers: Timers<(String, String)>,
+    timers: Timers<Due>,
     /// Whether it answers at all.
     pub away: Rc<RefCell<bool>>,
+    /// Calls that came meanwhile: they hang, and arrive once it is back for a while.
+    hung: Vec<Wanted>,
+    /// Which host was named last under a fence.
+    named: BTreeMap<(String, u64), String>,
 }
 
+/// A host that is to lead a service.
+#[derive(Clone, Debug)]
+struct Wanted {
+    fence: u64,
+    service: String,
+    host: String,
+}
+
+#[derive(Clone, Debug)]
+enum Due {
+    Lead(Wanted),
+    /// Calls that hung arrive.
+    Hung,
+}
+
+/// So long after it is back, calls that hung arrive.
+const HANGS: Span = Span::from_millis(6000);
+
 impl Platform {
     pub fn new(shards: &[Rc<RefCell<Shard>>], history: Shared, takes: Span, away: Rc<RefCell<bool>>) -> Self {
         let shards = shards.iter().map(|shard| (shard.borrow().service.clone(), shard.clone())).collect();
         let (fences, calls, timers) = (BTreeMap::new(), BTreeMap::new(), Timers::default());
-        Platform { shards, history, takes, fences, calls, timers, away }
+        let (hung, named) = (Vec::new(), BTreeMap::new());
+        Platform { shards, history, takes, fences, calls, timers, away, hung, named }
     }
 
-    fn status(&mut self, now: Point, fence: u64, service: &str, host: &str) -> u16 {
-        let known = self.fences.entry(service.to_string()).or_default();
-        if fence < *known {
+    fn status(&mut self, now: Point, wanted: &Wanted) -> u16 {
+        let Wanted { fence, service, host } = wanted;
+        let known = self.fences.entry(service.clone()).or_default();
+        if fence < known {
             return 409;
         }
-        *known = fence;
+        *known = *fence;
+        // ONE: a fence is for one decision.
+        let named = self.named.entry((service.clone(), *fence)).or_insert_with(|| host.clone());
+        if named != host {
+            let what = format!("{service}: {named} and {host} were named under fence {fence}");
+            self.history.borrow_mut().breach("ONE", now, what);
+        }
         let Some(shard) = self.shards.get(service) else { return 404 };
         let shard = shard.borrow();
         match shard.copies.get(host) {
@@ -43,48 +73,75 @@
             _ => return 409,
         }
         if !shard.leads(host) {
-            self.timers.set(now + self.takes, (service.to_string(), host.to_string()));
+            self.timers.set(now + self.takes, Due::Lead(wanted.clone()));
         }
         200
     }
+
+    /// A host leads from now on. LOST: what was acknowledged must be in its log.
+    fn lead(&mut self, now: Point, wanted: &Wanted) {
+        let Wanted { service, host, .. } = wanted;
+        let shard = self.shards[service].clone();
+        let before = self.history.borrow().acknowledged_of(service);
+        shard.borrow_mut().promote(now, host);
+        let shard = shard.borrow();
+        if shard.leads(host) {
+            let has: BTreeSet<&String> = shard.log().iter().flat_map(|commit| &commit.writes).collect();
+            for token in before.iter().filter(|token| !has.contains(token)) {
+                let what = format!("{host} of {service} leads without {token}");
+                self.history.borrow_mut().breach("LOST", now, what);
+            }
+        }
+    }
+}
+
+/// What a call asks for.
+fn wanted(request: &Request) -> Wanted {
+    let body = String::from_utf8_lossy(&request.body).into_owned();
+    let parts: Vec<&str> = body.split('"').collect();
+    let named = |name: &str| {
+        let place = parts.iter().position(|part| *part == name)?;
+        parts.get(place + 2).map(|value| value.to_string())
+    };
+    Wanted {
+        fence: request.header("Arrowyard-Fence").and_then(|fence| fence.parse().ok()).unwrap_or(0),
+        service: named("service").unwrap_or_default(),
+        host: named("id").unwrap_or_default(),
+    }
 }
 
 impl Plane for Platform {
     fn handle(&mut self, now: Point, event: Event<'_>, orders: &mut Orders) {
         match event {
             Event::Accepted { conn, .. } => drop(self.calls.insert(conn, Messages::default())),
-            Event::Came { conn, bytes } if !*self.away.borrow() => {
+            Event::Came { conn, bytes } => {
                 let Some(messages) = self.calls.get_mut(&conn) else { return };
                 messages.put(bytes);
                 if let Ok(Some(request)) = messages.request() {
-                    let fence =
-                        request.header("Arrowyard-Fence").and_then(|fence| fence.parse().ok()).unwrap_or(0);
-                    let body = String::from_utf8_lossy(&request.body).into_owned();
-                    let parts: Vec<&str> = body.split('"').collect();
-                    let named = |name: &str| {
-                        let place = parts.iter().position(|part| *part == name)?;
-                        parts.get(place + 2).map(|value| value.to_string())
-                    };
-                    let (service, host) =
-                        (named("service").unwrap_or_default(), named("id").unwrap_or_default());
-                    let status = self.status(now, fence, &service, &host);
-                    orders.write(conn, &[answer(status, "{}").as_bytes()]);
+                    let wanted = wanted(&request);
+                    if *self.away.borrow() {
+                        if self.hung.is_empty() {
+                            self.timers.set(now + HANGS, Due::Hung);
+                        }
+                        self.hung.push(wanted);
+                    } else {
+                        let status = self.status(now, &wanted);
+                        orders.write(conn, &[answer(status, "{}").as_bytes()]);
+                    }
                 }
             }
             Event::Closed { conn, .. } => drop(self.calls.remove(&conn)),
             _ => {}
         }
-        while let Some((service, host)) = self.timers.take(now) {
-            let shard = self.shards[&service].clone();
-            // LOST: what was acknowledged must be in the log of whoever takes over.
-            let before = self.history.borrow().acknowledged_of(&service);
-            shard.borrow_mut().promote(now, &host);
-            let shard = shard.borrow();
-            if shard.leads(&host) {
-                let has: BTreeSet<&String> = shard.log().iter().flat_map(|commit| &commit.writes).collect();
-                for token in before.iter().filter(|token| !has.contains(token)) {
-                    let what = format!("{host} of {service} leads without {token}");
-                    self.history.borrow_mut().breach("LOST", now, what);
+        while let Some(due) = self.timers.take(now) {
+            match due {
+                Due::Lead(wanted) => self.lead(now, &wanted),
+                Due::Hung if *self.away.borrow() => drop(self.timers.set(now + HANGS, Due::Hung)),
+                Due::Hung => {
+                    for wanted in std::mem::take(&mut self.hung) {
+                        // Nobody waits for its answer any more.
+                        self.status(now, &wanted);
+                    }
                 }
             }
         }
--- /dev/null
+++ b/crates/arrowyard-basin/tests/control.rs
@@ -0,0 +1,445 @@
+//! The control plane on its worst days: control machines as they ship, in simulated time, and callers that ask them at
+//! the worst moment. Each test brings one point of `docs/notes/control.md` about.
+
+use std::cell::RefCell;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use arrowyard_basin::{Day, DiskFault, Fault, Plan, System, Trouble, play};
+use arrowyard_headworks::REMEMBERED;
+use arrowyard_penstock::http::{Messages, call};
+use arrowyard_penstock::{Event, Orders, Plane};
+use arrowyard_types::{Point, Span};
+
+/// What a call was answered: its status and body; status 0 for a connection that ended without an answer.
+type Answer = Rc<RefCell<Option<(u16, String)>>>;
+
+/// Makes one call.
+struct Caller {
+    to: SocketAddrV4,
+    text: String,
+    messages: Messages,
+    answer: Answer,
+}
+
+impl Plane for Caller {
+    fn handle(&mut self, _: Point, event: Event<'_>, orders: &mut Orders) {
+        match event {
+            Event::Start => drop(orders.dial(self.to)),
+            Event::Opened { conn } => orders.write(conn, &[self.text.as_bytes()]),
+            Event::Came { bytes, .. } => {
+                self.messages.put(bytes);
+                if let Ok(Some(response)) = self.messages.response() {
+                    let body = String::from_utf8_lossy(&response.body).into_owned();
+                    self.answer.borrow_mut().get_or_insert((response.status, body));
+                }
+            }
+            Event::Closed { .. } => drop(self.answer.borrow_mut().get_or_insert((0, String::new()))),
+            _ => {}
+        }
+    }
+
+    fn due(&self) -> Option<Point> {
+        None
+    }
+}
+
+fn ms(ms: i64) -> Span {
+    Span::from_millis(ms)
+}
+
+/// A deployment with control alone; the stand-in operator brings the first configuration, revision 3.
+struct Fleet {
+    system: System,
+    revision: u64,
+}
+
+impl Fleet {
+    fn new(controls: usize, tolerance: u32) -> Self {
+        let plan = Plan {
+            seed: 5,
+            controls,
+            routers: 2,
+            services: 1,
+            users: 0,
+            think: ms(100),
+            from: Point::from_micros(0),
+            until: Point::from_micros(3_600_000_000),
+            changes: Vec::new(),
+            limit: 40,
+            zones: 3,
+            tolerance,
+            surges: Vec::new(),
+            divides: false,
+            shares: String::new(),
+        };
+        let mut fleet = Fleet { system: System::new(plan), revision: 3 };
+        fleet.pass(6000);
+        fleet
+    }
+
+    fn pass(&mut self, millis: i64) {
+        let until = self.system.world.now + ms(millis);
+        self.system.world.run(until);
+    }
+
+    /// Begins a call at a control machine.
+    fn begin(&mut self, control: usize, text: &str) -> Answer {
+        let answer = Answer::default();
+        let caller = Caller {
+            to: self.address(control),
+            text: text.to_string(),
+            messages: Messages::default(),
+            answer: answer.clone(),
+        };
+        let machine = self.system.world.add("caller", Vec::new(), Rc::default(), Span::ZERO);
+        self.system.world.start(machine, Box::new(caller));
+        answer
+    }
+
+    fn address(&self, control: usize) -> SocketAddrV4 {
+        // Addresses follow the order in which machines were added.
+        let ip = std::net::Ipv4Addr::new(10, 0, 0, control as u8 + 1);
+        SocketAddrV4::new(ip, 8782)
+    }
+
+    /// Makes a call and waits for its answer, a second at most; status 0 stands for none.
+    fn ask(&mut self, control: usize, text: &str) -> (u16, String) {
+        let answer = self.begin(control, text);
+        for _ in 0..200 {
+            self.pass(5);
+            if let Some(answer) = answer.borrow().clone() {
+                return answer;
+            }
+        }
+        (0, String::new())
+    }
+
+    /// A change on top of the newest one; asked of all machines in turn until it is clear.
+    fn change(&mut self, first: usize) -> String {
+        let text = order(self.revision + 1, self.revision, "");
+        for turn in 0..60 {
+            let control = self.system.control_of(first + turn);
+            match self.ask(control, &text).0 {
+                200 => {
+                    self.revision += 1;
+                    return text;
+                }
+                status => assert!(status == 0 || status >= 500, "a sound change got {status}"),
+            }
+        }
+        panic!("no machine acknowledged revision {}", self.revision + 1);
+    }
+
+    fn read(&mut self, control: usize) -> (u16, Option<u64>) {
+        let (status, body) = self.ask(control, &call("GET", "/Config.Read", "c", &[], ""));
+        (status, number(&body, "\"revision\":"))
+    }
+
+    fn status(&mut self, control: usize) -> String {
+        self.ask(control, &call("GET", "/status", "c", &[], "")).1
+    }
+
+    fn cut(&mut self, control: usize, how: Cut) {
+        let one = self.system.controls[control];
+        for other in self.system.controls.clone().into_iter().filter(|other| *other != one) {
+            match how {
+                Cut::Both => self.system.world.cut(one, other),
+                Cut::Mute => self.system.world.mute(one, other),
+                Cut::Deaf => self.system.world.mute(other, one),
+            }
+        }
+    }
+
+    fn heal(&mut self, control: usize) {
+        let one = self.system.controls[control];
+        for other in self.system.controls.clone().into_iter().filter(|other| *other != one) {
+            self.system.world.join(one, other);
+            self.system.world.unmute(one, other);
+            self.system.world.unmute(other, one);
+        }
+    }
+
+    /// All control machines lose power; these lose their disks as well. Then all start again.
+    fn lose_power(&mut self, wiped: &[usize]) {
+        for number in 0..self.system.controls.len() {
+            let machine = self.system.controls[number];
+            self.system.world.darken(machine);
+            if wiped.contains(&number) {
+                self.system.disks[number].borrow_mut().records.clear();
+            }
+        }
+        self.pass(500);
+        (0..self.system.controls.len()).for_each(|number| self.system.start_control(number, false));
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    Both,
+    /// It is not heard, and hears.
+    Mute,
+    /// It hears nothing, and is heard.
+    Deaf,
+}
+
+fn number(text: &str, behind: &str) -> Option<u64> {
+    let digits = text.split(behind).nth(1)?;
+    digits.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+}
+
+fn order(revision: u64, base: u64, mark: &str) -> String {
+    let body = format!(
+        "{{\"revision\":{revision},\"upsert\":{{\"channels\":[{{\"name\":\"r-x{mark}\",\"plant\":\"x{mark}\",\"path-prefix\":\"/\",\
+         \"kind\":\"primary\",\"deadline-ms\":800,\"setpoint-ms\":150,\"priority\":1,\"service\":\"s0\",\"tries\":2}}]}}}}"
+    );
+    call("POST", "/Config.Adjust", "c", &[("Arrowyard-Base-Revision", &base.to_string())], &body)
+}
+
+fn draining(id: &str, call_seq: u64) -> String {
+    let body = format!(
+        "{{\"service\":\"s0\",\"address\":\"10.9.0.1:8000\",\"zone\":\"zone1\",\"revision\":\"v1\",\"capacity\":4,\"phase\":\"draining\",\
+         \"cold-left-ms\":0,\"db-role\":\"replica\",\"call-seq\":{call_seq}}}"
+    );
+    call("POST", &format!("/Instances.Beat/{id}"), "c", &[], &body)
+}
+
+fn leave(id: &str) -> String {
+    call("POST", &format!("/Instances.Leave/{id}"), "c", &[], "{}")
+}
+
+fn phase_of<'a>(status: &'a str, id: &str) -> Option<&'a str> {
+    let entry = status.split(&format!("\"id\":\"{id}\"")).nth(1)?;
+    entry.split("\"phase\":\"").nth(1)?.split('"').next()
+}
+
+/// Point 1: cut off for twenty seconds, in either direction, from the first moment on.
+#[test]
+fn a_machine_that_is_cut_off_confirms_nothing_refuses_nothing_and_shows_nothing_old() {
+    for how in [Cut::Both, Cut::Mute, Cut::Deaf] {
+        let mut fleet = Fleet::new(3, 1);
+        assert_eq!(fleet.ask(0, &draining("i-known", 1)).0, 200, "it is in touch");
+        fleet.cut(0, how);
+        let mut newest = fleet.revision;
+        for turn in 0..20 {
+            let calls = [
+                draining(&format!("i-drain{turn}"), 1),
+                leave(&format!("i-leave{turn}")),
+                call("GET", "/Config.Read", "c", &[], ""),
+            ];
+            let answers = calls.map(|text| fleet.begin(0, &text));
+            let mine = fleet.begin(0, &order(900 + turn, newest, "cut"));
+            fleet.pass(100);
+            let status = |answer: &Answer| answer.borrow().as_ref().map_or(0, |(status, _)| *status);
+            assert!([0, 503].contains(&status(&mine)), "{how:?}, turn {turn}: {mine:?}");
+            fleet.change(1);
+            newest = fleet.revision;
+            fleet.pass(1000);
+            for answer in &answers {
+                assert!([0, 503].contains(&status(answer)), "{how:?}, turn {turn}: {answer:?}");
+            }
+            // By now another change has been taken on the same version; a machine that has heard of it may say so.
+            assert!([0, 503, 412].contains(&status(&mine)), "{how:?}, turn {turn}: {mine:?}");
+        }
+        assert!(fleet.status(0).contains("\"routers\":[]"), "{how:?}: its routers went elsewhere");
+        fleet.heal(0);
+        fleet.pass(3000);
+        assert_eq!(fleet.read(0), (200, Some(newest)), "{how:?}: it is taken back");
+        assert_eq!(fleet.ask(0, &draining("i-after", 1)).0, 200, "{how:?}");
+    }
+}
+
+/// Point 1: what a host was told is kept, though all lose power at that moment and the machine that told it its disk.
+#[test]
+fn a_departure_that_was_acknowledged_survives_the_machine_that_acknowledged_it() {
+    for text in [draining("i-x", 4), leave("i-x")] {
+        let mut fleet = Fleet::new(3, 1);
+        let answer = fleet.begin(0, &text);
+        while answer.borrow().is_none() {
+            fleet.system.world.run(fleet.system.world.now + Span::from_micros(200));
+        }
+        assert_eq!(answer.borrow().as_ref().map(|(status, _)| *status), Some(200));
+        fleet.lose_power(&[0]);
+        fleet.pass(4000);
+        for control in 0..3 {
+            let status = fleet.status(control);
+            let phase = phase_of(&status, "i-x").unwrap_or("unknown");
+            assert!(["draining", "gone"].contains(&phase), "{control}: {phase}");
+        }
+    }
+}
+
+/// Point 1: a call from before `draining` that comes seconds late changes nothing.
+#[test]
+fn a_late_call_does_not_bring_a_host_back_that_said_that_it_leaves() {
+    let mut fleet = Fleet::new(3, 1);
+    assert_eq!(fleet.ask(0, &draining("i-x", 7)).0, 200);
+    fleet.pass(9000);
+    let late = draining("i-x", 6).replace("draining", "in_service");
+    let body = late.split("\r\n\r\n").nth(1).expect("a body").to_string();
+    fleet.ask(0, &call("POST", "/Instances.Beat/i-x", "c", &[], &body));
+    fleet.pass(500);
+    for control in 0..3 {
+        assert_eq!(phase_of(&fleet.status(control), "i-x"), Some("draining"), "{control}");
+    }
+}
+
+/// Point 2: two operators under one number, and orders that come again, at once and at all machines.
+#[test]
+fn one_of_two_orders_of_one_number_is_taken_and_comes_again_as_often_as_it_likes() {
+    let mut fleet = Fleet::new(3, 1);
+    for round in 0..20_u64 {
+        let (base, revision) = (fleet.revision, fleet.revision + 1);
+        let orders = [order(revision, base, "a"), order(revision, base, "b")];
+        // Eight at a time; whoever got no clear answer asks again.
+        let mut taken = [false, false];
+        let mut refused = [false, false];
+        for _ in 0..4 {
+            let answers: Vec<(usize, Answer)> = (0..8)
+                .map(|place| {
+                    let which = (place + round as usize) % 2;
+                    (which, fleet.begin(place % 3, &orders[which]))
+                })
+                .collect();
+            fleet.pass(300);
+            for (which, answer) in answers {
+                match answer.borrow().as_ref().map_or(0, |(status, _)| *status) {
+                    200 => taken[which] = true,
+                    412 => refused[which] = true,
+                    status => assert!(status == 0 || status == 503, "round {round}: {status}"),
+                }
+            }
+        }
+        assert!(taken[0] != taken[1], "round {round}: {taken:?}");
+        assert!((0..2).all(|which| !(taken[which] && refused[which])), "round {round}");
+        fleet.revision = revision;
+    }
+}
+
+/// Point 2: an order that was acknowledged is never refused, however many came after it.
+#[test]
+fn an_order_that_was_taken_is_acknowledged_again_or_left_unclear_but_never_refused() {
+    let mut fleet = Fleet::new(3, 1);
+    let first = fleet.change(0);
+    for _ in 0..REMEMBERED + 40 {
+        fleet.change(0);
+    }
+    let of_another = order(5, 3, "other");
+    for control in 0..3 {
+        assert_eq!(fleet.ask(control, &first).0, 503, "so long ago that it is not known any more");
+        assert_eq!(fleet.ask(control, &of_another).0, 503, "nor whether it was this one");
+    }
+    let recent = (0..5).map(|_| fleet.change(1)).next().expect("five");
+    fleet.lose_power(&[2]);
+    fleet.pass(4000);
+    for control in 0..3 {
+        assert_eq!(fleet.ask(control, &recent).0, 200, "it is remembered on every disk");
+        assert_eq!(fleet.ask(control, &order(fleet.revision, fleet.revision - 1, "other")).0, 412);
+    }
+}
+
+/// Point 3: machines are replaced one after the other, and after each the machine whose disk has lasted longest is lost.
+#[test]
+fn after_each_replacement_one_more_loss_leaves_a_majority_with_all_that_was_acknowledged() {
+    let mut fleet = Fleet::new(4, 1);
+    let mut oldest = vec![0, 1, 2, 3];
+    for round in 0..3 {
+        let gone = oldest.remove(0);
+        fleet.change(1);
+        fleet.system.remove_control(gone);
+        fleet.pass(1000);
+        fleet.system.add_control();
+        // `settle-s` after the new machine's start the next loss may come.
+        fleet.pass(4000);
+        fleet.change(1);
+        let lost = oldest[0];
+        fleet.lose_power(&[lost]);
+        oldest.rotate_left(1);
+        fleet.pass(4000);
+        let read = fleet.system.control_of(round);
+        assert_eq!(fleet.read(read), (200, Some(fleet.revision)), "round {round}");
+        fleet.change(0);
+        fleet.pass(1000);
+    }
+}
+
+/// Point 4: a machine that was away for more entries than any other keeps, and one that lost its disk, catch up.
+#[test]
+fn a_machine_that_was_away_for_hundreds_of_changes_catches_up_and_shows_nothing_old_meanwhile() {
+    for away in [10, 700] {
+        let mut fleet = Fleet::new(3, 1);
+        let machine = fleet.system.controls[2];
+        fleet.system.world.kill(machine);
+        for turn in 0..away {
+            let text = order(fleet.revision + 1, fleet.revision, &format!("{turn}"));
+            let status = (0..10).map(|_| fleet.ask(turn % 2, &text).0).find(|status| *status == 200);
+            assert_eq!(status, Some(200));
+            fleet.revision += 1;
+        }
+        fleet.system.start_control(2, false);
+        let mut behind = 0;
+        loop {
+            match fleet.read(2) {
+                (200, read) => {
+                    assert_eq!(read, Some(fleet.revision), "it answers with old state");
+                    break;
+                }
+                (status, _) => assert!(status == 0 || status == 503, "{status}"),
+            }
+            behind += 1;
+            assert!(behind < 40, "it never caught up after {away} changes");
+        }
+        // It counts again: with one of the others away, a majority is there.
+        fleet.pass(1000);
+        let other = fleet.system.controls[0];
+        fleet.system.world.kill(other);
+        fleet.pass(3000);
+        fleet.change(1);
+        assert_eq!(fleet.read(2), (200, Some(fleet.revision)));
+    }
+}
+
+/// Point 3: while a disk refuses, another one is lost with all power; both are back, and nothing is missing.
+#[test]
+fn a_disk_that_refuses_counts_for_nothing_until_it_holds_everything_again() {
+    for fault in [DiskFault::Refuses, DiskFault::Hangs] {
+        let mut fleet = Fleet::new(3, 1);
+        let machine = fleet.system.controls[1];
+        fleet.system.world.fail_disk(machine, fault);
+        for _ in 0..10 {
+            fleet.change(0);
+        }
+        fleet.pass(1500);
+        assert!(fleet.status(1).contains("\"votes\":false,\"disk-works\":false"), "{fault:?}");
+        fleet.system.world.fail_disk(machine, DiskFault::None);
+        fleet.pass(1500);
+        assert!(fleet.status(1).contains("\"votes\":true,\"disk-works\":true"), "{fault:?}");
+        fleet.lose_power(&[0]);
+        fleet.pass(4000);
+        assert_eq!(fleet.read(1), (200, Some(fleet.revision)), "{fault:?}");
+        fleet.change(2);
+    }
+}
+
+/// Point 5: a call to the platform hangs and is repeated, the host that it names leads and is lost, another one is
+/// decided on; then the first call arrives. It must not make the first host primary: each decision has its own fence.
+#[test]
+fn a_promotion_that_hung_does_nothing_once_another_was_decided() {
+    for seed in 1..6 {
+        let fault = |at, for_s, what| Fault { at, for_s, what, which: 0 };
+        let day = Day {
+            seed,
+            seconds: 22.0,
+            changes: Vec::new(),
+            faults: vec![
+                fault(5.5, 2.0, Trouble::PlatformAway),
+                fault(6.0, 3.0, Trouble::CrashPrimary),
+                fault(9.8, 2.5, Trouble::CrashPrimary),
+            ],
+            ..Day::default()
+        };
+        let played = play(&day);
+        assert!(played.breaches.is_empty(), "{seed}: {:?}", played.breaches);
+        assert!(played.promotions >= 2, "{seed}: only {} changes of primary", played.promotions);
+    }
+}
--- a/crates/arrowyard-conduit/src/message.rs
+++ b/crates/arrowyard-conduit/src/message.rs
@@ -7,7 +7,10 @@
 /// One thing that is said.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Frame {
-    #[prost(oneof = "Word", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
+    #[prost(
+        oneof = "Word",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+    )]
     pub word: Option<Word>,
 }
 
@@ -51,6 +54,10 @@
     Allots(Allots),
     #[prost(message, tag = "19")]
     Pressed(Pressed),
+    #[prost(message, tag = "20")]
+    Departing(Departing),
+    #[prost(message, tag = "21")]
+    DepartureKept(DepartureKept),
 }
 
 /// The first frame on a connection, from both ends.
@@ -205,23 +212,27 @@
     pub duties: Vec<Duty>,
     #[prost(fixed32, repeated, tag = "4")]
     pub voters: Vec<u32>,
-    /// Of the last changes: revision and the sum of their bodies.
+    /// Of the last changes.
     #[prost(message, repeated, tag = "5")]
     pub taken: Vec<Taken>,
+    /// The newest revision of which it is not remembered which change brought it; 0 for none.
+    #[prost(uint64, tag = "6")]
+    pub forgotten: u64,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+/// A change that was taken, and the digest by which it is known again.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Taken {
     #[prost(uint64, tag = "1")]
     pub revision: u64,
-    #[prost(fixed64, tag = "2")]
-    pub sum: u64,
+    #[prost(bytes = "vec", tag = "2")]
+    pub digest: Vec<u8>,
 }
 
 /// What is agreed on in one slot.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Entry {
-    #[prost(oneof = "Matter", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "Matter", tags = "1, 2, 3, 4, 5")]
     pub matter: Option<Matter>,
 }
 
@@ -237,6 +248,9 @@
     /// Who votes in the slots behind it: one more, or one less.
     #[prost(message, tag = "4")]
     Voters(Voters),
+    /// Which host is to be made primary. Its slot is the fence of the calls to the platform for it.
+    #[prost(message, tag = "5")]
+    Decision(Decision),
 }
 
 /// A change of the configuration as the operator sent it.
@@ -265,6 +279,25 @@
     pub fence: u64,
 }
 
+/// A decision of the holder of the duty, in the life and under the fence in which it holds it.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Decision {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(string, tag = "2")]
+    pub host: String,
+    #[prost(fixed32, tag = "3")]
+    pub holder: u32,
+    #[prost(fixed64, tag = "4")]
+    pub life: u64,
+    /// Of the duty, as the holder took it up.
+    #[prost(uint64, tag = "5")]
+    pub duty_fence: u64,
+    /// Tells two decisions of one holder apart.
+    #[prost(uint64, tag = "6")]
+    pub number: u64,
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
 pub struct Rejoin {
     #[prost(fixed32, tag = "1")]
@@ -327,6 +360,23 @@
     pub whole: bool,
 }
 
+/// Between control machines: a host says that it leaves, or that it has left. Whoever has that on its disk says so.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Departing {
+    /// Of the machine that asks.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(message, required, tag = "2")]
+    pub host: Host,
+}
+
+/// The departure of this number is on the sender's disk.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
+pub struct DepartureKept {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+}
+
 /// To a router: all that it must know, as of a number.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Whole {
--- a/crates/arrowyard-headworks/src/applied.rs
+++ b/crates/arrowyard-headworks/src/applied.rs
@@ -1,10 +1,34 @@
+//! What the entries of the ledger lead to: the configuration, who holds the duty, who votes, which changes were taken.
+
 use std::collections::{BTreeMap, VecDeque};
 
 use arrowyard_conduit::{Duty, Entry, Matter, Revised, Snapshot, Taken};
 use arrowyard_gauge::{Change, ChangeKind, Configuration};
+use sha2::{Digest as _, Sha256};
+
+/// The duty of whoever replaces primaries.
+pub const DUTY: &str = "promote";
+
+/// So many changes are remembered by their digest, for calls that are sent again.
+pub const REMEMBERED: usize = 2048;
 
-/// So many changes are remembered by their sum, for calls that are sent again.
-const REMEMBERED: usize = 1024;
+/// The SHA-256 of a whole change.
+pub type Digest = [u8; 32];
+
+/// How a change that an operator sends stands to the configuration in place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It was taken.
+    Taken,
+    /// It builds on the configuration in place.
+    Open,
+    /// It builds on one that is not known here yet.
+    Ahead,
+    /// It was not taken and never will be: another change has built on the same version.
+    Superseded,
+    /// So many changes have been taken since that it is not known any more whether this one was.
+    Forgotten,
+}
 
 /// Whether one list of voters follows another by one seat, in or out. Danger: of two lists that differ by more,
 /// majorities need not have a machine in common that has all entries on its disk.
@@ -23,14 +47,19 @@
     pub begun: bool,
     pub duties: BTreeMap<String, Duty>,
     pub voters: Vec<u32>,
-    taken: VecDeque<Taken>,
+    taken: VecDeque<(u64, Digest)>,
+    /// The newest revision that is not among them any more.
+    forgotten: u64,
 }
 
-/// A sum over a change, by which the same one is known again (FNV-1a).
-pub fn sum(revised: &Revised) -> u64 {
-    let head = [u8::from(revised.whole)];
-    let bytes = head.iter().chain(&revised.body);
-    bytes.fold(0xcbf2_9ce4_8422_2325, |sum, &byte| (sum ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+/// The digest by which a change is known again: over its kind, the version that it builds on and its body, so that two
+/// operators who choose the same number for different changes are told apart.
+pub fn digest(revised: &Revised) -> Digest {
+    let mut hash = Sha256::new();
+    hash.update([u8::from(revised.whole)]);
+    hash.update(revised.base.to_le_bytes());
+    hash.update(&revised.body);
+    hash.finalize().into()
 }
 
 pub fn change(revised: &Revised) -> Change {
@@ -39,9 +68,35 @@
 }
 
 impl Applied {
-    /// The sum of the change that brought a revision, if it is remembered.
-    pub fn taken(&self, revision: u64) -> Option<u64> {
-        self.taken.iter().find(|taken| taken.revision == revision).map(|taken| taken.sum)
+    /// The digest of the change that brought a revision, if it is remembered.
+    pub fn taken(&self, revision: u64) -> Option<Digest> {
+        self.taken.iter().find(|(taken, _)| *taken == revision).map(|(_, digest)| *digest)
+    }
+
+    /// How a change that is to bring a revision stands. Invariant: versions only rise, and every change up to this one is
+    /// known here; so a change that builds on an older version and is not among those taken never will be taken.
+    pub fn standing(&self, revised: &Revised, revision: Option<u64>) -> Standing {
+        let taken = revision.and_then(|revision| self.taken(revision));
+        let current = self.configuration.revision;
+        if taken.is_some_and(|taken| taken == digest(revised)) {
+            Standing::Taken
+        } else if revised.base > current {
+            Standing::Ahead
+        } else if revised.base == current {
+            Standing::Open
+        } else if revision.is_some_and(|revision| revision <= self.forgotten) {
+            Standing::Forgotten
+        } else {
+            Standing::Superseded
+        }
+    }
+
+    fn remember(&mut self, revised: &Revised) {
+        self.taken.push_back((self.configuration.revision, digest(revised)));
+        while self.taken.len() > REMEMBERED {
+            let oldest = self.taken.pop_front();
+            self.forgotten = oldest.map_or(self.forgotten, |(revision, _)| revision);
+        }
     }
 
     /// Whether an entry would still do what it was meant for.
@@ -52,6 +107,9 @@
             Some(Matter::Voters(next)) => {
                 next.before == self.voters && is_one_step(&self.voters, &next.voters)
             }
+            Some(Matter::Decision(decision)) => self.duties.get(DUTY).is_some_and(|duty| {
+                (duty.holder, duty.life, duty.fence) == (decision.holder, decision.life, decision.duty_fence)
+            }),
             _ => true,
         }
     }
@@ -72,11 +130,7 @@
                 if let Ok(configuration) = change(revised).apply(&self.configuration) {
                     self.configuration = configuration;
                     self.begun = true;
-                    let taken = Taken { revision: self.configuration.revision, sum: sum(revised) };
-                    self.taken.push_back(taken);
-                    if self.taken.len() > REMEMBERED {
-                        self.taken.pop_front();
-                    }
+                    self.remember(revised);
                 }
             }
             Some(Matter::Duty(duty)) => {
@@ -85,7 +139,8 @@
                 self.duties.insert(duty.duty.clone(), duty);
             }
             Some(Matter::Voters(voters)) => self.voters = voters.voters.clone(),
-            Some(Matter::Rejoin(_)) | None => {}
+            // A decision changes nothing here: what counts is that its slot is above that of every one before.
+            Some(Matter::Rejoin(_) | Matter::Decision(_)) | None => {}
         }
     }
 
@@ -95,18 +150,30 @@
             configuration: if self.begun { self.configuration.body().into_bytes() } else { Vec::new() },
             duties: self.duties.values().cloned().collect(),
             voters: self.voters.clone(),
-            taken: self.taken.iter().copied().collect(),
+            taken: self
+                .taken
+                .iter()
+                .map(|(revision, digest)| Taken { revision: *revision, digest: digest.to_vec() })
+                .collect(),
+            forgotten: self.forgotten,
         }
     }
 
     /// # Errors
-    /// When the configuration in it cannot be read.
+    /// When it cannot be read.
     pub fn restore(snapshot: &Snapshot) -> Result<Self, String> {
+        let taken = |taken: &Taken| {
+            let digest = Digest::try_from(taken.digest.as_slice());
+            digest
+                .map(|digest| (taken.revision, digest))
+                .map_err(|_| "a digest of another length".to_string())
+        };
         let mut applied = Applied {
             slot: snapshot.slot,
             duties: snapshot.duties.iter().map(|duty| (duty.duty.clone(), duty.clone())).collect(),
             voters: snapshot.voters.clone(),
-            taken: snapshot.taken.iter().copied().collect(),
+            taken: snapshot.taken.iter().map(taken).collect::<Result<_, _>>()?,
+            forgotten: snapshot.forgotten,
             ..Applied::default()
         };
         if !snapshot.configuration.is_empty() {
--- a/crates/arrowyard-headworks/src/cell.rs
+++ b/crates/arrowyard-headworks/src/cell.rs
@@ -7,6 +7,8 @@
 const REMEMBERED: Span = Span::from_millis(600_000);
 /// A call with a lower number than the last counts again after so long: its host began to count anew.
 const ANEW: Span = Span::from_millis(5_000);
+/// The same for a host that said that it leaves. Calls may come seconds late: one from before must not bring it back.
+const ANEW_IN_SERVICE: Span = Span::from_millis(30_000);
 
 /// The hosts that control knows of; the cell of a zone hears its hosts' calls, the others hear of them from it.
 #[derive(Debug, Default)]
@@ -35,6 +37,16 @@
     called_at: Option<Point>,
 }
 
+/// A word of a host, with what it does not tell taken from what is known. A host that was never heard of may be told to
+/// have left by its name alone; and one that has left stays gone, whatever else becomes known of it.
+fn merged(known: &Host, word: Host) -> Host {
+    if word.service.is_empty() {
+        return Host { phase: word.phase, call_seq: word.call_seq.max(known.call_seq), ..known.clone() };
+    }
+    let phase = if known.phase() == Phase::Gone { known.phase } else { word.phase };
+    Host { phase, ..word }
+}
+
 /// What routers are told of a host: all but the number of its call.
 fn same(one: &Host, other: &Host) -> bool {
     Host { call_seq: 0, ..one.clone() } == Host { call_seq: 0, ..other.clone() }
@@ -44,7 +56,12 @@
     /// A host called here. Whether something changed that others must hear of.
     pub fn called(&mut self, now: Point, host: Host) -> bool {
         let anew = self.hosts.get(&host.id).is_some_and(|kept| {
-            kept.host.phase() != Phase::Gone && kept.called_at.is_some_and(|at| now - at >= ANEW)
+            let silence = match kept.host.phase() {
+                Phase::Gone => return false,
+                Phase::Draining => ANEW_IN_SERVICE,
+                Phase::InService => ANEW,
+            };
+            kept.called_at.is_some_and(|at| now - at >= silence)
         });
         let id = host.id.clone();
         let changed = self.take(now, host, anew);
@@ -56,7 +73,7 @@
 
     /// A host as it was known before this start. Those of the own zone are to call here soon, or are missed.
     pub fn remember(&mut self, now: Point, host: Host, zone: &str) {
-        let called_at = (host.zone == zone).then_some(now);
+        let called_at = (host.zone == zone && host.phase() != Phase::Gone).then_some(now);
         self.put(Kept { host, changed_at: now, called_at });
     }
 
@@ -107,9 +124,12 @@
                 true
             }
             Some(kept) => {
+                let host = merged(&kept.host, host);
                 let gone = (kept.host.phase() == Phase::Gone, host.phase() == Phase::Gone);
                 let newer = host.call_seq > kept.host.call_seq || anew;
-                if gone.0 || !newer && !gone.1 {
+                // Of a host that left, more may become known than that it did.
+                let is_named = kept.host.service.is_empty() && !host.service.is_empty();
+                if gone.0 && !is_named || !newer && !gone.1 {
                     return false;
                 }
                 let changed = !same(&kept.host, &host);
--- a/crates/arrowyard-headworks/src/control.rs
+++ b/crates/arrowyard-headworks/src/control.rs
@@ -2,11 +2,13 @@
 //! has a file of its own.
 
 mod calls;
+mod departures;
 mod disk;
 mod feed;
 mod hosts;
 mod memory;
 mod mesh;
+mod platform;
 mod seats;
 mod shares;
 
@@ -20,14 +22,17 @@
 use fastrand::Rng;
 use rustc_hash::FxHashMap;
 
+use crate::applied::DUTY;
 use crate::promotion::{Ask, Promotions, Sight};
 use crate::{Cell, Duties, Ledger, Out, Ticket, View};
 
 use calls::Caller;
+pub use departures::Departures;
 pub use disk::DiskWatch;
 use feed::Router;
 use hosts::Link;
-use mesh::{Peer, Platform};
+use mesh::Peer;
+use platform::{Decisions, Platform};
 use shares::Shares;
 
 /// The doors of a control machine: the calls of hosts and operators, and the system's own processes.
@@ -88,6 +93,8 @@
     pending: FxHashMap<Ticket, calls::Pending>,
     silent_here: Vec<arrowyard_conduit::Silent>,
     platform_calls: Vec<(Conn, Point)>,
+    decisions: Decisions,
+    departures: Departures,
     routers: u32,
     fewer_since: Option<Point>,
     /// When who votes may be changed next.
@@ -127,18 +134,8 @@
         );
         let mut view = View::default();
         seeds.iter().filter(|&&seed| seed != me).for_each(|&seed| view.seed(seed));
-        let duty = Duties::new("promote", me, life, &settings.node, Point::from_micros(0));
-        let memory = memory::read(records);
-        let mut cell = Cell::default();
-        let mut routers = 0;
-        if let Some(memory) = memory {
-            // What it knew before; whoever calls now knows better.
-            memory
-                .hosts
-                .into_iter()
-                .for_each(|host| cell.remember(Point::from_micros(0), host, &settings.zone));
-            routers = memory.routers;
-        }
+        let duty = Duties::new(DUTY, me, life, &settings.node, Point::from_micros(0));
+        let (cell, routers) = memory::restore(records, &settings.zone);
         Ok(Control {
             me,
             life,
@@ -161,6 +158,8 @@
             pending: FxHashMap::default(),
             silent_here: Vec::new(),
             platform_calls: Vec::new(),
+            decisions: Decisions::default(),
+            departures: Departures::default(),
             routers,
             fewer_since: None,
             seat_at: Point::DAWN,
@@ -226,6 +225,8 @@
         self.keep_touch(now, orders);
         if self.ticks.is_multiple_of(SWEEP) {
             self.cell.sweep(now);
+            let cell = &self.cell;
+            self.departures.retain(|host| cell.get(host).is_some());
         }
         self.left.retain(|(at, _)| now - *at < Span::from_millis(30_000));
         self.drop_idle(now, orders);
@@ -249,7 +250,7 @@
         if fence == self.fence {
             return;
         }
-        let after_another = fence.is_some() && self.ledger.applied().fence("promote") > 0 && self.ticks > 8;
+        let after_another = fence.is_some() && self.ledger.applied().fence(DUTY) > 0 && self.ticks > 8;
         self.fence = fence;
         self.divide_from(now, after_another);
         self.promotions = Promotions::default();
@@ -354,6 +355,7 @@
             Event::Stored { ticket, kept } => {
                 self.disk.answered(ticket);
                 self.with_ledger(now, orders, |ledger, out| ledger.stored(now, ticket, kept, out));
+                self.departure_stored(now, ticket, kept, orders);
             }
             Event::Disk { works } => self.disk_changed(works),
             Event::Sign(Sign::Terminate) => self.end(now, orders),
@@ -367,6 +369,9 @@
             self.tick(now, orders);
             self.look(now, orders);
         }
+        if self.departures.due().is_some_and(|at| at <= now) {
+            self.refuse_late_departures(now, orders);
+        }
         if self.links_due().is_some_and(|at| at <= now) {
             self.drop_idle(now, orders);
         }
@@ -379,8 +384,14 @@
     }
 
     fn due(&self) -> Option<Point> {
-        let parts =
-            [Some(self.tick_at), self.ledger.due(), self.promotions.due(), self.links_due(), self.ending];
+        let parts = [
+            Some(self.tick_at),
+            self.ledger.due(),
+            self.promotions.due(),
+            self.links_due(),
+            self.departures.due(),
+            self.ending,
+        ];
         parts.into_iter().flatten().min()
     }
 
--- a/crates/arrowyard-headworks/src/control/calls.rs
+++ b/crates/arrowyard-headworks/src/control/calls.rs
@@ -11,7 +11,7 @@
 
 use super::{Control, Line};
 use crate::applied::change;
-use crate::{Answer, Ledger, Out, Ticket, sum};
+use crate::{Answer, Ledger, Out, Standing, Ticket};
 
 /// Hosts and routers that this many calls wait for at most on one connection.
 const BASE: &str = "Arrowyard-Base-Revision";
@@ -22,8 +22,8 @@
 #[derive(Default)]
 pub struct Caller {
     pub messages: Messages,
-    /// A call whose answer waits for the ledger; the next one waits behind it.
-    pub waits: Option<Ticket>,
+    /// Whether the answer to a call waits for others; the next call waits behind it.
+    waits: bool,
     last: bool,
 }
 
@@ -54,7 +54,7 @@
     pub(super) fn calls(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
         loop {
             let Some(Line::Caller(caller)) = self.lines.get_mut(&conn) else { return };
-            if caller.waits.is_some() {
+            if caller.waits {
                 return;
             }
             match caller.messages.request() {
@@ -73,9 +73,9 @@
         }
     }
 
-    fn reply(&mut self, conn: Conn, status: u16, body: &str, orders: &mut Orders) {
+    pub(super) fn reply(&mut self, conn: Conn, status: u16, body: &str, orders: &mut Orders) {
         let Some(Line::Caller(caller)) = self.lines.get_mut(&conn) else { return };
-        caller.waits = None;
+        caller.waits = false;
         orders.write(conn, &[answer(status, body).as_bytes()]);
         if caller.last {
             orders.close(conn);
@@ -99,8 +99,7 @@
             }
             ("POST", _) if named("/Instances.Leave/").is_some() => {
                 let id = named("/Instances.Leave/").unwrap_or_default();
-                self.leave(now, id, orders);
-                self.reply(conn, 200, "{}", orders);
+                self.leave(now, conn, id, orders);
             }
             ("POST", "/Config.Replace" | "/Config.Adjust") => {
                 let Some(base) = request.header(BASE).and_then(|base| base.parse().ok()) else {
@@ -137,10 +136,15 @@
         // Danger: the answer may come before the wish is made; what it is for is laid down first.
         let ticket = self.ledger.next_ticket();
         self.pending.insert(ticket, pending);
+        self.wait_for(conn);
+        self.with_ledger(now, orders, wish);
+    }
+
+    /// The answer to a caller is not known yet.
+    pub(super) fn wait_for(&mut self, conn: Conn) {
         if let Some(Line::Caller(caller)) = self.lines.get_mut(&conn) {
-            caller.waits = Some(ticket);
+            caller.waits = true;
         }
-        self.with_ledger(now, orders, wish);
     }
 
     /// A host calls: it is known from now on, and where its own zone has a control machine, it is sent there.
@@ -148,47 +152,51 @@
         self.silent.remove(&host.id);
         let zone = host.zone.clone();
         if self.cell.called(now, host.clone()) {
-            self.news_of(now, host, orders);
+            self.news_of(now, host.clone(), orders);
         }
         let near = if zone == self.settings.zone { None } else { self.peer_in(now, &zone) };
         let body = match near.and_then(|ip| self.control_of(ip)) {
             Some(target) => format!("{{\"beat-target\":\"{target}\"}}"),
             None => "{}".to_string(),
         };
-        self.reply(conn, 200, &body, orders);
+        if host.phase() == Phase::InService {
+            self.reply(conn, 200, &body, orders);
+        } else {
+            self.departs(now, conn, host, body, orders);
+        }
     }
 
-    fn leave(&mut self, now: Point, id: &str, orders: &mut Orders) {
+    /// A host has left. One that was never heard of here may be known elsewhere, so that is told and kept all the same.
+    fn leave(&mut self, now: Point, conn: Conn, id: &str, orders: &mut Orders) {
         self.silent.remove(id);
-        if let Some(host) = self.cell.get(id).cloned().filter(|host| host.phase() != Phase::Gone) {
-            let gone = Host { phase: Phase::Gone.into(), call_seq: host.call_seq + 1, ..host };
-            if self.cell.called(now, gone.clone()) {
-                self.news_of(now, gone, orders);
-            }
+        let known = self.cell.get(id).cloned();
+        let gone = match known {
+            Some(host) if host.phase() == Phase::Gone => host,
+            Some(host) => Host { phase: Phase::Gone.into(), call_seq: host.call_seq + 1, ..host },
+            None => Host { id: id.to_string(), phase: Phase::Gone.into(), ..Host::default() },
+        };
+        if self.cell.called(now, gone.clone()) {
+            self.news_of(now, gone.clone(), orders);
         }
+        self.departs(now, conn, gone, "{}".to_string(), orders);
     }
 
     /// An operator's change: answered at once where that is certain, else entered in the ledger.
     fn change(&mut self, now: Point, conn: Conn, revised: Revised, first: bool, orders: &mut Orders) {
         let applied = self.ledger.applied();
-        let current = applied.configuration.revision;
         let alone = if revised.whole { Configuration::default().replace(&revised.body).err() } else { None };
         if let Some(refusal) = alone.filter(|refusal| !matches!(refusal, Refusal::Old(..))) {
             return self.refuse(conn, &refusal, orders);
         }
-        if let Some(revision) = revision(&revised.body)
-            && applied.taken(revision) == Some(sum(&revised))
-        {
-            return self.reply(conn, 200, "{}", orders);
-        }
-        if revised.base < current || revised.base > current && !first {
-            let body = fault(&format!("Revision {current} is in place."));
-            return self.reply(conn, 412, &body, orders);
-        }
-        if revised.base > current {
-            let until = now + CLEAR;
-            let pending = Pending::Learn { conn, revised };
-            return self.wish(now, conn, pending, orders, |ledger, out| ledger.read_all(now, until, out));
+        let revision = revision(&revised.body);
+        match applied.standing(&revised, revision) {
+            Standing::Open => {}
+            Standing::Ahead if first => {
+                let until = now + CLEAR;
+                let pending = Pending::Learn { conn, revised };
+                return self.wish(now, conn, pending, orders, |ledger, out| ledger.read_all(now, until, out));
+            }
+            standing => return self.answer_standing(conn, standing, revision, orders),
         }
         match change(&revised).apply(&applied.configuration) {
             Err(refusal) => self.refuse(conn, &refusal, orders),
@@ -201,6 +209,33 @@
         }
     }
 
+    /// Answers a change that is not to be entered.
+    fn answer_standing(
+        &mut self,
+        conn: Conn,
+        standing: Standing,
+        revision: Option<u64>,
+        orders: &mut Orders,
+    ) {
+        match standing {
+            Standing::Taken => {
+                log::info!("configuration: Revision {} is in place.", revision.unwrap_or_default());
+                self.reply(conn, 200, "{}", orders);
+            }
+            // Safety: a change that was taken is never refused, however long ago that was.
+            Standing::Forgotten => {
+                let body =
+                    fault("So many changes were taken since that it is not known whether this one was.");
+                self.reply(conn, 503, &body, orders);
+            }
+            Standing::Open => self.reply(conn, 503, &fault("It is not clear yet; ask again."), orders),
+            Standing::Ahead | Standing::Superseded => {
+                let current = self.ledger.applied().configuration.revision;
+                self.reply(conn, 412, &fault(&format!("Revision {current} is in place.")), orders);
+            }
+        }
+    }
+
     fn refuse(&mut self, conn: Conn, refusal: &Refusal, orders: &mut Orders) {
         log::info!("configuration: A change is refused: {refusal}.");
         self.reply(conn, 400, &fault(&refusal.to_string()), orders);
@@ -208,6 +243,9 @@
 
     /// The ledger answers a wish.
     pub(super) fn answered(&mut self, now: Point, wish: Ticket, answer: Answer, orders: &mut Orders) {
+        if self.proposal_answered(now, wish, answer, orders) {
+            return;
+        }
         // Nobody waits for a ballot of a duty: the ledger itself tells who holds it.
         let Some(pending) = self.pending.remove(&wish) else { return };
         let conn = match &pending {
@@ -219,14 +257,8 @@
                 self.reply(conn, 503, &fault("Too much waits here; nothing was done."), orders)
             }
             (Pending::Change { revised, revision, .. }, _) => {
-                let applied = self.ledger.applied();
-                if applied.taken(revision) == Some(sum(&revised)) {
-                    log::info!("configuration: Revision {revision} is in place.");
-                    self.reply(conn, 200, "{}", orders);
-                } else {
-                    let body = fault(&format!("Revision {} is in place.", applied.configuration.revision));
-                    self.reply(conn, 412, &body, orders);
-                }
+                let standing = self.ledger.applied().standing(&revised, Some(revision));
+                self.answer_standing(conn, standing, Some(revision), orders);
             }
             (Pending::Learn { revised, .. }, _) => self.change(now, conn, revised, false, orders),
             (Pending::Read { .. }, _) => {
--- /dev/null
+++ b/crates/arrowyard-headworks/src/control/departures.rs
@@ -0,0 +1,179 @@
+//! Hosts that say that they leave, or have left, are acknowledged once that is on the disks of a majority of the voters.
+//!
+//! Safety: from the acknowledgement on, no request may reach the host after `drain-bound-ms`, whoever took the call. A
+//! machine that is cut off, frozen or lost right after it, or all that lose power, must not leave the others with a host
+//! that is in service. Every router is fed by a machine in touch with a majority, and machines that differ in what they
+//! know of hosts exchange all of it, so what a majority has reaches every router.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use arrowyard_conduit::{Departing, DepartureKept, Host, Phase, Word};
+use arrowyard_penstock::{Conn, Orders};
+use arrowyard_types::{Point, Span};
+
+use super::Control;
+use crate::record::Kept;
+
+/// A departure that no majority has kept in so long is not acknowledged; a host waits for a second at most.
+const KEPT: Span = Span::from_millis(800);
+
+/// A departure that its host waits for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Departure {
+    pub conn: Conn,
+    pub host: Host,
+    /// What it is answered.
+    pub reply: String,
+    /// The record by which this machine keeps it.
+    record: u64,
+    kept_by: BTreeSet<u32>,
+    until: Point,
+}
+
+/// What this machine is asked to acknowledge, and to keep for others.
+#[derive(Debug, Default)]
+pub struct Departures {
+    last: u64,
+    waiting: BTreeMap<u64, Departure>,
+    /// By record: who asked for it, and that machine's number.
+    for_others: BTreeMap<u64, (u32, u64)>,
+    acknowledged: BTreeMap<String, Phase>,
+}
+
+impl Departures {
+    /// A host waits; this machine keeps it by this record. Its number is told to the others.
+    pub fn begin(&mut self, now: Point, conn: Conn, host: Host, reply: String, record: u64) -> u64 {
+        self.last += 1;
+        let departure = Departure { conn, host, reply, record, kept_by: BTreeSet::new(), until: now + KEPT };
+        self.waiting.insert(self.last, departure);
+        self.last
+    }
+
+    /// Another machine wants to know when this record is kept.
+    pub fn keep_for(&mut self, record: u64, ip: u32, number: u64) {
+        self.for_others.insert(record, (ip, number));
+    }
+
+    /// The fate of a record is known: whom to tell of which number.
+    pub fn stored(&mut self, me: u32, record: u64, kept: bool) -> Option<(u32, u64)> {
+        if let Some(departure) = self.waiting.values_mut().find(|departure| departure.record == record)
+            && kept
+        {
+            departure.kept_by.insert(me);
+        }
+        self.for_others.remove(&record).filter(|_| kept)
+    }
+
+    /// A machine has this departure on its disk.
+    pub fn kept(&mut self, by: u32, number: u64) {
+        if let Some(departure) = self.waiting.get_mut(&number) {
+            departure.kept_by.insert(by);
+        }
+    }
+
+    /// Departures that a majority of these voters keeps: they can be acknowledged.
+    pub fn settle(&mut self, voters: &[u32]) -> Vec<Departure> {
+        let is_kept = |departure: &Departure| {
+            voters.iter().filter(|voter| departure.kept_by.contains(voter)).count() * 2 > voters.len()
+        };
+        let settled: Vec<u64> = self
+            .waiting
+            .iter()
+            .filter(|(_, departure)| is_kept(departure))
+            .map(|(number, _)| *number)
+            .collect();
+        let settled: Vec<Departure> =
+            settled.into_iter().filter_map(|number| self.waiting.remove(&number)).collect();
+        for departure in &settled {
+            self.acknowledged.insert(departure.host.id.clone(), departure.host.phase());
+        }
+        settled
+    }
+
+    /// Departures that were not kept by a majority in time.
+    pub fn late(&mut self, now: Point) -> Vec<Departure> {
+        self.waiting.extract_if(.., |_, departure| departure.until <= now).map(|(_, late)| late).collect()
+    }
+
+    /// Whether a majority is known to keep that a host leaves, or has left.
+    pub fn is_acknowledged(&self, host: &str, phase: Phase) -> bool {
+        self.acknowledged.get(host).is_some_and(|known| *known == phase || *known == Phase::Gone)
+    }
+
+    /// Forgets hosts that are not known any more.
+    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.acknowledged.retain(|host, _| is_known(host));
+    }
+
+    pub fn due(&self) -> Option<Point> {
+        self.waiting.values().map(|departure| departure.until).min()
+    }
+}
+
+impl Control {
+    /// A host says here that it leaves or has left: it is answered once a majority keeps that.
+    pub(super) fn departs(&mut self, now: Point, conn: Conn, host: Host, reply: String, orders: &mut Orders) {
+        if self.departures.is_acknowledged(&host.id, host.phase()) {
+            return self.reply(conn, 200, &reply, orders);
+        }
+        self.wait_for(conn);
+        let record = self.keep_departure(now, &host, orders);
+        let number = self.departures.begin(now, conn, host.clone(), reply, record);
+        self.say_to_peers(&Word::Departing(Departing { number, host }), orders);
+        if !self.has_disk {
+            self.departure_stored(now, record, true, orders);
+        }
+    }
+
+    fn keep_departure(&mut self, now: Point, host: &Host, orders: &mut Orders) -> u64 {
+        let kept = Kept::Departing(host.clone());
+        self.with_ledger(now, orders, |ledger, out| ledger.keep(kept, out))
+    }
+
+    /// Another control machine was told that a host leaves or has left.
+    pub(super) fn departure_told(&mut self, now: Point, ip: u32, departing: Departing, orders: &mut Orders) {
+        let Departing { number, host } = departing;
+        if self.cell.told(now, host.clone()) {
+            if host.phase() == Phase::Gone {
+                self.left.push((now, host.clone()));
+            }
+            self.pass_on(vec![host.clone()], orders);
+            self.look(now, orders);
+        }
+        let record = self.keep_departure(now, &host, orders);
+        self.departures.keep_for(record, ip, number);
+        if !self.has_disk {
+            self.departure_stored(now, record, true, orders);
+        }
+    }
+
+    /// The fate of a record is known; it may be a departure's.
+    pub(super) fn departure_stored(&mut self, now: Point, record: u64, kept: bool, orders: &mut Orders) {
+        if let Some((ip, number)) = self.departures.stored(self.me, record, kept) {
+            self.say_to_peer(ip, &Word::DepartureKept(DepartureKept { number }), orders);
+        }
+        self.acknowledge_departures(now, orders);
+    }
+
+    pub(super) fn departure_kept(&mut self, now: Point, ip: u32, number: u64, orders: &mut Orders) {
+        self.departures.kept(ip, number);
+        self.acknowledge_departures(now, orders);
+    }
+
+    fn acknowledge_departures(&mut self, now: Point, orders: &mut Orders) {
+        for departure in self.departures.settle(self.ledger.voters()) {
+            self.reply(departure.conn, 200, &departure.reply, orders);
+            self.calls(now, departure.conn, orders);
+        }
+    }
+
+    /// Hosts whose departure no majority keeps are told to ask elsewhere.
+    pub(super) fn refuse_late_departures(&mut self, now: Point, orders: &mut Orders) {
+        for departure in self.departures.late(now) {
+            log::warn!("hosts: {} leaves, and no majority keeps that.", departure.host.id);
+            let body = "{\"error\":\"No majority of the control machines keeps this yet; ask elsewhere.\"}";
+            self.reply(departure.conn, 503, body, orders);
+            self.calls(now, departure.conn, orders);
+        }
+    }
+}
--- a/crates/arrowyard-headworks/src/control/feed.rs
+++ b/crates/arrowyard-headworks/src/control/feed.rs
@@ -117,6 +117,7 @@
     pub(super) fn tell_chosen(&mut self, now: Point, slot: u64, orders: &mut Orders) {
         let entry = self.ledger.entry(slot);
         match entry.map(|entry| entry.matter.clone()) {
+            Some(Some(Matter::Decision(decision))) => self.decided(now, slot, &decision, orders),
             Some(Some(Matter::Configuration(revised))) => {
                 let change = Change { revised: vec![Step { slot, revised }], ..Change::default() };
                 self.tell_routers(&change, orders);
--- a/crates/arrowyard-headworks/src/control/memory.rs
+++ b/crates/arrowyard-headworks/src/control/memory.rs
@@ -1,29 +1,38 @@
 //! What a control machine keeps besides the ledger, so that a start after a loss of power finds hosts and routers at
-//! once. It is a hint: hosts call within their period, and a connection to a host names the one that it means.
+//! once. Of hosts in service it is a hint: they call within their period, and a connection to a host names the one that
+//! it means. That a host leaves or has left was acknowledged, so it is never forgotten for an older word.
 
-use arrowyard_conduit::Phase;
+use arrowyard_conduit::Host;
 use arrowyard_penstock::Orders;
 use arrowyard_types::Point;
 use prost::Message;
 
 use super::Control;
+use crate::Cell;
 use crate::record::{Kept, Memory, Record};
 
-/// The last memory among the records of a disk.
-pub fn read(records: &[Vec<u8>]) -> Option<Memory> {
-    let kept = records.iter().rev().filter_map(|record| Record::decode(record.as_slice()).ok()?.kept);
-    kept.filter_map(|kept| match kept {
-        Kept::Memory(memory) => Some(memory),
-        Kept::Whole(whole) => whole.memory,
-        _ => None,
-    })
-    .next()
+/// The hosts and the number of routers that the records of a disk tell of.
+pub fn restore(records: &[Vec<u8>], zone: &str) -> (Cell, u32) {
+    let (mut last, mut departed): (Memory, Vec<Host>) = Default::default();
+    let kept = records.iter().filter_map(|record| Record::decode(record.as_slice()).ok()?.kept);
+    for kept in kept {
+        match kept {
+            Kept::Memory(memory) => last = memory,
+            Kept::Whole(whole) => last = whole.memory.unwrap_or(last),
+            Kept::Departing(host) => departed.push(host),
+            _ => {}
+        }
+    }
+    let (mut cell, now) = (Cell::default(), Point::from_micros(0));
+    last.hosts.into_iter().for_each(|host| cell.remember(now, host, zone));
+    // Records may be older or newer than the last memory: the cell takes the newer word of each host.
+    departed.into_iter().for_each(|host| _ = cell.told(now, host));
+    (cell, last.routers)
 }
 
 impl Control {
     pub(super) fn memory(&self) -> Memory {
-        let hosts = self.cell.all().filter(|host| host.phase() == Phase::InService).cloned().collect();
-        Memory { hosts, routers: self.routers }
+        Memory { hosts: self.cell.all().cloned().collect(), routers: self.routers }
     }
 
     /// Keeps what changed since the last time. Nobody waits for it.
--- a/crates/arrowyard-headworks/src/control/mesh.rs
+++ b/crates/arrowyard-headworks/src/control/mesh.rs
@@ -1,14 +1,14 @@
-//! Control machines among themselves, and the platform.
+//! Control machines among themselves: connections, heartbeats, who is in touch with whom.
 
 use std::net::Ipv4Addr;
 
 use arrowyard_conduit::{Beat, Cell, Frames, Hello, Suspect, Word, said};
-use arrowyard_penstock::http::{Messages, call};
 use arrowyard_penstock::{Conn, Orders};
 use arrowyard_types::{Point, Span};
 
 use super::{Control, Line};
-use crate::promotion::{Reply, Sight};
+use crate::applied::DUTY;
+use crate::promotion::Sight;
 
 /// A control machine that says nothing for so long is away.
 const AWAY: Span = Span::from_millis(1500);
@@ -21,8 +21,6 @@
 const EARLY: Span = Span::from_millis(600);
 /// Routers hear that it is here every so many ticks.
 const HEARTBEAT: u64 = 2;
-/// A platform that does not answer in so long is asked anew.
-pub const PLATFORM: Span = Span::from_millis(1200);
 
 /// Another control machine.
 #[derive(Default)]
@@ -38,8 +36,8 @@
     pub votes: bool,
     unable_since: Option<Point>,
     pub disk_fails: bool,
-    /// When it last said that it hears of this machine.
-    hears_me_at: Option<Point>,
+    /// Whether it said last that it hears of this machine.
+    hears_me: bool,
     /// Since when it is heard of without a break, and when it was last.
     since: Point,
     heard_at: Point,
@@ -81,13 +79,6 @@
     }
 }
 
-/// A call to the platform.
-pub struct Platform {
-    pub messages: Messages,
-    pub call: String,
-    pub service: String,
-}
-
 impl Control {
     fn hello(&mut self) -> Word {
         Word::Hello(Hello {
@@ -182,13 +173,13 @@
         self.peers.iter().filter(move |(_, peer)| peer.is_open() && now - peer.heard_at < AWAY)
     }
 
-    /// Whether it hears of more than half of the voters, itself among them if it is one. Danger: a machine that is cut
-    /// off takes calls and feeds routers as before, and nothing that it says is news to anyone.
+    /// Whether it hears of more than half of the voters and they hear of it, itself among them if it is one. Safety: a
+    /// machine that is cut off, in one direction or both, takes calls and feeds routers as before, and nothing that it
+    /// says is news to anyone.
     pub(super) fn is_in_touch(&self, now: Point) -> bool {
         let voters = self.ledger.voters();
-        let live = voters
-            .iter()
-            .filter(|&&voter| voter == self.me || self.live_peers(now).any(|(ip, _)| *ip == voter));
+        let in_touch = |voter: &u32| self.live_peers(now).any(|(ip, peer)| ip == voter && peer.hears_me);
+        let live = voters.iter().filter(|voter| **voter == self.me || in_touch(voter));
         live.count() * 2 > voters.len()
     }
 
@@ -303,7 +294,8 @@
         self.view.heard(hello.ip, &hello.zone);
         self.view.merge(&hello.view, self.me);
         if let Some(peer) = self.peers.get_mut(&hello.ip) {
-            peer.life = hello.life;
+            // A connection was opened, so both ways are there.
+            (peer.life, peer.hears_me) = (hello.life, true);
         }
         let cell = Cell { hosts: self.cell.all().cloned().collect(), whole: true };
         self.say_to_peer(hello.ip, &Word::Cell(cell), orders);
@@ -363,6 +355,8 @@
                     self.look(now, orders);
                 }
             }
+            Word::Departing(departing) => self.departure_told(now, ip, departing, orders),
+            Word::DepartureKept(kept) => self.departure_kept(now, ip, kept.number, orders),
             Word::Suspect(suspect) => self.suspected(now, suspect, orders),
             Word::Needs(needs) => self.needs(now, Some(ip), needs, orders),
             Word::Allots(allots) => self.allots(allots, orders),
@@ -380,9 +374,7 @@
         peer.routers = beat.routers;
         peer.says_that_it_votes(now, beat.votes);
         peer.disk_fails = beat.disk_fails;
-        if beat.hears.contains(&self.me) {
-            peer.hears_me_at = Some(now);
-        }
+        peer.hears_me = beat.hears.contains(&self.me);
         // What is under way makes them differ for a moment; what stays is swept up.
         peer.differs = if beat.digest == mine { 0 } else { peer.differs + 1 };
         if peer.differs >= 2 {
@@ -426,65 +418,11 @@
             self.ask_hosts(now, asks, orders);
         } else if suspect.by == 0 {
             // It is passed on once, to the holder alone.
-            let holder = self.ledger.applied().duties.get("promote").map(|duty| duty.holder);
+            let holder = self.ledger.applied().duties.get(DUTY).map(|duty| duty.holder);
             if let Some(holder) = holder.filter(|holder| *holder != self.me) {
                 let word = Word::Suspect(Suspect { by: self.me, ..suspect });
                 self.say_to_peer(holder, &word, orders);
             }
         }
     }
-
-    /// Asks the platform to make a host primary.
-    pub(super) fn ask_platform(&mut self, now: Point, service: &str, host: &str, orders: &mut Orders) {
-        let (Some(platform), Some(fence)) = (&self.settings.platform_api, self.fence) else {
-            log::error!("promotion: {service}: There is no platform to ask.");
-            return;
-        };
-        log::info!("promotion: {service}: The platform is asked for {host}, fence {fence}.");
-        let text = |text: &str| sonic_rs::to_string(text).unwrap_or_default();
-        let body = format!("{{\"service\":{},\"id\":{}}}", text(service), text(host));
-        let fence = fence.to_string();
-        let headers =
-            [("Arrowyard-Duty-Holder", self.settings.node.as_str()), ("Arrowyard-Fence", fence.as_str())];
-        let call = call("POST", "/promotion", &platform.address.to_string(), &headers, &body);
-        let conn = orders.dial(platform.address);
-        let platform = Platform { messages: Messages::default(), call, service: service.to_string() };
-        self.lines.insert(conn, Line::Platform(platform));
-        self.platform_calls.push((conn, now + PLATFORM));
-    }
-
-    pub(super) fn platform_came(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
-        let Some(Line::Platform(platform)) = self.lines.get_mut(&conn) else { return };
-        let status = match platform.messages.response() {
-            Ok(None) => return,
-            Ok(Some(response)) => response.status,
-            Err(_) => 0,
-        };
-        let service = platform.service.clone();
-        orders.close(conn);
-        drop(self.lines.remove(&conn));
-        self.platform_said(now, &service, status, orders);
-    }
-
-    pub(super) fn platform_closed(&mut self, now: Point, platform: &Platform, orders: &mut Orders) {
-        self.platform_said(now, &platform.service, 0, orders);
-    }
-
-    fn platform_said(&mut self, now: Point, service: &str, status: u16, orders: &mut Orders) {
-        log::info!("promotion: {service}: The platform says {status}.");
-        self.replied(now, service, Reply::Platform { status }, orders);
-    }
-
-    /// Calls that were not answered in time.
-    pub(super) fn drop_late_calls(&mut self, now: Point, orders: &mut Orders) {
-        let late: Vec<Conn> =
-            self.platform_calls.iter().filter(|(_, until)| *until <= now).map(|(conn, _)| *conn).collect();
-        self.platform_calls.retain(|(_, until)| *until > now);
-        for conn in late {
-            if let Some(Line::Platform(platform)) = self.lines.remove(&conn) {
-                orders.drop(conn);
-                self.platform_closed(now, &platform, orders);
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/arrowyard-headworks/src/control/platform.rs
@@ -0,0 +1,164 @@
+//! The holder of the duty asks the platform to make a host primary.
+//!
+//! Each decision is an entry of the ledger, and its slot is the fence of its calls. Safety: so a call that hangs on its
+//! way, and arrives after another host was made primary, has a lower fence than the calls of the later decision and is
+//! refused; and a holder that has no majority decides nothing. Calls for one decision are repeated under its one fence.
+
+use std::collections::BTreeMap;
+
+use arrowyard_conduit::{Decision, Entry, Matter};
+use arrowyard_penstock::http::{Messages, call};
+use arrowyard_penstock::{Conn, Orders};
+use arrowyard_types::{Point, Span};
+
+use super::{Control, Line};
+use crate::promotion::{Reply, Stage};
+use crate::{Answer, Ticket};
+
+/// A platform that does not answer in so long is asked anew.
+const PLATFORM: Span = Span::from_millis(1200);
+/// A decision that is not entered in the ledger in so long is asked for anew.
+const DECIDED: Span = Span::from_millis(1000);
+
+/// A call to the platform.
+pub struct Platform {
+    pub messages: Messages,
+    pub call: String,
+    pub service: String,
+}
+
+/// Which host is to lead a service, and under which fence that was agreed on.
+#[derive(Debug)]
+struct Decided {
+    host: String,
+    number: u64,
+    fence: Option<u64>,
+}
+
+/// The decisions of this machine, one a service.
+#[derive(Debug, Default)]
+pub struct Decisions {
+    by_service: BTreeMap<String, Decided>,
+    /// Proposals that the ledger has not answered.
+    proposed: BTreeMap<Ticket, String>,
+    last: u64,
+}
+
+impl Control {
+    /// A host is to be made primary: that is agreed on first, unless it is a repetition of what was agreed on.
+    pub(super) fn ask_platform(&mut self, now: Point, service: &str, host: &str, orders: &mut Orders) {
+        let stage = &self.promotions.of(service).stage;
+        let is_repeated = matches!(stage, Stage::Promoting { tries, .. } if *tries > 0);
+        let decided = self.decisions.by_service.get(service);
+        let fence = decided.filter(|decided| is_repeated && decided.host == host).and_then(|it| it.fence);
+        match fence {
+            Some(fence) => self.call_platform(now, service, host, fence, orders),
+            None => self.decide(now, service, host, orders),
+        }
+    }
+
+    /// Proposes a decision to the ledger.
+    fn decide(&mut self, now: Point, service: &str, host: &str, orders: &mut Orders) {
+        let Some(duty_fence) = self.fence else { return };
+        self.decisions.last += 1;
+        let number = self.decisions.last;
+        let decided = Decided { host: host.to_string(), number, fence: None };
+        self.decisions.by_service.insert(service.to_string(), decided);
+        let decision = Decision {
+            service: service.to_string(),
+            host: host.to_string(),
+            holder: self.me,
+            life: self.life,
+            duty_fence,
+            number,
+        };
+        let entry = Entry { matter: Some(Matter::Decision(decision)) };
+        // The answer may come before the proposal is made; what it is for is laid down first.
+        self.decisions.proposed.insert(self.ledger.next_ticket(), service.to_string());
+        self.with_ledger(now, orders, |ledger, out| ledger.enter(now, entry, now + DECIDED, out));
+    }
+
+    /// A decision was agreed on in this slot: if it is this machine's newest one for the service, it is carried out.
+    pub(super) fn decided(&mut self, now: Point, slot: u64, decision: &Decision, orders: &mut Orders) {
+        let is_mine = (decision.holder, decision.life) == (self.me, self.life);
+        if !is_mine || self.fence != Some(decision.duty_fence) {
+            return;
+        }
+        let Some(decided) = self.decisions.by_service.get_mut(&decision.service) else { return };
+        if decided.number != decision.number || decided.fence.is_some() {
+            return;
+        }
+        decided.fence = Some(slot);
+        self.call_platform(now, &decision.service, &decision.host, slot, orders);
+    }
+
+    /// The ledger answers a proposal. Whether it was one for a decision.
+    pub(super) fn proposal_answered(
+        &mut self,
+        now: Point,
+        ticket: Ticket,
+        answer: Answer,
+        orders: &mut Orders,
+    ) -> bool {
+        let Some(service) = self.decisions.proposed.remove(&ticket) else { return false };
+        if !matches!(answer, Answer::Entered(_)) {
+            log::warn!("promotion: {service}: No majority agreed in time.");
+            self.replied(now, &service, Reply::Platform { status: 0 }, orders);
+        }
+        true
+    }
+
+    /// Calls the platform for a decision, under the decision's own fence.
+    fn call_platform(&mut self, now: Point, service: &str, host: &str, fence: u64, orders: &mut Orders) {
+        let Some(platform) = &self.settings.platform_api else {
+            log::error!("promotion: {service}: There is no platform to ask.");
+            return;
+        };
+        log::info!("promotion: {service}: The platform is asked for {host}, fence {fence}.");
+        let text = |text: &str| sonic_rs::to_string(text).unwrap_or_default();
+        let body = format!("{{\"service\":{},\"id\":{}}}", text(service), text(host));
+        let fence = fence.to_string();
+        let headers =
+            [("Arrowyard-Duty-Holder", self.settings.node.as_str()), ("Arrowyard-Fence", fence.as_str())];
+        let call = call("POST", "/promotion", &platform.address.to_string(), &headers, &body);
+        let conn = orders.dial(platform.address);
+        let platform = Platform { messages: Messages::default(), call, service: service.to_string() };
+        self.lines.insert(conn, Line::Platform(platform));
+        self.platform_calls.push((conn, now + PLATFORM));
+    }
+
+    pub(super) fn platform_came(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
+        let Some(Line::Platform(platform)) = self.lines.get_mut(&conn) else { return };
+        let status = match platform.messages.response() {
+            Ok(None) => return,
+            Ok(Some(response)) => response.status,
+            Err(_) => 0,
+        };
+        let service = platform.service.clone();
+        orders.close(conn);
+        drop(self.lines.remove(&conn));
+        self.platform_said(now, &service, status, orders);
+    }
+
+    pub(super) fn platform_closed(&mut self, now: Point, platform: &Platform, orders: &mut Orders) {
+        self.platform_said(now, &platform.service, 0, orders);
+    }
+
+    fn platform_said(&mut self, now: Point, service: &str, status: u16, orders: &mut Orders) {
+        log::info!("promotion: {service}: The platform says {status}.");
+        self.replied(now, service, Reply::Platform { status }, orders);
+    }
+
+    /// Calls that were not answered in time.
+    pub(super) fn drop_late_calls(&mut self, now: Point, orders: &mut Orders) {
+        let late: Vec<Conn> =
+            self.platform_calls.iter().filter(|(_, until)| *until <= now).map(|(conn, _)| *conn).collect();
+        self.platform_calls.retain(|(_, until)| *until > now);
+        for conn in late {
+            if let Some(Line::Platform(platform)) = self.lines.remove(&conn) {
+                orders.drop(conn);
+                self.platform_closed(now, &platform, orders);
+            }
+        }
+    }
+}
--- a/crates/arrowyard-headworks/src/ledger.rs
+++ b/crates/arrowyard-headworks/src/ledger.rs
@@ -206,7 +206,7 @@
                 }
                 Kept::Accepted(one) => accept(one),
                 Kept::Chosen(one) => drop(chosen.insert(one.slot, one)),
-                Kept::Memory(_) => {}
+                Kept::Memory(_) | Kept::Departing(_) => {}
                 Kept::Whole(one) => {
                     self.votes |= one.votes;
                     let known = promised.entry(one.snapshot.slot + 1).or_default();
@@ -300,16 +300,17 @@
         self.applied.voters.len() - self.majority() + 1
     }
 
-    fn store(&mut self, kept: Kept, then: Option<(u32, Word)>, out: &mut Vec<Out>) {
+    fn store(&mut self, kept: Kept, then: Option<(u32, Word)>, out: &mut Vec<Out>) -> u64 {
         self.last_record += 1;
         let ticket = self.last_record;
         then.map(|then| self.after.insert(ticket, then));
         out.push(Out::Store { ticket, record: Record::bytes(kept) });
+        ticket
     }
 
-    /// Keeps something that nobody waits for.
-    pub fn keep(&mut self, kept: Kept, out: &mut Vec<Out>) {
-        self.store(kept, None, out);
+    /// Keeps something that is not the ledger's; the number of its record.
+    pub fn keep(&mut self, kept: Kept, out: &mut Vec<Out>) -> u64 {
+        self.store(kept, None, out)
     }
 
     /// A record is on disk, or could not be put there; then nothing is answered for it.
--- a/crates/arrowyard-headworks/src/lib.rs
+++ b/crates/arrowyard-headworks/src/lib.rs
@@ -11,9 +11,9 @@
 pub mod seats;
 mod view;
 
-pub use applied::{Applied, sum};
+pub use applied::{Applied, Digest, REMEMBERED, Standing, digest};
 pub use cell::Cell;
-pub use control::{Control, DOORS, DiskWatch};
+pub use control::{Control, DOORS, Departures, DiskWatch};
 pub use duty::Duties;
 pub use ledger::{Answer, Ledger, Out, Ticket};
 pub use promotion::{Ask, Promotion, Promotions, Reply, Sight, Stage, To, is_repeated};
--- a/crates/arrowyard-headworks/src/record.rs
+++ b/crates/arrowyard-headworks/src/record.rs
@@ -4,7 +4,7 @@
 /// What the ledger keeps on disk, in the order in which it was decided. Reading it twice changes nothing.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Record {
-    #[prost(oneof = "Kept", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "Kept", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub kept: Option<Kept>,
 }
 
@@ -21,9 +21,12 @@
     Chosen(Chosen),
     #[prost(message, tag = "5")]
     Whole(Whole),
-    /// What it knew besides, so that a start from nothing is a quick one. Nobody was promised any of it.
+    /// What it knew besides, so that a start from nothing is a quick one. Of this only departures were acknowledged.
     #[prost(message, tag = "6")]
     Memory(Memory),
+    /// A host that leaves or has left, as it was acknowledged.
+    #[prost(message, tag = "7")]
+    Departing(Host),
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
--- a/crates/arrowyard-headworks/tests/ledger.rs
+++ b/crates/arrowyard-headworks/tests/ledger.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use arrowyard_conduit::{Ballot, Chosen, Duty, Entry, Matter, Prepare, Probed, Revised, Voters, Word};
-use arrowyard_headworks::{Answer, Applied, Kept, Ledger, Out, Record, Ticket, sum};
+use arrowyard_headworks::{Answer, Applied, Digest, Kept, Ledger, Out, Record, Ticket, digest};
 use arrowyard_types::{Point, Span};
 use fastrand::Rng;
 use prost::Message;
@@ -190,11 +190,11 @@
     Entry { matter: Some(Matter::Configuration(Revised { whole: true, base, body: body.into_bytes() })) }
 }
 
-fn revision(entry: &Entry) -> Option<(u64, u64)> {
+fn revision(entry: &Entry) -> Option<(u64, Digest)> {
     let Some(Matter::Configuration(revised)) = &entry.matter else { return None };
     let text = String::from_utf8_lossy(&revised.body).into_owned();
     let digits = text.split("revision\":").nth(1)?.split(',').next()?.parse().ok()?;
-    Some((digits, sum(revised)))
+    Some((digits, digest(revised)))
 }
 
 /// Another list of voters, one seat further, of machines that are up: one more, or one less.
@@ -219,7 +219,7 @@
     let mut net = Net::new(seed, machines, voters, loss);
     let mut wishes: Vec<((usize, u32, u64), Entry)> = Vec::new();
     let mut reads: Vec<((usize, u32, u64), u64)> = Vec::new();
-    let mut acknowledged: Vec<(u64, u64)> = Vec::new();
+    let mut acknowledged: Vec<(u64, Digest)> = Vec::new();
     let mut newest = 0;
     let (mut down, mut back) = (None, 0);
     for millis in 0..6000_u32 {
