The duty is carried out only while in touch and once a majority has confirmed it; seats do not wait for it

Change: the duty is laid down when this machine is cut off, and taken up once a majority has answered a read; a holder that others hear of keeps it, unless it has started again; vacant after 2.0 s, by when a holder that is cut off has noticed (1.75 s); a decision is valid for 2 s, and where the platform does not check fences a new holder waits 3 s; while the holder is not heard the machine with the lowest address fills seats, 0.25 s apart, and a durable vote is announced at once; suspicions of the last 3 s are kept for the next holder; the first count of routers is told.

--- a/crates/arrowyard-gauge/src/settings.rs
+++ b/crates/arrowyard-gauge/src/settings.rs
@@ -85,6 +85,8 @@
     pub apply_ms: f64,
     pub revert_slack_ms: f64,
     pub recovery_s: f64,
+    /// Whether the platform refuses a call whose fence is lower than one that it has seen.
+    pub fence_checked: bool,
 }
 
 impl Default for Envelope {
@@ -100,6 +102,7 @@
             apply_ms: 3000.0,
             revert_slack_ms: 250.0,
             recovery_s: 12.0,
+            fence_checked: true,
         }
     }
 }
--- a/crates/arrowyard-headworks/src/control.rs
+++ b/crates/arrowyard-headworks/src/control.rs
@@ -11,6 +11,7 @@
 mod platform;
 mod seats;
 mod shares;
+mod suspicions;
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -24,7 +25,7 @@
 
 use crate::applied::DUTY;
 use crate::promotion::{Ask, Promotions, Sight};
-use crate::{Cell, Duties, Ledger, Out, Ticket, View};
+use crate::{Answer, Cell, Duties, Ledger, Out, Ticket, View};
 
 use calls::Caller;
 pub use departures::Departures;
@@ -34,6 +35,7 @@
 use mesh::Peer;
 use platform::{Decisions, Platform};
 use shares::Shares;
+use suspicions::Suspicions;
 
 /// The doors of a control machine: the calls of hosts and operators, and the system's own processes.
 pub const DOORS: [Door; 2] = [Door(0), Door(1)];
@@ -47,6 +49,9 @@
 /// How long a process that is told to end goes on with what it has begun.
 const LAST: Span = Span::from_millis(800);
 
+/// A majority has so long to confirm that this machine holds the duty.
+const CONFIRMED: Span = Span::from_millis(1000);
+
 /// Reads the settings file anew.
 pub type Reread = Box<dyn FnMut() -> Option<Settings>>;
 
@@ -76,6 +81,8 @@
     disk: DiskWatch,
     /// Since when this machine's vote cannot be counted on.
     unable_since: Option<Point>,
+    /// Whether the others were told that this machine's vote is durable.
+    announced: bool,
     cell: Cell,
     /// Of the hosts as they were last put on disk.
     kept_digest: u64,
@@ -86,6 +93,9 @@
     promotions: Promotions,
     /// Under which fence the duty is carried out, since this machine took it up.
     fence: Option<u64>,
+    /// The duty's fence that a majority has confirmed since this machine was cut off last, and the question for it.
+    confirmed: Option<u64>,
+    confirming: Option<Ticket>,
     lines: FxHashMap<Conn, Line>,
     peers: BTreeMap<u32, Peer>,
     links: BTreeMap<String, Link>,
@@ -95,6 +105,7 @@
     platform_calls: Vec<(Conn, Point)>,
     decisions: Decisions,
     departures: Departures,
+    suspicions: Suspicions,
     routers: u32,
     fewer_since: Option<Point>,
     /// When who votes may be changed next.
@@ -144,6 +155,7 @@
             has_disk: disk,
             disk: DiskWatch::default(),
             unable_since: None,
+            announced: false,
             kept_digest: cell.digest(),
             cell,
             silent: BTreeMap::new(),
@@ -152,6 +164,8 @@
             duty,
             promotions: Promotions::default(),
             fence: None,
+            confirmed: None,
+            confirming: None,
             lines: FxHashMap::default(),
             peers: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -160,6 +174,7 @@
             platform_calls: Vec::new(),
             decisions: Decisions::default(),
             departures: Departures::default(),
+            suspicions: Suspicions::default(),
             routers,
             fewer_since: None,
             seat_at: Point::DAWN,
@@ -244,16 +259,24 @@
         self.divide(now, orders);
     }
 
-    /// Takes the duty up, or lays it down, as the ledger says.
+    /// Takes the duty up, or lays it down. Safety: a machine that was cut off may hold it by what it knows while another
+    /// one holds it by now; the two would undo each other's questions to replicas. So it carries out nothing while it is
+    /// cut off, and afterwards only once a majority has confirmed that it still holds the duty.
     fn take_up(&mut self, now: Point, orders: &mut Orders) {
-        let fence = self.duty.held(self.ledger.applied());
+        let held = self.duty.held(self.ledger.applied());
+        let fence = held.filter(|_| self.in_touch && self.confirmed == held);
+        if held.is_some() && fence.is_none() {
+            self.confirm(now, orders);
+        }
         if fence == self.fence {
             return;
         }
         let after_another = fence.is_some() && self.ledger.applied().fence(DUTY) > 0 && self.ticks > 8;
         self.fence = fence;
         self.divide_from(now, after_another);
+        self.decide_from(now, after_another);
         self.promotions = Promotions::default();
+        self.drop_platform_calls(orders);
         match fence {
             Some(fence) => log::info!("duty: Holds promote, fence {fence}."),
             None => log::info!("duty: Holds promote no more."),
@@ -263,6 +286,44 @@
             let replicas: Vec<String> = self.cell.all().map(|host| host.id.clone()).collect();
             self.ask_hosts(now, replicas.into_iter().map(|host| Ask::Continue { host }).collect(), orders);
         }
+        if fence.is_some() {
+            self.check_suspicions(now, orders);
+        }
+    }
+
+    /// Asks a majority whether all that was agreed on is known here, this machine's hold of the duty among it.
+    fn confirm(&mut self, now: Point, orders: &mut Orders) {
+        if self.in_touch && self.confirming.is_none() {
+            self.confirming = Some(self.ledger.next_ticket());
+            self.with_ledger(now, orders, |ledger, out| ledger.read_all(now, now + CONFIRMED, out));
+        }
+    }
+
+    /// The ledger answers a question. Whether it was the one for the duty.
+    fn confirmation_answered(
+        &mut self,
+        now: Point,
+        ticket: Ticket,
+        answer: Answer,
+        orders: &mut Orders,
+    ) -> bool {
+        if self.confirming != Some(ticket) {
+            return false;
+        }
+        self.confirming = None;
+        if answer == Answer::Current && self.in_touch {
+            self.confirmed = self.duty.held(self.ledger.applied());
+            self.take_up(now, orders);
+        }
+        true
+    }
+
+    /// This machine was cut off, or is in touch again.
+    fn touch_changed(&mut self, now: Point, orders: &mut Orders) {
+        if !self.in_touch {
+            self.confirmed = None;
+        }
+        self.take_up(now, orders);
     }
 
     /// Looks at every service whose primary may have to change.
@@ -317,6 +378,15 @@
         }
     }
 
+    /// A vote that has just become durable is announced at once: another machine may be waiting to give up its seat.
+    fn announce_vote(&mut self, now: Point, orders: &mut Orders) {
+        let votes = self.ledger.is_vote_durable();
+        if votes && !self.announced {
+            self.beat_peers(now, orders);
+        }
+        self.announced = votes;
+    }
+
     /// Whether this machine's vote can be counted on: it has one, and a disk that keeps its word.
     fn is_able_to_vote(&self, now: Point) -> bool {
         self.ledger.is_vote_durable() && self.disk.is_well(now)
@@ -356,6 +426,7 @@
                 self.disk.answered(ticket);
                 self.with_ledger(now, orders, |ledger, out| ledger.stored(now, ticket, kept, out));
                 self.departure_stored(now, ticket, kept, orders);
+                self.announce_vote(now, orders);
             }
             Event::Disk { works } => self.disk_changed(works),
             Event::Sign(Sign::Terminate) => self.end(now, orders),
@@ -405,9 +476,7 @@
         match self.lines.get(&conn) {
             Some(Line::Peer(ip, _)) => self.greet(now, conn, *ip, orders),
             Some(Line::Link(host)) => self.link_opened(host.clone(), orders),
-            Some(Line::Platform(platform)) => {
-                orders.write(conn, &[platform.call.as_bytes()]);
-            }
+            Some(Line::Platform(_)) => self.platform_opened(now, conn, orders),
             _ => {}
         }
     }
--- a/crates/arrowyard-headworks/src/control/calls.rs
+++ b/crates/arrowyard-headworks/src/control/calls.rs
@@ -243,7 +243,9 @@
 
     /// The ledger answers a wish.
     pub(super) fn answered(&mut self, now: Point, wish: Ticket, answer: Answer, orders: &mut Orders) {
-        if self.proposal_answered(now, wish, answer, orders) {
+        if self.proposal_answered(now, wish, answer, orders)
+            || self.confirmation_answered(now, wish, answer, orders)
+        {
             return;
         }
         // Nobody waits for a ballot of a duty: the ledger itself tells who holds it.
--- a/crates/arrowyard-headworks/src/control/feed.rs
+++ b/crates/arrowyard-headworks/src/control/feed.rs
@@ -117,6 +117,7 @@
     pub(super) fn tell_chosen(&mut self, now: Point, slot: u64, orders: &mut Orders) {
         let entry = self.ledger.entry(slot);
         match entry.map(|entry| entry.matter.clone()) {
+            Some(Some(Matter::Duty(_))) => self.pass_suspicions(now, orders),
             Some(Some(Matter::Decision(decision))) => self.decided(now, slot, &decision, orders),
             Some(Some(Matter::Configuration(revised))) => {
                 let change = Change { revised: vec![Step { slot, revised }], ..Change::default() };
@@ -157,7 +158,7 @@
         let routers = here + elsewhere;
         // A start counts its routers one by one: until it has them, it goes by what it knew, or by a careful guess.
         if self.routers == 0 && routers > 0 {
-            self.routers = GUESS.max(routers);
+            self.tell_count(GUESS.max(routers), orders);
         }
         if routers < self.routers {
             let since = *self.fewer_since.get_or_insert(now);
@@ -167,11 +168,16 @@
         }
         self.fewer_since = None;
         if routers != self.routers {
-            self.routers = routers;
-            self.tell_routers(&Change { routers, ..Change::default() }, orders);
+            self.tell_count(routers, orders);
         }
     }
 
+    /// How many routers share the hosts' connections from now on.
+    fn tell_count(&mut self, routers: u32, orders: &mut Orders) {
+        self.routers = routers;
+        self.tell_routers(&Change { routers, ..Change::default() }, orders);
+    }
+
     /// Control machines that are up, for routers to turn to.
     fn controls(&self) -> Vec<Known> {
         let me = Known { ip: self.me, zone: self.settings.zone.clone(), age: 0 };
--- a/crates/arrowyard-headworks/src/control/mesh.rs
+++ b/crates/arrowyard-headworks/src/control/mesh.rs
@@ -2,16 +2,17 @@
 
 use std::net::Ipv4Addr;
 
-use arrowyard_conduit::{Beat, Cell, Frames, Hello, Suspect, Word, said};
+use arrowyard_conduit::{Beat, Cell, Frames, Hello, Word, said};
 use arrowyard_penstock::{Conn, Orders};
 use arrowyard_types::{Point, Span};
 
 use super::{Control, Line};
-use crate::applied::DUTY;
-use crate::promotion::Sight;
 
 /// A control machine that says nothing for so long is away.
 const AWAY: Span = Span::from_millis(1500);
+/// A machine that was not heard for so long is told that it is not. It is shorter, so that both ends of a way that is cut
+/// in one direction notice at about the same time.
+const NOT_HEARD: Span = Span::from_millis(1250);
 /// A dial without an answer is given up after so long, and tried again at the earliest after so long.
 const DIAL: Span = Span::from_millis(1000);
 /// Beats are so many ticks apart, and every so many of them tell of other machines.
@@ -54,6 +55,11 @@
         self.heard_at = now;
     }
 
+    /// Its present life, if it has ever told.
+    pub fn known_life(&self) -> Option<u64> {
+        (self.life != 0).then_some(self.life)
+    }
+
     fn says_that_it_votes(&mut self, now: Point, votes: bool) {
         self.votes = votes;
         if votes {
@@ -133,7 +139,7 @@
         }
     }
 
-    fn beat_peers(&mut self, now: Point, orders: &mut Orders) {
+    pub(super) fn beat_peers(&mut self, now: Point, orders: &mut Orders) {
         self.view.age();
         let view =
             if self.ticks.is_multiple_of(SHUFFLE) { self.view.part(&mut self.rng) } else { Vec::new() };
@@ -145,7 +151,11 @@
             votes: self.is_able_to_vote(now),
             silent: self.silent_here.clone(),
             disk_fails: !self.disk.is_well(now),
-            hears: self.live_peers(now).map(|(ip, _)| *ip).collect(),
+            hears: self
+                .live_peers(now)
+                .filter(|(_, peer)| now - peer.heard_at < NOT_HEARD)
+                .map(|(ip, _)| *ip)
+                .collect(),
         };
         self.say_to_peers(&Word::Beat(beat), orders);
     }
@@ -188,6 +198,7 @@
         let in_touch = self.is_in_touch(now);
         if in_touch != self.in_touch {
             self.in_touch = in_touch;
+            self.touch_changed(now, orders);
             log::info!(
                 "mesh: {}.",
                 if in_touch { "In touch with the voters" } else { "Cut off from the voters" }
@@ -370,11 +381,14 @@
         self.view.heard(ip, &zone);
         self.view.merge(&beat.view, self.me);
         let mine = self.cell.digest();
+        let life = |ip: u32| if ip == self.me { Some(self.life) } else { self.peers.get(&ip)?.known_life() };
+        self.duty.heard_elsewhere(now - NOT_HEARD, &beat.hears, life, self.ledger.applied());
         let Some(peer) = self.peers.get_mut(&ip) else { return };
         peer.routers = beat.routers;
         peer.says_that_it_votes(now, beat.votes);
         peer.disk_fails = beat.disk_fails;
         peer.hears_me = beat.hears.contains(&self.me);
+        let not_heard = !peer.hears_me;
         // What is under way makes them differ for a moment; what stays is swept up.
         peer.differs = if beat.digest == mine { 0 } else { peer.differs + 1 };
         if peer.differs >= 2 {
@@ -382,6 +396,9 @@
             let cell = Cell { hosts: self.cell.all().cloned().collect(), whole: true };
             self.say_to_peer(ip, &Word::Cell(cell), orders);
         }
+        if not_heard && self.in_touch {
+            self.keep_touch(now, orders);
+        }
         for silent in &beat.silent {
             // Danger: it may call here by now; then whoever misses it is told so.
             let here = self
@@ -408,21 +425,4 @@
             }
         }
     }
-
-    /// A router, or a control machine for it, says that a primary does not answer: the holder of the duty looks.
-    pub(super) fn suspected(&mut self, now: Point, suspect: Suspect, orders: &mut Orders) {
-        if self.fence.is_some() {
-            let mut asks = Vec::new();
-            let sight = Sight { cell: &self.cell, silent: &self.silent, left: &self.left };
-            self.promotions.of(&suspect.service).suspect(now, &suspect.host, &sight, &mut asks);
-            self.ask_hosts(now, asks, orders);
-        } else if suspect.by == 0 {
-            // It is passed on once, to the holder alone.
-            let holder = self.ledger.applied().duties.get(DUTY).map(|duty| duty.holder);
-            if let Some(holder) = holder.filter(|holder| *holder != self.me) {
-                let word = Word::Suspect(Suspect { by: self.me, ..suspect });
-                self.say_to_peer(holder, &word, orders);
-            }
-        }
-    }
 }
--- a/crates/arrowyard-headworks/src/control/platform.rs
+++ b/crates/arrowyard-headworks/src/control/platform.rs
@@ -17,6 +17,11 @@
 
 /// A platform that does not answer in so long is asked anew.
 const PLATFORM: Span = Span::from_millis(1200);
+/// A decision is carried out, by calls that are repeated, for so long after it was proposed; then anew. Where the platform
+/// does not check fences, whoever takes the duty up waits longer than that before its first decision, so that no call of
+/// the holder before comes after it.
+const VALID: Span = Span::from_millis(2000);
+const UNCHECKED_WAIT: Span = Span::from_millis(3000);
 /// A decision that is not entered in the ledger in so long is asked for anew.
 const DECIDED: Span = Span::from_millis(1000);
 
@@ -25,6 +30,8 @@
     pub messages: Messages,
     pub call: String,
     pub service: String,
+    /// Nothing is sent from then on. Safety: a machine that was frozen wakes up with what it was about to send.
+    pub until: Point,
 }
 
 /// Which host is to lead a service, and under which fence that was agreed on.
@@ -33,6 +40,7 @@
     host: String,
     number: u64,
     fence: Option<u64>,
+    until: Point,
 }
 
 /// The decisions of this machine, one a service.
@@ -42,6 +50,8 @@
     /// Proposals that the ledger has not answered.
     proposed: BTreeMap<Ticket, String>,
     last: u64,
+    /// Nothing is decided before.
+    from: Point,
 }
 
 impl Control {
@@ -50,19 +60,51 @@
         let stage = &self.promotions.of(service).stage;
         let is_repeated = matches!(stage, Stage::Promoting { tries, .. } if *tries > 0);
         let decided = self.decisions.by_service.get(service);
-        let fence = decided.filter(|decided| is_repeated && decided.host == host).and_then(|it| it.fence);
-        match fence {
-            Some(fence) => self.call_platform(now, service, host, fence, orders),
+        let is_valid = |decided: &&Decided| is_repeated && decided.host == host && now < decided.until;
+        let agreed = decided.filter(is_valid).and_then(|decided| Some((decided.fence?, decided.until)));
+        match agreed {
+            Some((fence, until)) => self.call_platform(now, service, host, (fence, until), orders),
+            None if now < self.decisions.from => {
+                self.replied(now, service, Reply::Platform { status: 0 }, orders);
+            }
             None => self.decide(now, service, host, orders),
         }
     }
 
+    /// The duty was taken up from another holder, or laid down: whatever is under way to the platform is given up.
+    pub(super) fn drop_platform_calls(&mut self, orders: &mut Orders) {
+        for (conn, _) in std::mem::take(&mut self.platform_calls) {
+            if matches!(self.lines.get(&conn), Some(Line::Platform(_))) {
+                self.lines.remove(&conn);
+                orders.drop(conn);
+            }
+        }
+        self.decisions.by_service.clear();
+    }
+
+    /// Where the platform does not check fences, calls of the holder before must have come to an end first.
+    pub(super) fn decide_from(&mut self, now: Point, after_another: bool) {
+        let waits = after_another && !self.settings.envelope.fence_checked;
+        self.decisions.from = if waits { now + UNCHECKED_WAIT } else { now };
+    }
+
+    /// A connection to the platform is open: the call goes out, if there is still time for it.
+    pub(super) fn platform_opened(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
+        let Some(Line::Platform(platform)) = self.lines.get(&conn) else { return };
+        if now < platform.until {
+            orders.write(conn, &[platform.call.as_bytes()]);
+        } else if let Some(Line::Platform(platform)) = self.lines.remove(&conn) {
+            orders.drop(conn);
+            self.platform_closed(now, &platform, orders);
+        }
+    }
+
     /// Proposes a decision to the ledger.
     fn decide(&mut self, now: Point, service: &str, host: &str, orders: &mut Orders) {
         let Some(duty_fence) = self.fence else { return };
         self.decisions.last += 1;
         let number = self.decisions.last;
-        let decided = Decided { host: host.to_string(), number, fence: None };
+        let decided = Decided { host: host.to_string(), number, fence: None, until: now + VALID };
         self.decisions.by_service.insert(service.to_string(), decided);
         let decision = Decision {
             service: service.to_string(),
@@ -89,7 +131,8 @@
             return;
         }
         decided.fence = Some(slot);
-        self.call_platform(now, &decision.service, &decision.host, slot, orders);
+        let until = decided.until;
+        self.call_platform(now, &decision.service, &decision.host, (slot, until), orders);
     }
 
     /// The ledger answers a proposal. Whether it was one for a decision.
@@ -108,8 +151,15 @@
         true
     }
 
-    /// Calls the platform for a decision, under the decision's own fence.
-    fn call_platform(&mut self, now: Point, service: &str, host: &str, fence: u64, orders: &mut Orders) {
+    /// Calls the platform for a decision, under the decision's own fence and as long as it is valid.
+    fn call_platform(
+        &mut self,
+        now: Point,
+        service: &str,
+        host: &str,
+        (fence, until): (u64, Point),
+        orders: &mut Orders,
+    ) {
         let Some(platform) = &self.settings.platform_api else {
             log::error!("promotion: {service}: There is no platform to ask.");
             return;
@@ -122,7 +172,7 @@
             [("Arrowyard-Duty-Holder", self.settings.node.as_str()), ("Arrowyard-Fence", fence.as_str())];
         let call = call("POST", "/promotion", &platform.address.to_string(), &headers, &body);
         let conn = orders.dial(platform.address);
-        let platform = Platform { messages: Messages::default(), call, service: service.to_string() };
+        let platform = Platform { messages: Messages::default(), call, service: service.to_string(), until };
         self.lines.insert(conn, Line::Platform(platform));
         self.platform_calls.push((conn, now + PLATFORM));
     }
--- a/crates/arrowyard-headworks/src/control/seats.rs
+++ b/crates/arrowyard-headworks/src/control/seats.rs
@@ -1,14 +1,15 @@
-//! The seats of the ledger's voters: the holder of the duty sees to it that they are filled.
+//! Who votes in the ledger: one machine at a time sees to it that enough do.
 
 use arrowyard_conduit::{Entry, Matter, Voters, number};
 use arrowyard_penstock::Orders;
 use arrowyard_types::{Point, Span};
 
 use super::{Control, TICK};
+use crate::applied::DUTY;
 use crate::seats::{Machine, next, wanted};
 
 /// Between two changes.
-const PAUSE: Span = Span::from_millis(500);
+const PAUSE: Span = Span::from_millis(250);
 /// A first start waits so long at most for all seats to be filled before it takes a configuration.
 const FOUNDING: Span = Span::from_millis(4000);
 
@@ -40,9 +41,23 @@
         [me].into_iter().chain(others).collect()
     }
 
-    /// Whoever holds the duty sees to it that enough machines vote.
+    /// Whether it is this machine that sees to the seats: the holder of the duty, or while that one is not heard of the
+    /// machine with the lowest address. Two that do so at once do no harm: a change names the voters that it follows.
+    fn fills_seats(&self, now: Point) -> bool {
+        let duty = self.ledger.applied().duties.get(DUTY);
+        let is_live = |holder: u32, life: u64| {
+            self.live_peers(now).any(|(ip, peer)| *ip == holder && peer.known_life() == Some(life))
+        };
+        match duty {
+            Some(duty) if duty.holder == self.me && duty.life == self.life => self.fence.is_some(),
+            Some(duty) if is_live(duty.holder, duty.life) => false,
+            _ => self.live_peers(now).all(|(ip, _)| self.me < *ip),
+        }
+    }
+
+    /// Sees to it that enough machines vote.
     pub(super) fn fill_seats(&mut self, now: Point, orders: &mut Orders) {
-        if self.fence.is_none() || now < self.seat_at || !self.is_in_touch(now) {
+        if now < self.seat_at || !self.is_in_touch(now) || !self.fills_seats(now) {
             return;
         }
         let before = self.ledger.voters().to_vec();
--- /dev/null
+++ b/crates/arrowyard-headworks/src/control/suspicions.rs
@@ -0,0 +1,62 @@
+//! Primaries that routers say do not answer. The holder of the duty looks at once. Routers say so only as their clients
+//! ask, about once a second, so what was said lately is kept for whoever takes the duty up next.
+
+use std::collections::BTreeMap;
+
+use arrowyard_conduit::{Suspect, Word};
+use arrowyard_penstock::Orders;
+use arrowyard_types::{Point, Span};
+
+use super::Control;
+use crate::applied::DUTY;
+use crate::promotion::Sight;
+
+/// For so long a suspicion is kept for the next holder of the duty.
+const KEPT: Span = Span::from_millis(3000);
+
+/// What was said lately, by host.
+pub type Suspicions = BTreeMap<String, (Point, Suspect)>;
+
+impl Control {
+    /// A router, or a control machine for it, says that a primary does not answer.
+    pub(super) fn suspected(&mut self, now: Point, suspect: Suspect, orders: &mut Orders) {
+        self.suspicions.retain(|_, (at, _)| now - *at < KEPT);
+        self.suspicions.insert(suspect.host.clone(), (now, suspect.clone()));
+        if self.fence.is_some() {
+            self.check_primary(now, &suspect, orders);
+        } else if suspect.by == 0 {
+            // It is passed on once, to the holder alone.
+            self.pass_suspicion(&suspect, orders);
+        }
+    }
+
+    fn check_primary(&mut self, now: Point, suspect: &Suspect, orders: &mut Orders) {
+        let mut asks = Vec::new();
+        let sight = Sight { cell: &self.cell, silent: &self.silent, left: &self.left };
+        self.promotions.of(&suspect.service).suspect(now, &suspect.host, &sight, &mut asks);
+        self.ask_hosts(now, asks, orders);
+    }
+
+    fn pass_suspicion(&mut self, suspect: &Suspect, orders: &mut Orders) {
+        let holder = self.ledger.applied().duties.get(DUTY).map(|duty| duty.holder);
+        if let Some(holder) = holder.filter(|holder| *holder != self.me) {
+            let word = Word::Suspect(Suspect { by: self.me, ..suspect.clone() });
+            self.say_to_peer(holder, &word, orders);
+        }
+    }
+
+    /// Another machine holds the duty from now on: it hears what routers said here lately.
+    pub(super) fn pass_suspicions(&mut self, now: Point, orders: &mut Orders) {
+        self.suspicions.retain(|_, (at, _)| now - *at < KEPT);
+        let mine = self.suspicions.values().filter(|(_, suspect)| suspect.by == 0);
+        let mine: Vec<Suspect> = mine.map(|(_, suspect)| suspect.clone()).collect();
+        mine.iter().for_each(|suspect| self.pass_suspicion(suspect, orders));
+    }
+
+    /// This machine has taken the duty up.
+    pub(super) fn check_suspicions(&mut self, now: Point, orders: &mut Orders) {
+        self.suspicions.retain(|_, (at, _)| now - *at < KEPT);
+        let all: Vec<Suspect> = self.suspicions.values().map(|(_, suspect)| suspect.clone()).collect();
+        all.iter().for_each(|suspect| self.check_primary(now, suspect, orders));
+    }
+}
--- a/crates/arrowyard-headworks/src/duty.rs
+++ b/crates/arrowyard-headworks/src/duty.rs
@@ -1,11 +1,16 @@
+//! A singleton task of the control plane: who owns it, and when it falls vacant.
+
 use arrowyard_conduit::{Duty, Entry, Matter};
 use arrowyard_types::{Point, Span};
 use fastrand::Rng;
 
 use crate::Applied;
 
-/// A holder that nobody heard of for so long has left its duty vacant.
-const VACANT: Span = Span::from_millis(1500);
+/// A holder that nobody heard of for so long has left its duty vacant. Safety: a holder that is cut off must have noticed
+/// by then and have laid the duty down. It does so after 1.75 s: by the others' silence (a peer is away after 1.5 s, and
+/// that is looked at each 0.25 s) or by their word that they do not hear it (after 1.25 s, and their beats are 0.5 s
+/// apart).
+const VACANT: Span = Span::from_millis(2000);
 /// Whoever sees a vacancy waits up to so long before it asks for a ballot: mostly one is enough.
 const SPREAD: Span = Span::from_millis(250);
 
@@ -33,6 +38,22 @@
         ((duty.holder, duty.life) == (self.me, self.life)).then_some(duty.fence)
     }
 
+    /// Somebody else has heard of these machines since then. Safety: a way between two machines that is cut is no vacancy.
+    /// `life` is what is known here of a machine's present life: a holder that has started again holds nothing any more.
+    pub fn heard_elsewhere(
+        &mut self,
+        since: Point,
+        hears: &[u32],
+        life: impl FnOnce(u32) -> Option<u64>,
+        applied: &Applied,
+    ) {
+        if let Some(duty) = applied.duties.get(self.duty).filter(|duty| hears.contains(&duty.holder))
+            && life(duty.holder).is_none_or(|life| life == duty.life)
+        {
+            self.holder_at = self.holder_at.max(since);
+        }
+    }
+
     /// A control machine was heard of, in this life.
     pub fn heard(&mut self, now: Point, ip: u32, life: u64, applied: &Applied) {
         if applied.duties.get(self.duty).is_some_and(|duty| (duty.holder, duty.life) == (ip, life)) {
--- a/crates/arrowyard-headworks/tests/control.rs
+++ b/crates/arrowyard-headworks/tests/control.rs
@@ -128,6 +128,25 @@
     ));
 }
 
+/// A way between two machines that is cut is no vacancy, as long as others hear of the holder; but a holder that has started
+/// again holds nothing, however well it is heard.
+#[test]
+fn a_holder_that_others_hear_of_keeps_its_duty_unless_it_has_started_again() {
+    let (mut applied, mut rng) = (Applied::default(), Rng::with_seed(1));
+    let duty = Duty { duty: "promote".into(), holder: 2, life: 22, node: "two".into(), fence: 0 };
+    applied.apply(&Entry { matter: Some(Matter::Duty(duty)) });
+    let mut vacant_at = |life: Option<u64>| {
+        let mut duties = Duties::new("promote", 1, 11, "one", at(0));
+        (0..9000).step_by(500).find(|ms| {
+            duties.heard_elsewhere(at(*ms - 1250), &[2, 3], |_| life, &applied);
+            duties.turn(at(*ms), &applied, &mut rng).is_some()
+        })
+    };
+    assert_eq!(vacant_at(Some(22)), None);
+    assert_eq!(vacant_at(None), None, "nothing is known of its life here");
+    assert!(vacant_at(Some(23)).is_some_and(|ms| (2000..=2500).contains(&ms)));
+}
+
 struct Scene {
     cell: Cell,
     silent: BTreeMap<String, Point>,
