--- a/crates/arrowyard-basin/src/bin/arrowyard-basin.rs
+++ b/crates/arrowyard-basin/src/bin/arrowyard-basin.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use arrowyard_basin::acknowledgements::{TROUBLES, pauses};
 use arrowyard_basin::capacity::{configuration, measure};
 use arrowyard_basin::chart::{draw, draw_paces};
 use arrowyard_basin::experiment::{Difference, FIGURES, Outcome, compare, outcomes};
@@ -42,6 +43,16 @@
         #[bpaf(argument("SEED"), fallback(1))]
         from: u64,
     },
+    /// How long the operator waits for an acknowledgement while a control machine is in trouble, by what happens to it.
+    #[bpaf(command)]
+    Acknowledgements {
+        /// Of each trouble.
+        #[bpaf(argument("N"), fallback(20))]
+        cases: u64,
+        /// The first seed.
+        #[bpaf(argument("SEED"), fallback(1))]
+        from: u64,
+    },
     /// Plays drawn days and prints a line for each: seed, shares served in aim, late, lost, p50 and p99 in ms, rules broken.
     #[bpaf(command)]
     Outcomes {
@@ -163,6 +174,23 @@
     Ok(())
 }
 
+fn acknowledgements(cases: u64, from: u64) {
+    println!("{:>16}  cases  p50 ms  p99 ms  worst ms  never  days with a rule broken", "trouble");
+    for trouble in TROUBLES {
+        let pauses = pauses(trouble, cases, from);
+        println!(
+            "{:>16}  {:>5}  {:>6}  {:>6}  {:>8}  {:>5}  {}",
+            format!("{trouble:?}"),
+            pauses.cases,
+            pauses.p50,
+            pauses.p99,
+            pauses.worst,
+            pauses.never,
+            pauses.broken
+        );
+    }
+}
+
 fn failover(cases: u64, from: u64) {
     println!("{:>24}  cases  p50 ms  p99 ms  worst ms  never  days with a rule broken", "cause");
     for cause in Cause::ALL {
@@ -294,6 +322,10 @@
 fn main() -> ExitCode {
     match command().run() {
         Command::Capacity { what, sizes } => ended(capacity(&what, &sizes)),
+        Command::Acknowledgements { cases, from } => {
+            acknowledgements(cases, from);
+            ExitCode::SUCCESS
+        }
         Command::Failover { cases, from } => {
             failover(cases, from);
             ExitCode::SUCCESS
--- a/crates/arrowyard-basin/src/day.rs
+++ b/crates/arrowyard-basin/src/day.rs
@@ -221,6 +221,8 @@
     pub over_cap: u64,
     /// By service: when a write was acknowledged.
     pub writes: BTreeMap<String, Vec<Point>>,
+    /// When changes of the configuration were acknowledged.
+    pub acks: Vec<Point>,
     pub p50_ms: f64,
     pub p99_ms: f64,
     pub kinds: BTreeMap<&'static str, Kept>,
@@ -356,6 +358,7 @@
         runs: history.runs,
         over_cap: history.reset_over_cap,
         writes: history.acknowledged_at(),
+        acks: history.acks.clone(),
         kinds: history.kinds.clone(),
         control: system
             .controls
--- a/crates/arrowyard-basin/src/history.rs
+++ b/crates/arrowyard-basin/src/history.rs
@@ -147,6 +147,8 @@
     pub read_back: Option<u64>,
     /// Since when a sound change has waited for its acknowledgement.
     pub unacknowledged: Option<Point>,
+    /// When changes were acknowledged.
+    pub acks: Vec<Point>,
     last: u64,
 }
 
--- a/crates/arrowyard-basin/src/lib.rs
+++ b/crates/arrowyard-basin/src/lib.rs
@@ -2,6 +2,7 @@
 //! the operator and the platform as stand-ins, and faults. What clients, hosts, operator and platform saw is written
 //! down in a [`History`], and its auditors look for broken rules; they do not look into the planes.
 
+pub mod acknowledgements;
 pub mod capacity;
 pub mod chart;
 mod clients;
--- a/crates/arrowyard-basin/src/operator.rs
+++ b/crates/arrowyard-basin/src/operator.rs
@@ -124,6 +124,7 @@
             200 => {
                 self.revision = revision(&body).unwrap_or(self.revision);
                 self.history.borrow_mut().in_place = self.revision;
+                self.history.borrow_mut().acks.push(now);
                 self.acknowledged_at = now;
                 if path == "/Config.Adjust" {
                     let database = self.extra.take().unwrap_or_default();
--- a/crates/arrowyard-basin/tests/experiment.rs
+++ b/crates/arrowyard-basin/tests/experiment.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use arrowyard_basin::acknowledgements::{BOUND, TROUBLES, pauses};
 use arrowyard_basin::experiment::{Outcome, compare, outcomes, with};
 use arrowyard_basin::failover::{Cause, longest_pause, outages};
 use arrowyard_basin::{Day, Disk, World, chart, drawn, play};
@@ -115,6 +116,16 @@
     }
 }
 
+/// One control machine of three in whatever trouble: changes go on within the bound.
+#[test]
+fn a_change_is_acknowledged_within_the_bound_whatever_happens_to_one_machine() {
+    for trouble in TROUBLES {
+        let pauses = pauses(trouble, 2, 1);
+        let worst = Span::from_millis(pauses.worst as i64);
+        assert!(worst <= BOUND && pauses.never + pauses.broken == 0, "{trouble:?}: {pauses:?}");
+    }
+}
+
 /// A day as it is drawn names all that happened on it.
 #[test]
 fn a_chart_shows_what_happened() {
