--- /dev/null
+++ b/crates/arrowyard-headworks/src/ledger/reads.rs
@@ -0,0 +1,40 @@
+//! Reads of all that was acknowledged: a majority is asked how far it knows of entries, chosen or accepted.
+
+use super::*;
+
+impl Ledger {
+    pub(super) fn probed(&mut self, now: Point, from: u32, probed: Probed, out: &mut Vec<Out>) {
+        if probed.chosen > self.applied.slot {
+            self.ask_for_more(now, from, out);
+        }
+        let ahead = probed.chosen.max(probed.accepted);
+        for waiting in &mut self.waiting {
+            if let Wish::Read { heard, slot } = &mut waiting.wish
+                && waiting.ticket.0 == probed.ticket
+                && probed.votes
+            {
+                heard.insert(from);
+                *slot = ahead.max(*slot);
+            }
+        }
+        self.settle_reads(None, out);
+        self.begin(now, out);
+    }
+
+    /// Answers the reads that a majority spoke to, once every slot is known that one of it knew of. A slot that a
+    /// round of ballots found free holds nothing that was acknowledged before.
+    pub(super) fn settle_reads(&mut self, free: Option<u64>, out: &mut Vec<Out>) {
+        let known = self.applied.slot;
+        let waiting = std::mem::take(&mut self.waiting);
+        for waiting in waiting {
+            match &waiting.wish {
+                Wish::Read { heard, slot }
+                    if self.is_majority(heard) && (*slot <= known || Some(*slot) == free) =>
+                {
+                    out.push(Out::Answered { wish: waiting.ticket, answer: Answer::Current });
+                }
+                _ => self.waiting.push_back(waiting),
+            }
+        }
+    }
+}
