Control: the field's names for the ledger's proposals, outcomes, outputs and messages

Proposal and ProposalId for wish and ticket, Committed, Superseded and Unknown for the outcomes, Output, on_message, on_timer, send, broadcast.

--- a/crates/arrowyard-basin/src/models/ledger.rs
+++ b/crates/arrowyard-basin/src/models/ledger.rs
@@ -6,7 +6,7 @@
 use std::hash::{BuildHasher, Hash, Hasher};
 
 use arrowyard_conduit::{Entry, Frame, Matter, Revised, Voters, Word};
-use arrowyard_headworks::{Answer, Kept, Ledger, Out, Record, Ticket, digest};
+use arrowyard_headworks::{Answer, Kept, Ledger, Output, ProposalId, Record, digest};
 use arrowyard_types::{Point, Span};
 use prost::Message;
 use rustc_hash::FxBuildHasher;
@@ -34,7 +34,7 @@
     flaw: Option<Flaw>,
     machines: usize,
     /// Who enters what at the start.
-    wishes: Vec<(usize, Entry)>,
+    proposals: Vec<(usize, Entry)>,
     /// What another one enters once a disk was lost.
     after: Option<(usize, Entry)>,
     /// Time-outs there may be, crashes, and disks that are lost in one.
@@ -65,13 +65,13 @@
     crashes: u8,
     wipes: u8,
     after: bool,
-    read: Option<(Ticket, u64)>,
+    read: Option<(ProposalId, u64)>,
     has_read: bool,
     /// What was seen to be in each slot, and what all entries up to it lead to.
     chosen: BTreeMap<u64, (Entry, Vec<u8>)>,
     acknowledged: BTreeSet<u64>,
     moot: Vec<Entry>,
-    wishes: Vec<(usize, Ticket, Entry)>,
+    proposals: Vec<(usize, ProposalId, Entry)>,
     broken: Option<&'static str>,
     /// Steps so far. Each is further from the last than any pause or time-out of the ledger.
     clock: i64,
@@ -82,7 +82,7 @@
     fn hash<H: Hasher>(&self, state: &mut H) {
         (&self.machines, &self.net, self.wakes, self.crashes, self.wipes).hash(state);
         (self.after, self.read, self.has_read, self.broken).hash(state);
-        (&self.chosen, &self.acknowledged, &self.moot, &self.wishes).hash(state);
+        (&self.chosen, &self.acknowledged, &self.moot, &self.proposals).hash(state);
     }
 }
 
@@ -126,7 +126,7 @@
         Point::from_micros(0) + Span::from_millis(10_000 * self.clock)
     }
 
-    fn act(&mut self, scene: &Scene, machine: usize, act: impl FnOnce(&mut Ledger, Point, &mut Vec<Out>)) {
+    fn act(&mut self, scene: &Scene, machine: usize, act: impl FnOnce(&mut Ledger, Point, &mut Vec<Output>)) {
         let (now, mut out) = (self.now(), Vec::new());
         act(&mut self.machines[machine].ledger, now, &mut out);
         self.carry(scene, machine, out);
@@ -137,9 +137,9 @@
         self.look(machine);
     }
 
-    fn wish(&mut self, scene: &Scene, machine: usize, entry: Entry) {
-        let ticket = self.machines[machine].ledger.next_ticket();
-        self.wishes.push((machine, ticket, entry.clone()));
+    fn propose(&mut self, scene: &Scene, machine: usize, entry: Entry) {
+        let ticket = self.machines[machine].ledger.next_proposal();
+        self.proposals.push((machine, ticket, entry.clone()));
         let never = Point::from_micros(i64::MAX / 2);
         self.act(scene, machine, |ledger, now, out| {
             ledger.enter(now, entry, never, out);
@@ -169,10 +169,10 @@
         });
     }
 
-    fn carry(&mut self, scene: &Scene, machine: usize, out: Vec<Out>) {
+    fn carry(&mut self, scene: &Scene, machine: usize, out: Vec<Output>) {
         for one in out {
             match one {
-                Out::Send { to, mut word } => {
+                Output::Send { to, mut word } => {
                     if let (Some(Flaw::VotesHidden), Word::Promise(promise)) = (scene.flaw, &mut word) {
                         promise.accepted = None;
                     }
@@ -182,7 +182,7 @@
                         // Catching up is one step: `Beat`, or any other word that begins it, may be as late as it likes.
                         for other in to {
                             self.act(scene, other, |ledger, now, out| {
-                                ledger.hear(now, ip(machine), &word, out);
+                                ledger.on_message(now, ip(machine), &word, out);
                             });
                         }
                         continue;
@@ -190,37 +190,39 @@
                     let bytes = Frame { word: Some(word) }.encode_to_vec();
                     self.net.extend(to.into_iter().map(|to| (to, ip(machine), bytes.clone())));
                 }
-                Out::Store { ticket, record } => {
+                Output::Store { ticket, record } => {
                     self.machines[machine].unsynced.push((ticket, record));
                     if scene.flaw == Some(Flaw::WordsBeforeDisk) {
                         self.act(scene, machine, |ledger, now, out| ledger.stored(now, ticket, true, out));
                     }
                 }
-                Out::Chosen { .. } => {}
-                Out::Answered { wish, answer } => self.answered(machine, wish, answer),
+                Output::Chosen { .. } => {}
+                Output::Answered { proposal, answer } => self.answered(machine, proposal, answer),
             }
         }
     }
 
-    fn answered(&mut self, machine: usize, wish: Ticket, answer: Answer) {
+    fn answered(&mut self, machine: usize, proposal: ProposalId, answer: Answer) {
         if answer == Answer::Current {
-            let least = self.read.filter(|(ticket, _)| *ticket == wish).map_or(0, |(_, least)| least);
+            let least = self.read.filter(|(ticket, _)| *ticket == proposal).map_or(0, |(_, least)| least);
             self.has_read = true;
             if self.machines[machine].ledger.chosen() < least {
                 self.broken = Some("a read lacks what was acknowledged before it");
             }
         }
-        let of = |(by, ticket, _): &&(usize, Ticket, Entry)| (*by, *ticket) == (machine, wish);
-        let Some((_, _, entry)) = self.wishes.iter().find(of) else { return };
+        let of = |(by, ticket, _): &&(usize, ProposalId, Entry)| (*by, *ticket) == (machine, proposal);
+        let Some((_, _, entry)) = self.proposals.iter().find(of) else { return };
         match answer {
-            Answer::Entered(slot) => {
+            Answer::Committed(slot) => {
                 if self.machines[machine].ledger.entry(slot) != Some(entry) {
                     self.broken = Some("what was answered as entered is something else");
                 }
                 self.acknowledged.insert(slot);
             }
             // As control answers it: whoever learned of the slots by a snapshot knows it by what was taken.
-            Answer::Moot if !is_taken(&self.machines[machine].ledger, entry) => self.moot.push(entry.clone()),
+            Answer::Superseded if !is_taken(&self.machines[machine].ledger, entry) => {
+                self.moot.push(entry.clone())
+            }
             _ => {}
         }
     }
@@ -291,7 +293,7 @@
             chosen: BTreeMap::new(),
             acknowledged: BTreeSet::new(),
             moot: Vec::new(),
-            wishes: Vec::new(),
+            proposals: Vec::new(),
             broken: None,
             clock: 0,
         };
@@ -302,13 +304,13 @@
             let ledger = ledger.expect("an empty disk");
             // The first configuration finds all machines with who votes on their disks.
             let disk = out.into_iter().filter_map(|one| match one {
-                Out::Store { record, .. } => Some(record),
+                Output::Store { record, .. } => Some(record),
                 _ => None,
             });
             world.machines.push(Machine { ledger, disk: disk.collect(), unsynced: Vec::new() });
         }
-        for (machine, entry) in self.wishes.clone() {
-            world.wish(self, machine, entry);
+        for (machine, entry) in self.proposals.clone() {
+            world.propose(self, machine, entry);
         }
         vec![world]
     }
@@ -353,14 +355,14 @@
             Step::Deliver(to, from, bytes) => {
                 let word = Frame::decode(bytes.as_slice()).ok()?.word?;
                 world.net.remove(&(to, from, bytes));
-                world.act(self, to, |ledger, now, out| ledger.hear(now, from, &word, out));
+                world.act(self, to, |ledger, now, out| ledger.on_message(now, from, &word, out));
             }
             Step::Sync(machine) => world.sync(self, machine),
             Step::Wake(machine) => {
                 world.wakes -= 1;
                 // A round that is given up, and after its pause the next one.
-                world.act(self, machine, |ledger, now, out| ledger.woke(now, out));
-                world.act(self, machine, |ledger, now, out| ledger.woke(now, out));
+                world.act(self, machine, |ledger, now, out| ledger.on_timer(now, out));
+                world.act(self, machine, |ledger, now, out| ledger.on_timer(now, out));
             }
             Step::Crash(machine, wiped) => {
                 world.crashes -= 1;
@@ -369,7 +371,7 @@
             }
             Step::Read(machine) => {
                 let least = world.acknowledged.last().copied().unwrap_or(0);
-                let ticket = world.machines[machine].ledger.next_ticket();
+                let ticket = world.machines[machine].ledger.next_proposal();
                 world.read = Some((ticket, least));
                 if self.flaw == Some(Flaw::ReadsAskNobody) {
                     world.answered(machine, ticket, Answer::Current);
@@ -383,7 +385,7 @@
             Step::After => {
                 world.after = false;
                 let (machine, entry) = self.after.clone()?;
-                world.wish(self, machine, entry);
+                world.propose(self, machine, entry);
             }
             Step::Beat(to, of) => {
                 let chosen = world.machines[of].ledger.chosen();
@@ -399,7 +401,7 @@
             Property::always("agreed", |_: &Scene, world: &World| world.broken.is_none()),
             // So that the other is not kept because nothing ever happens.
             Property::sometimes(LIVES, |scene: &Scene, world: &World| {
-                let entered = !world.acknowledged.is_empty() || scene.wishes.is_empty();
+                let entered = !world.acknowledged.is_empty() || scene.proposals.is_empty();
                 let wiped_votes = scene.wipes == 0 || world.wipes == 0 && world.all_vote();
                 entered && wiped_votes && (world.has_read || scene.reader.is_none())
             }),
@@ -413,11 +415,11 @@
 }
 
 fn scene(name: &str, flaw: Option<Flaw>) -> Option<Scene> {
-    let wishes = vec![(0, change(1)), (1, change(2))];
+    let proposals = vec![(0, change(1)), (1, change(2))];
     let base = Scene {
         flaw,
         machines: 3,
-        wishes,
+        proposals,
         after: None,
         wakes: 0,
         crashes: 0,
@@ -431,17 +433,19 @@
         "two changes" => Scene { wakes: 1 + u8::from(long()), ..base },
         "a crash" => Scene { wakes: u8::from(long()), crashes: 1, weak: Some(2), slow: true, ..base },
         "a lost disk" => Scene {
-            wishes: vec![(0, change(1))],
+            proposals: vec![(0, change(1))],
             after: Some((1, change(2))),
             crashes: 1,
             wipes: 1,
             weak: Some(2),
             ..base
         },
-        "a read" => Scene { wishes: vec![(0, change(1))], reader: Some(1), wakes: u8::from(long()), ..base },
+        "a read" => {
+            Scene { proposals: vec![(0, change(1))], reader: Some(1), wakes: u8::from(long()), ..base }
+        }
         "one more voter" => {
             let seat = Entry { matter: Some(Matter::Voters(seat)) };
-            Scene { machines: 4, wishes: vec![(0, seat)], wakes: u8::from(long()), ..base }
+            Scene { machines: 4, proposals: vec![(0, seat)], wakes: u8::from(long()), ..base }
         }
         _ => return None,
     })
--- a/crates/arrowyard-headworks/src/control.rs
+++ b/crates/arrowyard-headworks/src/control.rs
@@ -25,7 +25,7 @@
 
 use crate::applied::DUTY;
 use crate::promotion::{Ask, Promotions, Sight};
-use crate::{Answer, Cell, Duties, Ledger, Out, Ticket, View};
+use crate::{Answer, Cell, Duties, Ledger, Output, ProposalId, View};
 
 use calls::Caller;
 pub use departures::Departures;
@@ -95,12 +95,12 @@
     fence: Option<u64>,
     /// The duty's fence that a majority has confirmed since this machine was cut off last, and the question for it.
     confirmed: Option<u64>,
-    confirming: Option<Ticket>,
+    confirming: Option<ProposalId>,
     lines: FxHashMap<Conn, Line>,
     peers: BTreeMap<u32, Peer>,
     links: BTreeMap<String, Link>,
     /// Calls of the operator that wait for the ledger.
-    pending: FxHashMap<Ticket, calls::Pending>,
+    pending: FxHashMap<ProposalId, calls::Pending>,
     silent_here: Vec<arrowyard_conduit::Silent>,
     platform_calls: Vec<(Conn, Point)>,
     decisions: Decisions,
@@ -117,7 +117,7 @@
     in_touch: bool,
     shares: Shares,
     ending: Option<Point>,
-    ready: Vec<Out>,
+    ready: Vec<Output>,
 }
 
 impl Control {
@@ -196,23 +196,23 @@
     }
 
     /// Carries out what the ledger wants.
-    fn carry(&mut self, now: Point, out: Vec<Out>, orders: &mut Orders) {
+    fn carry(&mut self, now: Point, out: Vec<Output>, orders: &mut Orders) {
         let mut queue = std::collections::VecDeque::from(out);
         while let Some(one) = queue.pop_front() {
             match one {
-                Out::Send { to: 0, word } => self.say_to_peers(&word, orders),
-                Out::Send { to, word } => self.say_to_peer(to, &word, orders),
-                Out::Store { ticket, record } if self.has_disk => {
+                Output::Send { to: 0, word } => self.say_to_peers(&word, orders),
+                Output::Send { to, word } => self.say_to_peer(to, &word, orders),
+                Output::Store { ticket, record } if self.has_disk => {
                     self.disk.asked(now, ticket);
                     orders.store(ticket, record);
                 }
-                Out::Store { ticket, .. } => {
+                Output::Store { ticket, .. } => {
                     let mut more = Vec::new();
                     self.ledger.stored(now, ticket, true, &mut more);
                     queue.extend(more);
                 }
-                Out::Chosen { slot } => self.tell_chosen(now, slot, orders),
-                Out::Answered { wish, answer } => self.answered(now, wish, answer, orders),
+                Output::Chosen { slot } => self.tell_chosen(now, slot, orders),
+                Output::Answered { proposal, answer } => self.answered(now, proposal, answer, orders),
             }
         }
     }
@@ -222,7 +222,7 @@
         &mut self,
         now: Point,
         orders: &mut Orders,
-        act: impl FnOnce(&mut Ledger, &mut Vec<Out>) -> T,
+        act: impl FnOnce(&mut Ledger, &mut Vec<Output>) -> T,
     ) -> T {
         let mut out = Vec::new();
         let result = act(&mut self.ledger, &mut out);
@@ -294,7 +294,7 @@
     /// Asks a majority whether all that was agreed on is known here, this machine's hold of the duty among it.
     fn confirm(&mut self, now: Point, orders: &mut Orders) {
         if self.in_touch && self.confirming.is_none() {
-            self.confirming = Some(self.ledger.next_ticket());
+            self.confirming = Some(self.ledger.next_proposal());
             self.with_ledger(now, orders, |ledger, out| ledger.read_all(now, now + CONFIRMED, out));
         }
     }
@@ -303,7 +303,7 @@
     fn confirmation_answered(
         &mut self,
         now: Point,
-        ticket: Ticket,
+        ticket: ProposalId,
         answer: Answer,
         orders: &mut Orders,
     ) -> bool {
@@ -434,7 +434,7 @@
             Event::Woke => {}
         }
         if self.ledger.due().is_some_and(|at| at <= now) {
-            self.with_ledger(now, orders, |ledger, out| ledger.woke(now, out));
+            self.with_ledger(now, orders, |ledger, out| ledger.on_timer(now, out));
         }
         if self.tick_at <= now {
             self.tick(now, orders);
--- a/crates/arrowyard-headworks/src/control/calls.rs
+++ b/crates/arrowyard-headworks/src/control/calls.rs
@@ -11,7 +11,7 @@
 
 use super::{Control, Line};
 use crate::applied::change;
-use crate::{Answer, Ledger, Out, Standing, Ticket};
+use crate::{Answer, Ledger, Output, ProposalId, Standing};
 
 /// Hosts and routers that this many calls wait for at most on one connection.
 const BASE: &str = "Arrowyard-Base-Revision";
@@ -114,7 +114,7 @@
             ("GET", "/Config.Read") => {
                 let until = now + CLEAR;
                 let pending = Pending::Read { conn };
-                self.wish(now, conn, pending, orders, |ledger, out| ledger.read_all(now, until, out));
+                self.propose(now, conn, pending, orders, |ledger, out| ledger.read_all(now, until, out));
             }
             ("GET", "/status") => {
                 let body = self.status(now);
@@ -124,20 +124,20 @@
         }
     }
 
-    /// Wishes something of the ledger, for a caller who waits for it.
-    fn wish(
+    /// Proposes something to the ledger, for a caller who waits for it.
+    fn propose(
         &mut self,
         now: Point,
         conn: Conn,
         pending: Pending,
         orders: &mut Orders,
-        wish: impl FnOnce(&mut Ledger, &mut Vec<Out>) -> Ticket,
+        proposal: impl FnOnce(&mut Ledger, &mut Vec<Output>) -> ProposalId,
     ) {
-        // Danger: the answer may come before the wish is made; what it is for is laid down first.
-        let ticket = self.ledger.next_ticket();
+        // Danger: the answer may come before the proposal is made; what it is for is laid down first.
+        let ticket = self.ledger.next_proposal();
         self.pending.insert(ticket, pending);
         self.wait_for(conn);
-        self.with_ledger(now, orders, wish);
+        self.with_ledger(now, orders, proposal);
     }
 
     /// The answer to a caller is not known yet.
@@ -194,7 +194,8 @@
             Standing::Ahead if first => {
                 let until = now + CLEAR;
                 let pending = Pending::Learn { conn, revised };
-                return self.wish(now, conn, pending, orders, |ledger, out| ledger.read_all(now, until, out));
+                return self
+                    .propose(now, conn, pending, orders, |ledger, out| ledger.read_all(now, until, out));
             }
             standing => return self.answer_standing(conn, standing, revision, orders),
         }
@@ -204,7 +205,7 @@
                 let (until, revision) = (now + CLEAR, next.revision);
                 let entry = Entry { matter: Some(Matter::Configuration(revised.clone())) };
                 let pending = Pending::Change { conn, revised, revision };
-                self.wish(now, conn, pending, orders, |ledger, out| ledger.enter(now, entry, until, out));
+                self.propose(now, conn, pending, orders, |ledger, out| ledger.enter(now, entry, until, out));
             }
         }
     }
@@ -241,20 +242,20 @@
         self.reply(conn, 400, &fault(&refusal.to_string()), orders);
     }
 
-    /// The ledger answers a wish.
-    pub(super) fn answered(&mut self, now: Point, wish: Ticket, answer: Answer, orders: &mut Orders) {
-        if self.proposal_answered(now, wish, answer, orders)
-            || self.confirmation_answered(now, wish, answer, orders)
+    /// The ledger answers a proposal.
+    pub(super) fn answered(&mut self, now: Point, proposal: ProposalId, answer: Answer, orders: &mut Orders) {
+        if self.proposal_answered(now, proposal, answer, orders)
+            || self.confirmation_answered(now, proposal, answer, orders)
         {
             return;
         }
         // Nobody waits for a ballot of a duty: the ledger itself tells who holds it.
-        let Some(pending) = self.pending.remove(&wish) else { return };
+        let Some(pending) = self.pending.remove(&proposal) else { return };
         let conn = match &pending {
             Pending::Change { conn, .. } | Pending::Learn { conn, .. } | Pending::Read { conn } => *conn,
         };
         match (pending, answer) {
-            (_, Answer::Unclear) => self.reply(conn, 503, &fault("It is not clear yet; ask again."), orders),
+            (_, Answer::Unknown) => self.reply(conn, 503, &fault("It is not clear yet; ask again."), orders),
             (_, Answer::Full) => {
                 self.reply(conn, 503, &fault("Too much waits here; nothing was done."), orders)
             }
--- a/crates/arrowyard-headworks/src/control/mesh.rs
+++ b/crates/arrowyard-headworks/src/control/mesh.rs
@@ -372,7 +372,7 @@
             Word::Needs(needs) => self.needs(now, Some(ip), needs, orders),
             Word::Allots(allots) => self.allots(allots, orders),
             word @ Word::Pressed(_) => self.pressed(&word, orders),
-            word => self.with_ledger(now, orders, |ledger, out| ledger.hear(now, ip, &word, out)),
+            word => self.with_ledger(now, orders, |ledger, out| ledger.on_message(now, ip, &word, out)),
         }
     }
 
--- a/crates/arrowyard-headworks/src/control/platform.rs
+++ b/crates/arrowyard-headworks/src/control/platform.rs
@@ -13,7 +13,7 @@
 
 use super::{Control, Line};
 use crate::promotion::{Reply, Stage};
-use crate::{Answer, Ticket};
+use crate::{Answer, ProposalId};
 
 /// A platform that does not answer in so long is asked anew.
 const PLATFORM: Span = Span::from_millis(1200);
@@ -48,7 +48,7 @@
 pub struct Decisions {
     by_service: BTreeMap<String, Decided>,
     /// Proposals that the ledger has not answered.
-    proposed: BTreeMap<Ticket, String>,
+    proposed: BTreeMap<ProposalId, String>,
     last: u64,
     /// Nothing is decided before.
     from: Point,
@@ -116,7 +116,7 @@
         };
         let entry = Entry { matter: Some(Matter::Decision(decision)) };
         // The answer may come before the proposal is made; what it is for is laid down first.
-        self.decisions.proposed.insert(self.ledger.next_ticket(), service.to_string());
+        self.decisions.proposed.insert(self.ledger.next_proposal(), service.to_string());
         self.with_ledger(now, orders, |ledger, out| ledger.enter(now, entry, now + DECIDED, out));
     }
 
@@ -139,12 +139,12 @@
     pub(super) fn proposal_answered(
         &mut self,
         now: Point,
-        ticket: Ticket,
+        ticket: ProposalId,
         answer: Answer,
         orders: &mut Orders,
     ) -> bool {
         let Some(service) = self.decisions.proposed.remove(&ticket) else { return false };
-        if !matches!(answer, Answer::Entered(_)) {
+        if !matches!(answer, Answer::Committed(_)) {
             log::warn!("promotion: {service}: No majority agreed in time.");
             self.replied(now, &service, Reply::Platform { status: 0 }, orders);
         }
--- a/crates/arrowyard-headworks/src/ledger.rs
+++ b/crates/arrowyard-headworks/src/ledger.rs
@@ -29,32 +29,32 @@
 /// Entries that are kept for machines that are behind, and bytes of them; who is further behind takes a snapshot.
 const KEPT: usize = 512;
 const KEPT_BYTES: usize = 4 << 20;
-/// Wishes that wait at a time.
+/// Proposals that wait at a time.
 const MOST: usize = 256;
 
-/// What a wish is known by.
+/// What a proposal is known by.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(pub u64);
+pub struct ProposalId(pub u64);
 
-/// What came of a wish.
+/// What came of a proposal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
     /// Entered, in this slot.
-    Entered(u64),
+    Committed(u64),
     /// For a read: everything that was acknowledged before it was asked is known here.
     Current,
     /// It had not been entered by its time. It may still be.
-    Unclear,
+    Unknown,
     /// It was not entered and never will be.
     Full,
     /// It does not hold any more at the slot in which it would be entered. Danger: this machine may have learned the
     /// slots before by a snapshot, and it may be in one of them: see [`Applied::taken`] before anybody is told so.
-    Moot,
+    Superseded,
 }
 
 /// What the ledger wants done, in this order.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Out {
+pub enum Output {
     Send {
         to: u32,
         word: Word,
@@ -69,22 +69,22 @@
         slot: u64,
     },
     Answered {
-        wish: Ticket,
+        proposal: ProposalId,
         answer: Answer,
     },
 }
 
-/// What is wished for.
+/// What is proposed.
 #[derive(Clone, Debug, Hash)]
-enum Wish {
+enum Proposal {
     Enter(Entry),
     Read { heard: BTreeSet<u32>, slot: u64 },
 }
 
 #[derive(Clone, Debug)]
 struct Waiting {
-    ticket: Ticket,
-    wish: Wish,
+    ticket: ProposalId,
+    proposal: Proposal,
     until: Point,
 }
 
@@ -138,7 +138,7 @@
             .hash(state);
         (self.applied.snapshot(), &self.kept, self.promised, &self.accepted, &self.after).hash(state);
         self.round.iter().for_each(|round| (round.slot, round.ballot, &round.phase).hash(state));
-        self.waiting.iter().for_each(|waiting| (waiting.ticket, &waiting.wish).hash(state));
+        self.waiting.iter().for_each(|waiting| (waiting.ticket, &waiting.proposal).hash(state));
     }
 }
 
@@ -175,26 +175,26 @@
         self.applied.voters.iter().filter(|voter| heard.contains(voter)).count() >= self.majority()
     }
 
-    fn store(&mut self, kept: Kept, then: Option<(u32, Word)>, out: &mut Vec<Out>) -> u64 {
+    fn store(&mut self, kept: Kept, then: Option<(u32, Word)>, out: &mut Vec<Output>) -> u64 {
         self.last_record += 1;
         let ticket = self.last_record;
         then.map(|then| self.after.insert(ticket, then));
-        out.push(Out::Store { ticket, record: Record::bytes(kept) });
+        out.push(Output::Store { ticket, record: Record::bytes(kept) });
         ticket
     }
 
     /// Keeps something that is not the ledger's; the number of its record.
-    pub fn keep(&mut self, kept: Kept, out: &mut Vec<Out>) -> u64 {
+    pub fn keep(&mut self, kept: Kept, out: &mut Vec<Output>) -> u64 {
         self.store(kept, None, out)
     }
 
     /// A record is on disk, or could not be put there; then nothing is answered for it.
-    pub fn stored(&mut self, now: Point, ticket: u64, kept: bool, out: &mut Vec<Out>) {
+    pub fn stored(&mut self, now: Point, ticket: u64, kept: bool, out: &mut Vec<Output>) {
         if kept && self.vote_record == Some(ticket) {
             self.vote_record = None;
         }
         if let Some((to, word)) = self.after.remove(&ticket).filter(|_| kept) {
-            self.say(now, to, word, out);
+            self.send(now, to, word, out);
         }
     }
 
@@ -203,33 +203,33 @@
         self.vote_record = None;
     }
 
-    fn say(&mut self, now: Point, to: u32, word: Word, out: &mut Vec<Out>) {
-        if to == self.me { self.hear(now, to, &word, out) } else { out.push(Out::Send { to, word }) }
+    fn send(&mut self, now: Point, to: u32, word: Word, out: &mut Vec<Output>) {
+        if to == self.me { self.on_message(now, to, &word, out) } else { out.push(Output::Send { to, word }) }
     }
 
-    fn say_to_voters(&mut self, now: Point, word: &Word, out: &mut Vec<Out>) {
+    fn broadcast(&mut self, now: Point, word: &Word, out: &mut Vec<Output>) {
         for to in self.applied.voters.clone() {
-            self.say(now, to, word.clone(), out);
+            self.send(now, to, word.clone(), out);
         }
     }
 
     pub fn due(&self) -> Option<Point> {
-        let wishes = self.waiting.iter().map(|waiting| waiting.until);
+        let proposals = self.waiting.iter().map(|waiting| waiting.until);
         let round = self.round.iter().map(|round| round.until);
         // Danger: without voters no round can begin, and a time that is over would be due for ever.
         let begins = self.round.is_none() && !self.applied.voters.is_empty() && self.wants_round();
         let pause = begins.then_some(self.pause_until);
-        wishes.chain(round).chain(pause).min()
+        proposals.chain(round).chain(pause).min()
     }
 
-    pub fn woke(&mut self, now: Point, out: &mut Vec<Out>) {
+    pub fn on_timer(&mut self, now: Point, out: &mut Vec<Output>) {
         if self.round.as_ref().is_some_and(|round| round.until <= now) {
             self.lose_round(now);
         }
         self.waiting.retain(|waiting| {
             let late = waiting.until <= now;
             if late {
-                out.push(Out::Answered { wish: waiting.ticket, answer: Answer::Unclear });
+                out.push(Output::Answered { proposal: waiting.ticket, answer: Answer::Unknown });
             }
             !late
         });
@@ -237,7 +237,7 @@
     }
 
     /// Takes what another machine, or this one, says to it.
-    pub fn hear(&mut self, now: Point, from: u32, word: &Word, out: &mut Vec<Out>) {
+    pub fn on_message(&mut self, now: Point, from: u32, word: &Word, out: &mut Vec<Output>) {
         match word {
             Word::Prepare(prepare) => self.prepare(now, from, *prepare, out),
             Word::Promise(promise) => self.promise(now, from, promise, out),
@@ -250,7 +250,7 @@
                 let accepted = self.accepted.as_ref().map_or(0, |accepted| accepted.slot);
                 let (ticket, chosen) = (probe.ticket, self.applied.slot);
                 let word = Probed { ticket, chosen, accepted, votes: self.votes, promised: self.promised };
-                self.say(now, from, Word::Probed(word), out);
+                self.send(now, from, Word::Probed(word), out);
             }
             Word::Probed(probed) => self.probed(now, from, *probed, out),
             _ => {}
--- a/crates/arrowyard-headworks/src/ledger/acceptor.rs
+++ b/crates/arrowyard-headworks/src/ledger/acceptor.rs
@@ -4,7 +4,7 @@
 
 impl Ledger {
     /// Whether a voter answers for this slot; if not, it tells what it knows, or asks for what it lacks.
-    pub(super) fn is_open(&mut self, now: Point, from: u32, slot: u64, out: &mut Vec<Out>) -> bool {
+    pub(super) fn is_open(&mut self, now: Point, from: u32, slot: u64, out: &mut Vec<Output>) -> bool {
         let next = self.applied.slot + 1;
         if slot < next {
             self.fetch(now, from, Fetch { from: slot }, out);
@@ -14,7 +14,7 @@
         slot == next
     }
 
-    pub(super) fn prepare(&mut self, now: Point, from: u32, prepare: Prepare, out: &mut Vec<Out>) {
+    pub(super) fn prepare(&mut self, now: Point, from: u32, prepare: Prepare, out: &mut Vec<Output>) {
         self.seen = self.seen.max(prepare.ballot.round);
         if !self.is_open(now, from, prepare.slot, out) || !self.votes {
             return;
@@ -27,11 +27,11 @@
             self.store(Kept::Promised(Promised { slot, ballot }), Some((from, word)), out);
         } else {
             let word = Word::Promise(Promise { slot, ballot, promised: self.promised, accepted: None });
-            self.say(now, from, word, out);
+            self.send(now, from, word, out);
         }
     }
 
-    pub(super) fn accept(&mut self, now: Point, from: u32, accept: &Accept, out: &mut Vec<Out>) {
+    pub(super) fn accept(&mut self, now: Point, from: u32, accept: &Accept, out: &mut Vec<Output>) {
         self.seen = self.seen.max(accept.ballot.round);
         if !self.is_open(now, from, accept.slot, out) || !self.votes {
             return;
@@ -40,11 +40,11 @@
             self.take_vote(now, from, accept, out);
         } else {
             let word = Accepted { slot: accept.slot, ballot: accept.ballot, promised: self.promised };
-            self.say(now, from, Word::Accepted(word), out);
+            self.send(now, from, Word::Accepted(word), out);
         }
     }
 
-    pub(super) fn take_vote(&mut self, _now: Point, from: u32, accept: &Accept, out: &mut Vec<Out>) {
+    pub(super) fn take_vote(&mut self, _now: Point, from: u32, accept: &Accept, out: &mut Vec<Output>) {
         self.promised = accept.ballot;
         self.accepted = Some(accept.clone());
         let word = Accepted { slot: accept.slot, ballot: accept.ballot, promised: accept.ballot };
--- a/crates/arrowyard-headworks/src/ledger/learner.rs
+++ b/crates/arrowyard-headworks/src/ledger/learner.rs
@@ -3,23 +3,23 @@
 use super::*;
 
 impl Ledger {
-    pub(super) fn ask_for_more(&mut self, now: Point, from: u32, out: &mut Vec<Out>) {
+    pub(super) fn ask_for_more(&mut self, now: Point, from: u32, out: &mut Vec<Output>) {
         if from != self.me && now - self.fetched_at >= PAUSE {
             self.fetched_at = now;
             let from_slot = if self.applied.voters.is_empty() { 1 } else { self.applied.slot + 1 };
-            out.push(Out::Send { to: from, word: Word::Fetch(Fetch { from: from_slot }) });
+            out.push(Output::Send { to: from, word: Word::Fetch(Fetch { from: from_slot }) });
         }
     }
 
     /// Somebody is known to have more entries.
-    pub fn is_ahead(&mut self, now: Point, other: u32, chosen: u64, out: &mut Vec<Out>) {
+    pub fn is_ahead(&mut self, now: Point, other: u32, chosen: u64, out: &mut Vec<Output>) {
         if chosen > self.applied.slot || self.applied.voters.is_empty() {
             self.ask_for_more(now, other, out);
         }
     }
 
     /// A slot's entry is known. Slots are taken in order; what lies further ahead is asked for.
-    pub(super) fn learn(&mut self, now: Point, from: u32, chosen: Chosen, out: &mut Vec<Out>) {
+    pub(super) fn learn(&mut self, now: Point, from: u32, chosen: Chosen, out: &mut Vec<Output>) {
         // Danger: whoever does not know who votes lacks what stands before the first entry.
         if chosen.slot > self.applied.slot + 1 || self.applied.voters.is_empty() {
             return self.ask_for_more(now, from, out);
@@ -31,11 +31,11 @@
         self.store(Kept::Chosen(chosen.clone()), None, out);
         if mine {
             // Whoever voted, and the others through them.
-            out.push(Out::Send { to: 0, word: Word::Chosen(chosen.clone()) });
+            out.push(Output::Send { to: 0, word: Word::Chosen(chosen.clone()) });
         }
         let (slot, entry) = (chosen.slot, chosen.entry.clone());
         self.take_entry(chosen);
-        out.push(Out::Chosen { slot });
+        out.push(Output::Chosen { slot });
         if let Some(Matter::Voters(voters)) = &entry.matter
             && voters.voters == self.applied.voters
         {
@@ -49,18 +49,19 @@
             let record = self.snapshot(None);
             self.last_record += 1;
             self.vote_record = Some(self.last_record);
-            out.push(Out::Store { ticket: self.last_record, record });
+            out.push(Output::Store { ticket: self.last_record, record });
         }
-        let entered = |waiting: &Waiting| matches!(&waiting.wish, Wish::Enter(wished) if *wished == entry);
+        let entered =
+            |waiting: &Waiting| matches!(&waiting.proposal, Proposal::Enter(proposed) if *proposed == entry);
         if let Some(place) = self.waiting.iter().position(entered) {
             let waiting = self.waiting.remove(place).expect("its place was just found");
-            out.push(Out::Answered { wish: waiting.ticket, answer: Answer::Entered(slot) });
+            out.push(Output::Answered { proposal: waiting.ticket, answer: Answer::Committed(slot) });
         }
         if self.round.as_ref().is_some_and(|round| round.slot <= slot) {
             self.round = None;
         }
         self.settle_reads(None, out);
-        self.drop_moot(out);
+        self.drop_superseded(out);
         self.begin(now, out);
     }
 
@@ -75,7 +76,7 @@
         }
     }
 
-    pub(super) fn fetch(&mut self, now: Point, from: u32, fetch: Fetch, out: &mut Vec<Out>) {
+    pub(super) fn fetch(&mut self, now: Point, from: u32, fetch: Fetch, out: &mut Vec<Output>) {
         if from == self.me {
             return;
         }
@@ -86,11 +87,11 @@
         let snapshot = (known && whole || self.applied.slot == 0).then(|| self.applied.snapshot());
         let entries = if snapshot.is_some() { Vec::new() } else { entries };
         if snapshot.is_some() || !entries.is_empty() {
-            self.say(now, from, Word::Ledger(Entries { snapshot, entries }), out);
+            self.send(now, from, Word::Ledger(Entries { snapshot, entries }), out);
         }
     }
 
-    pub(super) fn entries(&mut self, now: Point, from: u32, entries: &Entries, out: &mut Vec<Out>) {
+    pub(super) fn entries(&mut self, now: Point, from: u32, entries: &Entries, out: &mut Vec<Output>) {
         if let Some(snapshot) = &entries.snapshot {
             let newer = snapshot.slot > self.applied.slot;
             let known = snapshot.slot == self.applied.slot && !snapshot.voters.is_empty();
@@ -103,10 +104,10 @@
                         (self.kept, self.kept_bytes) = (VecDeque::new(), 0);
                         self.round = None;
                         self.last_record += 1;
-                        out.push(Out::Store { ticket: self.last_record, record: self.snapshot(None) });
-                        out.push(Out::Chosen { slot: snapshot.slot });
+                        out.push(Output::Store { ticket: self.last_record, record: self.snapshot(None) });
+                        out.push(Output::Chosen { slot: snapshot.slot });
                         self.settle_reads(None, out);
-                        self.drop_moot(out);
+                        self.drop_superseded(out);
                     }
                     Err(fault) => log::error!("ledger: A snapshot cannot be read: {fault}."),
                 }
--- a/crates/arrowyard-headworks/src/ledger/proposer.rs
+++ b/crates/arrowyard-headworks/src/ledger/proposer.rs
@@ -3,37 +3,43 @@
 use super::*;
 
 impl Ledger {
-    /// The number that the next wish will have. Its answer may come before the call that makes it is over.
-    pub fn next_ticket(&self) -> Ticket {
-        Ticket(self.last + 1)
+    /// The number that the next proposal will have. Its answer may come before the call that makes it is over.
+    pub fn next_proposal(&self) -> ProposalId {
+        ProposalId(self.last + 1)
     }
 
-    /// Wishes an entry; what came of it is told by `until`.
-    pub fn enter(&mut self, now: Point, entry: Entry, until: Point, out: &mut Vec<Out>) -> Ticket {
-        self.wish(now, Wish::Enter(entry), until, out)
+    /// Proposes an entry; what came of it is told by `until`.
+    pub fn enter(&mut self, now: Point, entry: Entry, until: Point, out: &mut Vec<Output>) -> ProposalId {
+        self.propose(now, Proposal::Enter(entry), until, out)
     }
 
-    /// Wishes to know all that was acknowledged so far.
-    pub fn read_all(&mut self, now: Point, until: Point, out: &mut Vec<Out>) -> Ticket {
-        let ticket = self.wish(now, Wish::Read { heard: BTreeSet::new(), slot: 0 }, until, out);
-        self.say_to_voters(now, &Word::Probe(Probe { ticket: ticket.0 }), out);
+    /// Asks to know all that was acknowledged so far.
+    pub fn read_all(&mut self, now: Point, until: Point, out: &mut Vec<Output>) -> ProposalId {
+        let ticket = self.propose(now, Proposal::Read { heard: BTreeSet::new(), slot: 0 }, until, out);
+        self.broadcast(now, &Word::Probe(Probe { ticket: ticket.0 }), out);
         ticket
     }
 
-    pub(super) fn wish(&mut self, now: Point, wish: Wish, until: Point, out: &mut Vec<Out>) -> Ticket {
+    pub(super) fn propose(
+        &mut self,
+        now: Point,
+        proposal: Proposal,
+        until: Point,
+        out: &mut Vec<Output>,
+    ) -> ProposalId {
         self.last += 1;
-        let ticket = Ticket(self.last);
+        let ticket = ProposalId(self.last);
         if self.waiting.len() >= MOST {
-            out.push(Out::Answered { wish: ticket, answer: Answer::Full });
+            out.push(Output::Answered { proposal: ticket, answer: Answer::Full });
             return ticket;
         }
-        self.waiting.push_back(Waiting { ticket, wish, until });
+        self.waiting.push_back(Waiting { ticket, proposal, until });
         self.begin(now, out);
         ticket
     }
 
     /// Begins a round where there is something to enter and none is under way.
-    pub(super) fn begin(&mut self, now: Point, out: &mut Vec<Out>) {
+    pub(super) fn begin(&mut self, now: Point, out: &mut Vec<Output>) {
         if !self.wants_round()
             || self.round.is_some()
             || now < self.pause_until
@@ -45,14 +51,14 @@
         let (slot, ballot) = (self.applied.slot + 1, Ballot { round: self.seen, by: self.me });
         let phase = Phase::Preparing { promised: BTreeSet::new(), best: None };
         self.round = Some(Round { slot, ballot, phase, until: now + ROUND });
-        self.say_to_voters(now, &Word::Prepare(Prepare { slot, ballot }), out);
+        self.broadcast(now, &Word::Prepare(Prepare { slot, ballot }), out);
     }
 
     /// Whether there is something to enter, or to find out. Danger: what one voter accepted may be chosen.
     pub(super) fn wants_round(&self) -> bool {
-        let wants = |waiting: &Waiting| match &waiting.wish {
-            Wish::Enter(_) => true,
-            Wish::Read { heard, slot } => self.is_majority(heard) && *slot > self.applied.slot,
+        let wants = |waiting: &Waiting| match &waiting.proposal {
+            Proposal::Enter(_) => true,
+            Proposal::Read { heard, slot } => self.is_majority(heard) && *slot > self.applied.slot,
         };
         self.rejoins() || self.waiting.iter().any(wants)
     }
@@ -69,7 +75,7 @@
         self.pause_until = now + PAUSE + most * self.rng.f64();
     }
 
-    pub(super) fn promise(&mut self, now: Point, from: u32, promise: &Promise, out: &mut Vec<Out>) {
+    pub(super) fn promise(&mut self, now: Point, from: u32, promise: &Promise, out: &mut Vec<Output>) {
         self.seen = self.seen.max(promise.promised.round);
         let (majority, others, rejoins) = (self.majority(), self.others(), self.rejoins());
         let me = self.me;
@@ -117,10 +123,10 @@
             // Its own vote counts from this ballot on: others() voters promised it after whatever it knew before.
             self.take_vote(now, me, &accept, out);
             for to in self.applied.voters.clone().into_iter().filter(|&to| to != me) {
-                self.say(now, to, Word::Accept(accept.clone()), out);
+                self.send(now, to, Word::Accept(accept.clone()), out);
             }
         } else {
-            self.say_to_voters(now, &Word::Accept(accept), out);
+            self.broadcast(now, &Word::Accept(accept), out);
         }
     }
 
@@ -129,13 +135,13 @@
         if self.rejoins() {
             return Some(Entry { matter: Some(Matter::Rejoin(Rejoin { voter: self.me, life: self.life })) });
         }
-        self.waiting.iter().find_map(|waiting| match &waiting.wish {
-            Wish::Enter(entry) => Some(entry.clone()),
-            Wish::Read { .. } => None,
+        self.waiting.iter().find_map(|waiting| match &waiting.proposal {
+            Proposal::Enter(entry) => Some(entry.clone()),
+            Proposal::Read { .. } => None,
         })
     }
 
-    pub(super) fn accepted(&mut self, now: Point, from: u32, word: Accepted, out: &mut Vec<Out>) {
+    pub(super) fn accepted(&mut self, now: Point, from: u32, word: Accepted, out: &mut Vec<Output>) {
         self.seen = self.seen.max(word.promised.round);
         let (majority, others, rejoins, me) = (self.majority(), self.others(), self.rejoins(), self.me);
         if !self.is_counting(word.slot, word.ballot) {
@@ -156,12 +162,12 @@
     }
 
     /// What builds on a version, or on a holder, that is no more is told so: it will not be entered from here on.
-    pub(super) fn drop_moot(&mut self, out: &mut Vec<Out>) {
+    pub(super) fn drop_superseded(&mut self, out: &mut Vec<Output>) {
         let applied = &self.applied;
         self.waiting.retain(|waiting| {
-            let moot = matches!(&waiting.wish, Wish::Enter(entry) if !applied.holds(entry));
+            let moot = matches!(&waiting.proposal, Proposal::Enter(entry) if !applied.holds(entry));
             if moot {
-                out.push(Out::Answered { wish: waiting.ticket, answer: Answer::Moot });
+                out.push(Output::Answered { proposal: waiting.ticket, answer: Answer::Superseded });
             }
             !moot
         });
--- a/crates/arrowyard-headworks/src/ledger/reads.rs
+++ b/crates/arrowyard-headworks/src/ledger/reads.rs
@@ -3,13 +3,13 @@
 use super::*;
 
 impl Ledger {
-    pub(super) fn probed(&mut self, now: Point, from: u32, probed: Probed, out: &mut Vec<Out>) {
+    pub(super) fn probed(&mut self, now: Point, from: u32, probed: Probed, out: &mut Vec<Output>) {
         if probed.chosen > self.applied.slot {
             self.ask_for_more(now, from, out);
         }
         let ahead = probed.chosen.max(probed.accepted);
         for waiting in &mut self.waiting {
-            if let Wish::Read { heard, slot } = &mut waiting.wish
+            if let Proposal::Read { heard, slot } = &mut waiting.proposal
                 && waiting.ticket.0 == probed.ticket
                 && probed.votes
             {
@@ -23,15 +23,15 @@
 
     /// Answers the reads that a majority spoke to, once every slot is known that one of it knew of. A slot that a
     /// round of ballots found free holds nothing that was acknowledged before.
-    pub(super) fn settle_reads(&mut self, free: Option<u64>, out: &mut Vec<Out>) {
+    pub(super) fn settle_reads(&mut self, free: Option<u64>, out: &mut Vec<Output>) {
         let known = self.applied.slot;
         let waiting = std::mem::take(&mut self.waiting);
         for waiting in waiting {
-            match &waiting.wish {
-                Wish::Read { heard, slot }
+            match &waiting.proposal {
+                Proposal::Read { heard, slot }
                     if self.is_majority(heard) && (*slot <= known || Some(*slot) == free) =>
                 {
-                    out.push(Out::Answered { wish: waiting.ticket, answer: Answer::Current });
+                    out.push(Output::Answered { proposal: waiting.ticket, answer: Answer::Current });
                 }
                 _ => self.waiting.push_back(waiting),
             }
--- a/crates/arrowyard-headworks/src/ledger/recovery.rs
+++ b/crates/arrowyard-headworks/src/ledger/recovery.rs
@@ -12,7 +12,7 @@
         life: u64,
         records: &[Vec<u8>],
         founders: Option<&[u32]>,
-        out: &mut Vec<Out>,
+        out: &mut Vec<Output>,
     ) -> Result<Self, String> {
         let mut this = Ledger {
             me,
--- a/crates/arrowyard-headworks/src/lib.rs
+++ b/crates/arrowyard-headworks/src/lib.rs
@@ -15,7 +15,7 @@
 pub use cell::Cell;
 pub use control::{Control, DOORS, Departures, DiskWatch};
 pub use duty::Duties;
-pub use ledger::{Answer, Ledger, Out, Ticket};
+pub use ledger::{Answer, Ledger, Output, ProposalId};
 pub use promotion::{Ask, Promotion, Promotions, Reply, Sight, Stage, To, is_repeated};
 pub use record::{Kept, Memory, Record};
 pub use view::View;
--- a/crates/arrowyard-headworks/tests/ledger.rs
+++ b/crates/arrowyard-headworks/tests/ledger.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use arrowyard_conduit::{Ballot, Chosen, Duty, Entry, Matter, Prepare, Probed, Revised, Voters, Word};
-use arrowyard_headworks::{Answer, Applied, Digest, Kept, Ledger, Out, Record, Ticket, digest};
+use arrowyard_headworks::{Answer, Applied, Digest, Kept, Ledger, Output, ProposalId, Record, digest};
 use arrowyard_types::{Point, Span};
 use fastrand::Rng;
 use prost::Message;
@@ -61,22 +61,22 @@
         net
     }
 
-    fn carry(&mut self, machine: usize, out: Vec<Out>) {
+    fn carry(&mut self, machine: usize, out: Vec<Output>) {
         for one in out {
             match one {
-                Out::Send { to: 0, word } => {
+                Output::Send { to: 0, word } => {
                     for other in (0..self.machines.len()).filter(|other| *other != machine) {
                         self.post(machine, other, word.clone());
                     }
                 }
-                Out::Send { to, word } => self.post(machine, to as usize - 1, word),
-                Out::Store { ticket, record } => {
+                Output::Send { to, word } => self.post(machine, to as usize - 1, word),
+                Output::Store { ticket, record } => {
                     let done = self.now + Span::from_micros(self.rng.i64(500..6000));
                     self.syncs.push((done, machine, ticket, record, self.lives[machine]));
                 }
-                Out::Chosen { .. } => {}
-                Out::Answered { wish, answer } => {
-                    self.answers.insert((machine, self.lives[machine], wish.0), answer);
+                Output::Chosen { .. } => {}
+                Output::Answered { proposal, answer } => {
+                    self.answers.insert((machine, self.lives[machine], proposal.0), answer);
                 }
             }
         }
@@ -90,7 +90,7 @@
         }
     }
 
-    fn with(&mut self, machine: usize, act: impl FnOnce(&mut Ledger, Point, &mut Vec<Out>)) {
+    fn with(&mut self, machine: usize, act: impl FnOnce(&mut Ledger, Point, &mut Vec<Output>)) {
         let mut out = Vec::new();
         if let Some(ledger) = self.machines[machine].ledger.as_mut() {
             act(ledger, self.now, &mut out);
@@ -116,13 +116,13 @@
         self.mend_disks();
         let due: Vec<_> = self.mail.extract_if(.., |(at, ..)| *at <= now).collect();
         for (_, to, from, word) in due {
-            self.with(to, |ledger, now, out| ledger.hear(now, from, &word, out));
+            self.with(to, |ledger, now, out| ledger.on_message(now, from, &word, out));
         }
         for machine in 0..self.machines.len() {
             let late =
                 self.machines[machine].ledger.as_ref().and_then(Ledger::due).is_some_and(|at| at <= now);
             if late {
-                self.with(machine, |ledger, now, out| ledger.woke(now, out));
+                self.with(machine, |ledger, now, out| ledger.on_timer(now, out));
             }
         }
         // Beats tell who is ahead.
@@ -217,15 +217,15 @@
 /// One drawn history; what it shows of entries, reads and duties. With `seats`, who votes changes again and again.
 fn history(seed: u64, machines: usize, voters: usize, loss: f64, seats: bool) {
     let mut net = Net::new(seed, machines, voters, loss);
-    let mut wishes: Vec<((usize, u32, u64), Entry)> = Vec::new();
+    let mut proposals: Vec<((usize, u32, u64), Entry)> = Vec::new();
     let mut reads: Vec<((usize, u32, u64), u64)> = Vec::new();
     let mut acknowledged: Vec<(u64, Digest)> = Vec::new();
     let mut newest = 0;
     let (mut down, mut back) = (None, 0);
     for millis in 0..6000_u32 {
         net.step();
-        for (key, entry) in &wishes {
-            if let Some(Answer::Entered(_)) = net.answers.get(key)
+        for (key, entry) in &proposals {
+            if let Some(Answer::Committed(_)) = net.answers.get(key)
                 && let Some((revision, sum)) = revision(entry)
                 && net.machines[key.0]
                     .ledger
@@ -269,14 +269,14 @@
                 change(base + step * 10 + machine as u64, base)
             };
             if turn == 3 {
-                let mut ticket = Ticket::default();
+                let mut ticket = ProposalId::default();
                 net.with(machine, |ledger, now, out| ticket = ledger.read_all(now, until, out));
                 reads.push(((machine, life, ticket.0), newest));
             } else {
-                let mut ticket = Ticket::default();
-                let wished = entry.clone();
-                net.with(machine, |ledger, now, out| ticket = ledger.enter(now, wished, until, out));
-                wishes.push(((machine, life, ticket.0), entry));
+                let mut ticket = ProposalId::default();
+                let proposed = entry.clone();
+                net.with(machine, |ledger, now, out| ticket = ledger.enter(now, proposed, until, out));
+                proposals.push(((machine, life, ticket.0), entry));
             }
         }
         // One machine at a time is away; now and then without its disk, once the last one votes again.
@@ -404,14 +404,14 @@
 }
 
 /// A machine with an empty disk that nobody has told who votes: it waits, and does not ask to be woken at once again and
-/// again. It once did, as long as something was wished of it.
+/// again. It once did, as long as something was proposed of it.
 #[test]
 fn whoever_knows_no_voters_rests_till_its_wish_is_over() {
     let (mut out, now) = (Vec::new(), Point::from_micros(5_000_000));
     let mut ledger = Ledger::open(9, 1, &[], None, &mut out).expect("an empty disk");
     let until = now + Span::from_millis(1000);
     ledger.enter(now, change(5, 0), until, &mut out);
-    ledger.woke(now, &mut out);
+    ledger.on_timer(now, &mut out);
     assert_eq!(ledger.due(), Some(until));
 }
 
@@ -424,13 +424,13 @@
     let ticket = ledger.read_all(now, now + Span::from_millis(1000), &mut out);
     let probed =
         Probed { ticket: ticket.0, chosen: 0, accepted: 0, votes: true, promised: Ballot::default() };
-    ledger.hear(now, 1, &Word::Probed(probed), &mut out);
+    ledger.on_message(now, 1, &Word::Probed(probed), &mut out);
     let seats = Voters { voters: vec![1, 2, 3], before: vec![1, 2, 3, 4] };
     let entry = Entry { matter: Some(Matter::Voters(seats)) };
-    ledger.hear(now, 1, &Word::Chosen(Chosen { slot: 1, entry }), &mut out);
-    let answered = |out: &[Out]| out.iter().any(|one| matches!(one, Out::Answered { .. }));
+    ledger.on_message(now, 1, &Word::Chosen(Chosen { slot: 1, entry }), &mut out);
+    let answered = |out: &[Output]| out.iter().any(|one| matches!(one, Output::Answered { .. }));
     assert!(ledger.voters() == [1, 2, 3] && !answered(&out), "one of three has spoken");
-    ledger.hear(now, 2, &Word::Probed(probed), &mut out);
+    ledger.on_message(now, 2, &Word::Probed(probed), &mut out);
     assert!(answered(&out));
 }
 
@@ -442,8 +442,8 @@
     let mut ledger = Ledger::open(1, 1, &[], Some(&[1, 2, 3]), &mut out).expect("an empty disk");
     out.clear();
     let ballot = Ballot { round: 7, by: 2 };
-    ledger.hear(now, 2, &Word::Prepare(Prepare { slot: 1, ballot }), &mut out);
-    let Some(Out::Store { ticket, .. }) = out.pop() else { panic!("it stores its promise first") };
+    ledger.on_message(now, 2, &Word::Prepare(Prepare { slot: 1, ballot }), &mut out);
+    let Some(Output::Store { ticket, .. }) = out.pop() else { panic!("it stores its promise first") };
     ledger.stored(now, ticket, false, &mut out);
     ledger.recovered();
     ledger.stored(now, ticket, true, &mut out);
@@ -451,9 +451,9 @@
     let disk = [ledger.snapshot(None)];
     let mut again = Ledger::open(1, 2, &disk, None, &mut out).expect("what it wrote");
     let older = Prepare { slot: 1, ballot: Ballot { round: 6, by: 3 } };
-    again.hear(now, 3, &Word::Prepare(older), &mut out);
+    again.on_message(now, 3, &Word::Prepare(older), &mut out);
     let promised = out.iter().find_map(|one| match one {
-        Out::Send { word: Word::Promise(promise), .. } => Some(promise.promised),
+        Output::Send { word: Word::Promise(promise), .. } => Some(promise.promised),
         _ => None,
     });
     assert_eq!(promised, Some(ballot), "what it promised in memory binds it after the start as well");
