--- a/crates/arrowyard-basin/src/clients.rs
+++ b/crates/arrowyard-basin/src/clients.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use arrowyard_flume::{Answer, Code, Lines, Verdict};
-use arrowyard_penstock::{Conn, Event, Orders, Plane, Timers};
+use arrowyard_runtime::{Conn, Event, Orders, Plane, Timers};
 use arrowyard_types::{Point, Span};
 use fastrand::Rng;
 
--- a/crates/arrowyard-basin/src/day.rs
+++ b/crates/arrowyard-basin/src/day.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use arrowyard_penstock::Sign;
+use arrowyard_runtime::Sign;
 use arrowyard_types::{Point, Span};
 use fastrand::Rng;
 use serde::{Deserialize, Serialize};
--- a/crates/arrowyard-basin/src/host.rs
+++ b/crates/arrowyard-basin/src/host.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 
 use arrowyard_flume::{Answer, Ask, Lines, Position, State, split};
-use arrowyard_penstock::http::{Messages, call};
-use arrowyard_penstock::{Conn, Event, Orders, Plane, Timers};
+use arrowyard_runtime::http::{Messages, call};
+use arrowyard_runtime::{Conn, Event, Orders, Plane, Timers};
 use arrowyard_types::{Point, Span};
 use fastrand::Rng;
 
--- a/crates/arrowyard-basin/src/platform.rs
+++ b/crates/arrowyard-basin/src/platform.rs
@@ -4,8 +4,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use arrowyard_penstock::http::{Messages, Request, answer};
-use arrowyard_penstock::{Conn, Event, Orders, Plane, Timers};
+use arrowyard_runtime::http::{Messages, Request, answer};
+use arrowyard_runtime::{Conn, Event, Orders, Plane, Timers};
 use arrowyard_types::{Point, Span};
 
 use crate::history::Shared;
--- a/crates/arrowyard-basin/src/system.rs
+++ b/crates/arrowyard-basin/src/system.rs
@@ -4,9 +4,9 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 
+use arrowyard_control::Control;
 use arrowyard_gauge::Settings;
-use arrowyard_headworks::Control;
-use arrowyard_penstock::Plane;
+use arrowyard_runtime::Plane;
 use arrowyard_sluice::Sluice;
 use arrowyard_types::{Point, Span};
 use serde::{Deserialize, Serialize};
@@ -434,8 +434,8 @@
     fn handle(
         &mut self,
         now: Point,
-        event: arrowyard_penstock::Event<'_>,
-        orders: &mut arrowyard_penstock::Orders,
+        event: arrowyard_runtime::Event<'_>,
+        orders: &mut arrowyard_runtime::Orders,
     ) {
         self.plane.handle(Point::from_micros((now - self.since).micros()), event, orders);
     }
--- a/crates/arrowyard-basin/src/world.rs
+++ b/crates/arrowyard-basin/src/world.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
-use arrowyard_penstock::{Conn, Door, Event, Order, Orders, Plane, Sign, Why};
+use arrowyard_runtime::{Conn, Door, Event, Order, Orders, Plane, Sign, Why};
 use arrowyard_types::{Point, Span};
 use fastrand::Rng;
 use rustc_hash::FxHashMap;
--- a/crates/arrowyard-basin/tests/control.rs
+++ b/crates/arrowyard-basin/tests/control.rs
@@ -6,9 +6,9 @@
 use std::rc::Rc;
 
 use arrowyard_basin::{Day, DiskFault, Fault, Plan, System, Trouble, play};
-use arrowyard_headworks::REMEMBERED;
-use arrowyard_penstock::http::{Messages, call};
-use arrowyard_penstock::{Event, Orders, Plane};
+use arrowyard_control::REMEMBERED;
+use arrowyard_runtime::http::{Messages, call};
+use arrowyard_runtime::{Event, Orders, Plane};
 use arrowyard_types::{Point, Span};
 
 /// What a call was answered: its status and body; status 0 for a connection that ended without an answer.
--- a/crates/arrowyard-basin/tests/experiment.rs
+++ b/crates/arrowyard-basin/tests/experiment.rs
@@ -7,7 +7,7 @@
 use arrowyard_basin::experiment::{Outcome, compare, outcomes, with};
 use arrowyard_basin::failover::{Cause, longest_pause, outages};
 use arrowyard_basin::{Day, Disk, World, chart, drawn, play};
-use arrowyard_penstock::{Event, Orders, Plane};
+use arrowyard_runtime::{Event, Orders, Plane};
 use arrowyard_types::{Point, Span};
 use proptest::prelude::*;
 
@@ -173,7 +173,7 @@
     world.start(machine, Box::new(Restless { woken: woken.clone(), due: at(0) }));
     for turn in 0..200 {
         world.run(at(turn * 5));
-        world.sign(machine, arrowyard_penstock::Sign::Reread);
+        world.sign(machine, arrowyard_runtime::Sign::Reread);
     }
     // Once a millisecond after each sign; before ten more have passed there is another sign.
     let times = *woken.borrow();
--- a/crates/arrowyard-headworks/src/control.rs
+++ b/crates/arrowyard-control/src/control.rs
@@ -18,7 +18,7 @@
 
 use arrowyard_conduit::{Host, Known, Word, number, said};
 use arrowyard_gauge::Settings;
-use arrowyard_penstock::{Conn, Door, Event, Orders, Plane, Sign};
+use arrowyard_runtime::{Conn, Door, Event, Orders, Plane, Sign};
 use arrowyard_types::{Point, Span};
 use fastrand::Rng;
 use rustc_hash::FxHashMap;
--- a/crates/arrowyard-headworks/src/control/calls.rs
+++ b/crates/arrowyard-control/src/control/calls.rs
@@ -1,11 +1,11 @@
-//! The calls of hosts and operators. The page of calls is `openapi/headworks.yaml`.
+//! The calls of hosts and operators. The page of calls is `openapi/control.yaml`.
 
 use std::net::SocketAddrV4;
 
 use arrowyard_conduit::{DbRole, Entry, Host, Matter, Phase, Revised, number};
 use arrowyard_gauge::{Configuration, Refusal};
-use arrowyard_penstock::http::{Messages, Request, answer};
-use arrowyard_penstock::{Conn, Orders};
+use arrowyard_runtime::http::{Messages, Request, answer};
+use arrowyard_runtime::{Conn, Orders};
 use arrowyard_types::{Point, Span};
 use sonic_rs::{JsonValueTrait, Value};
 
--- a/crates/arrowyard-headworks/src/control/departures.rs
+++ b/crates/arrowyard-control/src/control/departures.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use arrowyard_conduit::{Departing, DepartureKept, Host, Phase, Word};
-use arrowyard_penstock::{Conn, Orders};
+use arrowyard_runtime::{Conn, Orders};
 use arrowyard_types::{Point, Span};
 
 use super::Control;
--- a/crates/arrowyard-headworks/src/control/feed.rs
+++ b/crates/arrowyard-control/src/control/feed.rs
@@ -1,7 +1,7 @@
 //! What routers are told: all of it once, then numbered changes. A router says which number it has.
 
 use arrowyard_conduit::{Change, Frames, Hello, Host, Known, Matter, Seen, Step, Whole, Word};
-use arrowyard_penstock::{Conn, Orders};
+use arrowyard_runtime::{Conn, Orders};
 use arrowyard_types::{Point, Span};
 
 use super::{Control, Line};
--- a/crates/arrowyard-headworks/src/control/hosts.rs
+++ b/crates/arrowyard-control/src/control/hosts.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use arrowyard_flume::{Answer, Code, Lines, Observed};
-use arrowyard_penstock::{Conn, Orders};
+use arrowyard_runtime::{Conn, Orders};
 use arrowyard_types::{Point, Span};
 
 use super::{Control, Line};
@@ -92,7 +92,7 @@
         if let Some(link) = self.links.get(&id)
             && let Some(conn) = link.conn
         {
-            orders.line(conn, &["OPEN ", &link.service, " headworks ", &id]);
+            orders.line(conn, &["OPEN ", &link.service, " control ", &id]);
         }
     }
 
--- a/crates/arrowyard-headworks/src/control/memory.rs
+++ b/crates/arrowyard-control/src/control/memory.rs
@@ -3,7 +3,7 @@
 //! it means. That a host leaves or has left was acknowledged, so it is never forgotten for an older word.
 
 use arrowyard_conduit::Host;
-use arrowyard_penstock::Orders;
+use arrowyard_runtime::Orders;
 use arrowyard_types::Point;
 use prost::Message;
 
--- a/crates/arrowyard-headworks/src/control/mesh.rs
+++ b/crates/arrowyard-control/src/control/mesh.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use arrowyard_conduit::{Beat, Cell, Frames, Hello, Word, said};
-use arrowyard_penstock::{Conn, Orders};
+use arrowyard_runtime::{Conn, Orders};
 use arrowyard_types::{Point, Span};
 
 use super::{Control, Line};
--- a/crates/arrowyard-headworks/src/control/platform.rs
+++ b/crates/arrowyard-control/src/control/platform.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeMap;
 
 use arrowyard_conduit::{Decision, Entry, Matter};
-use arrowyard_penstock::http::{Messages, call};
-use arrowyard_penstock::{Conn, Orders};
+use arrowyard_runtime::http::{Messages, call};
+use arrowyard_runtime::{Conn, Orders};
 use arrowyard_types::{Point, Span};
 
 use super::{Control, Line};
--- a/crates/arrowyard-headworks/src/control/seats.rs
+++ b/crates/arrowyard-control/src/control/seats.rs
@@ -1,7 +1,7 @@
 //! Who votes in the ledger: one machine at a time sees to it that enough do.
 
 use arrowyard_conduit::{Entry, Matter, Voters, number};
-use arrowyard_penstock::Orders;
+use arrowyard_runtime::Orders;
 use arrowyard_types::{Point, Span};
 
 use super::{Control, TICK};
--- a/crates/arrowyard-headworks/src/control/shares.rs
+++ b/crates/arrowyard-control/src/control/shares.rs
@@ -2,7 +2,7 @@
 //! routers that they feed.
 
 use arrowyard_conduit::{Allot, Allots, HostNeeds, Needs, Pressed, ServiceCap, Word};
-use arrowyard_penstock::{Conn, Orders};
+use arrowyard_runtime::{Conn, Orders};
 use arrowyard_types::{Point, Span};
 use arrowyard_weir::{Allotter, At, Need, Router as RouterId, Shown, Terms};
 use rustc_hash::FxHashMap;
--- a/crates/arrowyard-headworks/src/control/suspicions.rs
+++ b/crates/arrowyard-control/src/control/suspicions.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use arrowyard_conduit::{Suspect, Word};
-use arrowyard_penstock::Orders;
+use arrowyard_runtime::Orders;
 use arrowyard_types::{Point, Span};
 
 use super::Control;
--- a/crates/arrowyard-headworks/src/lib.rs
+++ b/crates/arrowyard-control/src/lib.rs
@@ -1,5 +1,5 @@
 //! The control plane: which hosts and routers there are, what the configuration is, who holds a duty. All of it
-//! decides without I/O; `arrowyard-penstock` carries out what it orders.
+//! decides without I/O; `arrowyard-runtime` carries out what it orders.
 
 mod applied;
 mod cell;
--- a/crates/arrowyard-headworks/tests/ledger.rs
+++ b/crates/arrowyard-control/tests/ledger.rs
@@ -4,8 +4,10 @@
 
 use std::collections::BTreeMap;
 
-use arrowyard_conduit::{Ballot, Chosen, Duty, Entry, Matter, Prepare, Probed, Revised, Voters, Word};
-use arrowyard_headworks::{Answer, Applied, Digest, Kept, Ledger, Output, ProposalId, Record, digest};
+use arrowyard_conduit::{
+    Ballot, Chosen, Duty, Entry, Ledger as Entries, Matter, Prepare, Probed, Revised, Voters, Word,
+};
+use arrowyard_control::{Answer, Applied, Digest, Kept, Ledger, Output, ProposalId, Record, digest};
 use arrowyard_types::{Point, Span};
 use fastrand::Rng;
 use prost::Message;
@@ -499,3 +501,21 @@
     let ledger = net.machines[2].ledger.as_ref().expect("it is up");
     assert!(seen_before && ledger.is_vote_durable());
 }
+
+/// A snapshot that was under way for long is older than what is known by now: taking it would undo entries, and free the
+/// slots behind them for others.
+#[test]
+fn an_older_snapshot_is_passed_over() {
+    let mut net = Net::new(17, 3, 3, 0.0);
+    let mut enter = |revision, base| {
+        let until = net.now + Span::from_millis(2000);
+        net.with(0, |ledger, now, out| _ = ledger.enter(now, change(revision, base), until, out));
+        (0..300).for_each(|_| net.step());
+        net.machines[0].ledger.as_ref().expect("it is up").applied().snapshot()
+    };
+    let (older, newer) = (enter(5, 0), enter(9, 5));
+    let word = Word::Ledger(Entries { snapshot: Some(older), entries: Vec::new() });
+    net.with(0, |ledger, now, out| ledger.on_message(now, 2, &word, out));
+    let ledger = net.machines[0].ledger.as_ref().expect("it is up");
+    assert_eq!(ledger.applied().snapshot(), newer);
+}
--- a/crates/arrowyard-penstock/tests/faulty/mod.rs
+++ b/crates/arrowyard-runtime/tests/faulty/mod.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::sync::{Arc, Mutex};
 
-use arrowyard_penstock::Folder;
+use arrowyard_runtime::Folder;
 use fastrand::Rng;
 use redb::StorageBackend;
 
--- a/crates/arrowyard-penstock/tests/journal.rs
+++ b/crates/arrowyard-runtime/tests/journal.rs
@@ -2,7 +2,7 @@
 
 mod faulty;
 
-use arrowyard_penstock::{Directory, Journal, JournalError};
+use arrowyard_runtime::{Directory, Journal, JournalError};
 use fastrand::Rng;
 use faulty::{Fault, FaultyFolder};
 
--- a/crates/arrowyard-penstock/tests/parts.rs
+++ b/crates/arrowyard-runtime/tests/parts.rs
@@ -4,8 +4,8 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use arrowyard_penstock::http::{Messages, answer, call};
-use arrowyard_penstock::{Event, Orders, Plane, Plumbing, Timers, open_store, run};
+use arrowyard_runtime::http::{Messages, answer, call};
+use arrowyard_runtime::{Event, Orders, Plane, Plumbing, Timers, open_store, run};
 use arrowyard_types::Point;
 use proptest::prelude::*;
 
@@ -67,7 +67,7 @@
 
 fn folder() -> PathBuf {
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    let name = format!("arrowyard-penstock-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+    let name = format!("arrowyard-runtime-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
     std::env::temp_dir().join(name)
 }
 
--- a/crates/arrowyard-sluice/src/lib.rs
+++ b/crates/arrowyard-sluice/src/lib.rs
@@ -1,5 +1,5 @@
 //! The data plane: clients' sessions before, hosts' connections behind, and the module between them, which picks the
-//! host of every statement that may choose. It decides without I/O; `arrowyard-penstock` carries out what it orders.
+//! host of every statement that may choose. It decides without I/O; `arrowyard-runtime` carries out what it orders.
 
 mod fresh;
 mod link;
--- a/crates/arrowyard-sluice/src/link.rs
+++ b/crates/arrowyard-sluice/src/link.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use arrowyard_flume::{Code, Lines, Mode, Position};
-use arrowyard_penstock::Conn;
+use arrowyard_runtime::Conn;
 use arrowyard_types::{HostId, OpId, Point, SendNo};
 use arrowyard_weir::ServiceId;
 use rustc_hash::FxHashSet;
--- a/crates/arrowyard-sluice/src/plane.rs
+++ b/crates/arrowyard-sluice/src/plane.rs
@@ -11,8 +11,8 @@
 
 use arrowyard_conduit::{Known, number};
 use arrowyard_gauge::Settings;
-use arrowyard_penstock::http::{Messages, answer};
-use arrowyard_penstock::{Conn, Door, Event, Orders, Plane, Sign, Timers};
+use arrowyard_runtime::http::{Messages, answer};
+use arrowyard_runtime::{Conn, Door, Event, Orders, Plane, Sign, Timers};
 use arrowyard_types::{Action, Cookie, HostId, Note, OpId, Point, Span};
 use rustc_hash::FxHashMap;
 
--- a/crates/arrowyard-sluice/src/plane/clients.rs
+++ b/crates/arrowyard-sluice/src/plane/clients.rs
@@ -4,7 +4,7 @@
 
 use arrowyard_flume::{Ask as Said, Code, Mode, State, Text};
 use arrowyard_gauge::Channel;
-use arrowyard_penstock::{Conn, Orders};
+use arrowyard_runtime::{Conn, Orders};
 use arrowyard_types::{Note, Point, Span};
 use bytes::Bytes;
 
--- a/crates/arrowyard-sluice/src/plane/feed.rs
+++ b/crates/arrowyard-sluice/src/plane/feed.rs
@@ -6,7 +6,7 @@
 
 use arrowyard_conduit::{Change, Frames, Hello, Host, Known, Seen, Step, Suspect, Whole, Word, number, said};
 use arrowyard_gauge::{Change as Revision, ChangeKind, Configuration};
-use arrowyard_penstock::{Conn, Orders};
+use arrowyard_runtime::{Conn, Orders};
 use arrowyard_types::{Note, Point, Span};
 
 use super::{Alarm, Line, Sluice};
--- a/crates/arrowyard-sluice/src/plane/hosts.rs
+++ b/crates/arrowyard-sluice/src/plane/hosts.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use arrowyard_flume::{Answer, Code, OWN, Observed, Position, State};
-use arrowyard_penstock::{Conn, Orders, Why};
+use arrowyard_runtime::{Conn, Orders, Why};
 use arrowyard_types::{HostId, Note, OpId, Outcome, Point, Role, Span, Word};
 
 use super::ops::{Floor, MUTE};
--- a/crates/arrowyard-sluice/src/plane/ops.rs
+++ b/crates/arrowyard-sluice/src/plane/ops.rs
@@ -2,7 +2,7 @@
 
 use arrowyard_flume::{Code, State, Verdict};
 use arrowyard_gauge::{Channel, Kind as Freshness};
-use arrowyard_penstock::{Conn, Orders};
+use arrowyard_runtime::{Conn, Orders};
 use arrowyard_types::{
     Ask as Asked, Ended, HostId, Note, OpId, Outcome, Point, Role, SendNo, SessionId, Span, TenantId, Word,
 };
--- a/crates/arrowyard-sluice/src/plane/shares.rs
+++ b/crates/arrowyard-sluice/src/plane/shares.rs
@@ -5,7 +5,7 @@
 
 use arrowyard_conduit::{Allots, HostNeeds, Needs, Phase, Word, said};
 use arrowyard_gauge::{Channel, Kind as Freshness};
-use arrowyard_penstock::{Conn, Orders};
+use arrowyard_runtime::{Conn, Orders};
 use arrowyard_types::{HostId, Note, Point, Span, TenantId};
 use arrowyard_weir::{Allot, Holder, Meter, Milli, Need, ServiceId, Terms, places};
 
--- a/crates/arrowyard-sluice/src/session.rs
+++ b/crates/arrowyard-sluice/src/session.rs
@@ -5,7 +5,7 @@
 
 use arrowyard_flume::{Lines, Mode, Position, State};
 use arrowyard_gauge::Channel;
-use arrowyard_penstock::Conn;
+use arrowyard_runtime::Conn;
 use arrowyard_types::{HostId, OpId, OpTypeId, Point, Span};
 use arrowyard_weir::ServiceId;
 use bytes::Bytes;
--- a/crates/arrowyard-sluice/tests/helpers/mod.rs
+++ b/crates/arrowyard-sluice/tests/helpers/mod.rs
@@ -5,7 +5,7 @@
 
 use arrowyard_conduit::{DbRole, Host, Phase, Whole, Word, said};
 use arrowyard_gauge::Settings;
-use arrowyard_penstock::{Conn, Event, Order, Orders, Plane};
+use arrowyard_runtime::{Conn, Event, Order, Orders, Plane};
 use arrowyard_sluice::{DOORS, Sluice};
 use arrowyard_types::{Point, Span};
 
--- a/crates/arrowyard-sluice/tests/plane.rs
+++ b/crates/arrowyard-sluice/tests/plane.rs
@@ -2,11 +2,11 @@
 
 mod helpers;
 
-use arrowyard_penstock::{Event, Why};
+use arrowyard_runtime::{Event, Why};
 use helpers::Hand;
 
 /// A client inside a transaction that ran one statement, and the connection that holds it.
-fn inside(hand: &mut Hand) -> (arrowyard_penstock::Conn, arrowyard_penstock::Conn) {
+fn inside(hand: &mut Hand) -> (arrowyard_runtime::Conn, arrowyard_runtime::Conn) {
     let client = hand.client();
     hand.says(client, "QUERY a1 BEGIN");
     assert_eq!(hand.hears(client), ["SETTLED -", "IDLE T -"]);
--- a/crates/arrowyard-sluice/tests/units.rs
+++ b/crates/arrowyard-sluice/tests/units.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use arrowyard_flume::{Mode, Position};
-use arrowyard_penstock::Conn;
+use arrowyard_runtime::Conn;
 use arrowyard_sluice::{Link, Paces, Timeline, Values};
 use arrowyard_types::{HostId, OpTypeId, Point, Span};
 use fastrand::Rng;
--- a/crates/arrowyard-works/src/bin/arrowyard-headworks.rs
+++ b/crates/arrowyard-works/src/bin/arrowyard-control.rs
@@ -5,8 +5,8 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use arrowyard_headworks::Control;
-use arrowyard_penstock::{Plumbing, Recovered, Store, open_store, run};
+use arrowyard_control::Control;
+use arrowyard_runtime::{Plumbing, Recovered, Store, open_store, run};
 use arrowyard_works as works;
 use arrowyard_works::show::{self, Part};
 use bpaf::Bpaf;
--- a/crates/arrowyard-works/src/bin/arrowyard-sluice.rs
+++ b/crates/arrowyard-works/src/bin/arrowyard-sluice.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use arrowyard_penstock::{Plumbing, run};
+use arrowyard_runtime::{Plumbing, run};
 use arrowyard_sluice::Sluice;
 use arrowyard_works as works;
 use bpaf::Bpaf;
--- a/crates/arrowyard-works/src/show.rs
+++ b/crates/arrowyard-works/src/show.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-use arrowyard_penstock::http::{Messages, call};
+use arrowyard_runtime::http::{Messages, call};
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 
 /// A machine that does not answer in so long is told as one that does not.
--- a/crates/arrowyard-works/tests/helpers/mod.rs
+++ b/crates/arrowyard-works/tests/helpers/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use arrowyard_basin::{DatabaseHost, HostFaults, HostPlan, Platform, Shard};
-use arrowyard_penstock::{Plumbing, run};
+use arrowyard_runtime::{Plumbing, run};
 use arrowyard_standins::rig::memory;
 use arrowyard_types::Span;
 
@@ -114,7 +114,7 @@
         thread::spawn(move || {
             let history = Rc::default();
             let shard = Rc::new(RefCell::new(Shard::new("s0", &ids, Span::from_millis(5))));
-            let mut planes: Vec<Box<dyn arrowyard_penstock::Plane>> = Vec::new();
+            let mut planes: Vec<Box<dyn arrowyard_runtime::Plane>> = Vec::new();
             let mut doors = Vec::new();
             for (copy, id) in ids.iter().enumerate() {
                 let address = SocketAddrV4::new(Ipv4Addr::new(127, 9, net, 60 + copy as u8), port);
@@ -164,7 +164,7 @@
         let ip = control_ip(self.net, number);
         let doors = format!("  control: \"{ip}:{}\"", self.ports[0]);
         let settings = self.settings(&format!("core-{number}"), ip, &doors, first, true);
-        Process::start(&program("arrowyard-headworks"), &settings)
+        Process::start(&program("arrowyard-control"), &settings)
     }
 
     pub fn front(&self) -> SocketAddrV4 {
@@ -210,18 +210,18 @@
 
 /// Several planes on one loop: each has its door, and every connection is one plane's.
 struct Together {
-    planes: Vec<Box<dyn arrowyard_penstock::Plane>>,
-    of: std::collections::BTreeMap<arrowyard_penstock::Conn, usize>,
+    planes: Vec<Box<dyn arrowyard_runtime::Plane>>,
+    of: std::collections::BTreeMap<arrowyard_runtime::Conn, usize>,
 }
 
-impl arrowyard_penstock::Plane for Together {
+impl arrowyard_runtime::Plane for Together {
     fn handle(
         &mut self,
         now: arrowyard_types::Point,
-        event: arrowyard_penstock::Event<'_>,
-        orders: &mut arrowyard_penstock::Orders,
+        event: arrowyard_runtime::Event<'_>,
+        orders: &mut arrowyard_runtime::Orders,
     ) {
-        use arrowyard_penstock::{Door, Event, Order};
+        use arrowyard_runtime::{Door, Event, Order};
         let (place, event) = match event {
             Event::Accepted { conn, door } => {
                 self.of.insert(conn, usize::from(door.0));
--- a/crates/arrowyard-works/tests/processes.rs
+++ b/crates/arrowyard-works/tests/processes.rs
@@ -133,7 +133,7 @@
     let fleet = Fleet::new(5);
     let _controls = started(&fleet);
     let show = |address: String, part: &str| {
-        let mut command = Command::new(program("arrowyard-headworks"));
+        let mut command = Command::new(program("arrowyard-control"));
         let output = command.args(["show", &address, part]).output().expect("it runs");
         let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
         (output.status.code(), text(&output.stdout), text(&output.stderr))
