--- a/crates/arrowyard-basin/tests/control.rs
+++ b/crates/arrowyard-basin/tests/control.rs
@@ -140,6 +140,17 @@
         self.ask(control, &call("GET", "/status", "c", &[], "")).1
     }
 
+    /// Machines that carry the duty out at this moment.
+    fn holders(&mut self) -> Vec<usize> {
+        let text = call("GET", "/status", "c", &[], "");
+        let asked: Vec<Answer> = (0..self.system.controls.len()).map(|one| self.begin(one, &text)).collect();
+        self.pass(5);
+        let carries = |answer: &Answer| {
+            answer.borrow().as_ref().is_some_and(|(_, body)| body.contains("\"divides\":true"))
+        };
+        asked.iter().enumerate().filter(|(_, answer)| carries(answer)).map(|(one, _)| one).collect()
+    }
+
     fn cut(&mut self, control: usize, how: Cut) {
         let one = self.system.controls[control];
         for other in self.system.controls.clone().into_iter().filter(|other| *other != one) {
@@ -284,6 +295,31 @@
     }
 }
 
+/// Point 1: a holder of the duty that is cut off carries it out no more before another one does; after the cut one does.
+#[test]
+fn no_two_machines_carry_the_duty_out_at_once() {
+    for how in [Cut::Both, Cut::Mute, Cut::Deaf] {
+        for turn in 0..4 {
+            let mut fleet = Fleet::new(3, 1);
+            fleet.pass(turn * 170);
+            let holder = fleet.holders().pop().expect("the duty is held");
+            fleet.cut(holder, how);
+            let mut seen = Vec::new();
+            for step in 0..500 {
+                if step == 400 {
+                    fleet.heal(holder);
+                }
+                let holders = fleet.holders();
+                assert!(holders.len() <= 1, "{how:?}, turn {turn}, step {step}: {holders:?}");
+                seen.extend(holders.into_iter().filter(|one| *one != holder));
+                fleet.pass(10);
+            }
+            assert!(!seen.is_empty(), "{how:?}, turn {turn}: nobody took it up");
+            assert_eq!(fleet.holders().len(), 1, "{how:?}, turn {turn}");
+        }
+    }
+}
+
 /// Point 2: two operators under one number, and orders that come again, at once and at all machines.
 #[test]
 fn one_of_two_orders_of_one_number_is_taken_and_comes_again_as_often_as_it_likes() {
@@ -363,6 +399,29 @@
     }
 }
 
+/// Point 3: how long one more loss would leave no majority, from the end of a voter to its successor's vote; also where the
+/// voter held the duty.
+#[test]
+fn a_voter_that_is_gone_is_replaced_within_four_seconds() {
+    for gone in 0..3 {
+        let mut fleet = Fleet::new(4, 1);
+        let ends = fleet.system.world.now;
+        fleet.system.remove_control(gone);
+        let address = format!("\"10.0.0.{}\"", gone + 1);
+        let other = fleet.system.control_of(0);
+        let voters = |status: &str| {
+            let voters = status.split("\"voters\":[").nth(1).and_then(|rest| rest.split(']').next());
+            voters.unwrap_or_default().to_string()
+        };
+        while voters(&fleet.status(other)).contains(&address) {
+            let waited = fleet.system.world.now - ends;
+            assert!(waited <= ms(4000), "{gone}: {waited:?}");
+            fleet.pass(50);
+        }
+        assert_eq!(voters(&fleet.status(other)).split(',').count(), 3, "{gone}");
+    }
+}
+
 /// Point 4: a machine that was away for more entries than any other keeps, and one that lost its disk, catch up.
 #[test]
 fn a_machine_that_was_away_for_hundreds_of_changes_catches_up_and_shows_nothing_old_meanwhile() {
--- a/crates/arrowyard-control/src/control/seats.rs
+++ b/crates/arrowyard-control/src/control/seats.rs
@@ -1,11 +1,10 @@
-//! Who votes in the ledger: one machine at a time sees to it that enough do.
+//! Who votes in the ledger: the holder of the duty sees to it that enough do.
 
 use arrowyard_conduit::{Entry, Matter, Voters, number};
 use arrowyard_runtime::Orders;
 use arrowyard_types::{Point, Span};
 
 use super::{Control, TICK};
-use crate::applied::DUTY;
 use crate::seats::{Machine, next, wanted};
 
 /// Between two changes.
@@ -41,23 +40,10 @@
         [me].into_iter().chain(others).collect()
     }
 
-    /// Whether it is this machine that sees to the seats: the holder of the duty, or while that one is not heard of the
-    /// machine with the lowest address. Two that do so at once do no harm: a change names the voters that it follows.
-    fn fills_seats(&self, now: Point) -> bool {
-        let duty = self.ledger.applied().duties.get(DUTY);
-        let is_live = |holder: u32, life: u64| {
-            self.live_peers(now).any(|(ip, peer)| *ip == holder && peer.known_life() == Some(life))
-        };
-        match duty {
-            Some(duty) if duty.holder == self.me && duty.life == self.life => self.fence.is_some(),
-            Some(duty) if is_live(duty.holder, duty.life) => false,
-            _ => self.live_peers(now).all(|(ip, _)| self.me < *ip),
-        }
-    }
-
-    /// Sees to it that enough machines vote.
+    /// Whoever holds the duty sees to it that enough machines vote. A holder that is lost is replaced before it counts as
+    /// gone for its seat.
     pub(super) fn fill_seats(&mut self, now: Point, orders: &mut Orders) {
-        if now < self.seat_at || !self.is_in_touch(now) || !self.fills_seats(now) {
+        if self.fence.is_none() || now < self.seat_at || !self.is_in_touch(now) {
             return;
         }
         let before = self.ledger.voters().to_vec();
