A frozen holder of the duty has a test; a guard for it was tried and thrown away

Tried: a machine to which nothing happened for a second counts as cut off until it hears of the others. The test holds without it (what came meanwhile is handled first), and a machine that is slowed would let its routers go; so it is not kept.

--- a/crates/arrowyard-basin/tests/control.rs
+++ b/crates/arrowyard-basin/tests/control.rs
@@ -320,6 +320,27 @@
     }
 }
 
+/// Point 1: a holder of the duty that was frozen wakes up, and does not go on as though nothing had been.
+#[test]
+fn a_holder_that_wakes_after_a_freeze_carries_nothing_out_before_it_is_confirmed() {
+    for turn in 0..4 {
+        let mut fleet = Fleet::new(3, 1);
+        fleet.pass(turn * 170);
+        let holder = fleet.holders().pop().expect("the duty is held");
+        let machine = fleet.system.controls[holder];
+        fleet.system.world.freeze(machine, true);
+        fleet.pass(5000);
+        assert!(fleet.holders().iter().all(|one| *one != holder), "another one holds it");
+        fleet.system.world.freeze(machine, false);
+        for step in 0..200 {
+            let holders = fleet.holders();
+            assert!(!holders.contains(&holder), "turn {turn}, step {step}: {holders:?}");
+            fleet.pass(5);
+        }
+        assert_eq!(fleet.holders().len(), 1);
+    }
+}
+
 /// Point 2: two operators under one number, and orders that come again, at once and at all machines.
 #[test]
 fn one_of_two_orders_of_one_number_is_taken_and_comes_again_as_often_as_it_likes() {
