--- a/crates/arrowyard-basin/src/acknowledgements.rs
+++ b/crates/arrowyard-basin/src/acknowledgements.rs
@@ -4,13 +4,10 @@
 
 use arrowyard_types::{Point, Span};
 use fastrand::Rng;
-use hdrhistogram::Histogram;
 
 use crate::day::{Day, Fault, Trouble, play};
-use crate::failover::longest_pause;
+use crate::failover::{Outages, longest_pause, measured};
 
-/// No day is longer, in milliseconds.
-const LONGEST: u64 = 100_000;
 /// Changes are sent from then on, so often and so many, in seconds.
 const FIRST: f64 = 4.0;
 const EVERY: f64 = 0.1;
@@ -30,19 +27,6 @@
     Trouble::HangDisk,
 ];
 
-/// Times without an acknowledgement, in milliseconds.
-#[derive(Clone, Debug)]
-pub struct Pauses {
-    pub cases: u64,
-    pub p50: u64,
-    pub p99: u64,
-    pub worst: u64,
-    /// Cases in which no change was acknowledged any more.
-    pub never: u64,
-    /// Days on which a rule was broken.
-    pub broken: u64,
-}
-
 /// A day on which it happens, from when and until when.
 fn day(trouble: Trouble, seed: u64) -> (Day, Point, Point) {
     let mut rng = Rng::with_seed(seed ^ 0xacc5);
@@ -56,20 +40,12 @@
 }
 
 /// Plays so many drawn cases of one trouble.
-pub fn pauses(trouble: Trouble, cases: u64, from: u64) -> Pauses {
-    let mut times = Histogram::<u64>::new_with_max(LONGEST, 3).expect("three digits can be kept");
-    let (mut never, mut broken) = (0, 0);
-    for seed in from..from + cases {
+pub fn pauses(trouble: Trouble, cases: u64, from: u64) -> Outages {
+    measured(cases, from, |seed| {
         let (day, begins, ends) = day(trouble, seed);
         let played = play(&day);
-        broken += u64::from(!played.breaches.is_empty());
-        match longest_pause(&played.acks, begins, ends) {
-            Some(pause) => times.saturating_record((pause.micros() / 1000).max(0) as u64),
-            None => never += 1,
-        }
-    }
-    let part = |share| times.value_at_quantile(share);
-    Pauses { cases, p50: part(0.5), p99: part(0.99), worst: times.max(), never, broken }
+        (longest_pause(&played.acks, begins, ends), !played.breaches.is_empty())
+    })
 }
 
 /// What a change may wait at most, whatever happens to one control machine: a call that is not answered is given up after
--- a/crates/arrowyard-basin/src/capacity.rs
+++ b/crates/arrowyard-basin/src/capacity.rs
@@ -78,6 +78,7 @@
         limit: 57,
         zones: 3,
         tolerance: 1,
+        fence_checked: true,
         surges: Vec::new(),
         divides: true,
         shares: String::new(),
--- a/crates/arrowyard-basin/src/day.rs
+++ b/crates/arrowyard-basin/src/day.rs
@@ -150,6 +150,9 @@
     /// How many control machines may be lost at once.
     #[serde(default = "one")]
     pub tolerance: u32,
+    /// Whether the platform refuses a fence that is lower than one it has seen.
+    #[serde(default = "yes")]
+    pub fence_checked: bool,
     /// Connections that one host takes.
     #[serde(default = "limit")]
     pub limit: u32,
@@ -200,6 +203,7 @@
             faults: Vec::new(),
             think_ms: think(),
             tolerance: one(),
+            fence_checked: true,
             limit: limit(),
             least_served: half(),
             surges: Vec::new(),
@@ -315,6 +319,7 @@
         limit: day.limit,
         zones: 3,
         tolerance: day.tolerance,
+        fence_checked: day.fence_checked,
         surges: day.surges.clone(),
         divides: day.divides,
         shares: day.shares.clone(),
--- a/crates/arrowyard-basin/src/failover.rs
+++ b/crates/arrowyard-basin/src/failover.rs
@@ -76,14 +76,14 @@
     }
 }
 
-/// Times without a primary, in milliseconds.
+/// Times without a primary, or without whatever else is measured, in milliseconds.
 #[derive(Clone, Debug)]
 pub struct Outages {
     pub cases: u64,
     pub p50: u64,
     pub p99: u64,
     pub worst: u64,
-    /// Cases in which writes were not acknowledged any more.
+    /// Cases in which it did not come back.
     pub never: u64,
     /// Days on which a rule was broken.
     pub broken: u64,
@@ -99,13 +99,22 @@
 
 /// Plays so many drawn cases of one cause.
 pub fn outages(cause: Cause, cases: u64, from: u64) -> Outages {
+    measured(cases, from, |seed| {
+        let (day, at) = cause.day(seed);
+        let played = play(&day);
+        let pause = |writes: &Vec<Point>| longest_pause(writes, at, at + BACK);
+        (played.writes.values().filter_map(pause).max(), !played.breaches.is_empty())
+    })
+}
+
+/// Plays cases that tell how long they lasted, if they ended at all, and whether a rule was broken.
+pub fn measured(cases: u64, from: u64, play: impl Fn(u64) -> (Option<Span>, bool)) -> Outages {
     let mut times = Histogram::<u64>::new_with_max(LONGEST, 3).expect("three digits can be kept");
     let (mut never, mut broken) = (0, 0);
     for seed in from..from + cases {
-        let (day, at) = cause.day(seed);
-        let played = play(&day);
-        broken += u64::from(!played.breaches.is_empty());
-        match played.writes.values().filter_map(|writes| longest_pause(writes, at, at + BACK)).max() {
+        let (pause, breaks) = play(seed);
+        broken += u64::from(breaks);
+        match pause {
             Some(pause) => times.saturating_record((pause.micros() / 1000).max(0) as u64),
             None => never += 1,
         }
--- a/crates/arrowyard-basin/src/platform.rs
+++ b/crates/arrowyard-basin/src/platform.rs
@@ -23,6 +23,8 @@
     pub away: Rc<RefCell<bool>>,
     /// Calls that came meanwhile: they hang, and arrive once it is back for a while.
     hung: Vec<Wanted>,
+    /// Whether lower fences are refused; if not, none may come.
+    checks_fences: bool,
     /// Which host was named last under a fence.
     named: BTreeMap<(String, u64), String>,
 }
@@ -50,15 +52,24 @@
         let shards = shards.iter().map(|shard| (shard.borrow().service.clone(), shard.clone())).collect();
         let (fences, calls, timers) = (BTreeMap::new(), BTreeMap::new(), Timers::default());
         let (hung, named) = (Vec::new(), BTreeMap::new());
-        Platform { shards, history, takes, fences, calls, timers, away, hung, named }
+        Platform { shards, history, takes, fences, calls, timers, away, hung, checks_fences: true, named }
+    }
+
+    #[must_use]
+    pub fn checks_fences(self, checks_fences: bool) -> Self {
+        Platform { checks_fences, ..self }
     }
 
     fn status(&mut self, now: Point, wanted: &Wanted) -> u16 {
         let Wanted { fence, service, host } = wanted;
         let known = self.fences.entry(service.clone()).or_default();
-        if fence < known {
+        if fence < known && self.checks_fences {
             return 409;
         }
+        if fence < known {
+            let what = format!("{service}: fence {fence} after {known}");
+            self.history.borrow_mut().breach("ONE", now, what);
+        }
         *known = *fence;
         // ONE: a fence is for one decision.
         let named = self.named.entry((service.clone(), *fence)).or_insert_with(|| host.clone());
--- a/crates/arrowyard-basin/src/system.rs
+++ b/crates/arrowyard-basin/src/system.rs
@@ -36,6 +36,8 @@
     pub zones: usize,
     /// How many control machines may be lost at once.
     pub tolerance: u32,
+    /// Whether the platform refuses a fence that is lower than one it has seen.
+    pub fence_checked: bool,
     pub surges: Vec<Surge>,
     /// Whether pressed hosts are divided, and what the operator promises: the text of the list.
     pub divides: bool,
@@ -125,12 +127,13 @@
     let node = format!("{}-{number}", if edge { "edge" } else { "core" });
     let text = format!(
         "node: \"{node}\"\nip: \"{address}\"\nzone: \"{}\"\nregion: \"r\"\nbind-addrs:\n{doors}\ninternal-ports:\n  - {INTERNAL}\n  \
-         - 7455\nseeds:\n{}\nbootstrap: {first}\ndata-dir: {}\nbeat-period-ms: 1200\ntolerance:\n  machines: {}\nplatform-api:\n  address: \
+         - 7455\nseeds:\n{}\nbootstrap: {first}\ndata-dir: {}\nbeat-period-ms: 1200\ntolerance:\n  machines: {}\nenvelope:\n  fence-checked: {}\nplatform-api:\n  address: \
          \"10.3.0.1:8783\"\n  duties:\n    - \"promote\"\n",
         zone(plan, number),
         seeds.join("\n"),
         if edge { "null" } else { "\"/data\"" },
         plan.tolerance,
+        plan.fence_checked,
     );
     Settings::read(&text).expect("the settings of the emulator are sound")
 }
@@ -239,7 +242,8 @@
         let door = vec![SocketAddrV4::new(Ipv4Addr::new(10, 3, 0, 1), 8783)];
         let platform = self.world.add("platform", door, nothing(), Span::ZERO);
         let plane =
-            Platform::new(&self.shards, self.history.clone(), Span::from_millis(1000), self.away.clone());
+            Platform::new(&self.shards, self.history.clone(), Span::from_millis(1000), self.away.clone())
+                .checks_fences(self.plan.fence_checked);
         self.world.start(platform, Box::new(plane));
         let services = (0..self.plan.services).map(|service| format!("s{service}")).collect();
         let operator = Operator::new(
--- a/crates/arrowyard-basin/tests/control.rs
+++ b/crates/arrowyard-basin/tests/control.rs
@@ -54,26 +54,30 @@
     revision: u64,
 }
 
+fn plan(controls: usize, tolerance: u32) -> Plan {
+    Plan {
+        seed: 5,
+        controls,
+        routers: 2,
+        services: 1,
+        users: 0,
+        think: ms(100),
+        from: Point::from_micros(0),
+        until: Point::from_micros(3_600_000_000),
+        changes: Vec::new(),
+        limit: 40,
+        zones: 3,
+        tolerance,
+        fence_checked: true,
+        surges: Vec::new(),
+        divides: false,
+        shares: String::new(),
+    }
+}
+
 impl Fleet {
     fn new(controls: usize, tolerance: u32) -> Self {
-        let plan = Plan {
-            seed: 5,
-            controls,
-            routers: 2,
-            services: 1,
-            users: 0,
-            think: ms(100),
-            from: Point::from_micros(0),
-            until: Point::from_micros(3_600_000_000),
-            changes: Vec::new(),
-            limit: 40,
-            zones: 3,
-            tolerance,
-            surges: Vec::new(),
-            divides: false,
-            shares: String::new(),
-        };
-        let mut fleet = Fleet { system: System::new(plan), revision: 3 };
+        let mut fleet = Fleet { system: System::new(plan(controls, tolerance)), revision: 3 };
         fleet.pass(6000);
         fleet
     }
@@ -144,7 +148,8 @@
     fn holders(&mut self) -> Vec<usize> {
         let text = call("GET", "/status", "c", &[], "");
         let asked: Vec<Answer> = (0..self.system.controls.len()).map(|one| self.begin(one, &text)).collect();
-        self.pass(5);
+        let ways = self.system.world.latency * 5.0 + ms(2);
+        self.system.world.run(self.system.world.now + ways);
         let carries = |answer: &Answer| {
             answer.borrow().as_ref().is_some_and(|(_, body)| body.contains("\"divides\":true"))
         };
@@ -523,3 +528,31 @@
         assert!(played.promotions >= 2, "{seed}: only {} changes of primary", played.promotions);
     }
 }
+
+/// Point 5: the platform does not check fences, and the holder of the duty is frozen at whatever moment of a change of
+/// primary. Another holder decides; then the first one wakes up, and what it was about to send must not come any more.
+#[test]
+fn where_fences_are_not_checked_no_lower_one_is_sent() {
+    let mut promotions = 0;
+    for moment in 0..40 {
+        let plan = Plan { fence_checked: false, ..plan(3, 1) };
+        let mut fleet = Fleet { system: System::new(plan), revision: 3 };
+        // Long ways: so that whatever is under way is met by the freeze.
+        fleet.system.world.latency = ms(20);
+        fleet.pass(6000);
+        let holder = fleet.holders().pop().expect("the duty is held");
+        let primary = fleet.system.seat_of(0, true, 0).expect("there is one");
+        fleet.system.stop_host(primary, false);
+        // Without clients it is missed by its calls alone, within 3 s and a little.
+        fleet.pass(1800 + moment * 60);
+        let machine = fleet.system.controls[holder];
+        fleet.system.world.freeze(machine, true);
+        fleet.pass(9000);
+        fleet.system.world.freeze(machine, false);
+        fleet.pass(3000);
+        let breaches = fleet.system.history.borrow().breaches.clone();
+        assert!(breaches.iter().all(|breach| breach.rule != "ONE"), "moment {moment}: {breaches:?}");
+        promotions += fleet.system.shards[0].borrow().promotions;
+    }
+    assert!(promotions >= 40, "only {promotions} changes of primary");
+}
