--- a/crates/arrowyard-control/src/control.rs
+++ b/crates/arrowyard-control/src/control.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod departures;
 mod disk;
+mod duty;
 mod feed;
 mod hosts;
 mod memory;
@@ -11,6 +12,7 @@
 mod platform;
 mod seats;
 mod shares;
+mod status;
 mod suspicions;
 
 use std::collections::BTreeMap;
@@ -24,8 +26,8 @@
 use rustc_hash::FxHashMap;
 
 use crate::applied::DUTY;
-use crate::promotion::{Ask, Promotions, Sight};
-use crate::{Answer, Cell, Duties, Ledger, Output, ProposalId, View};
+use crate::promotion::Promotions;
+use crate::{Cell, Duties, Ledger, Output, ProposalId, View};
 
 use calls::Caller;
 pub use departures::Departures;
@@ -49,9 +51,6 @@
 /// How long a process that is told to end goes on with what it has begun.
 const LAST: Span = Span::from_millis(800);
 
-/// A majority has so long to confirm that this machine holds the duty.
-const CONFIRMED: Span = Span::from_millis(1000);
-
 /// Reads the settings file anew.
 pub type Reread = Box<dyn FnMut() -> Option<Settings>>;
 
@@ -259,94 +258,6 @@
         self.divide(now, orders);
     }
 
-    /// Takes the duty up, or lays it down. Safety: a machine that was cut off may hold it by what it knows while another
-    /// one holds it by now; the two would undo each other's questions to replicas. So it carries out nothing while it is
-    /// cut off, and afterwards only once a majority has confirmed that it still holds the duty.
-    fn take_up(&mut self, now: Point, orders: &mut Orders) {
-        let held = self.duty.held(self.ledger.applied());
-        let fence = held.filter(|_| self.in_touch && self.confirmed == held);
-        if held.is_some() && fence.is_none() {
-            self.confirm(now, orders);
-        }
-        if fence == self.fence {
-            return;
-        }
-        let after_another = fence.is_some() && self.ledger.applied().fence(DUTY) > 0 && self.ticks > 8;
-        self.fence = fence;
-        self.divide_from(now, after_another);
-        self.decide_from(now, after_another);
-        self.promotions = Promotions::default();
-        self.drop_platform_calls(orders);
-        match fence {
-            Some(fence) => log::info!("duty: Holds promote, fence {fence}."),
-            None => log::info!("duty: Holds promote no more."),
-        }
-        if after_another {
-            // Whoever held it before may have left replicas paused.
-            let replicas: Vec<String> = self.cell.all().map(|host| host.id.clone()).collect();
-            self.ask_hosts(now, replicas.into_iter().map(|host| Ask::Continue { host }).collect(), orders);
-        }
-        if fence.is_some() {
-            self.check_suspicions(now, orders);
-        }
-    }
-
-    /// Asks a majority whether all that was agreed on is known here, this machine's hold of the duty among it.
-    fn confirm(&mut self, now: Point, orders: &mut Orders) {
-        if self.in_touch && self.confirming.is_none() {
-            self.confirming = Some(self.ledger.next_proposal());
-            self.with_ledger(now, orders, |ledger, out| ledger.read_all(now, now + CONFIRMED, out));
-        }
-    }
-
-    /// The ledger answers a question. Whether it was the one for the duty.
-    fn confirmation_answered(
-        &mut self,
-        now: Point,
-        ticket: ProposalId,
-        answer: Answer,
-        orders: &mut Orders,
-    ) -> bool {
-        if self.confirming != Some(ticket) {
-            return false;
-        }
-        self.confirming = None;
-        if answer == Answer::Current && self.in_touch {
-            self.confirmed = self.duty.held(self.ledger.applied());
-            self.take_up(now, orders);
-        }
-        true
-    }
-
-    /// This machine was cut off, or is in touch again.
-    fn touch_changed(&mut self, now: Point, orders: &mut Orders) {
-        if !self.in_touch {
-            self.confirmed = None;
-        }
-        self.take_up(now, orders);
-    }
-
-    /// Looks at every service whose primary may have to change.
-    fn look(&mut self, now: Point, orders: &mut Orders) {
-        if self.fence.is_none() {
-            return;
-        }
-        let mut asks = Vec::new();
-        let services: Vec<String> =
-            self.ledger.applied().configuration.services().map(|service| service.name.clone()).collect();
-        let sight = Sight { cell: &self.cell, silent: &self.silent, left: &self.left };
-        for service in &services {
-            let promotion = self.promotions.of(service);
-            if let Some(primary) = sight.cell.primary(service)
-                && sight.silent.contains_key(&primary.id)
-            {
-                promotion.suspect(now, &primary.id, &sight, &mut asks);
-            }
-            promotion.look(now, &sight, &mut asks);
-        }
-        self.ask_hosts(now, asks, orders);
-    }
-
     /// A host's word changed: the others hear of it, and the routers.
     fn news_of(&mut self, now: Point, host: Host, orders: &mut Orders) {
         if host.phase() == arrowyard_conduit::Phase::Gone {
@@ -521,69 +432,6 @@
         }
     }
 
-    /// What an operator may want to know, as JSON.
-    fn status(&self, now: Point) -> String {
-        let applied = self.ledger.applied();
-        let text = |text: &str| sonic_rs::to_string(text).unwrap_or_default();
-        let ip = |ip: u32| text(&Ipv4Addr::from(ip).to_string());
-        let list = |items: Vec<String>| format!("[{}]", items.join(","));
-        let hosts = self.cell.all().map(|host| {
-            format!(
-                "{{\"id\":{},\"service\":{},\"zone\":{},\"phase\":{},\"db-role\":{},\"silent\":{}}}",
-                text(&host.id),
-                text(&host.service),
-                text(&host.zone),
-                text(host.phase().word()),
-                text(host.role().word()),
-                self.silent.contains_key(&host.id)
-            )
-        });
-        let routers = self.routers_fed().map(|(_, router)| {
-            format!("{{\"node\":{},\"revision\":{}}}", text(&router.node), router.seen.revision)
-        });
-        let duties = applied.duties.values().map(|duty| {
-            format!(
-                "{{\"duty\":{},\"node\":{},\"fence\":{}}}",
-                text(&duty.duty),
-                text(&duty.node),
-                duty.fence
-            )
-        });
-        let stages = self.promotions.by_service.iter().map(|(service, promotion)| {
-            format!("{{\"service\":{},\"stage\":{}}}", text(service), text(&promotion.stage.to_string()))
-        });
-        let shares = self.shares.shown().into_iter().map(|(row, name)| {
-            format!(
-                "{{\"host\":{},\"service\":{},\"owed\":\"{:.2}\",\"runs\":\"{:.2}\",\"waits\":\"{:.2}\",\"held\":{},\"pressed-ms\":{}}}",
-                text(&row.host),
-                text(name),
-                row.owed,
-                row.runs,
-                row.waits,
-                row.held,
-                (now - row.since).micros().max(0) / 1000 * i64::from(row.since != Point::default()),
-            )
-        });
-        format!(
-            "{{\"node\":{},\"revision\":{},\"slot\":{},\"votes\":{},\"disk-works\":{},\"voters\":{},\"controls\":{},\"routers-all\":{},\
-             \"routers\":{},\"hosts\":{},\"duties\":{},\"promotions\":{},\"divides\":{},\"shares\":{}}}",
-            text(&self.settings.node),
-            applied.configuration.revision,
-            applied.slot,
-            self.is_able_to_vote(now),
-            self.disk.is_well(now),
-            list(self.ledger.voters().iter().map(|voter| ip(*voter)).collect()),
-            list(self.live_peers(now).map(|(peer, _)| ip(*peer)).collect()),
-            self.routers,
-            list(routers.collect()),
-            list(hosts.collect()),
-            list(duties.collect()),
-            list(stages.collect()),
-            self.fence.is_some(),
-            list(shares.collect()),
-        )
-    }
-
     fn say(&self, conn: Conn, word: Word, orders: &mut Orders) {
         orders.write(conn, &[&said(word)]);
     }
--- /dev/null
+++ b/crates/arrowyard-control/src/control/duty.rs
@@ -0,0 +1,102 @@
+//! How this machine carries out the duty of replacing primaries: it takes it up, lays it down, and looks at services.
+
+use arrowyard_runtime::Orders;
+use arrowyard_types::{Point, Span};
+
+use super::Control;
+use crate::applied::DUTY;
+use crate::promotion::{Ask, Promotions, Sight};
+use crate::{Answer, ProposalId};
+
+/// A majority has so long to confirm that this machine holds the duty.
+const CONFIRMED: Span = Span::from_millis(1000);
+
+impl Control {
+    /// Takes the duty up, or lays it down. Safety: a machine that was cut off may hold it by what it knows while another
+    /// one holds it by now; the two would undo each other's questions to replicas. So it carries out nothing while it is
+    /// cut off, and afterwards only once a majority has confirmed that it still holds the duty.
+    pub(super) fn take_up(&mut self, now: Point, orders: &mut Orders) {
+        let held = self.duty.held(self.ledger.applied());
+        let fence = held.filter(|_| self.in_touch && self.confirmed == held);
+        if held.is_some() && fence.is_none() {
+            self.confirm(now, orders);
+        }
+        if fence == self.fence {
+            return;
+        }
+        let after_another = fence.is_some() && self.ledger.applied().fence(DUTY) > 0 && self.ticks > 8;
+        self.fence = fence;
+        self.divide_from(now, after_another);
+        self.decide_from(now, after_another);
+        self.promotions = Promotions::default();
+        self.drop_platform_calls(orders);
+        match fence {
+            Some(fence) => log::info!("duty: Holds promote, fence {fence}."),
+            None => log::info!("duty: Holds promote no more."),
+        }
+        if after_another {
+            // Whoever held it before may have left replicas paused.
+            let replicas: Vec<String> = self.cell.all().map(|host| host.id.clone()).collect();
+            self.ask_hosts(now, replicas.into_iter().map(|host| Ask::Continue { host }).collect(), orders);
+        }
+        if fence.is_some() {
+            self.check_suspicions(now, orders);
+        }
+    }
+
+    /// Asks a majority whether all that was agreed on is known here, this machine's hold of the duty among it.
+    pub(super) fn confirm(&mut self, now: Point, orders: &mut Orders) {
+        if self.in_touch && self.confirming.is_none() {
+            self.confirming = Some(self.ledger.next_proposal());
+            self.with_ledger(now, orders, |ledger, out| ledger.read_all(now, now + CONFIRMED, out));
+        }
+    }
+
+    /// The ledger answers a question. Whether it was the one for the duty.
+    pub(super) fn confirmation_answered(
+        &mut self,
+        now: Point,
+        ticket: ProposalId,
+        answer: Answer,
+        orders: &mut Orders,
+    ) -> bool {
+        if self.confirming != Some(ticket) {
+            return false;
+        }
+        self.confirming = None;
+        if answer == Answer::Current && self.in_touch {
+            self.confirmed = self.duty.held(self.ledger.applied());
+            self.take_up(now, orders);
+        }
+        true
+    }
+
+    /// This machine was cut off, or is in touch again.
+    pub(super) fn touch_changed(&mut self, now: Point, orders: &mut Orders) {
+        if !self.in_touch {
+            self.confirmed = None;
+        }
+        self.take_up(now, orders);
+    }
+
+    /// Looks at every service whose primary may have to change.
+    pub(super) fn look(&mut self, now: Point, orders: &mut Orders) {
+        if self.fence.is_none() {
+            return;
+        }
+        let mut asks = Vec::new();
+        let services: Vec<String> =
+            self.ledger.applied().configuration.services().map(|service| service.name.clone()).collect();
+        let sight = Sight { cell: &self.cell, silent: &self.silent, left: &self.left };
+        for service in &services {
+            let promotion = self.promotions.of(service);
+            if let Some(primary) = sight.cell.primary(service)
+                && sight.silent.contains_key(&primary.id)
+            {
+                promotion.suspect(now, &primary.id, &sight, &mut asks);
+            }
+            promotion.look(now, &sight, &mut asks);
+        }
+        self.ask_hosts(now, asks, orders);
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-control/src/control/status.rs
@@ -0,0 +1,72 @@
+//! What an operator may want to know of a control machine, as JSON.
+
+use std::net::Ipv4Addr;
+
+use arrowyard_types::Point;
+
+use super::Control;
+
+impl Control {
+    /// What an operator may want to know, as JSON.
+    pub(super) fn status(&self, now: Point) -> String {
+        let applied = self.ledger.applied();
+        let text = |text: &str| sonic_rs::to_string(text).unwrap_or_default();
+        let ip = |ip: u32| text(&Ipv4Addr::from(ip).to_string());
+        let list = |items: Vec<String>| format!("[{}]", items.join(","));
+        let hosts = self.cell.all().map(|host| {
+            format!(
+                "{{\"id\":{},\"service\":{},\"zone\":{},\"phase\":{},\"db-role\":{},\"silent\":{}}}",
+                text(&host.id),
+                text(&host.service),
+                text(&host.zone),
+                text(host.phase().word()),
+                text(host.role().word()),
+                self.silent.contains_key(&host.id)
+            )
+        });
+        let routers = self.routers_fed().map(|(_, router)| {
+            format!("{{\"node\":{},\"revision\":{}}}", text(&router.node), router.seen.revision)
+        });
+        let duties = applied.duties.values().map(|duty| {
+            format!(
+                "{{\"duty\":{},\"node\":{},\"fence\":{}}}",
+                text(&duty.duty),
+                text(&duty.node),
+                duty.fence
+            )
+        });
+        let stages = self.promotions.by_service.iter().map(|(service, promotion)| {
+            format!("{{\"service\":{},\"stage\":{}}}", text(service), text(&promotion.stage.to_string()))
+        });
+        let shares = self.shares.shown().into_iter().map(|(row, name)| {
+            format!(
+                "{{\"host\":{},\"service\":{},\"owed\":\"{:.2}\",\"runs\":\"{:.2}\",\"waits\":\"{:.2}\",\"held\":{},\"pressed-ms\":{}}}",
+                text(&row.host),
+                text(name),
+                row.owed,
+                row.runs,
+                row.waits,
+                row.held,
+                (now - row.since).micros().max(0) / 1000 * i64::from(row.since != Point::default()),
+            )
+        });
+        format!(
+            "{{\"node\":{},\"revision\":{},\"slot\":{},\"votes\":{},\"disk-works\":{},\"voters\":{},\"controls\":{},\"routers-all\":{},\
+             \"routers\":{},\"hosts\":{},\"duties\":{},\"promotions\":{},\"divides\":{},\"shares\":{}}}",
+            text(&self.settings.node),
+            applied.configuration.revision,
+            applied.slot,
+            self.is_able_to_vote(now),
+            self.disk.is_well(now),
+            list(self.ledger.voters().iter().map(|voter| ip(*voter)).collect()),
+            list(self.live_peers(now).map(|(peer, _)| ip(*peer)).collect()),
+            self.routers,
+            list(routers.collect()),
+            list(hosts.collect()),
+            list(duties.collect()),
+            list(stages.collect()),
+            self.fence.is_some(),
+            list(shares.collect()),
+        )
+    }
+}
