Routers are told what differs of a configuration, not the whole that an operator sent

Ruled out: processor time, hosts, lost feeds.

Change: control tells the difference from what it told last, whatever the order of items.

--- a/crates/arrowyard-basin/tests/control.rs
+++ b/crates/arrowyard-basin/tests/control.rs
@@ -556,3 +556,47 @@
     }
     assert!(promotions >= 40, "only {promotions} changes of primary");
 }
+
+/// A whole configuration that differs in one route from the one before goes to the routers as that route: a few whole ones a
+/// second, each sent to every router, once filled the links of small machines.
+#[test]
+fn routers_are_told_what_differs_of_a_whole_configuration() {
+    let plan = Plan { routers: 20, ..plan(3, 1) };
+    let mut fleet = Fleet { system: System::new(plan), revision: 3 };
+    fleet.pass(6000);
+    let whole = |revision: u64| {
+        let routes: Vec<String> = (0..1500)
+            .map(|route| {
+                let deadline = if route == revision { 801 } else { 800 };
+                format!(
+                    "{{\"name\":\"r{route}\",\"plant\":\"p{route}\",\"path-prefix\":\"/\",\"kind\":\"primary\",\"deadline-ms\":{deadline},\
+                     \"setpoint-ms\":120,\"priority\":1,\"service\":\"s0\",\"tries\":2}}"
+                )
+            })
+            .collect();
+        format!(
+            "{{\"revision\":{revision},\"channels\":[{}],\"services\":[{{\"name\":\"s0\"}}]}}",
+            routes.join(",")
+        )
+    };
+    let replace = |fleet: &mut Fleet, revision: u64| {
+        let base = (revision - 1).to_string();
+        let text =
+            call("POST", "/Config.Replace", "c", &[("Arrowyard-Base-Revision", &base)], &whole(revision));
+        assert_eq!(fleet.ask(0, &text).0, 200, "revision {revision}");
+        fleet.pass(300);
+    };
+    replace(&mut fleet, 4);
+    let sent = |fleet: &Fleet| -> u64 {
+        fleet.system.controls.iter().map(|machine| fleet.system.world.cost(*machine).0).sum()
+    };
+    let before = sent(&fleet);
+    (5..15).for_each(|revision| replace(&mut fleet, revision));
+    let bytes = sent(&fleet) - before;
+    let body = whole(5).len() as u64;
+    assert!(bytes < 10 * body * 10, "{bytes} bytes for ten changes of {body}");
+    for control in 0..3 {
+        let status = fleet.status(control);
+        assert_eq!(status.matches("\"revision\":14").count(), 1 + status.matches("\"node\":\"edge-").count());
+    }
+}
--- a/crates/arrowyard-control/src/control.rs
+++ b/crates/arrowyard-control/src/control.rs
@@ -19,7 +19,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use arrowyard_conduit::{Host, Known, Word, number, said};
-use arrowyard_gauge::Settings;
+use arrowyard_gauge::{Configuration, Settings};
 use arrowyard_runtime::{Conn, Door, Event, Orders, Plane, Sign};
 use arrowyard_types::{Point, Span};
 use fastrand::Rng;
@@ -106,6 +106,8 @@
     departures: Departures,
     suspicions: Suspicions,
     routers: u32,
+    /// The configuration that routers were told last.
+    fed: Configuration,
     fewer_since: Option<Point>,
     /// When who votes may be changed next.
     seat_at: Point,
@@ -145,6 +147,7 @@
         let mut view = View::default();
         seeds.iter().filter(|&&seed| seed != me).for_each(|&seed| view.seed(seed));
         let duty = Duties::new(DUTY, me, life, &settings.node, Point::from_micros(0));
+        let fed = ledger.applied().configuration.clone();
         let (cell, routers) = memory::restore(records, &settings.zone);
         Ok(Control {
             me,
@@ -175,6 +178,7 @@
             departures: Departures::default(),
             suspicions: Suspicions::default(),
             routers,
+            fed,
             fewer_since: None,
             seat_at: Point::DAWN,
             told: Vec::new(),
--- a/crates/arrowyard-control/src/control/feed.rs
+++ b/crates/arrowyard-control/src/control/feed.rs
@@ -1,6 +1,6 @@
 //! What routers are told: all of it once, then numbered changes. A router says which number it has.
 
-use arrowyard_conduit::{Change, Frames, Hello, Host, Known, Matter, Seen, Step, Whole, Word};
+use arrowyard_conduit::{Change, Frames, Hello, Host, Known, Matter, Revised, Seen, Step, Whole, Word};
 use arrowyard_runtime::{Conn, Orders};
 use arrowyard_types::{Point, Span};
 
@@ -113,19 +113,17 @@
         }
     }
 
-    /// A slot is known: what it changes of the configuration goes out.
+    /// A slot is known: what it changes goes out.
     pub(super) fn tell_chosen(&mut self, now: Point, slot: u64, orders: &mut Orders) {
         let entry = self.ledger.entry(slot);
         match entry.map(|entry| entry.matter.clone()) {
             Some(Some(Matter::Duty(_))) => self.pass_suspicions(now, orders),
             Some(Some(Matter::Decision(decision))) => self.decided(now, slot, &decision, orders),
-            Some(Some(Matter::Configuration(revised))) => {
-                let change = Change { revised: vec![Step { slot, revised }], ..Change::default() };
-                self.tell_routers(&change, orders);
-            }
+            Some(Some(Matter::Configuration(_))) => self.tell_configuration(orders),
             Some(_) => {}
             None => {
                 // It came as a snapshot: routers need all of it.
+                self.fed = self.ledger.applied().configuration.clone();
                 let fed: Vec<Conn> = self.routers_fed().map(|(conn, _)| conn).collect();
                 fed.into_iter().for_each(|conn| self.tell_whole(conn, orders));
             }
@@ -133,6 +131,23 @@
         self.take_up(now, orders);
     }
 
+    /// Routers are told what differs from what they were told last. A whole configuration that an operator sends mostly
+    /// differs in little from the one before; sent whole to every router, a few in a second fill the links of small machines.
+    fn tell_configuration(&mut self, orders: &mut Orders) {
+        let applied = self.ledger.applied();
+        if applied.configuration.revision == self.fed.revision {
+            return;
+        }
+        let base = self.fed.revision;
+        let revised = match self.fed.difference(&applied.configuration) {
+            Some(body) => Revised { whole: false, base, body: body.into_bytes() },
+            None => Revised { whole: true, base, body: applied.configuration.body().into_bytes() },
+        };
+        let step = Step { slot: applied.slot, revised };
+        self.fed = applied.configuration.clone();
+        self.tell_routers(&Change { revised: vec![step], ..Change::default() }, orders);
+    }
+
     pub(super) fn routers_fed(&self) -> impl Iterator<Item = (Conn, &Router)> {
         self.lines.iter().filter_map(|(conn, line)| match line {
             Line::Router(router) => Some((*conn, router)),
--- a/crates/arrowyard-gauge/src/configuration.rs
+++ b/crates/arrowyard-gauge/src/configuration.rs
@@ -304,7 +304,66 @@
     }
 }
 
+/// The names of items that are not there any more, and the items that are new or differ, as they were sent.
+fn changes<T>(
+    before: &[Item<T>],
+    after: &[Item<T>],
+    name: impl Fn(&T) -> &str,
+) -> (Vec<String>, Vec<String>) {
+    let known: BTreeMap<&str, &str> =
+        before.iter().map(|item| (name(&item.read), item.sent.as_str())).collect();
+    let kept: BTreeSet<&str> = after.iter().map(|item| name(&item.read)).collect();
+    let gone = known.keys().filter(|name| !kept.contains(*name));
+    let gone = gone.map(|name| sonic_rs::to_string(name).unwrap_or_default()).collect();
+    let differs = |item: &&Item<T>| known.get(name(&item.read)) != Some(&item.sent.as_str());
+    (gone, after.iter().filter(differs).map(|item| item.sent.clone()).collect())
+}
+
 impl Configuration {
+    /// A change of named items that leads from this configuration to another one, but for the order of items; none where only
+    /// the whole of the other one does.
+    pub fn difference(&self, next: &Configuration) -> Option<String> {
+        let (mut remove, mut upsert) = (Vec::new(), Vec::new());
+        let lists = [
+            ("channels", changes(&self.channels, &next.channels, |channel| &channel.name)),
+            ("services", changes(&self.services, &next.services, |service| &service.name)),
+            (SHARES, changes(&self.shares, &next.shares, |share| &share.name)),
+        ];
+        for (field, (gone, new)) in lists {
+            remove.extend((!gone.is_empty()).then(|| format!("\"{field}\":[{}]", gone.join(","))));
+            upsert.extend((!new.is_empty()).then(|| format!("\"{field}\":[{}]", new.join(","))));
+        }
+        if self.whole != next.whole {
+            upsert.push(format!("\"{DIVISION}\":{}", !next.whole));
+        }
+        if let Some(limits) = next.limits.as_ref().filter(|limits| self.limits.as_ref() != Some(limits)) {
+            upsert.push(format!("\"limits\":{}", limits.sent));
+        }
+        let body = format!(
+            "{{\"revision\":{},\"upsert\":{{{}}},\"remove\":{{{}}}}}",
+            next.revision,
+            upsert.join(","),
+            remove.join(",")
+        );
+        // Limits that went and fields that are not known here: named items do not lead there.
+        let leads = self.adjust(body.as_bytes()).is_ok_and(|led| led.is_same(next));
+        leads.then_some(body)
+    }
+
+    /// Whether two configurations allow the same: they may hold their items in another order.
+    pub fn is_same(&self, other: &Configuration) -> bool {
+        fn sorted<T>(items: &[Item<T>]) -> Vec<&str> {
+            let mut sent: Vec<&str> = items.iter().map(|item| item.sent.as_str()).collect();
+            sent.sort_unstable();
+            sent
+        }
+        sorted(&self.channels) == sorted(&other.channels)
+            && sorted(&self.services) == sorted(&other.services)
+            && sorted(&self.shares) == sorted(&other.shares)
+            && (self.revision, &self.limits, self.whole, &self.others)
+                == (other.revision, &other.limits, other.whole, &other.others)
+    }
+
     pub fn channels(&self) -> impl Iterator<Item = &Channel> {
         self.channels.iter().map(|item| &item.read)
     }
--- a/crates/arrowyard-gauge/tests/configuration.rs
+++ b/crates/arrowyard-gauge/tests/configuration.rs
@@ -51,6 +51,45 @@
     assert_eq!(first().replace(FIRST.as_bytes()), Err(Refusal::Old(7, 7)));
 }
 
+#[test]
+fn a_difference_leads_to_the_other_configuration_and_is_none_where_named_items_do_not() {
+    let next = |text: &str| {
+        first().replace(text.replace("\"revision\":7", "\"revision\":9").as_bytes()).expect("valid")
+    };
+    let small = next(&FIRST.replace("\"deadline-ms\":800", "\"deadline-ms\":900"));
+    let body = first().difference(&small).expect("one route differs");
+    assert_eq!(first().adjust(body.as_bytes()), Ok(small));
+    assert!(!body.contains("db2"), "the other route is not told: {body}");
+    let other_field = next(&FIRST.replace("\"later\":[1]", "\"later\":[2]"));
+    assert_eq!(first().difference(&other_field), None);
+    let without_limits = next(&FIRST.replace(",\"limits\":{\"tx-idle-ms\":3000}", ""));
+    assert_eq!(first().difference(&without_limits), None);
+}
+
+proptest! {
+    #[test]
+    fn differences_of_drawn_configurations_lead_from_one_to_the_other(
+        before in prop::collection::btree_map("[a-f]", 1u32..4, 0..6),
+        after in prop::collection::btree_map("[a-f]", 1u32..4, 0..6),
+        reversed: bool,
+    ) {
+        let body = |revision: u64, routes: Vec<(&String, &u32)>| {
+            let routes: Vec<String> = routes.into_iter().map(|(name, deadline)| {
+                format!(r#"{{"name":"{name}","plant":"{name}","service":"s","deadline-ms":{deadline}}}"#)
+            }).collect();
+            format!(r#"{{"revision":{revision},"channels":[{}],"services":[{{"name":"s"}}]}}"#, routes.join(","))
+        };
+        let mut routes: Vec<_> = after.iter().collect();
+        if reversed {
+            routes.reverse();
+        }
+        let before = Configuration::default().replace(body(5, before.iter().collect()).as_bytes()).expect("valid");
+        let after = before.replace(body(6, routes).as_bytes()).expect("valid");
+        let difference = before.difference(&after).expect("named items lead there");
+        prop_assert!(before.adjust(difference.as_bytes()).is_ok_and(|led| led.is_same(&after)));
+    }
+}
+
 #[test]
 fn named_items_are_added_replaced_and_removed() {
     let body = r#"{"revision":9,"upsert":{"channels":[{"name":"b","plant":"db3","service":"s1","deadline-ms":10},{"name":"c","plant":"db4","service":"s1"}]},"remove":{"channels":["a","never"]}}"#;
