The commit of a transaction that wrote nothing is no word of a primary

Ruled out: every other answer from which a position is learned (writes, statements of plain transactions, fenced reads) fails at a host that does not lead.

Test: the_commit_of_a_transaction_that_wrote_nothing_is_no_word_of_a_primary (fails without the change).

--- a/crates/arrowyard-sluice/src/plane/clients.rs
+++ b/crates/arrowyard-sluice/src/plane/clients.rs
@@ -261,7 +261,8 @@
                     return self.end_session(now, conn, orders);
                 };
                 if let Text::Begin { read } = read {
-                    let transaction = Transaction { channel, reads: read, began: now, link: None };
+                    let transaction =
+                        Transaction { channel, reads: read, began: now, wrote: false, link: None };
                     if let Some(session) = self.session(conn) {
                         session.state = State::InTransaction;
                         session.transaction = Some(transaction);
--- a/crates/arrowyard-sluice/src/plane/ops.rs
+++ b/crates/arrowyard-sluice/src/plane/ops.rs
@@ -172,10 +172,10 @@
         let (kind, writes, ends, fenced) =
             (statement.kind, statement.writes, statement.ends, statement.fenced);
         let inside = self.session(conn).is_some_and(|session| session.state == State::InTransaction);
-        let reads = self
-            .session(conn)
-            .and_then(|session| session.transaction.as_ref())
+        let transaction = self.session(conn).and_then(|session| session.transaction.as_ref());
+        let reads = transaction
             .is_some_and(|transaction| transaction.reads && transaction.channel.kind != Freshness::Primary);
+        let wrote = transaction.is_some_and(|transaction| transaction.wrote);
         if answer.fault.is_none()
             && let Some(wired) = sent.wired
         {
@@ -184,8 +184,9 @@
             kind.into_iter().for_each(|kind| self.paces.took(kind, now - wired));
             self.overtake(now, host, wired, orders);
         }
-        // An answer inside a plain transaction, or to a write, shows that the host led as it ran the statement.
-        let led = if inside { !reads } else { writes || fenced };
+        // An answer inside a plain transaction, or to a write, shows that the host led as it ran the statement. Safety: the
+        // commit of a transaction that wrote nothing succeeds also at a host that has lost the lead meanwhile.
+        let led = if inside { !reads && (wrote || !ends) } else { writes || fenced };
         match answer.fault {
             None => {
                 if led && let Some(position) = answer.position {
@@ -315,6 +316,7 @@
             session.transaction = None;
         } else if let Some(transaction) = &mut session.transaction {
             transaction.link = Some(link);
+            transaction.wrote |= statement.writes;
             over = false;
         }
         let letter = session.state.letter();
--- a/crates/arrowyard-sluice/src/session.rs
+++ b/crates/arrowyard-sluice/src/session.rs
@@ -63,6 +63,8 @@
     pub channel: Rc<Channel>,
     pub reads: bool,
     pub began: Point,
+    /// Whether a write of it was answered.
+    pub wrote: bool,
     /// The connection that holds it, once its first statement ran.
     pub link: Option<Conn>,
 }
--- a/crates/arrowyard-sluice/tests/helpers/mod.rs
+++ b/crates/arrowyard-sluice/tests/helpers/mod.rs
@@ -12,7 +12,9 @@
 const SETTINGS: &str = "node: \"edge\"\nip: \"10.0.0.9\"\nzone: \"z\"\nbind-addrs: {}\ninternal-ports:\n  - 7440\n  - 7455\n\
                         seeds:\n  - \"10.0.0.1:8782\"\n";
 const CONFIGURATION: &str = "{\"revision\":3,\"channels\":[{\"name\":\"r\",\"plant\":\"p0\",\"path-prefix\":\"/\",\"kind\":\"primary\",\
-     \"deadline-ms\":900,\"setpoint-ms\":150,\"priority\":1,\"service\":\"s0\",\"tries\":2}],\"services\":[{\"name\":\"s0\",\
+     \"deadline-ms\":900,\"setpoint-ms\":150,\"priority\":1,\"service\":\"s0\",\"tries\":2},{\"name\":\"b\",\"plant\":\"b0\",\"path-prefix\":\"/\",\
+     \"kind\":\"bounded_staleness\",\"deadline-ms\":900,\"setpoint-ms\":150,\"priority\":1,\"service\":\"s0\",\"tries\":2,\
+     \"staleness-bound-ms\":1500}],\"services\":[{\"name\":\"s0\",\
      \"conn-limit\":50,\"sync-replicas\":1}],\"limits\":{\"tx-idle-ms\":3000,\"header-wait-ms\":3000}}";
 
 /// The router, and what it wrote to whom.
@@ -95,9 +97,14 @@
 
     /// A client comes and opens a session.
     pub fn client(&mut self) -> Conn {
+        self.client_of("p0")
+    }
+
+    /// The same for a database: `p0` reads at the primary, `b0` what is 1.5 s old at most.
+    pub fn client_of(&mut self, database: &str) -> Conn {
         let conn = self.orders.conn();
         self.event(Event::Accepted { conn, door: DOORS[0] });
-        self.says(conn, "OPEN p0 u1");
+        self.says(conn, &format!("OPEN {database} u1"));
         assert_eq!(self.hears(conn), ["IDLE I -"]);
         conn
     }
--- a/crates/arrowyard-sluice/tests/plane.rs
+++ b/crates/arrowyard-sluice/tests/plane.rs
@@ -139,3 +139,28 @@
     assert_eq!(hand.hears(second), ["SETTLED 1.bb", "IDLE I 1.2"]);
     assert_eq!(hand.hears(third), ["SETTLED 1.cc", "IDLE I 1.3"]);
 }
+
+/// The commit of a transaction that wrote nothing succeeds also at a host that has lost the lead: its position says nothing
+/// of how far the data is. It was once taken for a primary's, and a bounded read asked a host that had been replaced for no
+/// more than it had.
+#[test]
+fn the_commit_of_a_transaction_that_wrote_nothing_is_no_word_of_a_primary() {
+    for (statement, proves) in [("READ t1", false), ("WRITE t1 x", true)] {
+        let mut hand = Hand::among(1);
+        let client = hand.client();
+        hand.says(client, "QUERY a1 BEGIN");
+        hand.says(client, &format!("QUERY a2 {statement}"));
+        let host = hand.host_opens();
+        hand.says(host, "SETTLED -\nIDLE T 1.1");
+        hand.says(host, "SETTLED 1.aa\nIDLE T 1.1");
+        hand.pass(1900);
+        hand.says(client, "QUERY a3 COMMIT");
+        hand.says(host, "SETTLED 2.aa\nIDLE I 1.5");
+        hand.hears(host);
+        let reader = hand.client_of("b0");
+        hand.says(reader, "QUERY b1 READ t1");
+        let asked = hand.hears(host);
+        let expected = if proves { "QUERY b1 AFTER 1.5 READ t1" } else { "QUERY - BEGIN" };
+        assert_eq!(asked, [expected], "{statement}");
+    }
+}
