Ballots, questions and departures of two lives of a machine differ; a crashing proposer is explored

Found by reading once more: rounds, questions to the voters and numbers of departures began anew with each life of a process. A proposer that lost its disk, or crashed before its own promise was on it, could begin a ballot that it had begun before; a voter answered the same ballot once more without what it had accepted; and a word on a departure of an earlier life could pass for one on another host's. Change: a ballot names the life, numbers start from it, the same question once more is not answered.

--- a/crates/arrowyard-basin/src/models/ledger.rs
+++ b/crates/arrowyard-basin/src/models/ledger.rs
@@ -432,6 +432,22 @@
     Some(match name {
         "two changes" => Scene { wakes: 1 + u8::from(long()), ..base },
         "a crash" => Scene { wakes: u8::from(long()), crashes: 1, weak: Some(2), slow: true, ..base },
+        "a proposer that crashes" => Scene {
+            proposals: vec![(0, change(1))],
+            after: Some((0, change(2))),
+            crashes: 1,
+            weak: Some(0),
+            slow: true,
+            ..base
+        },
+        "a proposer that loses its disk" => Scene {
+            proposals: vec![(0, change(1))],
+            after: Some((1, change(2))),
+            crashes: 1,
+            wipes: 1,
+            weak: Some(0),
+            ..base
+        },
         "a lost disk" => Scene {
             proposals: vec![(0, change(1))],
             after: Some((1, change(2))),
@@ -451,7 +467,15 @@
     })
 }
 
-pub const SCENES: [&str; 5] = ["two changes", "a crash", "a lost disk", "a read", "one more voter"];
+pub const SCENES: [&str; 7] = [
+    "two changes",
+    "a crash",
+    "a proposer that crashes",
+    "a proposer that loses its disk",
+    "a lost disk",
+    "a read",
+    "one more voter",
+];
 
 /// Explores a scene, with something wrong on purpose or with nothing; nothing where there is no such scene.
 pub fn check(name: &str, flaw: Option<Flaw>) -> Option<Checked> {
--- a/crates/arrowyard-conduit/src/message.rs
+++ b/crates/arrowyard-conduit/src/message.rs
@@ -125,13 +125,16 @@
     pub ms: u64,
 }
 
-/// Rounds are told apart by their number, then by who began them.
+/// Rounds are told apart by their number, then by who began them, then by its life. Safety: a machine may forget with its
+/// disk which rounds it began; of two lives no two rounds are the same, or one ballot could stand for two entries.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Message)]
 pub struct Ballot {
     #[prost(uint64, tag = "1")]
     pub round: u64,
     #[prost(fixed32, tag = "2")]
     pub by: u32,
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
--- a/crates/arrowyard-control/src/control.rs
+++ b/crates/arrowyard-control/src/control.rs
@@ -175,7 +175,7 @@
             silent_here: Vec::new(),
             platform_calls: Vec::new(),
             decisions: Decisions::default(),
-            departures: Departures::default(),
+            departures: Departures::new(life),
             suspicions: Suspicions::default(),
             routers,
             fed,
--- a/crates/arrowyard-control/src/control/departures.rs
+++ b/crates/arrowyard-control/src/control/departures.rs
@@ -41,6 +41,12 @@
 }
 
 impl Departures {
+    /// Those of one life. Safety: numbers of two lives differ, so that a word on a departure of an earlier life does not
+    /// pass for one on a departure of this life.
+    pub fn new(life: u64) -> Self {
+        Departures { last: life >> 1, ..Departures::default() }
+    }
+
     /// A host waits; this machine keeps it by this record. Its number is told to the others.
     pub fn begin(&mut self, now: Point, conn: Conn, host: Host, reply: String, record: u64) -> u64 {
         self.last += 1;
--- a/crates/arrowyard-control/src/ledger/acceptor.rs
+++ b/crates/arrowyard-control/src/ledger/acceptor.rs
@@ -25,10 +25,12 @@
             let accepted = self.accepted.clone();
             let word = Word::Promise(Promise { slot, ballot, promised: ballot, accepted });
             self.store(Kept::Promised(Promised { slot, ballot }), Some((from, word)), out);
-        } else {
+        } else if ballot < self.promised {
             let word = Word::Promise(Promise { slot, ballot, promised: self.promised, accepted: None });
             self.send(now, from, word, out);
         }
+        // Safety: the same question once more is answered by the promise that it was given, or is to be given once that is on
+        // disk; an answer without what was accepted would pass for one that the slot is free.
     }
 
     pub(super) fn accept(&mut self, now: Point, from: u32, accept: &Accept, out: &mut Vec<Output>) {
--- a/crates/arrowyard-control/src/ledger/proposer.rs
+++ b/crates/arrowyard-control/src/ledger/proposer.rs
@@ -48,7 +48,8 @@
             return;
         }
         self.seen += 1;
-        let (slot, ballot) = (self.applied.slot + 1, Ballot { round: self.seen, by: self.me });
+        let (slot, ballot) =
+            (self.applied.slot + 1, Ballot { round: self.seen, by: self.me, life: self.life });
         let phase = Phase::Preparing { promised: BTreeSet::new(), best: None };
         self.round = Some(Round { slot, ballot, phase, until: now + ROUND });
         self.broadcast(now, &Word::Prepare(Prepare { slot, ballot }), out);
--- a/crates/arrowyard-control/src/ledger/recovery.rs
+++ b/crates/arrowyard-control/src/ledger/recovery.rs
@@ -30,7 +30,8 @@
             pause_until: Point::DAWN,
             losses: 0,
             waiting: VecDeque::new(),
-            last: 0,
+            // Safety: an answer to a question of an earlier life must not pass for one to a question of this life.
+            last: life >> 1,
             after: BTreeMap::new(),
             last_record: 0,
             fetched_at: Point::DAWN,
--- a/crates/arrowyard-control/tests/ledger.rs
+++ b/crates/arrowyard-control/tests/ledger.rs
@@ -443,7 +443,7 @@
     let (mut out, now) = (Vec::new(), Point::from_micros(0));
     let mut ledger = Ledger::open(1, 1, &[], Some(&[1, 2, 3]), &mut out).expect("an empty disk");
     out.clear();
-    let ballot = Ballot { round: 7, by: 2 };
+    let ballot = Ballot { round: 7, by: 2, life: 1 };
     ledger.on_message(now, 2, &Word::Prepare(Prepare { slot: 1, ballot }), &mut out);
     let Some(Output::Store { ticket, .. }) = out.pop() else { panic!("it stores its promise first") };
     ledger.stored(now, ticket, false, &mut out);
@@ -452,7 +452,7 @@
     assert_eq!(out, [], "the promise was refused");
     let disk = [ledger.snapshot(None)];
     let mut again = Ledger::open(1, 2, &disk, None, &mut out).expect("what it wrote");
-    let older = Prepare { slot: 1, ballot: Ballot { round: 6, by: 3 } };
+    let older = Prepare { slot: 1, ballot: Ballot { round: 6, by: 3, life: 1 } };
     again.on_message(now, 3, &Word::Prepare(older), &mut out);
     let promised = out.iter().find_map(|one| match one {
         Output::Send { word: Word::Promise(promise), .. } => Some(promise.promised),
