--- a/crates/arrowyard-basin/src/bin/arrowyard-basin.rs
+++ b/crates/arrowyard-basin/src/bin/arrowyard-basin.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use arrowyard_basin::acknowledgements::{TROUBLES, pauses};
-use arrowyard_basin::capacity::{configuration, measure};
+use arrowyard_basin::capacity::{ChangeCost, configuration, measure};
 use arrowyard_basin::chart::{draw, draw_paces};
 use arrowyard_basin::experiment::{Difference, FIGURES, Outcome, compare, outcomes};
 use arrowyard_basin::failover::{Cause, outages};
@@ -138,8 +138,10 @@
     );
     for &size in sizes {
         if what == "routes" {
-            let (adjust, layout, bytes) = configuration(size);
-            println!("{size:>8}  change {adjust:?}, layout {layout:?}, whole {bytes} bytes");
+            let ChangeCost { apply, layout, difference, whole } = configuration(size);
+            println!(
+                "{size:>8}  change {apply:?}, layout {layout:?}, difference {difference:?}, whole {whole} bytes"
+            );
             continue;
         }
         let cost = match what {
--- a/crates/arrowyard-basin/src/capacity.rs
+++ b/crates/arrowyard-basin/src/capacity.rs
@@ -104,9 +104,20 @@
     }
 }
 
-/// What one change of a configuration of so many routes takes: to check and apply, to lay out for sessions, and its
-/// whole in bytes.
-pub fn configuration(routes: usize) -> (Duration, Duration, usize) {
+/// What one change of a configuration of so many routes takes.
+pub struct ChangeCost {
+    /// To check and apply it.
+    pub apply: Duration,
+    /// To lay it out for sessions.
+    pub layout: Duration,
+    /// To find what differs, for routers.
+    pub difference: Duration,
+    /// The whole configuration, in bytes.
+    pub whole: usize,
+}
+
+/// Measures one change of a configuration of so many routes.
+pub fn configuration(routes: usize) -> ChangeCost {
     let channels: Vec<String> = (0..routes)
         .map(|route| {
             format!(
@@ -139,5 +150,10 @@
     let laid: Vec<Routes> = (0..rounds).map(|_| Routes::new(&whole)).collect();
     let layout = began.elapsed() / rounds as u32;
     drop(laid);
-    (adjust, layout, body.len())
+    let last = whole.adjust(b"{\"revision\":99,\"remove\":{\"channels\":[\"r-1\"]}}").expect("it is valid");
+    let began = Instant::now();
+    let differences = (0..rounds).filter(|_| whole.difference(&last).is_some()).count();
+    assert_eq!(differences, rounds, "one route differs");
+    let difference = began.elapsed() / rounds as u32;
+    ChangeCost { apply: adjust, layout, difference, whole: body.len() }
 }
--- a/crates/arrowyard-conduit/src/message.rs
+++ b/crates/arrowyard-conduit/src/message.rs
@@ -111,7 +111,7 @@
     /// Whether its disk refuses or hangs.
     #[prost(bool, tag = "7")]
     pub disk_fails: bool,
-    /// Control machines that it has heard of lately.
+    /// From a voter: control machines that it has heard of lately.
     #[prost(fixed32, repeated, tag = "8")]
     pub hears: Vec<u32>,
 }
--- a/crates/arrowyard-control/src/control/mesh.rs
+++ b/crates/arrowyard-control/src/control/mesh.rs
@@ -151,15 +151,21 @@
             votes: self.is_able_to_vote(now),
             silent: self.silent_here.clone(),
             disk_fails: !self.disk.is_well(now),
-            hears: self
-                .live_peers(now)
-                .filter(|(_, peer)| now - peer.heard_at < NOT_HEARD)
-                .map(|(ip, _)| *ip)
-                .collect(),
+            hears: self.heard_lately(now),
         };
         self.say_to_peers(&Word::Beat(beat), orders);
     }
 
+    /// The machines that are told that they are heard. Only voters tell: theirs is the word that others count, and lists of
+    /// all machines from all machines would grow with the cube of their number.
+    fn heard_lately(&self, now: Point) -> Vec<u32> {
+        if !self.ledger.voters().contains(&self.me) {
+            return Vec::new();
+        }
+        let lately = self.live_peers(now).filter(|(_, peer)| now - peer.heard_at < NOT_HEARD);
+        lately.map(|(ip, _)| *ip).collect()
+    }
+
     /// Hosts that called here and do so no more.
     fn hush(&mut self, now: Point) {
         let late = Span::from_millis((self.settings.beat_period_ms as f64 * 2.5) as i64);
@@ -388,7 +394,6 @@
         peer.says_that_it_votes(now, beat.votes);
         peer.disk_fails = beat.disk_fails;
         peer.hears_me = beat.hears.contains(&self.me);
-        let not_heard = !peer.hears_me;
         // What is under way makes them differ for a moment; what stays is swept up.
         peer.differs = if beat.digest == mine { 0 } else { peer.differs + 1 };
         if peer.differs >= 2 {
@@ -396,7 +401,7 @@
             let cell = Cell { hosts: self.cell.all().cloned().collect(), whole: true };
             self.say_to_peer(ip, &Word::Cell(cell), orders);
         }
-        if not_heard && self.in_touch {
+        if self.in_touch && !self.is_in_touch(now) {
             self.keep_touch(now, orders);
         }
         for silent in &beat.silent {
