A read keeps what it must see when its route is dropped while it waits for a connection

What a single read must see was reckoned from the configuration of the moment at which it went out; with its route dropped meanwhile it went out with neither AFTER nor a transaction that proves the lead.

Change: a statement carries the route that it was taken under. Test: fails without the change, for both kinds of floor.

--- a/crates/arrowyard-sluice/src/plane/ops.rs
+++ b/crates/arrowyard-sluice/src/plane/ops.rs
@@ -1,5 +1,7 @@
 //! Statements between the module and the hosts: asked, sent, answered, given up.
 
+use std::rc::Rc;
+
 use arrowyard_flume::{Code, State, Verdict};
 use arrowyard_gauge::{Channel, Kind as Freshness};
 use arrowyard_runtime::{Conn, Orders};
@@ -33,7 +35,7 @@
         &mut self,
         now: Point,
         conn: Conn,
-        channel: &Channel,
+        channel: &Rc<Channel>,
         ask: Ask<'_>,
         orders: &mut Orders,
     ) {
@@ -56,6 +58,7 @@
             text: ask.text,
             op,
             op_type: row,
+            channel: channel.clone(),
             service,
             waits: SmallVec::new(),
             kind: ask.kind,
@@ -509,11 +512,10 @@
     pub(super) fn floor_of(&self, conn: Conn) -> Option<Floor> {
         let Some(super::Line::Client(session)) = self.lines.get(&conn) else { return None };
         let Stage::Asks(statement) = &session.stage else { return None };
-        let (reads, began, channel) = match &session.transaction {
-            Some(transaction) => (transaction.reads, transaction.began, transaction.channel.clone()),
-            None => {
-                (!statement.writes, statement.arrived, self.configured.routes.of(&session.database)?.clone())
-            }
+        let channel = &statement.channel;
+        let (reads, began) = match &session.transaction {
+            Some(transaction) => (transaction.reads, transaction.began),
+            None => (!statement.writes, statement.arrived),
         };
         if !reads || channel.kind == Freshness::Primary {
             return Some(Floor::Lead);
--- a/crates/arrowyard-sluice/src/session.rs
+++ b/crates/arrowyard-sluice/src/session.rs
@@ -35,6 +35,9 @@
     pub text: String,
     pub op: OpId,
     pub op_type: OpTypeId,
+    /// The route that it was taken under. Invariant: what it must see is reckoned from this one until it ends; the
+    /// configuration may drop or change the route while the statement waits for a connection.
+    pub channel: Rc<Channel>,
     /// What it counts as, and the hosts that it waits for one of.
     pub service: ServiceId,
     pub waits: SmallVec<[HostId; 4]>,
--- a/crates/arrowyard-sluice/tests/helpers/mod.rs
+++ b/crates/arrowyard-sluice/tests/helpers/mod.rs
@@ -27,8 +27,14 @@
     /// Dials in their order, and connections that the router gave up.
     pub dialled: Vec<(Conn, SocketAddrV4)>,
     pub dropped: Vec<Conn>,
+    /// The connection to control.
+    feed: Conn,
 }
 
+/// A configuration in which neither database is left.
+pub const WITHOUT_ROUTES: &str = "{\"revision\":4,\"channels\":[],\"services\":[{\"name\":\"s0\",\"conn-limit\":50,\
+     \"sync-replicas\":1}],\"limits\":{\"tx-idle-ms\":3000,\"header-wait-ms\":3000}}";
+
 impl Hand {
     /// A router that knows a service with one host, its primary, and so many routers that share it.
     pub fn among(routers: u32) -> Hand {
@@ -40,10 +46,11 @@
             said: BTreeMap::new(),
             dialled: Vec::new(),
             dropped: Vec::new(),
+            feed: Conn(0),
         };
         hand.event(Event::Start);
-        let (feed, _) = hand.dialled[0];
-        hand.event(Event::Opened { conn: feed });
+        (hand.feed, _) = hand.dialled[0];
+        hand.event(Event::Opened { conn: hand.feed });
         let host = Host {
             id: "i-1".into(),
             service: "s0".into(),
@@ -55,16 +62,21 @@
             role: DbRole::Primary.into(),
             call_seq: 1,
         };
+        hand.configures(1, CONFIGURATION, vec![host], routers);
+        hand
+    }
+
+    /// Control tells a configuration, the hosts that are new, and how many routers share them.
+    pub fn configures(&mut self, slot: u64, configuration: &str, hosts: Vec<Host>, routers: u32) {
         let whole = Whole {
-            number: 1,
-            slot: 1,
-            configuration: CONFIGURATION.into(),
-            hosts: vec![host],
+            number: slot,
+            slot,
+            configuration: configuration.into(),
+            hosts,
             routers,
             view: Vec::new(),
         };
-        hand.event(Event::Came { conn: feed, bytes: &said(Word::Whole(whole)) });
-        hand
+        self.event(Event::Came { conn: self.feed, bytes: &said(Word::Whole(whole)) });
     }
 
     pub fn event(&mut self, event: Event<'_>) {
--- a/crates/arrowyard-sluice/tests/plane.rs
+++ b/crates/arrowyard-sluice/tests/plane.rs
@@ -3,7 +3,7 @@
 mod helpers;
 
 use arrowyard_runtime::{Event, Why};
-use helpers::Hand;
+use helpers::{Hand, WITHOUT_ROUTES};
 
 /// A client inside a transaction that ran one statement, and the connection that holds it.
 fn inside(hand: &mut Hand) -> (arrowyard_runtime::Conn, arrowyard_runtime::Conn) {
@@ -164,3 +164,25 @@
         assert_eq!(asked, [expected], "{statement}");
     }
 }
+
+/// A read waits for a connection while its route is dropped. It once lost its floor with the route, and ran at a host
+/// that had lost the lead.
+#[test]
+fn a_read_keeps_what_it_must_see_when_its_route_is_dropped_while_it_waits() {
+    let mut hand = Hand::among(1);
+    let client = hand.client();
+    hand.says(client, "QUERY a1 READ t1");
+    hand.configures(2, WITHOUT_ROUTES, Vec::new(), 1);
+    let host = hand.host_opens();
+    assert_eq!(hand.hears(host), ["QUERY - BEGIN"], "it proves that its host leads");
+
+    let mut hand = Hand::among(1);
+    let (writer, reader) = (hand.client(), hand.client_of("b0"));
+    hand.says(writer, "QUERY a1 WRITE t1 x");
+    let host = hand.host_opens();
+    assert_eq!(hand.hears(host), ["QUERY a1 WRITE t1 x"]);
+    hand.says(reader, "QUERY b1 READ t1");
+    hand.configures(2, WITHOUT_ROUTES, Vec::new(), 1);
+    hand.says(host, "SETTLED 1.aa\nIDLE I 1.7");
+    assert_eq!(hand.hears(host), ["QUERY b1 AFTER 1.7 READ t1"], "it names what its host must have");
+}
