--- a/crates/arrowyard-runtime/src/folder.rs
+++ b/crates/arrowyard-runtime/src/folder.rs
@@ -2,15 +2,18 @@
 //! [`Journal`](crate::Journal). The trait stands between the journal and the file system, so that tests can bring
 //! storage faults about under the code that ships.
 
-use std::fs::{self, File, OpenOptions};
+use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io;
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
+use log::warn;
 use redb::StorageBackend;
 
 /// How the file of a generation is named, with its number behind.
 const PREFIX: &str = "journal-";
+/// The file whose lock says that a process uses the directory.
+const LOCK: &str = "lock";
 
 /// A directory that holds the generations of one journal.
 pub trait Folder: Send {
@@ -41,24 +44,27 @@
     fn sync(&self) -> io::Result<()>;
 }
 
-/// A directory of the file system.
+/// A directory of the file system. Its lock is held as long as this lives: two processes that wrote to one generation
+/// would each find a file that neither of them left.
 #[derive(Debug)]
 pub struct Directory {
     path: PathBuf,
+    _lock: File,
 }
 
 impl Directory {
-    /// Creates the directory, if need be, and makes its name durable.
+    /// Creates the directory, if need be, makes its name durable, and locks it.
     ///
     /// # Errors
-    /// When it cannot be created or its parent cannot be synced.
+    /// [`io::ErrorKind::ResourceBusy`] while another [`Directory`], of this process or of another one, holds the lock;
+    /// otherwise when it cannot be created or its parent cannot be synced.
     pub fn create(path: &Path) -> io::Result<Self> {
         fs::create_dir_all(path)?;
         // Safety: without its name a directory takes all of its files with it at a loss of power.
         if let Some(parent) = path.parent() {
             File::open(parent)?.sync_all()?;
         }
-        Ok(Directory { path: path.to_path_buf() })
+        Ok(Directory { path: path.to_path_buf(), _lock: lock(&path.join(LOCK))? })
     }
 
     fn file(&self, generation: u64) -> PathBuf {
@@ -66,6 +72,20 @@
     }
 }
 
+/// Takes a lock that the system gives back when the file is closed, also at the end of a killed process.
+fn lock(path: &Path) -> io::Result<File> {
+    let file = OpenOptions::new().write(true).create(true).truncate(false).open(path)?;
+    match file.try_lock() {
+        Ok(()) => {}
+        Err(TryLockError::WouldBlock) => {
+            return Err(io::Error::new(io::ErrorKind::ResourceBusy, "another process uses the directory"));
+        }
+        // Some file systems have no locks; the journal is no worse for it as long as it has one process.
+        Err(TryLockError::Error(error)) => warn!("disk: {}: no lock: {error}.", path.display()),
+    }
+    Ok(file)
+}
+
 impl Folder for Directory {
     type File = RegularFile;
 
--- a/crates/arrowyard-runtime/src/journal.rs
+++ b/crates/arrowyard-runtime/src/journal.rs
@@ -36,6 +36,8 @@
     Unavailable(String),
     /// There is a file that cannot be read as a journal.
     Corrupt(String),
+    /// Another process, or another journal of this one, has the folder.
+    InUse,
 }
 
 impl fmt::Display for JournalError {
@@ -43,6 +45,7 @@
         match self {
             JournalError::Unavailable(why) => write!(f, "the disk refuses: {why}"),
             JournalError::Corrupt(why) => write!(f, "its records cannot be read: {why}"),
+            JournalError::InUse => write!(f, "another process uses the directory"),
         }
     }
 }
@@ -51,7 +54,10 @@
 
 impl From<io::Error> for JournalError {
     fn from(error: io::Error) -> Self {
-        JournalError::Unavailable(error.to_string())
+        match error.kind() {
+            io::ErrorKind::ResourceBusy => JournalError::InUse,
+            _ => JournalError::Unavailable(error.to_string()),
+        }
     }
 }
 
@@ -71,9 +77,10 @@
 
 /// A journal and its present generation.
 pub struct Journal<F: Folder> {
-    folder: F,
-    /// None after a failure, until [`Journal::replace`] has begun a new generation.
+    /// None after a failure, until [`Journal::replace`] has begun a new generation. Safety: it writes to its file as it
+    /// closes, so it stands before the folder, whose lock is given back last.
     database: Option<Database>,
+    folder: F,
     /// The generation that was created last.
     generation: u64,
     /// The generation that a start is to read, as long as no newer one is in service.
--- a/crates/arrowyard-runtime/src/store.rs
+++ b/crates/arrowyard-runtime/src/store.rs
@@ -18,6 +18,8 @@
 
 /// A disk that refused is tried again after so long.
 const RETRY: Duration = Duration::from_millis(200);
+/// A store that is dropped waits so long for its journal to be closed; one whose disk hangs is left behind.
+const CLOSE: Duration = Duration::from_millis(1000);
 
 /// What the disk's thread tells.
 #[derive(Debug)]
@@ -37,9 +39,27 @@
 /// The records of one process, in order, on a disk that a thread of its own waits for.
 #[derive(Debug)]
 pub struct Store {
+    /// None once the store is being closed.
+    thread: Option<Thread>,
+    wake: Wake,
+    /// Disconnected once the journal is closed and its folder's lock is given back.
+    closed: Receiver<()>,
+}
+
+/// What is said to the disk's thread and heard from it. The thread ends when this is dropped.
+#[derive(Debug)]
+struct Thread {
     records: Sender<Numbered>,
     said: Receiver<Stored>,
-    wake: Wake,
+}
+
+impl Drop for Store {
+    fn drop(&mut self) {
+        self.thread = None;
+        if self.closed.recv_timeout(CLOSE) == Err(RecvTimeoutError::Timeout) {
+            warn!("disk: It did not close the journal in time.");
+        }
+    }
 }
 
 /// What was on disk at a start.
@@ -74,9 +94,14 @@
     let (say, said) = channel();
     let (records, wanted) = channel();
     let wake: Wake = Arc::default();
+    let (open, closed) = channel();
     let mut disk = Disk { journal, wanted, say, wake: wake.clone() };
-    thread::Builder::new().name("disk".to_string()).spawn(move || while disk.turn().is_some() {})?;
-    Ok(Store { records, said, wake })
+    thread::Builder::new().name("disk".to_string()).spawn(move || {
+        while disk.turn().is_some() {}
+        drop(disk);
+        drop::<Sender<()>>(open);
+    })?;
+    Ok(Store { thread: Some(Thread { records, said }), wake, closed })
 }
 
 /// The state of the disk's thread.
@@ -174,7 +199,8 @@
     }
 
     pub(crate) fn put(&mut self, ticket: u64, record: Vec<u8>) {
-        if self.records.send((ticket, record)).is_err() {
+        let sent = self.thread.as_ref().is_some_and(|thread| thread.records.send((ticket, record)).is_ok());
+        if !sent {
             error!("disk: Its thread is gone.");
         }
     }
@@ -182,7 +208,7 @@
     /// The next outcome that is known. Hands out snapshots on the way.
     pub(crate) fn outcome(&mut self, snapshot: impl Fn() -> Vec<u8>) -> Option<Outcome> {
         loop {
-            match self.said.try_recv().ok()? {
+            match self.thread.as_ref()?.said.try_recv().ok()? {
                 Stored::Kept { ticket, kept } => return Some(Outcome::Kept { ticket, kept }),
                 Stored::Disk { works } => return Some(Outcome::Disk { works }),
                 Stored::Snapshot(to) => drop(to.send(snapshot())),
