Records carry checksums of their own; spoilt files never end the process

Found by a new test, 1,500 drawn files with flipped bits, other lengths or torn ends: redb panics at some of them, so that the process would have ended at each start; a file that is shorter than it says was taken for a disk that refuses, and waited for without end; and a bit that flipped inside a record of a file that was closed in order was handed out as it was. Change: a panic at reading and an unexpected end count as a file that cannot be read (the machine comes back as one that lost its disk), and each record is written behind a CRC-32 of its place and itself. What stays: the transaction appended last, if spoilt, is taken for a write that was cut short.

--- a/crates/arrowyard-runtime/src/journal.rs
+++ b/crates/arrowyard-runtime/src/journal.rs
@@ -13,6 +13,7 @@
 
 use std::fmt;
 use std::io;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use log::warn;
@@ -24,6 +25,8 @@
 const RECORDS: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("records");
 /// The place of the mark that a generation was begun in full.
 const MARK: u64 = 0;
+/// The checksum before each record.
+const CHECKSUM_BYTES: usize = 4;
 /// Memory for pages; a journal is read once and then only written.
 const CACHE_BYTES: usize = 1 << 20;
 /// So many bytes of records may stand behind the last snapshot before the next one is due.
@@ -64,7 +67,10 @@
 impl From<redb::Error> for JournalError {
     fn from(error: redb::Error) -> Self {
         match error {
-            redb::Error::Io(ref io) if io.kind() != io::ErrorKind::InvalidData => {
+            // A file that is shorter than it says is not read by trying again.
+            redb::Error::Io(ref io)
+                if !matches!(io.kind(), io::ErrorKind::InvalidData | io::ErrorKind::UnexpectedEof) =>
+            {
                 JournalError::Unavailable(error.to_string())
             }
             redb::Error::Corrupted(_) | redb::Error::Io(_) | redb::Error::UpgradeRequired(_) => {
@@ -175,7 +181,7 @@
             for record in records {
                 last += 1;
                 bytes += record.len();
-                table.insert(last, record)?;
+                table.insert(last, sealed(last, record).as_slice())?;
             }
             Ok(())
         });
@@ -200,7 +206,7 @@
         let place = self.last + 1;
         let written = commit(database, |table| {
             table.retain(|at, _| at == MARK)?;
-            table.insert(place, snapshot)?;
+            table.insert(place, sealed(place, snapshot).as_slice())?;
             Ok(())
         });
         match written {
@@ -224,8 +230,8 @@
         let database = open(&self.folder, self.generation)?;
         commit(&database, |table| {
             table.insert(MARK, &[] as &[u8])?;
-            for (place, record) in records.iter().enumerate() {
-                table.insert(MARK + 1 + place as u64, *record)?;
+            for (place, record) in (MARK + 1..).zip(records) {
+                table.insert(place, sealed(place, record).as_slice())?;
             }
             Ok(())
         })?;
@@ -308,7 +314,14 @@
 }
 
 /// The records of a generation; none if it was not begun in full.
+///
+/// Safety: `redb` panics at some spoilt bytes. A process that ended there would end at each of its starts.
 fn read<F: Folder>(folder: &F, generation: u64) -> Result<Option<Vec<Vec<u8>>>, JournalError> {
+    let read = catch_unwind(AssertUnwindSafe(|| read_unguarded(folder, generation)));
+    read.unwrap_or_else(|_| Err(JournalError::Corrupt("its pages contradict each other".to_string())))
+}
+
+fn read_unguarded<F: Folder>(folder: &F, generation: u64) -> Result<Option<Vec<Vec<u8>>>, JournalError> {
     let database = open(folder, generation)?;
     let transaction = database.begin_read().map_err(redb::Error::from)?;
     let table = match transaction.open_table(RECORDS) {
@@ -320,12 +333,35 @@
     for entry in table.iter().map_err(redb::Error::from)? {
         let (place, record) = entry.map_err(redb::Error::from)?;
         if place.value() != MARK {
-            records.push(record.value().to_vec());
+            records.push(unsealed(place.value(), record.value())?);
         }
     }
     Ok(Some(records))
 }
 
+/// A record as it is written: behind the checksum of its place and itself. `redb` checks its pages only after a loss of
+/// power, so it would hand out a record whose bytes changed on the medium.
+fn sealed(place: u64, record: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(CHECKSUM_BYTES + record.len());
+    bytes.extend_from_slice(&checksum(place, record));
+    bytes.extend_from_slice(record);
+    bytes
+}
+
+fn unsealed(place: u64, bytes: &[u8]) -> Result<Vec<u8>, JournalError> {
+    match bytes.split_first_chunk::<CHECKSUM_BYTES>() {
+        Some((sum, record)) if *sum == checksum(place, record) => Ok(record.to_vec()),
+        _ => Err(JournalError::Corrupt(format!("record {place} does not match its checksum"))),
+    }
+}
+
+fn checksum(place: u64, record: &[u8]) -> [u8; CHECKSUM_BYTES] {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&place.to_le_bytes());
+    hasher.update(record);
+    hasher.finalize().to_le_bytes()
+}
+
 /// Carries out one transaction; its effects are durable when it returns.
 fn commit(
     database: &Database,
--- a/crates/arrowyard-runtime/tests/faulty/mod.rs
+++ b/crates/arrowyard-runtime/tests/faulty/mod.rs
@@ -131,6 +131,30 @@
         }
     }
 
+    /// Flips bits of the files, or gives one another length, as a failing medium does.
+    pub fn spoil_by_lot(&self, rng: &mut Rng) {
+        let mut disk = self.disk();
+        for image in disk.files.values_mut() {
+            let length = image.current.len();
+            if length == 0 {
+                continue;
+            }
+            match rng.u32(0..4) {
+                0 => image.current.truncate(rng.usize(0..length)),
+                1 => image.current.resize(length + rng.usize(1..9000), 0),
+                _ => {
+                    for _ in 0..rng.u32(1..8) {
+                        // Half of them in the head, which says where all else is.
+                        let place =
+                            if rng.bool() { rng.usize(0..length.min(512)) } else { rng.usize(0..length) };
+                        image.current[place] ^= 1 << rng.u32(0..8);
+                    }
+                }
+            }
+            image.durable = image.current.clone();
+        }
+    }
+
     pub fn bytes(&self) -> usize {
         self.disk().files.values().map(|image| image.current.len()).sum()
     }
--- a/crates/arrowyard-runtime/tests/journal.rs
+++ b/crates/arrowyard-runtime/tests/journal.rs
@@ -180,3 +180,36 @@
     assert!(open().1.len() <= 60);
     std::fs::remove_dir_all(&path).expect("it was ours");
 }
+
+/// A medium that gives back other bytes than were written: a start tells that its file is spoilt, or reads what was
+/// written, in order and without a gap. What was appended last may be taken for a write that was cut short.
+#[test]
+fn spoilt_bytes_are_told_apart_and_never_end_the_process() {
+    for seed in 0..1500 {
+        let context = format!("seed {seed}");
+        let (folder, mut rng) = (FaultyFolder::new(seed), Rng::with_seed(seed));
+        let (mut journal, mut process) = (start(&folder, &context).0, Process::default());
+        let mut before_last = 0;
+        for _ in 0..rng.u32(1..6) {
+            before_last = process.acknowledged;
+            process.append(&mut journal, rng.u64(1..30));
+        }
+        if rng.bool() {
+            std::mem::forget(journal);
+        } else {
+            drop(journal);
+        }
+        folder.spoil_by_lot(&mut rng);
+        match Journal::open(folder.clone()) {
+            Ok((_, records)) => {
+                let covered = covered(&records, &context);
+                assert!(covered == process.acknowledged || covered == before_last, "{context}: {covered}");
+            }
+            Err(JournalError::Corrupt(_)) => {
+                drop(Journal::begin_anew(folder.clone()).expect("the disk works"));
+                assert_eq!(start(&folder, &context).1, 0);
+            }
+            Err(error) => panic!("{context}: {error}"),
+        }
+    }
+}
