--- a/crates/arrowyard-basin/src/models/promotion.rs
+++ b/crates/arrowyard-basin/src/models/promotion.rs
@@ -194,7 +194,7 @@
                     && !matches!(self.promotion.stage, Stage::Checking { .. }) =>
             {
                 let row = Observed { primary: false, term: 1, received: Position::default() };
-                let to = if matches!(self.promotion.stage, Stage::Pausing { .. }) {
+                let to = if matches!(self.promotion.stage, Stage::Fencing { .. }) {
                     To::Pause(self.promotion.turn())
                 } else {
                     To::Observe
@@ -203,7 +203,7 @@
             }
             Reply::Row { host, to: To::Observe, row }
                 if self.left.flaw == Some(Flaw::AnyRowIsAPause)
-                    && matches!(self.promotion.stage, Stage::Pausing { .. }) =>
+                    && matches!(self.promotion.stage, Stage::Fencing { .. }) =>
             {
                 Reply::Row { host, to: To::Pause(self.promotion.turn()), row }
             }
@@ -231,21 +231,21 @@
 
     /// The platform makes a host lead with what it has; what others have beyond that is cut back.
     fn promote(&mut self, host: &str) -> u16 {
-        let heir = place(host);
-        if !self.servers[heir].up {
+        let candidate = place(host);
+        if !self.servers[candidate].up {
             return 409;
         }
-        if self.servers[heir].leads {
+        if self.servers[candidate].leads {
             return 200;
         }
         self.term += 1;
         self.changes += 1;
-        let log = self.servers[heir].log.clone();
+        let log = self.servers[candidate].log.clone();
         if !self.acknowledged.iter().all(|commit| log.contains(commit)) {
             self.lost_commit = true;
         }
         for (number, server) in self.servers.iter_mut().enumerate() {
-            server.leads = number == heir;
+            server.leads = number == candidate;
             if server.up {
                 server.paused = false;
                 let common = server.log.iter().zip(&log).take_while(|(mine, its)| mine == its).count();
--- a/crates/arrowyard-control/src/promotion.rs
+++ b/crates/arrowyard-control/src/promotion/mod.rs
@@ -3,166 +3,38 @@
 //!
 //! No acknowledged commit may be missing at the host that takes over. A commit is acknowledged once one replica has
 //! it, so every replica that could have acknowledged is made to stop receiving (`PAUSE`) and the one that has most is
-//! named; positions compare by term first. While the old primary still serves, the heir alone goes on receiving: what
+//! named; positions compare by term first. While the old primary still serves, the candidate alone goes on receiving: what
 //! is acknowledged until the change, it has.
 
+mod request;
+mod stage;
+mod survey;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 use std::hash::{Hash, Hasher};
 
 use arrowyard_conduit::{DbRole, Host, Phase};
 use arrowyard_flume::{Observed, Position};
 use arrowyard_types::{Point, Span};
 
+pub use request::{Ask, Reply, To, is_repeated};
+pub use stage::Stage;
+
 use crate::Cell;
 
 /// A primary that does not answer is asked again after the first of these, and nobody hears of it for the second.
 const AGAIN: Span = Span::from_millis(80);
 const COOL: Span = Span::from_millis(400);
-/// Hosts that did not answer are asked again after so long; an heir that still receives, and the platform, likewise; one
+/// Hosts that did not answer are asked again after so long; a candidate that still receives, and the platform, likewise; one
 /// that was to stop receiving and is to go on.
 const RETRY: Span = Span::from_millis(150);
 const HELD: Span = Span::from_millis(1000);
 const CATCH_UP: Span = Span::from_millis(15);
-/// An heir has so long to receive what the others have; the platform so long to make it primary.
+/// A candidate has so long to receive what the others have; the platform so long to make it primary.
 const PATIENCE: Span = Span::from_millis(1500);
 const SETTLE: Span = Span::from_millis(4000);
 /// So many questions in a row must stay without an answer.
 const SURE: u32 = 2;
-/// A host that left may hold what nobody else has until another one has its log.
-const HANDED_ON: Span = Span::from_millis(8000);
-/// A replica that was silent so long before the primary was is no witness of its last commits. Danger: a host is known to be
-/// silent 3 s after its last call; what the primary has by then must have been asked for before it may be told from this.
-pub const LONG_SILENT: Span = Span::from_millis(4200);
-
-/// What is asked of hosts and of the platform.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Ask {
-    Observe {
-        host: String,
-    },
-    /// The turn tells the answer from the one to an earlier question of this kind.
-    Pause {
-        host: String,
-        term: u64,
-        turn: u64,
-    },
-    Continue {
-        host: String,
-    },
-    /// Is to be asked with the duty's fence.
-    Promote {
-        service: String,
-        host: String,
-    },
-}
-
-/// What a row answers. Danger: a late answer to a question of before is no word that a host has stopped receiving.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum To {
-    Observe,
-    Pause(u64),
-    Continue,
-}
-
-impl Ask {
-    /// Which of a host's rows answers it; none if it is asked of the platform.
-    pub fn to(&self) -> Option<To> {
-        match self {
-            Ask::Observe { .. } => Some(To::Observe),
-            Ask::Pause { turn, .. } => Some(To::Pause(*turn)),
-            Ask::Continue { .. } => Some(To::Continue),
-            Ask::Promote { .. } => None,
-        }
-    }
-}
-
-/// Whether a question needs no answer of its own, after those that wait at the same host. Danger: a host that is to go on
-/// receiving and then to stop must be told again to go on; of these two only the last one counts.
-pub fn is_repeated<'a>(waiting: impl Iterator<Item = &'a Ask> + Clone, ask: &Ask) -> bool {
-    match ask {
-        Ask::Observe { .. } => waiting.clone().any(|other| other == ask),
-        _ => waiting.filter(|other| !matches!(other, Ask::Observe { .. })).last() == Some(ask),
-    }
-}
-
-/// What came back.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Reply {
-    Row {
-        host: String,
-        to: To,
-        row: Observed,
-    },
-    /// No answer, or none that helps.
-    Silent {
-        host: String,
-    },
-    /// It lives and has no room for the question.
-    Busy {
-        host: String,
-    },
-    Platform {
-        status: u16,
-    },
-}
-
-#[derive(Clone, Debug, PartialEq, Hash)]
-pub enum Stage {
-    Steady,
-    /// Somebody said that the primary does not answer.
-    Checking {
-        host: String,
-        silent: u32,
-    },
-    /// Which hosts there are and what they have.
-    Surveying {
-        old: Option<String>,
-        planned: bool,
-        rows: BTreeMap<String, Observed>,
-        /// Hosts that did not answer.
-        mute: BTreeSet<String>,
-    },
-    /// The others receive no more.
-    Pausing {
-        old: Option<String>,
-        heir: Option<String>,
-        asked: BTreeSet<String>,
-        /// Above every one that was told.
-        term: u64,
-        rows: BTreeMap<String, Observed>,
-    },
-    /// The heir still lacks something that another one has.
-    CatchingUp {
-        old: Option<String>,
-        heir: String,
-        least: Position,
-        until: Point,
-    },
-    Promoting {
-        heir: String,
-        tries: u32,
-    },
-    /// The platform took it; the heir has not said yet that it leads.
-    Settling {
-        heir: String,
-        until: Point,
-    },
-}
-
-impl Stage {
-    /// Whether a change under way is over if this host leads: all but the one that is replaced in order.
-    fn ends_with(&self, leads: &str) -> bool {
-        let other = |old: &Option<String>| old.as_deref() != Some(leads);
-        match self {
-            Stage::Surveying { old, planned, .. } => !planned || other(old),
-            Stage::Pausing { old, heir, .. } => heir.is_none() || other(old),
-            Stage::CatchingUp { old, .. } => other(old),
-            _ => false,
-        }
-    }
-}
-
 /// One service's change of primary.
 #[derive(Clone, Debug)]
 pub struct Promotion {
@@ -279,14 +151,14 @@
                     self.wake_at = Some(now + HELD);
                 }
                 let primary = sight.cell.primary(&self.service);
-                let heirs = || {
+                let candidates = || {
                     self.members(sight)
                         .into_iter()
                         .any(|host| host.role() == DbRole::Replica && host.phase() == Phase::InService)
                 };
                 if let Some(old) = primary.filter(|old| old.phase() == Phase::Draining)
                     && now >= self.quiet_until
-                    && heirs()
+                    && candidates()
                 {
                     self.survey(now, Some(old.id.clone()), true, sight, asks);
                 }
@@ -295,7 +167,7 @@
             Stage::Surveying { old, planned, rows, mute } if woke => {
                 self.ask_again(now, old, planned, (rows, mute), sight, asks);
             }
-            Stage::Pausing { old, heir, asked, term, rows } if woke => {
+            Stage::Fencing { old, candidate, asked, term, rows } if woke => {
                 // Whoever did not answer is asked again; whoever left meanwhile is not waited for but by its log.
                 let missing = asked.iter().filter(|host| !rows.contains_key(*host));
                 let known = missing
@@ -303,20 +175,20 @@
                 let known: Vec<String> = known.cloned().collect();
                 self.pause(known.iter(), term, asks);
                 let asked = rows.keys().cloned().chain(known).collect();
-                self.go(Stage::Pausing { old, heir, asked, term, rows }, Some(now + RETRY));
+                self.go(Stage::Fencing { old, candidate, asked, term, rows }, Some(now + RETRY));
                 self.paused(now, sight, asks);
             }
-            Stage::CatchingUp { heir, until, .. } if woke => {
+            Stage::CatchingUp { candidate, until, .. } if woke => {
                 if now >= until {
                     return self.abort(now, asks);
                 }
-                asks.push(Ask::Observe { host: heir });
+                asks.push(Ask::Observe { host: candidate });
             }
-            Stage::Promoting { heir, .. } if woke => {
-                asks.push(Ask::Promote { service: self.service.clone(), host: heir });
+            Stage::Promoting { candidate, .. } if woke => {
+                asks.push(Ask::Promote { service: self.service.clone(), host: candidate });
             }
-            Stage::Settling { heir, until } => {
-                if sight.cell.primary(&self.service).is_some_and(|primary| primary.id == heir) {
+            Stage::Settling { candidate, until } => {
+                if sight.cell.primary(&self.service).is_some_and(|primary| primary.id == candidate) {
                     // A change of primary lets all go on.
                     self.held.clear();
                     self.quiet_until = now + COOL;
@@ -372,7 +244,7 @@
                 self.go(Stage::Steady, None);
             }
             // Somebody else leads than who was thought to, or whoever was thought to be gone. Danger: its own word that it
-            // leads may be late, as after a change that another holder made; what it acknowledges, no heir needs to have.
+            // leads may be late, as after a change that another holder made; what it acknowledges, no candidate needs to have.
             (stage, Reply::Row { host, row, .. }) if row.primary && stage.ends_with(&host) => {
                 self.abort(now, asks);
             }
@@ -390,31 +262,33 @@
                 self.surveyed(now, sight, asks);
             }
             (
-                Stage::Pausing { old, heir, asked, term, mut rows },
+                Stage::Fencing { old, candidate, asked, term, mut rows },
                 Reply::Row { host, to: To::Pause(turn), row },
             ) if turn == self.turn && asked.contains(&host) => {
                 rows.insert(host, row);
                 let wake_at = self.wake_at;
-                self.go(Stage::Pausing { old, heir, asked, term, rows }, wake_at);
+                self.go(Stage::Fencing { old, candidate, asked, term, rows }, wake_at);
                 self.paused(now, sight, asks);
             }
-            (Stage::CatchingUp { old, heir, least, until }, Reply::Row { host, row, .. }) if host == heir => {
+            (Stage::CatchingUp { old, candidate, least, until }, Reply::Row { host, row, .. })
+                if host == candidate =>
+            {
                 if row.received >= least {
-                    return self.promote(heir, asks);
+                    return self.promote(candidate, asks);
                 }
-                self.go(Stage::CatchingUp { old, heir, least, until }, Some(now + CATCH_UP));
+                self.go(Stage::CatchingUp { old, candidate, least, until }, Some(now + CATCH_UP));
             }
-            (Stage::CatchingUp { heir, .. }, Reply::Silent { host }) if host == heir => {
+            (Stage::CatchingUp { candidate, .. }, Reply::Silent { host }) if host == candidate => {
                 self.abort(now, asks);
             }
-            (Stage::Promoting { heir, tries }, Reply::Platform { status }) => match status {
-                200..=299 => self.go(Stage::Settling { heir, until: now + SETTLE }, Some(now + RETRY)),
+            (Stage::Promoting { candidate, tries }, Reply::Platform { status }) => match status {
+                200..=299 => self.go(Stage::Settling { candidate, until: now + SETTLE }, Some(now + RETRY)),
                 409 => self.survey(now, None, false, sight, asks),
                 // Danger: a call without an answer may have been carried out. The same host is named again: another
                 // one would lead a term later, without what this one took meanwhile.
                 _ if tries < 6 => {
                     let pause = RETRY * f64::from(1 << tries.min(3));
-                    self.go(Stage::Promoting { heir, tries: tries + 1 }, Some(now + pause));
+                    self.go(Stage::Promoting { candidate, tries: tries + 1 }, Some(now + pause));
                 }
                 _ => self.survey(now, None, false, sight, asks),
             },
@@ -422,118 +296,30 @@
         }
     }
 
-    fn survey(
-        &mut self,
-        now: Point,
-        old: Option<String>,
-        planned: bool,
-        sight: &Sight<'_>,
-        asks: &mut Vec<Ask>,
-    ) {
-        self.ask_again(now, old, planned, Default::default(), sight, asks);
-    }
-
-    fn ask_again(
-        &mut self,
-        now: Point,
-        old: Option<String>,
-        planned: bool,
-        (rows, mute): (BTreeMap<String, Observed>, BTreeSet<String>),
-        sight: &Sight<'_>,
-        asks: &mut Vec<Ask>,
-    ) {
-        // Of a primary that is to be replaced in order nothing has to be known.
-        let skip = |host: &Host| planned && old.as_ref() == Some(&host.id) || rows.contains_key(&host.id);
-        let open = self.members(sight).into_iter().filter(|host| !skip(host));
-        asks.extend(open.map(|host| Ask::Observe { host: host.id.clone() }));
-        self.go(Stage::Surveying { old, planned, rows, mute }, Some(now + RETRY));
-        self.surveyed(now, sight, asks);
-    }
-
-    /// Whether a host's word is not waited for. It is silent, and another one has all that the primary had since then; or,
-    /// where the primary could not be asked, it was silent long before the primary was.
-    fn is_no_witness(
-        &self,
-        host: &str,
-        old: Option<&String>,
-        rows: &BTreeMap<String, Observed>,
-        sight: &Sight<'_>,
-    ) -> bool {
-        let Some(since) = sight.silent.get(host) else { return false };
-        if let Some(floor) = self.floors.get(host) {
-            // Danger: one that receives nothing for long answers as well, and lacks what only the silent one acknowledged.
-            return rows.values().any(|row| row.received >= *floor);
-        }
-        match old.and_then(|old| sight.silent.get(old)) {
-            Some(primary) => *primary - *since >= LONG_SILENT,
-            None => false,
-        }
-    }
-
-    /// Hosts that left a while ago and whose log nobody took over yet.
-    fn is_handed_on(&self, now: Point, sight: &Sight<'_>) -> bool {
-        let open = |(at, host): &&(Point, Host)| {
-            host.service == self.service && host.role() == DbRole::Replica && now - *at < HANDED_ON
-        };
-        sight.left.iter().filter(open).all(|(_, gone)| {
-            self.members(sight).iter().any(|host| (host.ip, host.port) == (gone.ip, gone.port))
-        })
-    }
-
-    /// Once all witnesses have answered: who is to lead, and who is to receive no more.
-    fn surveyed(&mut self, now: Point, sight: &Sight<'_>, asks: &mut Vec<Ask>) {
-        let Stage::Surveying { old, planned, rows, mute } = self.stage.clone() else { return };
-        let replicas: Vec<&Host> =
-            self.members(sight).into_iter().filter(|host| Some(&host.id) != old.as_ref()).collect();
-        // Danger: one that was silent may be back, and not have called yet; so it was asked, and did not answer.
-        let needed = |host: &&&Host| {
-            !(mute.contains(&host.id) && self.is_no_witness(&host.id, old.as_ref(), &rows, sight))
-        };
-        let all = replicas.iter().filter(needed).all(|host| rows.contains_key(&host.id));
-        if rows.is_empty() || !all || !self.is_handed_on(now, sight) {
-            return;
-        }
-        let term = next_term(rows.values());
-        // In order, the heir is one that stays: what it lacks it receives before it leads.
-        let stays = |host: &str| sight.cell.get(host).is_some_and(|host| host.phase() == Phase::InService);
-        let staying = rows.iter().filter(|(host, _)| planned && stays(host));
-        let heir = staying.max_by_key(|(_, row)| row.received).map(|(host, _)| host.clone());
-        if planned && heir.is_none() {
-            return self.abort(now, asks);
-        }
-        let asked: BTreeSet<String> =
-            rows.keys().filter(|host| Some(*host) != heir.as_ref()).cloned().collect();
-        self.turn += 1;
-        self.pause(asked.iter(), term, asks);
-        let rows = rows.into_iter().filter(|(host, _)| Some(host) == heir.as_ref()).collect();
-        self.go(Stage::Pausing { old, heir, asked, term, rows }, Some(now + RETRY));
-        self.paused(now, sight, asks);
-    }
-
     /// Once all that were asked to have stopped receiving.
     fn paused(&mut self, now: Point, sight: &Sight<'_>, asks: &mut Vec<Ask>) {
-        let Stage::Pausing { old, heir, asked, rows, .. } = self.stage.clone() else { return };
+        let Stage::Fencing { old, candidate, asked, rows, .. } = self.stage.clone() else { return };
         if !asked.iter().all(|host| rows.contains_key(host)) {
             return;
         }
-        match heir {
-            Some(heir) => {
-                let others = rows.iter().filter(|(host, _)| **host != heir).map(|(_, row)| row.received);
+        match candidate {
+            Some(candidate) => {
+                let others = rows.iter().filter(|(host, _)| **host != candidate).map(|(_, row)| row.received);
                 let least = others.max().unwrap_or_default();
-                asks.push(Ask::Observe { host: heir.clone() });
+                asks.push(Ask::Observe { host: candidate.clone() });
                 let until = now + PATIENCE;
-                self.go(Stage::CatchingUp { old, heir, least, until }, Some(now + RETRY));
+                self.go(Stage::CatchingUp { old, candidate, least, until }, Some(now + RETRY));
             }
             None => match best(&rows, sight) {
-                Some(heir) => self.promote(heir, asks),
+                Some(candidate) => self.promote(candidate, asks),
                 None => self.survey(now, None, false, sight, asks),
             },
         }
     }
 
-    fn promote(&mut self, heir: String, asks: &mut Vec<Ask>) {
-        asks.push(Ask::Promote { service: self.service.clone(), host: heir.clone() });
-        self.go(Stage::Promoting { heir, tries: 0 }, None);
+    fn promote(&mut self, candidate: String, asks: &mut Vec<Ask>) {
+        asks.push(Ask::Promote { service: self.service.clone(), host: candidate.clone() });
+        self.go(Stage::Promoting { candidate, tries: 0 }, None);
     }
 
     fn pause<'a>(&mut self, hosts: impl Iterator<Item = &'a String>, term: u64, asks: &mut Vec<Ask>) {
@@ -551,11 +337,6 @@
     }
 }
 
-/// Above every term that was told.
-fn next_term<'a>(rows: impl Iterator<Item = &'a Observed>) -> u64 {
-    rows.map(|row| row.term.max(row.received.term)).max().unwrap_or_default() + 1
-}
-
 /// The host that has most; of equals one that stays. Danger: a host that is about to end leads for a moment only, but
 /// one that has less would lose what was acknowledged.
 fn best(rows: &BTreeMap<String, Observed>, sight: &Sight<'_>) -> Option<String> {
@@ -564,21 +345,6 @@
     most.map(|(host, _)| host.clone())
 }
 
-impl fmt::Display for Stage {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Stage::Steady => write!(f, "it is steady"),
-            Stage::Checking { host, .. } => write!(f, "{host} is said not to answer"),
-            Stage::Surveying { planned: true, .. } => write!(f, "its primary leaves, heirs are asked"),
-            Stage::Surveying { .. } => write!(f, "it has no primary, heirs are asked"),
-            Stage::Pausing { .. } => write!(f, "replicas are to stop receiving"),
-            Stage::CatchingUp { heir, .. } => write!(f, "{heir} receives the rest"),
-            Stage::Promoting { heir, .. } => write!(f, "{heir} is to lead"),
-            Stage::Settling { heir, .. } => write!(f, "the platform makes {heir} lead"),
-        }
-    }
-}
-
 /// The changes of all services.
 #[derive(Debug, Default)]
 pub struct Promotions {
--- /dev/null
+++ b/crates/arrowyard-control/src/promotion/stage.rs
@@ -0,0 +1,78 @@
+//! The stages of one service's change of primary.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use arrowyard_flume::{Observed, Position};
+use arrowyard_types::Point;
+
+#[derive(Clone, Debug, PartialEq, Hash)]
+pub enum Stage {
+    Steady,
+    /// Somebody said that the primary does not answer.
+    Checking {
+        host: String,
+        silent: u32,
+    },
+    /// Which hosts there are and what they have.
+    Surveying {
+        old: Option<String>,
+        planned: bool,
+        rows: BTreeMap<String, Observed>,
+        /// Hosts that did not answer.
+        mute: BTreeSet<String>,
+    },
+    /// The others receive no more.
+    Fencing {
+        old: Option<String>,
+        candidate: Option<String>,
+        asked: BTreeSet<String>,
+        /// Above every one that was told.
+        term: u64,
+        rows: BTreeMap<String, Observed>,
+    },
+    /// The candidate still lacks something that another one has.
+    CatchingUp {
+        old: Option<String>,
+        candidate: String,
+        least: Position,
+        until: Point,
+    },
+    Promoting {
+        candidate: String,
+        tries: u32,
+    },
+    /// The platform took it; the candidate has not said yet that it leads.
+    Settling {
+        candidate: String,
+        until: Point,
+    },
+}
+
+impl Stage {
+    /// Whether a change under way is over if this host leads: all but the one that is replaced in order.
+    pub(super) fn ends_with(&self, leads: &str) -> bool {
+        let other = |old: &Option<String>| old.as_deref() != Some(leads);
+        match self {
+            Stage::Surveying { old, planned, .. } => !planned || other(old),
+            Stage::Fencing { old, candidate, .. } => candidate.is_none() || other(old),
+            Stage::CatchingUp { old, .. } => other(old),
+            _ => false,
+        }
+    }
+}
+
+impl fmt::Display for Stage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Stage::Steady => write!(f, "it is steady"),
+            Stage::Checking { host, .. } => write!(f, "{host} is said not to answer"),
+            Stage::Surveying { planned: true, .. } => write!(f, "its primary leaves, candidates are asked"),
+            Stage::Surveying { .. } => write!(f, "it has no primary, candidates are asked"),
+            Stage::Fencing { .. } => write!(f, "replicas are to stop receiving"),
+            Stage::CatchingUp { candidate, .. } => write!(f, "{candidate} receives the rest"),
+            Stage::Promoting { candidate, .. } => write!(f, "{candidate} is to lead"),
+            Stage::Settling { candidate, .. } => write!(f, "the platform makes {candidate} lead"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/arrowyard-control/src/promotion/survey.rs
@@ -0,0 +1,110 @@
+//! The survey of a service's hosts: whose word is waited for, and what follows once it is there.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use arrowyard_conduit::{DbRole, Host, Phase};
+use arrowyard_flume::Observed;
+use arrowyard_types::{Point, Span};
+
+use super::{Ask, Promotion, RETRY, Sight, Stage};
+
+/// A host that left may hold what nobody else has until another one has its log.
+const HANDED_ON: Span = Span::from_millis(8000);
+/// A replica that was silent so long before the primary was is no witness of its last commits. Danger: a host is known to be
+/// silent 3 s after its last call; what the primary has by then must have been asked for before it may be told from this.
+const LONG_SILENT: Span = Span::from_millis(4200);
+
+impl Promotion {
+    pub(super) fn survey(
+        &mut self,
+        now: Point,
+        old: Option<String>,
+        planned: bool,
+        sight: &Sight<'_>,
+        asks: &mut Vec<Ask>,
+    ) {
+        self.ask_again(now, old, planned, Default::default(), sight, asks);
+    }
+
+    pub(super) fn ask_again(
+        &mut self,
+        now: Point,
+        old: Option<String>,
+        planned: bool,
+        (rows, mute): (BTreeMap<String, Observed>, BTreeSet<String>),
+        sight: &Sight<'_>,
+        asks: &mut Vec<Ask>,
+    ) {
+        // Of a primary that is to be replaced in order nothing has to be known.
+        let skip = |host: &Host| planned && old.as_ref() == Some(&host.id) || rows.contains_key(&host.id);
+        let open = self.members(sight).into_iter().filter(|host| !skip(host));
+        asks.extend(open.map(|host| Ask::Observe { host: host.id.clone() }));
+        self.go(Stage::Surveying { old, planned, rows, mute }, Some(now + RETRY));
+        self.surveyed(now, sight, asks);
+    }
+
+    /// Whether a host's word is not waited for. It is silent, and another one has all that the primary had since then; or,
+    /// where the primary could not be asked, it was silent long before the primary was.
+    fn is_no_witness(
+        &self,
+        host: &str,
+        old: Option<&String>,
+        rows: &BTreeMap<String, Observed>,
+        sight: &Sight<'_>,
+    ) -> bool {
+        let Some(since) = sight.silent.get(host) else { return false };
+        if let Some(floor) = self.floors.get(host) {
+            // Danger: one that receives nothing for long answers as well, and lacks what only the silent one acknowledged.
+            return rows.values().any(|row| row.received >= *floor);
+        }
+        match old.and_then(|old| sight.silent.get(old)) {
+            Some(primary) => *primary - *since >= LONG_SILENT,
+            None => false,
+        }
+    }
+
+    /// Hosts that left a while ago and whose log nobody took over yet.
+    fn is_handed_on(&self, now: Point, sight: &Sight<'_>) -> bool {
+        let open = |(at, host): &&(Point, Host)| {
+            host.service == self.service && host.role() == DbRole::Replica && now - *at < HANDED_ON
+        };
+        sight.left.iter().filter(open).all(|(_, gone)| {
+            self.members(sight).iter().any(|host| (host.ip, host.port) == (gone.ip, gone.port))
+        })
+    }
+
+    /// Once all witnesses have answered: who is to lead, and who is to receive no more.
+    pub(super) fn surveyed(&mut self, now: Point, sight: &Sight<'_>, asks: &mut Vec<Ask>) {
+        let Stage::Surveying { old, planned, rows, mute } = self.stage.clone() else { return };
+        let replicas: Vec<&Host> =
+            self.members(sight).into_iter().filter(|host| Some(&host.id) != old.as_ref()).collect();
+        // Danger: one that was silent may be back, and not have called yet; so it was asked, and did not answer.
+        let needed = |host: &&&Host| {
+            !(mute.contains(&host.id) && self.is_no_witness(&host.id, old.as_ref(), &rows, sight))
+        };
+        let all = replicas.iter().filter(needed).all(|host| rows.contains_key(&host.id));
+        if rows.is_empty() || !all || !self.is_handed_on(now, sight) {
+            return;
+        }
+        let term = next_term(rows.values());
+        // In order, the candidate is one that stays: what it lacks it receives before it leads.
+        let stays = |host: &str| sight.cell.get(host).is_some_and(|host| host.phase() == Phase::InService);
+        let staying = rows.iter().filter(|(host, _)| planned && stays(host));
+        let candidate = staying.max_by_key(|(_, row)| row.received).map(|(host, _)| host.clone());
+        if planned && candidate.is_none() {
+            return self.abort(now, asks);
+        }
+        let asked: BTreeSet<String> =
+            rows.keys().filter(|host| Some(*host) != candidate.as_ref()).cloned().collect();
+        self.turn += 1;
+        self.pause(asked.iter(), term, asks);
+        let rows = rows.into_iter().filter(|(host, _)| Some(host) == candidate.as_ref()).collect();
+        self.go(Stage::Fencing { old, candidate, asked, term, rows }, Some(now + RETRY));
+        self.paused(now, sight, asks);
+    }
+}
+
+/// Above every term that was told.
+fn next_term<'a>(rows: impl Iterator<Item = &'a Observed>) -> u64 {
+    rows.map(|row| row.term.max(row.received.term)).max().unwrap_or_default() + 1
+}
--- a/crates/arrowyard-control/tests/control.rs
+++ b/crates/arrowyard-control/tests/control.rs
@@ -183,8 +183,8 @@
 
     fn row(&mut self, host: &str, primary: bool, number: u64) -> Vec<Ask> {
         let row = Observed { primary, term: 3, received: Position { term: 3, number } };
-        let pausing = matches!(self.promotion.stage, Stage::Pausing { .. });
-        let to = if pausing { To::Pause(1) } else { To::Observe };
+        let fencing = matches!(self.promotion.stage, Stage::Fencing { .. });
+        let to = if fencing { To::Pause(1) } else { To::Observe };
         let reply = Reply::Row { host: host.into(), to, row };
         self.sight(|promotion, now, sight, asks| promotion.take(now, reply, sight, asks))
     }
@@ -198,7 +198,7 @@
         self.sight(|promotion, now, sight, asks| promotion.take(now, Reply::Platform { status }, sight, asks))
     }
 
-    /// The primary does not answer, twice: heirs are asked.
+    /// The primary does not answer, twice: candidates are asked.
     fn fall(&mut self) {
         self.suspect();
         self.silent("a");
@@ -305,7 +305,7 @@
     scene.fall();
     scene.row("b", false, 20);
     scene.row("c", false, 20);
-    assert!(matches!(scene.promotion.stage, Stage::Pausing { .. }));
+    assert!(matches!(scene.promotion.stage, Stage::Fencing { .. }));
     let late = Observed { primary: false, term: 3, received: Position { term: 3, number: 20 } };
     for host in ["b", "c"] {
         let reply = Reply::Row { host: host.into(), to: To::Observe, row: late };
@@ -323,7 +323,7 @@
     scene.row("c", false, 22);
     scene.row("b", false, 24);
     scene.silent("c");
-    assert_eq!(scene.promotion.stage, Stage::Steady, "its heir does not answer");
+    assert_eq!(scene.promotion.stage, Stage::Steady, "its candidate does not answer");
     let on = Ask::Continue { host: "b".into() };
     assert_eq!(scene.asks.last(), Some(&on));
     scene.cell.told(at(900), host("a", DbRole::Primary, Phase::InService, 3));
@@ -343,7 +343,7 @@
     assert!(matches!(scene.promotion.stage, Stage::Surveying { planned: true, .. }));
     scene.row("b", false, 20);
     let asks = scene.row("c", false, 22);
-    assert_eq!(asks, [Ask::Pause { host: "b".into(), term: 4, turn: 1 }], "the heir goes on receiving");
+    assert_eq!(asks, [Ask::Pause { host: "b".into(), term: 4, turn: 1 }], "the candidate goes on receiving");
     let asks = scene.row("b", false, 24);
     assert_eq!(asks, [Ask::Observe { host: "c".into() }]);
     assert!(promoted(&scene.row("c", false, 23)).is_none(), "it lacks one that was acknowledged");
@@ -370,12 +370,12 @@
         scene.row(host, false, 20);
     }
     assert!(promoted(&scene.asks).is_some());
-    let heir = promoted(&scene.asks).map(str::to_string);
+    let candidate = promoted(&scene.asks).map(str::to_string);
     scene.status(0);
     let again = scene.pass(2000);
-    assert_eq!(promoted(&again).map(str::to_string), heir);
+    assert_eq!(promoted(&again).map(str::to_string), candidate);
     scene.status(503);
-    assert_eq!(promoted(&scene.pass(2000)).map(str::to_string), heir);
+    assert_eq!(promoted(&scene.pass(2000)).map(str::to_string), candidate);
     // A refusal means that something is not as it was thought to be: all are asked again.
     scene.status(409);
     assert!(matches!(scene.promotion.stage, Stage::Surveying { .. }));
@@ -388,11 +388,11 @@
     for host in ["b", "c", "b", "c"] {
         scene.row(host, false, 20);
     }
-    let heir = promoted(&scene.asks).expect("one was named").to_string();
+    let candidate = promoted(&scene.asks).expect("one was named").to_string();
     scene.status(200);
     scene.pass(300);
     assert!(matches!(scene.promotion.stage, Stage::Settling { .. }));
-    scene.cell.told(at(scene.now), host(&heir, DbRole::Primary, Phase::InService, 7));
+    scene.cell.told(at(scene.now), host(&candidate, DbRole::Primary, Phase::InService, 7));
     scene.pass(300);
     assert_eq!(scene.promotion.stage, Stage::Steady);
     assert!(scene.pass(Span::from_millis(60_000).micros() / 1000).is_empty());
