An old primary is made to yield by routers; hosts that join it during a change are surveyed as well

A primary cut off from control and replicas, not from routers, acknowledged through a replica that joined it while another host was being promoted.

Change: routers hear which primary is replaced, acknowledge no commit of it and tell it to yield; control waits 40 ms for that, 0.5 s if it did; newcomers are surveyed before the platform is asked; a service without any primary gets one.

Tests: 40 moments in the emulator, which lost commits before; two at the change of primary. Tests of the change of primary now pass the 40 ms.

--- a/crates/arrowyard-basin/src/day.rs
+++ b/crates/arrowyard-basin/src/day.rs
@@ -44,6 +44,10 @@
     DeafThenCrash,
     LateReplica,
     ReleasePrimary,
+    /// A primary is cut off from control and from its replicas; routers reach it.
+    CutPrimary,
+    /// A service gets one more replica, which receives from its primary at once.
+    JoinReplica,
     LoseAnswers,
     /// A primary fails part of its statements.
     FailStatements,
@@ -54,7 +58,7 @@
 }
 
 impl Trouble {
-    pub const ALL: [Trouble; 26] = [
+    pub const ALL: [Trouble; 28] = [
         Trouble::KillControl,
         Trouble::DarkControl,
         Trouble::WipeControl,
@@ -76,6 +80,8 @@
         Trouble::DeafThenCrash,
         Trouble::LateReplica,
         Trouble::ReleasePrimary,
+        Trouble::CutPrimary,
+        Trouble::JoinReplica,
         Trouble::LoseAnswers,
         Trouble::FailStatements,
         Trouble::SlowHost,
@@ -114,6 +120,7 @@
                 | DeafReplica
                 | DeafThenCrash
                 | ReleasePrimary
+                | CutPrimary
         )
     }
 }
@@ -473,6 +480,15 @@
                     // Told within a period, served on for the bound, and a little longer.
                     return vec![(now + Span::from_millis(9500), Turn::Replace(seat))];
                 }
+                Trouble::CutPrimary => {
+                    let Some(seat) = primary else { return Vec::new() };
+                    system.isolate_host(seat, true);
+                    return later(&fault, seat);
+                }
+                Trouble::JoinReplica => {
+                    system.add_host(service);
+                    return Vec::new();
+                }
                 Trouble::LoseAnswers | Trouble::FailStatements | Trouble::SlowHost => {
                     let Some(seat) = primary else { return Vec::new() };
                     let mut faults = system.hosts[seat].faults.borrow_mut();
@@ -569,7 +585,8 @@
                         }
                     }
                 }
-                Trouble::ReleasePrimary => {}
+                Trouble::CutPrimary => system.isolate_host(place, false),
+                Trouble::ReleasePrimary | Trouble::JoinReplica => {}
             }
             Vec::new()
         }
--- a/crates/arrowyard-basin/src/host.rs
+++ b/crates/arrowyard-basin/src/host.rs
@@ -22,6 +22,8 @@
 /// A host that leaves serves for so long after that was acknowledged, and a little longer; then nothing may come.
 const DRAIN: Span = Span::from_millis(7000);
 const QUEUE: usize = 40;
+/// A host that is started while the others run calls control after so long.
+const FIRST_CALL: Span = Span::from_millis(10);
 /// Things that begin so take so many times the work of others.
 pub const COSTLY: char = 'w';
 const COSTS: f64 = 5.0;
@@ -316,6 +318,11 @@
                 let (mode, shape) = split(rest);
                 session.defined.insert(name.to_string(), (mode == "WRITE", shape.to_string()));
             }
+            "YIELD" => {
+                let term = rest.parse().unwrap_or_default();
+                self.shard.borrow_mut().yield_to(&self.id, term);
+                return self.observe(conn, orders);
+            }
             "PAUSE" | "CONTINUE" => {
                 let mut shard = self.shard.borrow_mut();
                 if let Some(copy) = shard.copies.get_mut(&self.id).filter(|_| !leads) {
@@ -481,7 +488,12 @@
     fn handle(&mut self, now: Point, event: Event<'_>, orders: &mut Orders) {
         self.shard.borrow_mut().advance(now);
         match event {
-            Event::Start => drop(self.timers.set(now + self.period * self.rng.f64(), Due::Beat)),
+            Event::Start => {
+                // At a first start calls are spread; a host that comes later calls at once.
+                let first = now == Point::from_micros(0);
+                let wait = if first { self.period * self.rng.f64() } else { FIRST_CALL };
+                self.timers.set(now + wait, Due::Beat);
+            }
             Event::Accepted { conn, .. } => {
                 let session = Session {
                     lines: Lines::default(),
--- a/crates/arrowyard-basin/src/shard.rs
+++ b/crates/arrowyard-basin/src/shard.rs
@@ -66,6 +66,14 @@
         }
     }
 
+    /// One more replica, with an empty log.
+    pub fn join(&mut self, id: &str) {
+        let lag = self.copies.values().next().map_or(Span::ZERO, |copy| copy.lag);
+        let copy =
+            Copy { log: Vec::new(), applied: 0, term: self.term, paused: false, deaf: false, up: true, lag };
+        self.copies.insert(id.to_string(), copy);
+    }
+
     /// When something of it arrives next.
     pub fn due(&self) -> Option<Point> {
         let next = |keys: Option<&(Point, u64)>| keys.map(|(at, _)| *at);
@@ -116,6 +124,14 @@
         self.primary.as_deref() == Some(id)
     }
 
+    /// A primary of a lower term leads no more.
+    pub fn yield_to(&mut self, id: &str, term: u64) {
+        if self.leads(id) && self.term < term {
+            self.primary = None;
+            self.passing.clear();
+        }
+    }
+
     /// The primary commits; its number. The replicas hear of it.
     pub fn commit(&mut self, now: Point, id: &str, writes: Vec<String>) -> usize {
         let term = self.term;
--- a/crates/arrowyard-basin/src/system.rs
+++ b/crates/arrowyard-basin/src/system.rs
@@ -407,6 +407,31 @@
         shard.borrow_mut().pass_on(now, &id);
     }
 
+    /// A service gets one more replica, at an address of its own.
+    pub fn add_host(&mut self, service: usize) {
+        let (place, copy) = (self.hosts.len(), self.shards[service].borrow().copies.len());
+        let id = format!("i-{service}-{copy}j{place}");
+        let address = SocketAddrV4::new(ip(2, place), 8000);
+        let machine = self.world.add(&id, vec![address], Rc::new(RefCell::new(Disk::default())), Span::ZERO);
+        self.shards[service].borrow_mut().join(&id);
+        let zone = zone(&self.plan, copy);
+        let (faults, seq) = (Rc::default(), Rc::default());
+        self.hosts.push(HostSeat { machine, id, address, zone, service, faults, seq });
+        self.start_host(place);
+    }
+
+    /// A host is cut off from all control machines and from the replicas that its service has by now, or is no more.
+    pub fn isolate_host(&mut self, seat: usize, cut: bool) {
+        let HostSeat { machine, id, service, .. } = &self.hosts[seat];
+        for control in &self.controls {
+            if cut { self.world.cut(*machine, *control) } else { self.world.join(*machine, *control) }
+        }
+        let mut shard = self.shards[*service].borrow_mut();
+        for (_, copy) in shard.copies.iter_mut().filter(|(other, _)| *other != id) {
+            copy.deaf = cut;
+        }
+    }
+
     pub fn stop_host(&mut self, seat: usize, dark: bool) {
         let seat = &self.hosts[seat];
         if let Some(copy) = self.shards[seat.service].borrow_mut().copies.get_mut(&seat.id) {
--- a/crates/arrowyard-basin/tests/control.rs
+++ b/crates/arrowyard-basin/tests/control.rs
@@ -600,3 +600,25 @@
         assert_eq!(status.matches("\"revision\":14").count(), 1 + status.matches("\"node\":\"edge-").count());
     }
 }
+
+/// Point 3: a primary is cut off from control and from its replicas, which are fenced; a new replica that nobody has asked
+/// to stop joins it at that moment, and it acknowledges what it held back. Whoever takes over lacks it. On every other
+/// day a control machine is killed shortly before, and the routers that it fed hear of nothing.
+#[test]
+fn a_replica_that_joins_while_its_primary_is_replaced_acknowledges_nothing_for_it() {
+    let mut promotions = 0;
+    for moment in 0_u32..40 {
+        let fault = |at: f64, for_s: f64, what: Trouble| Fault { at, for_s, what, which: moment as usize };
+        let joins = 8.9 + 0.06 * f64::from(moment);
+        let mut faults = vec![fault(6.0, 8.0, Trouble::CutPrimary), fault(joins, 0.0, Trouble::JoinReplica)];
+        if moment % 2 == 1 {
+            faults.push(fault(joins - 0.7, 3.0, Trouble::KillControl));
+        }
+        let day = Day { seed: 90 + u64::from(moment), seconds: 19.0, users: 4, faults, ..Day::default() };
+        let played = play(&day);
+        assert!(played.breaches.is_empty(), "joined at {joins}: {:?}", played.breaches);
+        promotions += played.promotions;
+    }
+    // With a replica of its own the cut off primary serves on, and is not always replaced.
+    assert!(promotions >= 25, "{promotions} in 40 days");
+}
--- a/crates/arrowyard-conduit/src/message.rs
+++ b/crates/arrowyard-conduit/src/message.rs
@@ -9,7 +9,7 @@
 pub struct Frame {
     #[prost(
         oneof = "Word",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
     )]
     pub word: Option<Word>,
 }
@@ -58,6 +58,10 @@
     Departing(Departing),
     #[prost(message, tag = "21")]
     DepartureKept(DepartureKept),
+    #[prost(message, tag = "22")]
+    Replacements(Replacements),
+    #[prost(message, tag = "23")]
+    Yielded(Yielded),
 }
 
 /// The first frame on a connection, from both ends.
@@ -538,6 +542,38 @@
     pub hosts: Vec<String>,
 }
 
+/// From whoever holds the duty, by way of all control machines, to all routers: the services whose primary is being
+/// replaced because it does not answer. It is said again and again while that lasts, and stands for all said before.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Replacements {
+    /// Of the duty, as its holder took it up.
+    #[prost(uint64, tag = "1")]
+    pub fence: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub services: Vec<Replacement>,
+}
+
+/// Of this service's hosts only the candidate may have commits acknowledged.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Replacement {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(string, tag = "2")]
+    pub candidate: String,
+    /// Above the term of whoever is replaced.
+    #[prost(uint64, tag = "3")]
+    pub term: u64,
+}
+
+/// From a router, and between control machines: a primary that is replaced answered that it leads no more.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Yielded {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(string, tag = "2")]
+    pub host: String,
+}
+
 /// Asks a voter what it has accepted behind its last chosen slot; it promises nothing.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Message)]
 pub struct Probe {
--- a/crates/arrowyard-control/src/control.rs
+++ b/crates/arrowyard-control/src/control.rs
@@ -10,6 +10,7 @@
 mod memory;
 mod mesh;
 mod platform;
+mod replacements;
 mod seats;
 mod shares;
 mod status;
@@ -90,6 +91,8 @@
     view: View,
     duty: Duties,
     promotions: Promotions,
+    /// The replacements of primaries that routers were told of last.
+    told_replacements: Vec<arrowyard_conduit::Replacement>,
     /// Under which fence the duty is carried out, since this machine took it up.
     fence: Option<u64>,
     /// The duty's fence that a majority has confirmed since this machine was cut off last, and the question for it.
@@ -165,6 +168,7 @@
             view,
             duty,
             promotions: Promotions::default(),
+            told_replacements: Vec::new(),
             fence: None,
             confirmed: None,
             confirming: None,
@@ -259,6 +263,7 @@
         self.unable_since = if self.is_able_to_vote(now) { None } else { self.unable_since.or(Some(now)) };
         self.take_up(now, orders);
         self.fill_seats(now, orders);
+        self.tell_replacements(true, orders);
         self.divide(now, orders);
     }
 
--- a/crates/arrowyard-control/src/control/duty.rs
+++ b/crates/arrowyard-control/src/control/duty.rs
@@ -97,6 +97,7 @@
             }
             promotion.look(now, &sight, &mut asks);
         }
+        self.tell_replacements(false, orders);
         self.ask_hosts(now, asks, orders);
     }
 }
--- a/crates/arrowyard-control/src/control/hosts.rs
+++ b/crates/arrowyard-control/src/control/hosts.rs
@@ -171,6 +171,7 @@
         let mut asks = Vec::new();
         let sight = Sight { cell: &self.cell, silent: &self.silent, left: &self.left };
         self.promotions.of(service).take(now, reply, &sight, &mut asks);
+        self.tell_replacements(false, orders);
         self.ask_hosts(now, asks, orders);
     }
 
--- a/crates/arrowyard-control/src/control/mesh.rs
+++ b/crates/arrowyard-control/src/control/mesh.rs
@@ -375,6 +375,8 @@
             Word::Departing(departing) => self.departure_told(now, ip, departing, orders),
             Word::DepartureKept(kept) => self.departure_kept(now, ip, kept.number, orders),
             Word::Suspect(suspect) => self.suspected(now, suspect, orders),
+            Word::Yielded(yielded) => self.yielded(now, false, yielded, orders),
+            word @ Word::Replacements(_) => self.pass_replacements(&word, orders),
             Word::Needs(needs) => self.needs(now, Some(ip), needs, orders),
             Word::Allots(allots) => self.allots(allots, orders),
             word @ Word::Pressed(_) => self.pressed(&word, orders),
--- a/crates/arrowyard-control/src/control/platform.rs
+++ b/crates/arrowyard-control/src/control/platform.rs
@@ -12,7 +12,7 @@
 use arrowyard_types::{Point, Span};
 
 use super::{Control, Line};
-use crate::promotion::{Reply, Stage};
+use crate::promotion::{Reply, Sight, Stage};
 use crate::{Answer, ProposalId};
 
 /// A platform that does not answer in so long is asked anew.
@@ -132,9 +132,22 @@
         }
         decided.fence = Some(slot);
         let until = decided.until;
+        if self.survey_newcomers(now, &decision.service, orders) {
+            return;
+        }
         self.call_platform(now, &decision.service, &decision.host, (slot, until), orders);
     }
 
+    /// Whether a host has joined the service since it was surveyed; then its hosts are surveyed again.
+    fn survey_newcomers(&mut self, now: Point, service: &str, orders: &mut Orders) -> bool {
+        let mut asks = Vec::new();
+        let sight = Sight { cell: &self.cell, silent: &self.silent, left: &self.left };
+        let joined = self.promotions.of(service).survey_newcomers(now, &sight, &mut asks);
+        self.tell_replacements(false, orders);
+        self.ask_hosts(now, asks, orders);
+        joined
+    }
+
     /// The ledger answers a proposal. Whether it was one for a decision.
     pub(super) fn proposal_answered(
         &mut self,
--- /dev/null
+++ b/crates/arrowyard-control/src/control/replacements.rs
@@ -0,0 +1,52 @@
+//! Routers are told which primaries are being replaced: they acknowledge no commit of the host that is replaced, and tell
+//! it to yield.
+//!
+//! Safety: a host that control cannot ask may still lead and serve routers. Its replicas have been asked to stop, so it
+//! acknowledges nothing; but a replica that joins it afterwards, and that nobody asked, lets it acknowledge what the
+//! candidate lacks. What is told here reaches the routers before the platform hears of the decision. A router that no
+//! control machine reaches is not told; so whoever is told makes the old primary yield, for all others as well.
+
+use arrowyard_conduit::{Replacement, Replacements, Word, Yielded};
+use arrowyard_runtime::{Conn, Orders};
+use arrowyard_types::Point;
+
+use super::Control;
+use crate::applied::DUTY;
+use crate::promotion::Reply;
+
+impl Control {
+    /// Tells routers what is being replaced, if that has changed, or while it lasts.
+    pub(super) fn tell_replacements(&mut self, again: bool, orders: &mut Orders) {
+        let services = self.replacements();
+        let changed = services != self.told_replacements;
+        if !changed && (!again || services.is_empty()) {
+            return;
+        }
+        self.told_replacements.clone_from(&services);
+        let word = Word::Replacements(Replacements { fence: self.fence.unwrap_or_default(), services });
+        self.say_to_peers(&word, orders);
+        self.pass_replacements(&word, orders);
+    }
+
+    fn replacements(&self) -> Vec<Replacement> {
+        self.promotions.by_service.values().filter_map(crate::Promotion::replacement).collect()
+    }
+
+    /// A router made an old primary yield. It is passed on once, to the holder of the duty alone.
+    pub(super) fn yielded(&mut self, now: Point, from_router: bool, yielded: Yielded, orders: &mut Orders) {
+        if self.fence.is_some() {
+            return self.replied(now, &yielded.service, Reply::Yielded, orders);
+        }
+        let holder = self.ledger.applied().duties.get(DUTY).map(|duty| duty.holder);
+        if let Some(holder) = holder.filter(|holder| from_router && *holder != self.me) {
+            self.say_to_peer(holder, &Word::Yielded(yielded), orders);
+        }
+    }
+
+    /// Tells the routers that are fed here.
+    pub(super) fn pass_replacements(&mut self, word: &Word, orders: &mut Orders) {
+        let mut fed: Vec<Conn> = self.routers_fed().map(|(conn, _)| conn).collect();
+        fed.sort_unstable();
+        fed.into_iter().for_each(|conn| self.say(conn, word.clone(), orders));
+    }
+}
--- a/crates/arrowyard-control/src/promotion/mod.rs
+++ b/crates/arrowyard-control/src/promotion/mod.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 
-use arrowyard_conduit::{DbRole, Host, Phase};
+use arrowyard_conduit::{DbRole, Host, Phase, Replacement};
 use arrowyard_flume::{Observed, Position};
 use arrowyard_types::{Point, Span};
 
@@ -31,10 +31,17 @@
 const HELD: Span = Span::from_millis(1000);
 const CATCH_UP: Span = Span::from_millis(15);
 /// A candidate has so long to receive what the others have; the platform so long to make it primary.
+/// An old primary that lives has so long to yield; once it has, hosts that joined it before have so long to be heard of.
+const YIELDS: Span = Span::from_millis(40);
+const NEWCOMERS: Span = Span::from_millis(500);
 const PATIENCE: Span = Span::from_millis(1500);
 const SETTLE: Span = Span::from_millis(4000);
 /// So many questions in a row must stay without an answer.
 const SURE: u32 = 2;
+/// A service of which no host has said for so long that it leads gets a primary. Hosts call every 1.2 s, and those of a
+/// start in any order.
+const LEADERLESS: Span = Span::from_millis(3000);
+
 /// One service's change of primary.
 #[derive(Clone, Debug)]
 pub struct Promotion {
@@ -51,13 +58,20 @@
     floor_at: Point,
     /// Rises each time that hosts are asked to stop.
     turn: u64,
+    /// The service's hosts as they were when the last survey was complete, and a term above all of theirs.
+    surveyed_hosts: BTreeSet<String>,
+    next_term: u64,
+    /// Whether the old primary has yielded in this change: nothing can be acknowledged for it any more.
+    has_yielded: bool,
+    /// Since when no host says that it leads.
+    leaderless_since: Option<Point>,
 }
 
 /// Times and turns are left out: a model checker takes two for the same that differ in nothing else.
 impl Hash for Promotion {
     fn hash<H: Hasher>(&self, state: &mut H) {
         (&self.service, &self.stage, self.wake_at.is_some()).hash(state);
-        (&self.held, &self.floors, &self.floor_of).hash(state);
+        (&self.held, &self.floors, &self.floor_of, self.has_yielded).hash(state);
     }
 }
 
@@ -82,6 +96,10 @@
             floor_of: BTreeSet::new(),
             floor_at: Point::DAWN,
             turn: 0,
+            surveyed_hosts: BTreeSet::new(),
+            next_term: 0,
+            has_yielded: false,
+            leaderless_since: None,
         }
     }
 
@@ -99,6 +117,41 @@
         self.turn
     }
 
+    /// The candidate, while a primary that does not answer is replaced. Safety: the replicas that were surveyed receive
+    /// nothing from it any more, but one that joins it now does, and it would acknowledge what the candidate lacks.
+    pub fn replacement(&self) -> Option<Replacement> {
+        let (Stage::Yielding { candidate, .. }
+        | Stage::Promoting { candidate, planned: false, .. }
+        | Stage::Settling { candidate, planned: false, .. }) = &self.stage
+        else {
+            return None;
+        };
+        Some(Replacement {
+            service: self.service.clone(),
+            candidate: candidate.clone(),
+            term: self.next_term,
+        })
+    }
+
+    /// Begins the survey again if a host has joined the service since it was complete. Whether it did: then the decision
+    /// that came of it must not be carried out.
+    pub fn survey_newcomers(&mut self, now: Point, sight: &Sight<'_>, asks: &mut Vec<Ask>) -> bool {
+        let (old, planned, tries) = match self.stage.clone() {
+            Stage::Yielding { old, .. } => (old, false, 0),
+            Stage::Promoting { old, planned, tries, .. } => (old, planned, tries),
+            _ => return false,
+        };
+        let joined = self.members(sight).iter().any(|host| !self.surveyed_hosts.contains(&host.id));
+        if joined {
+            // After a call to the platform whose answer was lost, the old primary may follow a new one by now: then its
+            // word is needed as that of all others is.
+            let old = old.filter(|_| tries == 0);
+            let planned = planned && old.is_some();
+            self.survey(now, old, planned, sight, asks);
+        }
+        joined
+    }
+
     /// As a new holder begins: what was asked is not known here.
     pub fn forget_floors(&mut self) {
         self.floors.clear();
@@ -113,6 +166,9 @@
         if std::mem::discriminant(&self.stage) != std::mem::discriminant(&stage) {
             log::info!("promotion: {}: {}.", self.service, stage);
         }
+        if stage == Stage::Steady {
+            self.has_yielded = false;
+        }
         (self.stage, self.wake_at) = (stage, wake_at);
     }
 
@@ -161,6 +217,8 @@
                     && candidates()
                 {
                     self.survey(now, Some(old.id.clone()), true, sight, asks);
+                } else if self.is_leaderless(now, sight) {
+                    self.survey(now, None, false, sight, asks);
                 }
             }
             Stage::Checking { host, .. } if woke => asks.push(Ask::Observe { host }),
@@ -184,10 +242,15 @@
                 }
                 asks.push(Ask::Observe { host: candidate });
             }
+            Stage::Yielding { old, candidate } if woke => {
+                if !self.survey_newcomers(now, sight, asks) {
+                    self.promote(old, candidate, false, asks);
+                }
+            }
             Stage::Promoting { candidate, .. } if woke => {
                 asks.push(Ask::Promote { service: self.service.clone(), host: candidate });
             }
-            Stage::Settling { candidate, until } => {
+            Stage::Settling { candidate, until, .. } => {
                 if sight.cell.primary(&self.service).is_some_and(|primary| primary.id == candidate) {
                     // A change of primary lets all go on.
                     self.held.clear();
@@ -203,6 +266,16 @@
         }
     }
 
+    /// Whether the service has hosts, and none of them has said for long that it leads: a primary that was told to yield
+    /// did so, and whoever was to replace it was lost with the holder of the duty.
+    fn is_leaderless(&mut self, now: Point, sight: &Sight<'_>) -> bool {
+        if sight.cell.primary(&self.service).is_some() || self.members(sight).is_empty() {
+            self.leaderless_since = None;
+            return false;
+        }
+        now - *self.leaderless_since.get_or_insert(now) >= LEADERLESS
+    }
+
     /// A replica is silent: what has the primary? Once for each silence, since every such question takes a slot there.
     fn ask_for_floors(&mut self, now: Point, sight: &Sight<'_>, asks: &mut Vec<Ask>) {
         let Some(primary) = sight.cell.primary(&self.service).map(|host| host.id.clone()) else { return };
@@ -274,21 +347,30 @@
                 if host == candidate =>
             {
                 if row.received >= least {
-                    return self.promote(candidate, asks);
+                    return self.promote(old, candidate, true, asks);
                 }
                 self.go(Stage::CatchingUp { old, candidate, least, until }, Some(now + CATCH_UP));
             }
             (Stage::CatchingUp { candidate, .. }, Reply::Silent { host }) if host == candidate => {
                 self.abort(now, asks);
             }
-            (Stage::Promoting { candidate, tries }, Reply::Platform { status }) => match status {
-                200..=299 => self.go(Stage::Settling { candidate, until: now + SETTLE }, Some(now + RETRY)),
+            (Stage::Yielding { old, candidate }, Reply::Yielded) if !self.has_yielded => {
+                self.has_yielded = true;
+                self.go(Stage::Yielding { old, candidate }, Some(now + NEWCOMERS));
+            }
+            (Stage::Promoting { old, candidate, planned, tries }, Reply::Platform { status }) => match status
+            {
+                200..=299 => {
+                    let until = now + SETTLE;
+                    self.go(Stage::Settling { candidate, planned, until }, Some(now + RETRY));
+                }
                 409 => self.survey(now, None, false, sight, asks),
                 // Danger: a call without an answer may have been carried out. The same host is named again: another
                 // one would lead a term later, without what this one took meanwhile.
                 _ if tries < 6 => {
                     let pause = RETRY * f64::from(1 << tries.min(3));
-                    self.go(Stage::Promoting { candidate, tries: tries + 1 }, Some(now + pause));
+                    let tries = tries + 1;
+                    self.go(Stage::Promoting { old, candidate, planned, tries }, Some(now + pause));
                 }
                 _ => self.survey(now, None, false, sight, asks),
             },
@@ -311,15 +393,19 @@
                 self.go(Stage::CatchingUp { old, candidate, least, until }, Some(now + RETRY));
             }
             None => match best(&rows, sight) {
-                Some(candidate) => self.promote(candidate, asks),
+                Some(candidate) if self.has_yielded => self.promote(old, candidate, false, asks),
+                Some(candidate) => {
+                    let stage = Stage::Yielding { old, candidate };
+                    self.go(stage, Some(now + YIELDS));
+                }
                 None => self.survey(now, None, false, sight, asks),
             },
         }
     }
 
-    fn promote(&mut self, candidate: String, asks: &mut Vec<Ask>) {
+    fn promote(&mut self, old: Option<String>, candidate: String, planned: bool, asks: &mut Vec<Ask>) {
         asks.push(Ask::Promote { service: self.service.clone(), host: candidate.clone() });
-        self.go(Stage::Promoting { candidate, tries: 0 }, None);
+        self.go(Stage::Promoting { old, candidate, planned, tries: 0 }, None);
     }
 
     fn pause<'a>(&mut self, hosts: impl Iterator<Item = &'a String>, term: u64, asks: &mut Vec<Ask>) {
--- a/crates/arrowyard-control/src/promotion/request.rs
+++ b/crates/arrowyard-control/src/promotion/request.rs
@@ -69,6 +69,8 @@
     Busy {
         host: String,
     },
+    /// A router made the old primary yield: it lived, and whoever joined it may have acknowledged for it.
+    Yielded,
     Platform {
         status: u16,
     },
--- a/crates/arrowyard-control/src/promotion/stage.rs
+++ b/crates/arrowyard-control/src/promotion/stage.rs
@@ -38,13 +38,22 @@
         least: Position,
         until: Point,
     },
+    /// Routers make a primary that control cannot ask yield, and hosts that joined it lately are waited for.
+    Yielding {
+        old: Option<String>,
+        candidate: String,
+    },
     Promoting {
+        old: Option<String>,
         candidate: String,
+        /// Whether the primary serves until the change.
+        planned: bool,
         tries: u32,
     },
     /// The platform took it; the candidate has not said yet that it leads.
     Settling {
         candidate: String,
+        planned: bool,
         until: Point,
     },
 }
@@ -57,6 +66,7 @@
             Stage::Surveying { old, planned, .. } => !planned || other(old),
             Stage::Fencing { old, candidate, .. } => candidate.is_none() || other(old),
             Stage::CatchingUp { old, .. } => other(old),
+            Stage::Yielding { .. } => true,
             _ => false,
         }
     }
@@ -71,6 +81,7 @@
             Stage::Surveying { .. } => write!(f, "it has no primary, candidates are asked"),
             Stage::Fencing { .. } => write!(f, "replicas are to stop receiving"),
             Stage::CatchingUp { candidate, .. } => write!(f, "{candidate} receives the rest"),
+            Stage::Yielding { .. } => write!(f, "its old primary is to yield"),
             Stage::Promoting { candidate, .. } => write!(f, "{candidate} is to lead"),
             Stage::Settling { candidate, .. } => write!(f, "the platform makes {candidate} lead"),
         }
--- a/crates/arrowyard-control/src/promotion/survey.rs
+++ b/crates/arrowyard-control/src/promotion/survey.rs
@@ -86,7 +86,9 @@
         if rows.is_empty() || !all || !self.is_handed_on(now, sight) {
             return;
         }
+        self.surveyed_hosts = self.members(sight).into_iter().map(|host| host.id.clone()).collect();
         let term = next_term(rows.values());
+        self.next_term = term;
         // In order, the candidate is one that stays: what it lacks it receives before it leads.
         let stays = |host: &str| sight.cell.get(host).is_some_and(|host| host.phase() == Phase::InService);
         let staying = rows.iter().filter(|(host, _)| planned && stays(host));
--- a/crates/arrowyard-control/tests/control.rs
+++ b/crates/arrowyard-control/tests/control.rs
@@ -186,7 +186,12 @@
         let fencing = matches!(self.promotion.stage, Stage::Fencing { .. });
         let to = if fencing { To::Pause(1) } else { To::Observe };
         let reply = Reply::Row { host: host.into(), to, row };
-        self.sight(|promotion, now, sight, asks| promotion.take(now, reply, sight, asks))
+        let mut asks = self.sight(|promotion, now, sight, asks| promotion.take(now, reply, sight, asks));
+        if matches!(self.promotion.stage, Stage::Yielding { .. }) {
+            assert!(promoted(&asks).is_none(), "the old primary is to yield first");
+            asks.extend(self.pass(40));
+        }
+        asks
     }
 
     fn silent(&mut self, host: &str) -> Vec<Ask> {
@@ -240,6 +245,39 @@
     assert_eq!(promoted(&scene.row("c", false, 25)), Some("c"));
 }
 
+/// A primary that yields was alive: hosts that joined it lately are waited for, and surveyed if there are any.
+#[test]
+fn hosts_that_joined_a_primary_that_yields_are_surveyed_as_well() {
+    for joins in [false, true] {
+        let mut scene = Scene::new();
+        scene.fall();
+        ["b", "c", "b"].iter().for_each(|host| _ = scene.row(host, false, 20));
+        let row = Observed { primary: false, term: 3, received: Position { term: 3, number: 20 } };
+        let last = Reply::Row { host: "c".into(), to: To::Pause(1), row };
+        scene.sight(|promotion, now, sight, asks| promotion.take(now, last, sight, asks));
+        assert_eq!(scene.promotion.replacement().map(|change| change.term), Some(4), "routers are told");
+        scene.sight(|promotion, now, sight, asks| promotion.take(now, Reply::Yielded, sight, asks));
+        assert!(scene.pass(40).is_empty(), "whoever joined has not called yet");
+        if joins {
+            scene.cell.told(at(scene.now), host("d", DbRole::Replica, Phase::InService, 1));
+        }
+        let asks = scene.pass(500);
+        assert_eq!(promoted(&asks).is_some(), !joins);
+        assert_eq!(matches!(scene.promotion.stage, Stage::Surveying { planned: false, .. }), joins);
+    }
+}
+
+/// The old primary yielded, and whoever was to take over was lost with the holder of the duty.
+#[test]
+fn a_service_without_a_primary_gets_one() {
+    let mut scene = Scene::new();
+    scene.cell.told(at(0), host("a", DbRole::Replica, Phase::InService, 2));
+    assert!(scene.pass(100).is_empty() && scene.pass(2900).is_empty(), "one may be about to call");
+    assert_eq!(scene.pass(200).len(), 3, "all are asked");
+    ["a", "b", "c", "a", "b"].iter().for_each(|host| _ = scene.row(host, false, 20));
+    assert!(promoted(&scene.row("c", false, 21)).is_some());
+}
+
 #[test]
 fn a_replica_that_cannot_be_asked_may_hold_the_only_copy() {
     let mut scene = Scene::new();
--- a/crates/arrowyard-sluice/src/lib.rs
+++ b/crates/arrowyard-sluice/src/lib.rs
@@ -6,6 +6,7 @@
 mod module;
 mod pace;
 mod plane;
+mod replacements;
 mod routes;
 mod session;
 
--- a/crates/arrowyard-sluice/src/link.rs
+++ b/crates/arrowyard-sluice/src/link.rs
@@ -22,6 +22,8 @@
     Client,
     Abort,
     Observe,
+    /// The host is replaced as primary.
+    Yield,
 }
 
 /// Where a connection is in its life.
@@ -69,6 +71,8 @@
     pub fault: Option<(Code, String)>,
     pub opened_at: Point,
     pub since: Point,
+    /// It was opened to tell its host to yield to this term.
+    pub yields_to: Option<u64>,
 }
 
 impl Link {
@@ -90,6 +94,7 @@
             fault: None,
             opened_at: now,
             since: now,
+            yields_to: None,
         }
     }
 
--- a/crates/arrowyard-sluice/src/plane.rs
+++ b/crates/arrowyard-sluice/src/plane.rs
@@ -20,6 +20,7 @@
 use crate::link::Link;
 use crate::module::Module;
 use crate::pace::Paces;
+use crate::replacements::Replacements;
 use crate::routes::{Configured, OpTypes};
 use crate::session::Session;
 
@@ -100,6 +101,7 @@
     shapes: FxHashMap<(arrowyard_flume::Mode, Rc<str>), u32>,
     timers: Timers<Alarm>,
     feed: Feed,
+    replacements: Replacements,
     shares: Shares,
     /// How many routers share the hosts' connections.
     routers: u32,
@@ -140,6 +142,7 @@
             shapes: FxHashMap::default(),
             timers: Timers::default(),
             feed: Feed::default(),
+            replacements: Replacements::default(),
             shares: Shares::default(),
             routers: UNCOUNTED,
             controls,
--- a/crates/arrowyard-sluice/src/plane/feed.rs
+++ b/crates/arrowyard-sluice/src/plane/feed.rs
@@ -4,12 +4,16 @@
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 
-use arrowyard_conduit::{Change, Frames, Hello, Host, Known, Seen, Step, Suspect, Whole, Word, number, said};
+use arrowyard_conduit::{
+    Change, DbRole, Frames, Hello, Host, Known as Machine, Phase, Replacements, Seen, Step, Suspect, Whole,
+    Word, Yielded, number, said,
+};
 use arrowyard_gauge::{Change as Revision, ChangeKind, Configuration};
 use arrowyard_runtime::{Conn, Orders};
-use arrowyard_types::{Note, Point, Span};
+use arrowyard_types::{HostId, Note, Point, Span};
 
 use super::{Alarm, Line, Sluice};
+use crate::module::Known;
 use crate::routes::Routes;
 
 /// A control machine that does not answer a dial in so long is passed over; then the next one is tried.
@@ -149,6 +153,7 @@
                     Some(Word::Whole(whole)) => self.take_whole(now, conn, &whole, orders),
                     Some(Word::Change(change)) => self.take_change(now, conn, &change, orders),
                     Some(Word::Allots(allots)) => self.take_allots(now, allots, orders),
+                    Some(Word::Replacements(told)) => self.take_replacements(now, told, orders),
                     Some(Word::Pressed(pressed)) => self.hosts_pressed(now, &pressed.hosts, orders),
                     _ => {}
                 },
@@ -230,7 +235,30 @@
         }
     }
 
-    fn take_view(&mut self, view: &[Known]) {
+    fn take_replacements(&mut self, now: Point, told: Replacements, orders: &mut Orders) {
+        for change in self.replacements.take(now, told) {
+            let is_replaced = |known: &&Known| {
+                known.host.service == change.service
+                    && known.host.id != change.candidate
+                    && known.host.role() == DbRole::Primary
+                    && known.host.phase() != Phase::Gone
+            };
+            let replaced: Vec<String> =
+                self.module.hosts().filter(is_replaced).map(|known| known.host.id.clone()).collect();
+            let replaced = replaced.iter().filter_map(|id| self.module.id_of(id)).collect::<Vec<_>>();
+            replaced.into_iter().for_each(|host| self.tell_to_yield(now, host, change.term, orders));
+        }
+    }
+
+    /// Control hears that an old primary leads no more.
+    pub(super) fn say_yielded(&mut self, host: HostId, orders: &mut Orders) {
+        let Host { service, id, .. } = self.module.host(host).host.clone();
+        if let Some(conn) = self.feed.open_conn() {
+            orders.write(conn, &[&said(Word::Yielded(Yielded { service, host: id }))]);
+        }
+    }
+
+    fn take_view(&mut self, view: &[Machine]) {
         if !view.is_empty() {
             self.controls = view.to_vec();
         }
--- a/crates/arrowyard-sluice/src/plane/hosts.rs
+++ b/crates/arrowyard-sluice/src/plane/hosts.rs
@@ -127,13 +127,14 @@
         }
     }
 
-    fn dial(&mut self, now: Point, host: HostId, orders: &mut Orders) {
+    fn dial(&mut self, now: Point, host: HostId, orders: &mut Orders) -> Conn {
         let conn = orders.dial(self.module.host(host).address);
         self.lines.insert(conn, Line::Link(Box::new(Link::new(conn, host, now))));
         self.timers.set(now + OPENS, Alarm::Link(conn));
         let pool = &mut self.pools[host.0 as usize];
         pool.all += 1;
         pool.opening += 1;
+        conn
     }
 
     pub(super) fn opened(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
@@ -303,8 +304,12 @@
         let Some(expected) = link.expect.pop_front() else { return self.drop_link(now, conn, orders) };
         match expected {
             Expect::Open => {
+                let yields_to = link.yields_to.take();
                 self.pools[host.0 as usize].opening -= 1;
-                self.rest(now, conn, orders);
+                match yields_to {
+                    Some(term) => self.say_yield(now, conn, term, orders),
+                    None => self.rest(now, conn, orders),
+                }
             }
             Expect::Dress if answer.fault.is_some() => self.drop_link(now, conn, orders),
             Expect::Dress => self.dressed(now, conn, orders),
@@ -338,6 +343,12 @@
                 }
             }
             Expect::Abort => self.tidy(now, conn, orders),
+            Expect::Yield => {
+                if answer.fault.is_none() {
+                    self.say_yielded(host, orders);
+                }
+                self.tidy(now, conn, orders);
+            }
             Expect::Observe => {
                 self.observed(now, host, &answer);
                 self.tidy(now, conn, orders);
@@ -560,6 +571,27 @@
         }
     }
 
+    /// A primary that is replaced is told to yield: on a connection that rests, or on one more than its share, since all
+    /// others may wait for commits that it cannot acknowledge.
+    pub(super) fn tell_to_yield(&mut self, now: Point, host: HostId, term: u64, orders: &mut Orders) {
+        log::info!("hosts: {} is replaced and told to yield to term {term}.", self.module.host(host).host.id);
+        if let Some(conn) = self.pools[host.0 as usize].idle.pop() {
+            return self.say_yield(now, conn, term, orders);
+        }
+        let conn = self.dial(now, host, orders);
+        if let Some(link) = self.link(conn) {
+            link.yields_to = Some(term);
+        }
+    }
+
+    fn say_yield(&mut self, now: Point, conn: Conn, term: u64, orders: &mut Orders) {
+        let Some(link) = self.link(conn) else { return };
+        link.shift(now, Stage::Orphan);
+        link.expect.push_back(Expect::Yield);
+        orders.line(conn, &["QUERY ", OWN, " YIELD ", &term.to_string()]);
+        self.timers.set(now + ORPHAN, Alarm::Link(conn));
+    }
+
     /// The module asks a host where it is.
     pub(super) fn probe(&mut self, now: Point, host: HostId, orders: &mut Orders) {
         let idle = self.pools.get(host.0 as usize).and_then(|pool| pool.idle.last().copied());
--- a/crates/arrowyard-sluice/src/plane/ops.rs
+++ b/crates/arrowyard-sluice/src/plane/ops.rs
@@ -190,6 +190,11 @@
         // An answer inside a plain transaction, or to a write, shows that the host led as it ran the statement. Safety: the
         // commit of a transaction that wrote nothing succeeds also at a host that has lost the lead meanwhile.
         let led = if inside { !reads && (wrote || !ends) } else { writes || fenced };
+        let commits = if inside { ends && wrote } else { writes };
+        let mut answer = answer;
+        if answer.fault.is_none() && commits && self.replacements.forbids(now, &service, &id) {
+            answer.fault = Some((Code::Unknown, "its host is being replaced".to_string()));
+        }
         match answer.fault {
             None => {
                 if led && let Some(position) = answer.position {
@@ -205,7 +210,6 @@
                     Word { role, position: time, ..Word::default() },
                     true,
                 );
-                let commits = writes && !inside || ends;
                 if commits
                     && led
                     && let Some(position) = answer.position
