--- a/crates/arrowyard-control/src/promotion/mod.rs
+++ b/crates/arrowyard-control/src/promotion/mod.rs
@@ -242,11 +242,7 @@
                 }
                 asks.push(Ask::Observe { host: candidate });
             }
-            Stage::Yielding { old, candidate } if woke => {
-                if !self.survey_newcomers(now, sight, asks) {
-                    self.promote(old, candidate, false, asks);
-                }
-            }
+            Stage::Yielding { .. } if woke => self.end_yielding(now, sight, asks),
             Stage::Promoting { candidate, .. } if woke => {
                 asks.push(Ask::Promote { service: self.service.clone(), host: candidate });
             }
@@ -403,6 +399,14 @@
         }
     }
 
+    /// The old primary has yielded or does not answer routers either.
+    fn end_yielding(&mut self, now: Point, sight: &Sight<'_>, asks: &mut Vec<Ask>) {
+        let Stage::Yielding { old, candidate } = self.stage.clone() else { return };
+        if !self.survey_newcomers(now, sight, asks) {
+            self.promote(old, candidate, false, asks);
+        }
+    }
+
     fn promote(&mut self, old: Option<String>, candidate: String, planned: bool, asks: &mut Vec<Ask>) {
         asks.push(Ask::Promote { service: self.service.clone(), host: candidate.clone() });
         self.go(Stage::Promoting { old, candidate, planned, tries: 0 }, None);
