A voter that is told to end hands its seat over before it ends

A control machine may be removed with SIGTERM; it ended within 0.8 s, and its seat was filled 2.5 s later at the earliest. If another voter lost its disk meanwhile, one voter of three was left: no majority for good, and a change that only the two had on disk was lost.

Change: a machine that was told to end says so in its beats and does not stop before another machine has its seat, 2.5 s at most and only if there is a free one; the holder of the duty treats it as lost at once.

--- a/crates/arrowyard-basin/tests/control.rs
+++ b/crates/arrowyard-basin/tests/control.rs
@@ -8,7 +8,7 @@
 use arrowyard_basin::{Day, DiskFault, Fault, Plan, System, Trouble, play};
 use arrowyard_control::REMEMBERED;
 use arrowyard_runtime::http::{Messages, call};
-use arrowyard_runtime::{Event, Orders, Plane};
+use arrowyard_runtime::{Event, Orders, Plane, Sign};
 use arrowyard_types::{Point, Span};
 
 /// What a call was answered: its status and body; status 0 for a connection that ended without an answer.
@@ -425,6 +425,30 @@
     }
 }
 
+/// Point 3: a voter that is told to end hands its seat over first. It never comes back, another voter loses its disk the
+/// moment that it has ended, and all others lose power.
+#[test]
+fn a_voter_that_is_told_to_end_leaves_a_majority_with_all_that_was_acknowledged() {
+    for leaving in 0..3 {
+        let mut fleet = Fleet::new(4, 1);
+        fleet.change(leaving);
+        let machine = fleet.system.controls[leaving];
+        let told = fleet.system.world.now;
+        fleet.system.world.sign(machine, Sign::Terminate);
+        fleet.change(leaving + 1);
+        while !fleet.system.world.has_stopped(machine) {
+            fleet.pass(10);
+            let waited = fleet.system.world.now - told;
+            assert!(waited <= ms(2500), "{leaving}: it has not ended after {waited:?}");
+        }
+        fleet.system.remove_control(leaving);
+        fleet.lose_power(&[(leaving + 1) % 3]);
+        fleet.pass(4000);
+        assert_eq!(fleet.read(3), (200, Some(fleet.revision)), "{leaving}");
+        fleet.change(3);
+    }
+}
+
 /// Point 3: how long one more loss would leave no majority, from the end of a voter to its successor's vote; also where the
 /// voter held the duty.
 #[test]
--- a/crates/arrowyard-conduit/src/message.rs
+++ b/crates/arrowyard-conduit/src/message.rs
@@ -118,6 +118,9 @@
     /// From a voter: control machines that it has heard of lately.
     #[prost(fixed32, repeated, tag = "8")]
     pub hears: Vec<u32>,
+    /// Whether it was told to end.
+    #[prost(bool, tag = "9")]
+    pub leaving: bool,
 }
 
 /// A host that does not call any more, for so many milliseconds.
--- a/crates/arrowyard-control/src/control.rs
+++ b/crates/arrowyard-control/src/control.rs
@@ -49,8 +49,9 @@
 const SWEEP: u64 = 40;
 /// The settings file is read again so often, since it may change without a signal.
 const REREAD: Span = Span::from_millis(2000);
-/// How long a process that is told to end goes on with what it has begun.
+/// How long a process that is told to end goes on with what it has begun, and waits for another one to take its vote over.
 const LAST: Span = Span::from_millis(800);
+const HAND_OVER: Span = Span::from_millis(2500);
 
 /// Reads the settings file anew.
 pub type Reread = Box<dyn FnMut() -> Option<Settings>>;
@@ -120,7 +121,8 @@
     ticks: u64,
     in_touch: bool,
     shares: Shares,
-    ending: Option<Point>,
+    /// Since when it is told to end.
+    ending_since: Option<Point>,
     ready: Vec<Output>,
 }
 
@@ -191,7 +193,7 @@
             ticks: 0,
             in_touch: false,
             shares: Shares::default(),
-            ending: None,
+            ending_since: None,
             ready,
             settings,
             reread,
@@ -319,8 +321,13 @@
     }
 
     fn end(&mut self, now: Point, orders: &mut Orders) {
-        let until = *self.ending.get_or_insert(now + LAST);
-        if self.pending.is_empty() || now >= until {
+        if self.ending_since.is_none() {
+            self.ending_since = Some(now);
+            self.beat_peers(now, orders);
+        }
+        let waited = self.ending_since.map_or(Span::ZERO, |since| now - since);
+        let is_answered = self.pending.is_empty() || waited >= LAST;
+        if is_answered && (waited >= HAND_OVER || !self.can_hand_over(now)) {
             orders.stop();
         }
     }
@@ -369,7 +376,7 @@
         if self.promotions.due().is_some_and(|at| at <= now) {
             self.look(now, orders);
         }
-        if self.ending.is_some() {
+        if self.ending_since.is_some() {
             self.end(now, orders);
         }
     }
@@ -381,7 +388,6 @@
             self.promotions.due(),
             self.links_due(),
             self.departures.due(),
-            self.ending,
         ];
         parts.into_iter().flatten().min()
     }
--- a/crates/arrowyard-control/src/control/mesh.rs
+++ b/crates/arrowyard-control/src/control/mesh.rs
@@ -37,6 +37,8 @@
     pub votes: bool,
     unable_since: Option<Point>,
     pub disk_fails: bool,
+    /// Whether it was told to end.
+    pub leaving: bool,
     /// Whether it said last that it hears of this machine.
     hears_me: bool,
     /// Since when it is heard of without a break, and when it was last.
@@ -152,6 +154,7 @@
             silent: self.silent_here.clone(),
             disk_fails: !self.disk.is_well(now),
             hears: self.heard_lately(now),
+            leaving: self.ending_since.is_some(),
         };
         self.say_to_peers(&Word::Beat(beat), orders);
     }
@@ -395,6 +398,7 @@
         peer.routers = beat.routers;
         peer.says_that_it_votes(now, beat.votes);
         peer.disk_fails = beat.disk_fails;
+        peer.leaving = beat.leaving;
         peer.hears_me = beat.hears.contains(&self.me);
         // What is under way makes them differ for a moment; what stays is swept up.
         peer.differs = if beat.digest == mine { 0 } else { peer.differs + 1 };
--- a/crates/arrowyard-control/src/control/seats.rs
+++ b/crates/arrowyard-control/src/control/seats.rs
@@ -5,7 +5,7 @@
 use arrowyard_types::{Point, Span};
 
 use super::{Control, TICK};
-use crate::seats::{Machine, next, wanted};
+use crate::seats::{Machine, can_hand_over, next, wanted};
 
 /// Between two changes.
 const PAUSE: Span = Span::from_millis(250);
@@ -24,6 +24,7 @@
             votes: self.is_able_to_vote(now),
             unable: self.unable_since.map_or(Span::ZERO, |since| now - since),
             disk_works: self.disk.is_well(now),
+            leaving: self.ending_since.is_some(),
         };
         let others = self.peers.iter().map(|(ip, peer)| {
             let zone = self.view.zone(*ip).unwrap_or_default().to_string();
@@ -35,11 +36,18 @@
                 votes: peer.votes,
                 unable: peer.unable_for(now),
                 disk_works: !peer.disk_fails,
+                leaving: peer.leaving,
             }
         });
         [me].into_iter().chain(others).collect()
     }
 
+    /// Whether this machine has a vote that another one can take over. Safety: it may be gone for good once it has ended, and
+    /// the next loss may follow at once.
+    pub(super) fn can_hand_over(&self, now: Point) -> bool {
+        can_hand_over(self.me, self.ledger.voters(), &self.machines(now), self.settings.tolerance)
+    }
+
     /// Whoever holds the duty sees to it that enough machines vote. A holder that is lost is replaced before it counts as
     /// gone for its seat.
     pub(super) fn fill_seats(&mut self, now: Point, orders: &mut Orders) {
--- a/crates/arrowyard-control/src/seats.rs
+++ b/crates/arrowyard-control/src/seats.rs
@@ -27,6 +27,25 @@
     pub unable: Span,
     /// Whether its disk takes what it is told to keep.
     pub disk_works: bool,
+    /// Whether it was told to end. It may come back, or be gone for good; its seat does not wait for that.
+    pub leaving: bool,
+}
+
+impl Machine {
+    fn is_lost(&self) -> bool {
+        self.leaving || self.unable >= UNABLE || self.heard.is_err_and(|silent| silent >= GONE)
+    }
+
+    /// Whether it may have a seat.
+    fn is_fit(&self) -> bool {
+        !self.leaving && self.disk_works && self.heard.is_ok_and(|heard| heard >= FRESH)
+    }
+}
+
+/// Whether a voter that leaves can give its seat to another machine.
+pub fn can_hand_over(voter: u32, voters: &[u32], machines: &[Machine], tolerance: Tolerance) -> bool {
+    let is_free = |machine: &Machine| machine.is_fit() && !voters.contains(&machine.ip);
+    voters.contains(&voter) && (voters.len() > wanted(tolerance) || machines.iter().any(is_free))
 }
 
 /// So many voters bear the loss of what may be lost at once.
@@ -43,9 +62,7 @@
     let in_region = |region: &str| seated().filter(|machine| machine.region == region).count();
     let in_zone = |zone: &str| seated().filter(|machine| machine.zone == zone).count();
     let crowd = |machine: &Machine| (in_region(&machine.region), in_zone(&machine.zone), machine.ip);
-    let is_lost =
-        |machine: &Machine| machine.heard.is_err_and(|silent| silent >= GONE) || machine.unable >= UNABLE;
-    let gone = |voter: u32| of(voter).is_none_or(is_lost);
+    let gone = |voter: u32| of(voter).is_none_or(Machine::is_lost);
     let lost = voters.iter().copied().find(|&voter| gone(voter));
     if voters.len() > wanted(tolerance) {
         let out = lost.or_else(|| seated().max_by_key(|machine| crowd(machine)).map(|machine| machine.ip))?;
@@ -54,8 +71,7 @@
         return settled.then(|| left.by_ref().collect());
     }
     // Of those that are there, one where fewest vote.
-    let is_fit = |machine: &&Machine| machine.disk_works && machine.heard.is_ok_and(|heard| heard >= FRESH);
-    let free = machines.iter().filter(|machine| !voters.contains(&machine.ip)).filter(is_fit);
+    let free = machines.iter().filter(|machine| machine.is_fit() && !voters.contains(&machine.ip));
     let best = free.min_by_key(|machine| crowd(machine))?;
     // Danger: where a whole place may be lost, it must not take the majority with it.
     let most_in_region = seated().map(|machine| in_region(&machine.region)).max();
--- a/crates/arrowyard-control/tests/seats.rs
+++ b/crates/arrowyard-control/tests/seats.rs
@@ -1,6 +1,6 @@
 //! Who votes: decided from what the holder of the duty hears of the others, without I/O or clock.
 
-use arrowyard_control::seats::{Machine, next, wanted};
+use arrowyard_control::seats::{Machine, can_hand_over, next, wanted};
 use arrowyard_gauge::Tolerance;
 use arrowyard_types::Span;
 
@@ -21,6 +21,7 @@
         votes: true,
         unable: Span::ZERO,
         disk_works: true,
+        leaving: false,
     };
     zones.iter().enumerate().map(machine).collect()
 }
@@ -93,3 +94,17 @@
     assert_eq!(next(&[1, 2, 3], &machines, bears(1, 0, 0)), Some(vec![1, 2, 3, 4]));
     assert_eq!(next(&[1, 2, 3, 4], &machines, bears(1, 0, 0)), Some(vec![1, 3, 4]));
 }
+
+#[test]
+fn a_voter_that_leaves_gives_its_seat_to_a_machine_that_stays() {
+    let mut machines = fleet(&["aa", "ab", "ac", "aa", "ab"]);
+    let bears = bears(1, 0, 0);
+    machines[1].leaving = true;
+    machines[3].leaving = true;
+    let four = next(&[1, 2, 3], &machines, bears).expect("there is one that stays");
+    assert_eq!(four, [1, 2, 3, 5]);
+    assert!(can_hand_over(2, &four, &machines, bears), "it is not out yet");
+    assert_eq!(next(&four, &machines, bears), Some(vec![1, 3, 5]));
+    assert!(!can_hand_over(2, &[1, 3, 5], &machines, bears), "it is");
+    assert!(!can_hand_over(2, &[1, 2, 3], &machines[..3], bears), "there is nobody for its seat");
+}
