--- a/crates/arrowyard-sluice/tests/helpers/mod.rs
+++ b/crates/arrowyard-sluice/tests/helpers/mod.rs
@@ -76,7 +76,11 @@
             routers,
             view: Vec::new(),
         };
-        self.event(Event::Came { conn: self.feed, bytes: &said(Word::Whole(whole)) });
+        self.control_says(Word::Whole(whole));
+    }
+
+    pub fn control_says(&mut self, word: Word) {
+        self.event(Event::Came { conn: self.feed, bytes: &said(word) });
     }
 
     pub fn event(&mut self, event: Event<'_>) {
--- a/crates/arrowyard-sluice/tests/plane.rs
+++ b/crates/arrowyard-sluice/tests/plane.rs
@@ -2,6 +2,7 @@
 
 mod helpers;
 
+use arrowyard_conduit::{Replacement, Replacements, Word};
 use arrowyard_runtime::{Event, Why};
 use helpers::{Hand, WITHOUT_ROUTES};
 
@@ -186,3 +187,33 @@
     hand.says(host, "SETTLED 1.aa\nIDLE I 1.7");
     assert_eq!(hand.hears(host), ["QUERY b1 AFTER 1.7 READ t1"], "it names what its host must have");
 }
+
+/// Its primary may hold what the candidate lacks. It is told to yield, and what it reports meanwhile is no promise.
+#[test]
+fn a_commit_of_a_host_that_is_replaced_is_not_acknowledged() {
+    let replaced =
+        |fence: u64, services: Vec<Replacement>| Word::Replacements(Replacements { fence, services });
+    let change = Replacement { service: "s0".into(), candidate: "i-2".into(), term: 4 };
+    let mut hand = Hand::among(1);
+    let client = hand.client();
+    hand.says(client, "QUERY a1 WRITE t1 x");
+    let host = hand.host_opens();
+    hand.control_says(replaced(9, vec![change.clone()]));
+    let second = hand.host_opens();
+    assert_eq!(hand.hears(second), ["QUERY - YIELD 4"]);
+    hand.control_says(replaced(9, vec![change.clone()]));
+    assert_eq!(hand.hears(second), Vec::<String>::new(), "once for each change");
+    // The word of a holder of the duty that was replaced itself.
+    hand.control_says(replaced(8, Vec::new()));
+    hand.says(host, "SETTLED 1.aa\nIDLE I 1.2");
+    assert_eq!(hand.hears(client), ["FAULT UNKNOWN its host is being replaced", "IDLE I -"]);
+    // What control does not say again is over.
+    hand.hears(host);
+    hand.says(client, "QUERY a2 WRITE t1 x");
+    assert_eq!(hand.hears(host), ["QUERY a2 WRITE t1 x"]);
+    hand.pass(1000);
+    hand.says(client, "QUERY a3 WRITE t1 y");
+    hand.says(host, "SETTLED 2.aa\nIDLE I 1.3");
+    let answers = hand.hears(client);
+    assert!(!answers.iter().any(|line| line.contains("replaced")), "{answers:?}");
+}
