--- a/crates/arrowyard-basin/tests/control.rs
+++ b/crates/arrowyard-basin/tests/control.rs
@@ -646,3 +646,22 @@
     // With a replica of its own the cut off primary serves on, and is not always replaced.
     assert!(promotions >= 25, "{promotions} in 40 days");
 }
+
+/// The same where the primary is told to leave: control reaches it, its replicas receive nothing, and a new one joins it
+/// before it is replaced.
+#[test]
+fn a_replica_that_joins_a_leaving_primary_that_nobody_receives_from_acknowledges_nothing_that_is_lost() {
+    for moment in 0_u32..24 {
+        let fault = |at: f64, what: Trouble, which: usize| Fault { at, for_s: 7.0, what, which };
+        let joins = 8.1 + 0.1 * f64::from(moment);
+        let faults = vec![
+            fault(6.0, Trouble::DeafReplica, 0),
+            fault(6.0, Trouble::DeafReplica, 1),
+            fault(8.0, Trouble::ReleasePrimary, 0),
+            fault(joins, Trouble::JoinReplica, 0),
+        ];
+        let day = Day { seed: 190 + u64::from(moment), seconds: 22.0, users: 4, faults, ..Day::default() };
+        let played = play(&day);
+        assert!(played.breaches.is_empty(), "joined at {joins}: {:?}", played.breaches);
+    }
+}
--- a/crates/arrowyard-conduit/src/message.rs
+++ b/crates/arrowyard-conduit/src/message.rs
@@ -228,6 +228,9 @@
     /// The newest revision of which it is not remembered which change brought it; 0 for none.
     #[prost(uint64, tag = "6")]
     pub forgotten: u64,
+    /// The deployment whose entries these are: a digest of its first entry.
+    #[prost(fixed64, tag = "7")]
+    pub deployment: u64,
 }
 
 /// A change that was taken, and the digest by which it is known again.
--- a/crates/arrowyard-control/src/applied.rs
+++ b/crates/arrowyard-control/src/applied.rs
@@ -4,6 +4,7 @@
 
 use arrowyard_conduit::{Duty, Entry, Matter, Revised, Snapshot, Taken};
 use arrowyard_gauge::{Change, ChangeKind, Configuration};
+use prost::Message;
 use sha2::{Digest as _, Sha256};
 
 /// The duty of whoever replaces primaries.
@@ -50,6 +51,8 @@
     taken: VecDeque<(u64, Digest)>,
     /// The newest revision that is not among them any more.
     forgotten: u64,
+    /// A digest of the first entry, by which two deployments are told apart; 0 before there is one.
+    deployment: u64,
 }
 
 /// The digest by which a change is known again: over its kind, the version that it builds on and its body, so that two
@@ -62,6 +65,14 @@
     hash.finalize().into()
 }
 
+/// Names a deployment by its first entry. That is a ballot for the duty, with the life of its holder, a number drawn at
+/// random: operators' changes are taken only once all seats are filled, by the holder of the duty.
+fn deployment(first: &Entry) -> u64 {
+    let digest: Digest = Sha256::digest(first.encode_to_vec()).into();
+    let (head, _) = digest.split_first_chunk::<8>().expect("a digest is longer");
+    u64::from_le_bytes(*head) | 1
+}
+
 pub fn change(revised: &Revised) -> Change {
     let kind = if revised.whole { ChangeKind::Replace } else { ChangeKind::Adjust };
     Change { kind, base: revised.base, body: revised.body.clone() }
@@ -122,6 +133,9 @@
     /// Takes the entry of the next slot. Every machine takes the same entries in the same order, and comes to the same.
     pub fn apply(&mut self, entry: &Entry) {
         self.slot += 1;
+        if self.slot == 1 {
+            self.deployment = deployment(entry);
+        }
         if !self.holds(entry) {
             return;
         }
@@ -156,9 +170,15 @@
                 .map(|(revision, digest)| Taken { revision: *revision, digest: digest.to_vec() })
                 .collect(),
             forgotten: self.forgotten,
+            deployment: self.deployment,
         }
     }
 
+    /// Whether a snapshot is of another deployment than the entries that are known here.
+    pub fn is_foreign(&self, snapshot: &Snapshot) -> bool {
+        self.deployment != 0 && snapshot.deployment != self.deployment
+    }
+
     /// # Errors
     /// When it cannot be read.
     pub fn restore(snapshot: &Snapshot) -> Result<Self, String> {
@@ -174,6 +194,7 @@
             voters: snapshot.voters.clone(),
             taken: snapshot.taken.iter().map(taken).collect::<Result<_, _>>()?,
             forgotten: snapshot.forgotten,
+            deployment: snapshot.deployment,
             ..Applied::default()
         };
         if !snapshot.configuration.is_empty() {
--- a/crates/arrowyard-control/src/ledger/learner.rs
+++ b/crates/arrowyard-control/src/ledger/learner.rs
@@ -96,7 +96,9 @@
             let newer = snapshot.slot > self.applied.slot;
             let known = snapshot.slot == self.applied.slot && !snapshot.voters.is_empty();
             let first = self.applied.voters.is_empty() && known;
-            if newer || first {
+            if self.applied.is_foreign(snapshot) {
+                log::error!("ledger: A snapshot is of another deployment; look at the settings' seeds.");
+            } else if newer || first {
                 match Applied::restore(snapshot) {
                     Ok(applied) => {
                         self.applied = applied;
--- a/crates/arrowyard-control/src/promotion/mod.rs
+++ b/crates/arrowyard-control/src/promotion/mod.rs
@@ -236,10 +236,11 @@
                 self.go(Stage::Fencing { old, candidate, asked, term, rows }, Some(now + RETRY));
                 self.paused(now, sight, asks);
             }
-            Stage::CatchingUp { candidate, until, .. } if woke => {
+            Stage::CatchingUp { old, candidate, covers_old, until, .. } if woke => {
                 if now >= until {
                     return self.abort(now, asks);
                 }
+                asks.extend(old.filter(|_| !covers_old).map(|host| Ask::Observe { host }));
                 asks.push(Ask::Observe { host: candidate });
             }
             Stage::Yielding { .. } if woke => self.end_yielding(now, sight, asks),
@@ -339,15 +340,29 @@
                 self.go(Stage::Fencing { old, candidate, asked, term, rows }, wake_at);
                 self.paused(now, sight, asks);
             }
-            (Stage::CatchingUp { old, candidate, least, until }, Reply::Row { host, row, .. })
-                if host == candidate =>
-            {
-                if row.received >= least {
+            (
+                Stage::CatchingUp { old, candidate, least, covers_old, until },
+                Reply::Row { host, row, .. },
+            ) if host == candidate => {
+                if covers_old && row.received >= least {
                     return self.promote(old, candidate, true, asks);
                 }
-                self.go(Stage::CatchingUp { old, candidate, least, until }, Some(now + CATCH_UP));
+                let stage = Stage::CatchingUp { old, candidate, least, covers_old, until };
+                self.go(stage, Some(now + CATCH_UP));
             }
-            (Stage::CatchingUp { candidate, .. }, Reply::Silent { host }) if host == candidate => {
+            // Safety: a candidate that receives nothing has all that the others have, and lacks what the old primary holds
+            // back; a host that joins it would let it acknowledge that.
+            (Stage::CatchingUp { old, candidate, least, until, .. }, Reply::Row { host, row, .. })
+                if old.as_ref() == Some(&host) =>
+            {
+                let least = least.max(row.received);
+                asks.push(Ask::Observe { host: candidate.clone() });
+                let stage = Stage::CatchingUp { old, candidate, least, covers_old: true, until };
+                self.go(stage, Some(now + RETRY));
+            }
+            (Stage::CatchingUp { old, candidate, .. }, Reply::Silent { host })
+                if host == candidate || old.as_ref() == Some(&host) =>
+            {
                 self.abort(now, asks);
             }
             (Stage::Yielding { old, candidate }, Reply::Yielded) if !self.has_yielded => {
@@ -384,9 +399,11 @@
             Some(candidate) => {
                 let others = rows.iter().filter(|(host, _)| **host != candidate).map(|(_, row)| row.received);
                 let least = others.max().unwrap_or_default();
-                asks.push(Ask::Observe { host: candidate.clone() });
+                asks.extend(old.iter().map(|host| Ask::Observe { host: host.clone() }));
                 let until = now + PATIENCE;
-                self.go(Stage::CatchingUp { old, candidate, least, until }, Some(now + RETRY));
+                let covers_old = old.is_none();
+                let stage = Stage::CatchingUp { old, candidate, least, covers_old, until };
+                self.go(stage, Some(now + RETRY));
             }
             None => match best(&rows, sight) {
                 Some(candidate) if self.has_yielded => self.promote(old, candidate, false, asks),
--- a/crates/arrowyard-control/src/promotion/stage.rs
+++ b/crates/arrowyard-control/src/promotion/stage.rs
@@ -36,6 +36,8 @@
         old: Option<String>,
         candidate: String,
         least: Position,
+        /// Whether what the old primary has is known, and `least` covers it.
+        covers_old: bool,
         until: Point,
     },
     /// Routers make a primary that control cannot ask yield, and hosts that joined it lately are waited for.
--- a/crates/arrowyard-control/tests/control.rs
+++ b/crates/arrowyard-control/tests/control.rs
@@ -383,10 +383,36 @@
     let asks = scene.row("c", false, 22);
     assert_eq!(asks, [Ask::Pause { host: "b".into(), term: 4, turn: 1 }], "the candidate goes on receiving");
     let asks = scene.row("b", false, 24);
-    assert_eq!(asks, [Ask::Observe { host: "c".into() }]);
+    assert_eq!(asks, [Ask::Observe { host: "a".into() }]);
+    assert_eq!(scene.row("a", true, 26), [Ask::Observe { host: "c".into() }]);
     assert!(promoted(&scene.row("c", false, 23)).is_none(), "it lacks one that was acknowledged");
     scene.pass(50);
-    assert_eq!(promoted(&scene.row("c", false, 24)), Some("c"));
+    assert!(promoted(&scene.row("c", false, 24)).is_none(), "it lacks what the old primary holds back");
+    scene.pass(50);
+    assert_eq!(promoted(&scene.row("c", false, 26)), Some("c"));
+}
+
+/// What the old primary has must be known: a candidate that receives nothing has all that the others have.
+#[test]
+fn a_primary_that_leaves_is_not_replaced_by_one_that_receives_nothing_from_it() {
+    for silent in [false, true] {
+        let mut scene = Scene::new();
+        scene.cell.told(at(900), host("a", DbRole::Primary, Phase::Draining, 2));
+        scene.pass(0);
+        ["b", "c", "b"].iter().for_each(|host| _ = scene.row(host, false, 20));
+        assert!(promoted(&scene.row("c", false, 20)).is_none(), "the old primary was not heard");
+        if silent {
+            scene.silent("a");
+        } else {
+            scene.row("a", true, 21);
+            for _ in 0..20 {
+                scene.row("c", false, 20);
+                scene.pass(80);
+            }
+        }
+        assert!(promoted(&scene.asks).is_none());
+        assert!(scene.asks.contains(&Ask::Continue { host: "b".into() }), "it is not held for good");
+    }
 }
 
 #[test]
--- a/crates/arrowyard-control/tests/ledger.rs
+++ b/crates/arrowyard-control/tests/ledger.rs
@@ -519,3 +519,27 @@
     let ledger = net.machines[0].ledger.as_ref().expect("it is up");
     assert_eq!(ledger.applied().snapshot(), newer);
 }
+
+/// Two deployments whose seeds or addresses were mixed up: neither takes what the other one agreed on.
+#[test]
+fn a_snapshot_of_another_deployment_is_passed_over() {
+    let grown = |seed: u64| {
+        let mut net = Net::new(seed, 3, 3, 0.0);
+        let duty = Duty { duty: "promote".into(), holder: 1, life: seed, node: "n".into(), fence: 0 };
+        let duty = Entry { matter: Some(Matter::Duty(duty)) };
+        let changes = [change(5, 0), change(9, 5)].into_iter().take(seed as usize % 2 + 1);
+        for entry in std::iter::once(duty).chain(changes) {
+            let until = net.now + Span::from_millis(2000);
+            net.with(0, |ledger, now, out| _ = ledger.enter(now, entry, until, out));
+            (0..300).for_each(|_| net.step());
+        }
+        net
+    };
+    let (mut net, other) = (grown(30), grown(31));
+    let snapshot = |net: &Net| net.machines[0].ledger.as_ref().expect("it is up").applied().snapshot();
+    let (before, foreign) = (snapshot(&net), snapshot(&other));
+    assert!(foreign.slot > before.slot, "it would be taken for newer");
+    let foreign = Word::Ledger(Entries { snapshot: Some(foreign), entries: Vec::new() });
+    net.with(0, |ledger, now, out| ledger.on_message(now, 2, &foreign, out));
+    assert_eq!(snapshot(&net), before);
+}
