--- a/crates/arrowyard-control/src/promotion/survey.rs
+++ b/crates/arrowyard-control/src/promotion/survey.rs
@@ -35,7 +35,7 @@
         sight: &Sight<'_>,
         asks: &mut Vec<Ask>,
     ) {
-        // Of a primary that is to be replaced in order nothing has to be known.
+        // A primary that is to be replaced in order is asked later, while the candidate catches up.
         let skip = |host: &Host| planned && old.as_ref() == Some(&host.id) || rows.contains_key(&host.id);
         let open = self.members(sight).into_iter().filter(|host| !skip(host));
         asks.extend(open.map(|host| Ask::Observe { host: host.id.clone() }));
