--- a/crates/arrowyard-basin/src/day.rs
+++ b/crates/arrowyard-basin/src/day.rs
@@ -46,6 +46,9 @@
     ReleasePrimary,
     /// A primary is cut off from control and from its replicas; routers reach it.
     CutPrimary,
+    /// A primary, or a replica, is cut off from control; routers and the service's other hosts reach it.
+    HidePrimary,
+    HideReplica,
     /// A service gets one more replica, which receives from its primary at once.
     JoinReplica,
     LoseAnswers,
@@ -58,7 +61,7 @@
 }
 
 impl Trouble {
-    pub const ALL: [Trouble; 28] = [
+    pub const ALL: [Trouble; 30] = [
         Trouble::KillControl,
         Trouble::DarkControl,
         Trouble::WipeControl,
@@ -81,6 +84,8 @@
         Trouble::LateReplica,
         Trouble::ReleasePrimary,
         Trouble::CutPrimary,
+        Trouble::HidePrimary,
+        Trouble::HideReplica,
         Trouble::JoinReplica,
         Trouble::LoseAnswers,
         Trouble::FailStatements,
@@ -121,6 +126,8 @@
                 | DeafThenCrash
                 | ReleasePrimary
                 | CutPrimary
+                | HidePrimary
+                | HideReplica
         )
     }
 }
@@ -485,6 +492,12 @@
                     system.isolate_host(seat, true);
                     return later(&fault, seat);
                 }
+                Trouble::HidePrimary | Trouble::HideReplica => {
+                    let hidden = if fault.what == Trouble::HidePrimary { primary } else { replica };
+                    let Some(seat) = hidden else { return Vec::new() };
+                    system.hide_host(seat, true);
+                    return later(&fault, seat);
+                }
                 Trouble::JoinReplica => {
                     system.add_host(service);
                     return Vec::new();
@@ -586,6 +599,7 @@
                     }
                 }
                 Trouble::CutPrimary => system.isolate_host(place, false),
+                Trouble::HidePrimary | Trouble::HideReplica => system.hide_host(place, false),
                 Trouble::ReleasePrimary | Trouble::JoinReplica => {}
             }
             Vec::new()
--- a/crates/arrowyard-basin/src/models/promotion.rs
+++ b/crates/arrowyard-basin/src/models/promotion.rs
@@ -24,7 +24,7 @@
     SilentHasNothing,
     /// Any row counts as word that a host stopped.
     AnyRowIsAPause,
-    /// Nobody asks what the primary has when a replica falls silent.
+    /// A replica that falls silent is counted out without asking what the primary has.
     NoFloors,
     /// Each question is asked once.
     AskedOnce,
@@ -387,14 +387,8 @@
             Step::Crash(number) => {
                 world.left.crashes -= 1;
                 world.servers[number].up = false;
-                // Whoever crashes after a silent replica was asked about lived long enough; else both fell at once.
-                let told = self.flaw == Some(Flaw::NoFloors)
-                    || !world.servers[number].told.0
-                    || world.silent.is_empty()
-                    || world.promotion.has_floors(world.silent.keys());
                 let now = world.now();
-                let at = if told { now } else { Point::from_micros(0) };
-                world.crashed_at.insert(NAMES[number].into(), at);
+                world.crashed_at.insert(NAMES[number].into(), now);
             }
             Step::Start(number) => {
                 world.left.starts -= 1;
@@ -431,7 +425,7 @@
             Step::Look => {
                 world.decide(|promotion, now, sight, asks| promotion.look(now, sight, asks));
                 if world.left.flaw == Some(Flaw::NoFloors) {
-                    world.promotion.forget_floors();
+                    world.silent.keys().for_each(|host| world.promotion.assume_no_floor(host));
                 }
             }
             Step::Answer(number) => {
--- a/crates/arrowyard-basin/src/system.rs
+++ b/crates/arrowyard-basin/src/system.rs
@@ -420,12 +420,18 @@
         self.start_host(place);
     }
 
-    /// A host is cut off from all control machines and from the replicas that its service has by now, or is no more.
-    pub fn isolate_host(&mut self, seat: usize, cut: bool) {
-        let HostSeat { machine, id, service, .. } = &self.hosts[seat];
+    /// A host is cut off from all control machines, or is no more.
+    pub fn hide_host(&mut self, seat: usize, cut: bool) {
+        let machine = self.hosts[seat].machine;
         for control in &self.controls {
-            if cut { self.world.cut(*machine, *control) } else { self.world.join(*machine, *control) }
+            if cut { self.world.cut(machine, *control) } else { self.world.join(machine, *control) }
         }
+    }
+
+    /// A host is cut off from all control machines and from the replicas that its service has by now, or is no more.
+    pub fn isolate_host(&mut self, seat: usize, cut: bool) {
+        self.hide_host(seat, cut);
+        let HostSeat { id, service, .. } = &self.hosts[seat];
         let mut shard = self.shards[*service].borrow_mut();
         for (_, copy) in shard.copies.iter_mut().filter(|(other, _)| *other != id) {
             copy.deaf = cut;
--- a/crates/arrowyard-control/src/promotion/mod.rs
+++ b/crates/arrowyard-control/src/promotion/mod.rs
@@ -72,6 +72,7 @@
     fn hash<H: Hasher>(&self, state: &mut H) {
         (&self.service, &self.stage, self.wake_at.is_some()).hash(state);
         (&self.held, &self.floors, &self.floor_of, self.has_yielded).hash(state);
+        self.leaderless_since.is_some().hash(state);
     }
 }
 
@@ -107,11 +108,6 @@
         self.wake_at
     }
 
-    /// Whether it was asked what the primary had after each of these fell silent.
-    pub fn has_floors<'a>(&self, mut silent: impl Iterator<Item = &'a String>) -> bool {
-        silent.all(|host| self.floors.contains_key(host))
-    }
-
     /// How often hosts were asked to stop.
     pub fn turn(&self) -> u64 {
         self.turn
@@ -152,9 +148,10 @@
         joined
     }
 
-    /// As a new holder begins: what was asked is not known here.
-    pub fn forget_floors(&mut self) {
-        self.floors.clear();
+    /// Takes a silent replica for one that acknowledged nothing, without asking the primary. For a model checker, which has
+    /// to find what that loses.
+    pub fn assume_no_floor(&mut self, host: &str) {
+        self.floors.insert(host.to_string(), Position::default());
     }
 
     /// Whether a host is still to be asked to go on receiving.
--- a/crates/arrowyard-control/src/promotion/survey.rs
+++ b/crates/arrowyard-control/src/promotion/survey.rs
@@ -10,9 +10,6 @@
 
 /// A host that left may hold what nobody else has until another one has its log.
 const HANDED_ON: Span = Span::from_millis(8000);
-/// A replica that was silent so long before the primary was is no witness of its last commits. Danger: a host is known to be
-/// silent 3 s after its last call; what the primary has by then must have been asked for before it may be told from this.
-const LONG_SILENT: Span = Span::from_millis(4200);
 
 impl Promotion {
     pub(super) fn survey(
@@ -43,24 +40,12 @@
         self.surveyed(now, sight, asks);
     }
 
-    /// Whether a host's word is not waited for. It is silent, and another one has all that the primary had since then; or,
-    /// where the primary could not be asked, it was silent long before the primary was.
-    fn is_no_witness(
-        &self,
-        host: &str,
-        old: Option<&String>,
-        rows: &BTreeMap<String, Observed>,
-        sight: &Sight<'_>,
-    ) -> bool {
-        let Some(since) = sight.silent.get(host) else { return false };
-        if let Some(floor) = self.floors.get(host) {
-            // Danger: one that receives nothing for long answers as well, and lacks what only the silent one acknowledged.
-            return rows.values().any(|row| row.received >= *floor);
-        }
-        match old.and_then(|old| sight.silent.get(old)) {
-            Some(primary) => *primary - *since >= LONG_SILENT,
-            None => false,
-        }
+    /// Whether a host's answer is not waited for: it is silent, and another host has all that the primary had since then.
+    /// Safety: how long it has been silent proves nothing. A host that receives nothing for long answers as well, and
+    /// lacks what only the silent one acknowledged.
+    fn is_no_witness(&self, host: &str, rows: &BTreeMap<String, Observed>, sight: &Sight<'_>) -> bool {
+        let floor = self.floors.get(host).filter(|_| sight.silent.contains_key(host));
+        floor.is_some_and(|floor| rows.values().any(|row| row.received >= *floor))
     }
 
     /// Hosts that left a while ago and whose log nobody took over yet.
@@ -79,9 +64,7 @@
         let replicas: Vec<&Host> =
             self.members(sight).into_iter().filter(|host| Some(&host.id) != old.as_ref()).collect();
         // Danger: one that was silent may be back, and not have called yet; so it was asked, and did not answer.
-        let needed = |host: &&&Host| {
-            !(mute.contains(&host.id) && self.is_no_witness(&host.id, old.as_ref(), &rows, sight))
-        };
+        let needed = |host: &&&Host| !(mute.contains(&host.id) && self.is_no_witness(&host.id, &rows, sight));
         let all = replicas.iter().filter(needed).all(|host| rows.contains_key(&host.id));
         if rows.is_empty() || !all || !self.is_handed_on(now, sight) {
             return;
--- a/crates/arrowyard-control/tests/control.rs
+++ b/crates/arrowyard-control/tests/control.rs
@@ -288,12 +288,17 @@
         scene.pass(200);
     }
     assert!(promoted(&scene.asks).is_none(), "nobody may lead without its word");
-    // What it alone acknowledged may be all that the primary did, till it was silent for long before the primary was.
-    scene.silent = BTreeMap::from([("c".to_string(), at(100)), ("a".to_string(), at(100 + 4000))]);
-    assert!(promoted(&scene.pass(200)).is_none() && promoted(&scene.row("b", false, 21)).is_none());
-    scene.silent = BTreeMap::from([("c".to_string(), at(100)), ("a".to_string(), at(100 + 4200))]);
-    scene.pass(200);
-    assert_eq!(promoted(&scene.row("b", false, 21)), Some("b"));
+    // However long it was silent before the primary was: while it lived it may have been the only one that received.
+    scene.silent = BTreeMap::from([("c".to_string(), at(100)), ("a".to_string(), at(100 + 600_000))]);
+    for _ in 0..50 {
+        scene.silent("c");
+        scene.row("b", false, 21);
+        scene.pass(200);
+    }
+    assert!(promoted(&scene.asks).is_none());
+    scene.row("c", false, 19);
+    [("b", 21), ("c", 19)].iter().for_each(|(host, number)| _ = scene.row(host, false, *number));
+    assert_eq!(promoted(&scene.asks), Some("b"));
 }
 
 #[test]
--- a/crates/arrowyard-works/tests/helpers/mod.rs
+++ b/crates/arrowyard-works/tests/helpers/mod.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
@@ -18,12 +18,16 @@
 
 pub const LONG: Duration = Duration::from_secs(30);
 
-/// Ports that nobody has on any address of loopback right now.
+/// The first port of all, below those that the system gives to connections and to listeners without a port of their own.
+const FIRST_PORT: u32 = 10_000;
+const FLEETS: u32 = 5000;
+
+/// Ports of this process of tests; its fleets differ in their addresses. They are not asked of the system by opening
+/// listeners: a child that another test starts at that moment holds copies of these until it runs its own program, and
+/// the port counts as taken meanwhile.
 fn ports() -> [u16; 4] {
-    let held: Vec<TcpListener> =
-        (0..4).map(|_| TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0)).expect("a free port")).collect();
-    let port = |held: &TcpListener| held.local_addr().expect("it is bound").port();
-    [port(&held[0]), port(&held[1]), port(&held[2]), port(&held[3])]
+    let first = FIRST_PORT + std::process::id() % FLEETS * 4;
+    [0, 1, 2, 3].map(|next| u16::try_from(first + next).expect("below 30,000"))
 }
 
 /// A program of this build: it lies beside whoever asks, or one folder up.
@@ -43,6 +47,7 @@
         let mut child = Command::new(program)
             .args(["run", "--settings"])
             .arg(settings)
+            .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program is built");
@@ -56,12 +61,16 @@
 
     /// Waits for a line that holds these words.
     pub fn says(&self, words: &str) -> String {
+        let mut passed = Vec::new();
         loop {
             let line = self.lines.recv_timeout(LONG);
-            let line = line.unwrap_or_else(|_| panic!("nothing was said of: {words}"));
+            let line = line.unwrap_or_else(|fault| {
+                panic!("nothing was said of: {words} ({fault}), but:\n{}", passed.join("\n"))
+            });
             if line.contains(words) {
                 return line;
             }
+            passed.push(line);
         }
     }
 
