A host that leaves is asked nothing after its bound, also when it leads again

Cause: the host that had left the lead held commits that nobody else had, so it was promoted for a moment (8.1 s after it had said that it leaves), and the router counted its bound from the moment it led again. The bound now runs from the first word that the host leaves, whatever it leads meanwhile; where the router has never seen it in service, it counts as over. Ruled out: not promoting it (what it alone acknowledged would be lost). While it leads, writes are refused until the planned change that follows: about 2 s. Tests: two, by hand before a router; both fail with the module as it was.

--- a/crates/arrowyard-sluice/src/module.rs
+++ b/crates/arrowyard-sluice/src/module.rs
@@ -58,8 +58,16 @@
 pub struct Known {
     pub host: Host,
     pub address: SocketAddrV4,
-    /// Until when a primary that is to end still takes what only it can take.
-    until: Option<Point>,
+    /// Since when it is known that the host is to end.
+    draining_since: Option<Point>,
+}
+
+impl Known {
+    /// Until when the host, as a primary that is to end, still takes what only it can take.
+    fn serves_until(&self, drain: Span) -> Option<Point> {
+        let since = self.draining_since.filter(|_| self.host.role() == DbRole::Primary)?;
+        Some(since + drain)
+    }
 }
 
 /// The module with its list of hosts.
@@ -122,7 +130,9 @@
     }
 
     fn entry(&mut self, now: Point, id: HostId) -> Entry {
-        let Known { host, until, .. } = self.hosts[id.0 as usize].clone();
+        let known = self.hosts[id.0 as usize].clone();
+        let until = known.serves_until(self.drain);
+        let host = known.host;
         let zones = self.zones.len() as u32;
         let zone = *self.zones.entry(host.zone.clone()).or_insert(ZoneId(zones));
         let availability = match host.phase() {
@@ -163,7 +173,6 @@
         let late: Vec<(Point, HostId)> = self.ending.extract_if(.., |(until, _)| *until <= now).collect();
         for (_, id) in late {
             let entry = self.entry(now, id);
-            self.hosts[id.0 as usize].until = None;
             let host = &self.hosts[id.0 as usize].host;
             if self.groups.get(&host.service).is_some_and(|group| self.listed.contains(&group)) {
                 self.take(now, Note::Listed { form: ListForm::Changes, entries: vec![entry] }, actions);
@@ -171,6 +180,15 @@
         }
     }
 
+    /// Since when a host is to end, as far as is known here. Safety: it keeps its first time, whatever it leads or does not
+    /// lead meanwhile, since the bound on what it may still be asked runs from what it was told first. Where this router
+    /// has never seen it in service, it may have said so long ago. A primary that is closed at once, on the other hand,
+    /// leaves no one to write to until its successor leads.
+    fn draining_since(&self, now: Point, id: HostId, is_known: bool) -> Point {
+        let known = self.hosts.get(id.0 as usize).filter(|_| is_known);
+        known.map_or(now - self.drain, |known| known.draining_since.unwrap_or(now))
+    }
+
     /// News of hosts. What is older than what is known, by the number of the host's own calls, is passed over.
     pub fn learn(&mut self, now: Point, news: &[Host], actions: &mut Vec<Action>) {
         let mut entries = Vec::new();
@@ -186,14 +204,11 @@
             let address = SocketAddrV4::new(Ipv4Addr::from(host.ip), host.port as u16);
             let id = *self.by_name.entry(host.id.clone()).or_insert(HostId(self.hosts.len() as u32));
             let primary = host.role() == DbRole::Primary;
-            let ends = primary && host.phase() == Phase::Draining;
-            // Danger: a primary that is closed at once leaves no one to write to until its successor leads.
-            let until = ends.then(|| {
-                self.hosts.get(id.0 as usize).and_then(|known| known.until).unwrap_or(now + self.drain)
-            });
-            let known = Known { host: host.clone(), address, until };
+            let draining_since =
+                (host.phase() == Phase::Draining).then(|| self.draining_since(now, id, before.is_some()));
+            let known = Known { host: host.clone(), address, draining_since };
             self.ending.retain(|(_, ending)| *ending != id);
-            self.ending.extend(until.map(|until| (until, id)));
+            self.ending.extend(known.serves_until(self.drain).map(|until| (until, id)));
             let group = self.groups.id(&host.service);
             match self.hosts.get_mut(id.0 as usize) {
                 Some(place) => *place = known,
--- a/crates/arrowyard-sluice/tests/helpers/mod.rs
+++ b/crates/arrowyard-sluice/tests/helpers/mod.rs
@@ -35,6 +35,21 @@
 pub const WITHOUT_ROUTES: &str = "{\"revision\":4,\"channels\":[],\"services\":[{\"name\":\"s0\",\"conn-limit\":50,\
      \"sync-replicas\":1}],\"limits\":{\"tx-idle-ms\":3000,\"header-wait-ms\":3000}}";
 
+/// The host, as it sees itself.
+pub fn host(phase: Phase, role: DbRole, call_seq: u64) -> Host {
+    Host {
+        id: "i-1".into(),
+        service: "s0".into(),
+        ip: u32::from_be_bytes([10, 0, 1, 1]),
+        port: 8000,
+        zone: "z".into(),
+        capacity: 4,
+        phase: phase.into(),
+        role: role.into(),
+        call_seq,
+    }
+}
+
 impl Hand {
     /// A router that knows a service with one host, its primary, and so many routers that share it.
     pub fn among(routers: u32) -> Hand {
@@ -51,21 +66,19 @@
         hand.event(Event::Start);
         (hand.feed, _) = hand.dialled[0];
         hand.event(Event::Opened { conn: hand.feed });
-        let host = Host {
-            id: "i-1".into(),
-            service: "s0".into(),
-            ip: u32::from_be_bytes([10, 0, 1, 1]),
-            port: 8000,
-            zone: "z".into(),
-            capacity: 4,
-            phase: Phase::InService.into(),
-            role: DbRole::Primary.into(),
-            call_seq: 1,
-        };
-        hand.configures(1, CONFIGURATION, vec![host], routers);
+        hand.configures(1, CONFIGURATION, vec![host(Phase::InService, DbRole::Primary, 1)], routers);
         hand
     }
 
+    /// Control tells how the host sees itself, again and again for so long, as it feeds routers.
+    pub fn hosts_say(&mut self, host: &Host, ms: i64) {
+        let end = self.now + Span::from_millis(ms);
+        while self.now < end {
+            self.configures(1, CONFIGURATION, vec![host.clone()], 1);
+            self.pass(250);
+        }
+    }
+
     /// Control tells a configuration, the hosts that are new, and how many routers share them.
     pub fn configures(&mut self, slot: u64, configuration: &str, hosts: Vec<Host>, routers: u32) {
         let whole = Whole {
--- a/crates/arrowyard-sluice/tests/plane.rs
+++ b/crates/arrowyard-sluice/tests/plane.rs
@@ -2,9 +2,9 @@
 
 mod helpers;
 
-use arrowyard_conduit::{Replacement, Replacements, Word};
+use arrowyard_conduit::{DbRole, Phase, Replacement, Replacements, Word};
 use arrowyard_runtime::{Event, Why};
-use helpers::{Hand, WITHOUT_ROUTES};
+use helpers::{Hand, WITHOUT_ROUTES, host};
 
 /// A client inside a transaction that ran one statement, and the connection that holds it.
 fn inside(hand: &mut Hand) -> (arrowyard_runtime::Conn, arrowyard_runtime::Conn) {
@@ -217,3 +217,40 @@
     let answers = hand.hears(client);
     assert!(!answers.iter().any(|line| line.contains("replaced")), "{answers:?}");
 }
+
+/// A primary that is to end is replaced, and leads again since nobody else has what it has. The bound runs from its first
+/// word that it leaves; it once began again with the lead.
+#[test]
+fn a_host_that_leaves_is_asked_nothing_after_its_bound_though_it_leads_again() {
+    let mut hand = Hand::among(1);
+    hand.hosts_say(&host(Phase::Draining, DbRole::Primary, 2), 1000);
+    let client = hand.client();
+    hand.says(client, "QUERY a1 WRITE t1 x");
+    let link = hand.host_opens();
+    assert_eq!(hand.hears(link), ["QUERY a1 WRITE t1 x"], "it serves on till another one leads");
+    hand.says(link, "SETTLED 1.aa\nIDLE I 1.2");
+    assert_eq!(hand.hears(client), ["SETTLED 1.aa", "IDLE I 1.2"]);
+    hand.hosts_say(&host(Phase::Draining, DbRole::Replica, 3), 5000);
+    hand.hosts_say(&host(Phase::Draining, DbRole::Primary, 4), 1000);
+    hand.hears(link);
+    hand.says(client, "QUERY a2 WRITE t1 y");
+    hand.hosts_say(&host(Phase::Draining, DbRole::Primary, 4), 1000);
+    assert_eq!(hand.hears(link), Vec::<String>::new());
+    let answer = hand.hears(client);
+    assert!(answer[0].starts_with("FAULT") && !answer[0].contains("UNKNOWN"), "{answer:?}");
+}
+
+/// A router that starts while a primary leaves does not know since when it does.
+#[test]
+fn a_host_that_was_never_seen_in_service_is_asked_nothing_while_it_leaves() {
+    let mut hand = Hand::among(1);
+    let mut leaving = host(Phase::Draining, DbRole::Primary, 1);
+    leaving.id = "i-2".into();
+    hand.hosts_say(&host(Phase::Gone, DbRole::Primary, 2), 250);
+    let dials = hand.dialled.len();
+    hand.hosts_say(&leaving, 500);
+    let client = hand.client();
+    hand.says(client, "QUERY a1 WRITE t1 x");
+    hand.hosts_say(&leaving, 1000);
+    assert_eq!(hand.dialled.len(), dials);
+}
