Questions to silent hosts go by way of routers too; a replica that control does not reach is asked and fenced

Cause: a replica that is silent was counted out once another one had what the primary had after the silence began. A replica that is cut off from control alone goes on receiving, and lets its primary acknowledge what no other host has. Change: what is asked of a silent host (never of the primary) is asked by way of one router of each control machine at the same time, as SWIM's indirect probes do; it counts as unreachable only if nobody got an answer. So the survey has its row, the fence reaches it, and it leads if it has most. A router does not ask what control waits for no more; a replica counts as going on only from an answer that came a second after the last question to stop. Ruled out: asking routers only after the host's own silence (0.3 s more without a primary behind a dead replica); floors that are asked again and again (always one commit behind). Questions beside statements are a module of their own in the router (yielding was in hosts.rs).

--- a/crates/arrowyard-basin/tests/control.rs
+++ b/crates/arrowyard-basin/tests/control.rs
@@ -665,3 +665,29 @@
         assert!(played.breaches.is_empty(), "joined at {joins}: {:?}", played.breaches);
     }
 }
+
+/// A replica is cut off from control, and its primary some seconds later; routers reach both. The other replica receives
+/// nothing at half of the moments: then whatever is acknowledged, the one that control does not reach alone has.
+#[test]
+fn what_a_replica_that_control_does_not_reach_acknowledged_is_kept() {
+    let mut promotions = 0;
+    for moment in 0_u32..16 {
+        let which = moment as usize;
+        let fault = |at: f64, what: Trouble, which: usize| Fault { at, for_s: 14.0, what, which };
+        let hides = 10.5 + 0.1 * f64::from(moment);
+        let mut faults =
+            vec![fault(6.0, Trouble::HideReplica, which), fault(hides, Trouble::HidePrimary, which)];
+        if moment % 2 == 1 {
+            faults.push(fault(hides - 0.8, Trouble::DeafReplica, which + 1));
+        }
+        let day = Day { seed: 290 + u64::from(moment), seconds: 26.0, users: 8, faults, ..Day::default() };
+        let played = play(&day);
+        let breach = played.breaches.first();
+        assert!(breach.is_none(), "hidden at {hides}: {} breaches, {breach:?}", played.breaches.len());
+        // Whoever has it all leads, and routers find it.
+        let served = played.seconds.iter().rev().skip(1).take(3);
+        assert!(served.clone().all(|(_, asked, served)| served == asked), "hidden at {hides}: {served:?}");
+        promotions += played.promotions;
+    }
+    assert_eq!(promotions, 16);
+}
--- a/crates/arrowyard-conduit/src/lib.rs
+++ b/crates/arrowyard-conduit/src/lib.rs
@@ -3,6 +3,8 @@
 
 mod frame;
 mod message;
+mod relay;
 
 pub use frame::{Broken, Frames, frame};
 pub use message::*;
+pub use relay::{HostRequest, HostRow, RelayedAnswer, RelayedQuestion};
--- a/crates/arrowyard-conduit/src/message.rs
+++ b/crates/arrowyard-conduit/src/message.rs
@@ -4,12 +4,14 @@
 
 use prost::{Enumeration, Message, Oneof};
 
+use crate::relay::{RelayedAnswer, RelayedQuestion};
+
 /// One thing that is said.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Frame {
     #[prost(
         oneof = "Word",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
     )]
     pub word: Option<Word>,
 }
@@ -62,6 +64,10 @@
     Replacements(Replacements),
     #[prost(message, tag = "23")]
     Yielded(Yielded),
+    #[prost(message, tag = "24")]
+    RelayedQuestion(RelayedQuestion),
+    #[prost(message, tag = "25")]
+    RelayedAnswer(RelayedAnswer),
 }
 
 /// The first frame on a connection, from both ends.
--- a/crates/arrowyard-control/src/control.rs
+++ b/crates/arrowyard-control/src/control.rs
@@ -10,6 +10,7 @@
 mod memory;
 mod mesh;
 mod platform;
+mod relays;
 mod replacements;
 mod seats;
 mod shares;
@@ -37,6 +38,7 @@
 use hosts::Link;
 use mesh::Peer;
 use platform::{Decisions, Platform};
+pub use relays::{Relayed, Relays};
 use shares::Shares;
 use suspicions::Suspicions;
 
@@ -102,6 +104,7 @@
     lines: FxHashMap<Conn, Line>,
     peers: BTreeMap<u32, Peer>,
     links: BTreeMap<String, Link>,
+    relays: Relays,
     /// Calls of the operator that wait for the ledger.
     pending: FxHashMap<ProposalId, calls::Pending>,
     silent_here: Vec<arrowyard_conduit::Silent>,
@@ -177,6 +180,7 @@
             lines: FxHashMap::default(),
             peers: BTreeMap::new(),
             links: BTreeMap::new(),
+            relays: Relays::new(life),
             pending: FxHashMap::default(),
             silent_here: Vec::new(),
             platform_calls: Vec::new(),
--- a/crates/arrowyard-control/src/control/feed.rs
+++ b/crates/arrowyard-control/src/control/feed.rs
@@ -88,6 +88,7 @@
                     Some(Word::Suspect(suspect)) => self.suspected(now, suspect, orders),
                     Some(Word::Needs(needs)) => self.needs(now, None, needs, orders),
                     Some(Word::Yielded(yielded)) => self.yielded(now, true, yielded, orders),
+                    Some(Word::RelayedAnswer(answer)) => self.relayed(now, answer, orders),
                     _ => {}
                 },
             }
--- a/crates/arrowyard-control/src/control/hosts.rs
+++ b/crates/arrowyard-control/src/control/hosts.rs
@@ -59,7 +59,7 @@
                 used_at: now,
             });
             let waiting = link.asked.iter().map(|(asked, _)| asked).chain(&link.queue);
-            if is_repeated(waiting, &ask) {
+            if is_repeated(waiting, &ask) || link.asked.is_none() && self.relays.is_relaying(&id, &ask) {
                 continue;
             }
             link.queue.push_back(ask);
@@ -73,9 +73,11 @@
             return;
         }
         let Some(ask) = link.queue.pop_front() else { return };
-        link.asked = Some((ask, now + ANSWER));
+        link.asked = Some((ask.clone(), now + ANSWER));
         link.used_at = now;
         (link.row, link.fault) = (None, None);
+        self.relay(now, id, &ask, orders);
+        let Some(link) = self.links.get_mut(id) else { return };
         match link.conn {
             Some(conn) if link.open => question(link, conn, orders),
             Some(_) => {}
@@ -119,6 +121,7 @@
                     let (row, fault) = (link.row.take(), link.fault.take());
                     let Some((ask, _)) = link.asked.take() else { continue };
                     let service = link.service.clone();
+                    self.relays.direct_answered(&id);
                     let host = id.clone();
                     let reply = match (row, fault) {
                         (Some(row), _) => ask.to().map(|to| Reply::Row { host, to, row }),
@@ -141,7 +144,7 @@
         }
     }
 
-    fn drop_link(&mut self, id: &str, orders: &mut Orders) {
+    pub(super) fn drop_link(&mut self, id: &str, orders: &mut Orders) {
         if let Some(conn) = self.links.remove(id).and_then(|link| link.conn) {
             orders.drop(conn);
             self.lines.remove(&conn);
@@ -152,7 +155,7 @@
         let Some(link) = self.links.get(id) else { return };
         let (service, asked) = (link.service.clone(), link.asked.is_some());
         self.drop_link(id, orders);
-        if asked {
+        if asked && !self.relays.direct_failed(id) {
             self.replied(now, &service, Reply::Silent { host: id.to_string() }, orders);
         }
     }
@@ -191,11 +194,13 @@
                 self.lines.remove(&conn);
             }
         }
+        self.expire_relays(now, orders);
         self.drop_late_calls(now, orders);
     }
 
     pub(super) fn links_due(&self) -> Option<Point> {
-        self.links.values().filter_map(|link| link.asked.as_ref().map(|(_, until)| *until)).min()
+        let links = self.links.values().filter_map(|link| link.asked.as_ref().map(|(_, until)| *until));
+        links.chain(self.relays.due()).min()
     }
 }
 
--- a/crates/arrowyard-control/src/control/mesh.rs
+++ b/crates/arrowyard-control/src/control/mesh.rs
@@ -257,6 +257,11 @@
         }
     }
 
+    /// How many machines `say_to_peers` reaches.
+    pub(super) fn reachable_peers(&self) -> usize {
+        self.peers.values().filter(|peer| !peer.conns.is_empty()).count()
+    }
+
     pub(super) fn say_to_peer(&mut self, ip: u32, word: &Word, orders: &mut Orders) {
         if let Some(conn) = self.peers.get(&ip).and_then(|peer| peer.conns.last().copied()) {
             orders.write(conn, &[&said(word.clone())]);
@@ -380,6 +385,8 @@
             Word::Suspect(suspect) => self.suspected(now, suspect, orders),
             Word::Yielded(yielded) => self.yielded(now, false, yielded, orders),
             word @ Word::Replacements(_) => self.pass_replacements(&word, orders),
+            Word::RelayedQuestion(question) => self.relay_to_router(now, question, orders),
+            Word::RelayedAnswer(answer) => self.relayed(now, answer, orders),
             Word::Needs(needs) => self.needs(now, Some(ip), needs, orders),
             Word::Allots(allots) => self.allots(allots, orders),
             word @ Word::Pressed(_) => self.pressed(&word, orders),
--- /dev/null
+++ b/crates/arrowyard-control/src/control/relays.rs
@@ -0,0 +1,206 @@
+//! Questions to hosts that have fallen silent: routers ask them too.
+//!
+//! Safety: a host that no control machine reaches may still serve routers, and as a replica it lets its primary acknowledge
+//! what no other host has. A change of primary that is decided without its answer may lose that. So whatever is asked of
+//! a silent host is asked by way of routers at the same time, and the host counts as unreachable only if nobody got an
+//! answer. Source: the indirect probes of Das, Gupta and Motivala, "SWIM" (2002).
+
+use std::collections::BTreeMap;
+
+use arrowyard_conduit::{HostRequest, HostRow, RelayedAnswer, RelayedQuestion, Word};
+use arrowyard_flume::{Observed, Position};
+use arrowyard_runtime::{Conn, Orders};
+use arrowyard_types::{Point, Span};
+
+use super::Control;
+use crate::promotion::{Ask, Reply};
+
+/// Routers have so long to bring an answer. It is shorter than the wait for the host's own, so that a host that is down
+/// is not waited for longer.
+const RELAY_TIMEOUT: Span = Span::from_millis(300);
+
+/// A question that routers were asked to relay.
+#[derive(Debug)]
+struct Relay {
+    number: u64,
+    ask: Ask,
+    service: String,
+    /// Control machines of which no answer has come.
+    outstanding: usize,
+    until: Point,
+    /// Whether the host has failed to answer control itself.
+    direct_failed: bool,
+}
+
+/// What an answer leads to.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Relayed {
+    /// Nothing yet.
+    Waiting,
+    /// The host answered a router.
+    Answered { service: String, reply: Reply },
+    /// Neither control nor any router got an answer.
+    Unreachable { service: String, host: String },
+}
+
+/// The relayed questions of this control machine, one for each host.
+#[derive(Debug)]
+pub struct Relays {
+    last_number: u64,
+    by_host: BTreeMap<String, Relay>,
+}
+
+impl Relays {
+    /// Numbers begin with the life of the process, so that no answer to an earlier life is taken for one to this life.
+    pub fn new(life: u64) -> Self {
+        Relays { last_number: life, by_host: BTreeMap::new() }
+    }
+
+    /// Begins to relay a question through this many control machines, in place of the last one to the same host. None
+    /// where the question is not one to a host.
+    pub fn begin(
+        &mut self,
+        now: Point,
+        asked_by: u32,
+        service: &str,
+        ask: &Ask,
+        machines: usize,
+    ) -> Option<RelayedQuestion> {
+        let (host, request, term) = match ask {
+            Ask::Observe { host } => (host, HostRequest::Observe, 0),
+            Ask::Pause { host, term, .. } => (host, HostRequest::Pause, *term),
+            Ask::Continue { host } => (host, HostRequest::Continue, 0),
+            Ask::Promote { .. } => return None,
+        };
+        self.last_number = self.last_number.wrapping_add(1);
+        let relay = Relay {
+            number: self.last_number,
+            ask: ask.clone(),
+            service: service.to_string(),
+            outstanding: machines,
+            until: now + RELAY_TIMEOUT,
+            direct_failed: false,
+        };
+        self.by_host.insert(host.clone(), relay);
+        let number = self.last_number;
+        Some(RelayedQuestion { asked_by, number, host: host.clone(), request: request.into(), term })
+    }
+
+    /// Whether this question to the host is being relayed.
+    pub fn is_relaying(&self, host: &str, ask: &Ask) -> bool {
+        self.by_host.get(host).is_some_and(|relay| relay.ask == *ask)
+    }
+
+    /// The host answered control itself.
+    pub fn direct_answered(&mut self, host: &str) {
+        self.by_host.remove(host);
+    }
+
+    /// The host did not answer control itself. Whether routers are still being waited for.
+    pub fn direct_failed(&mut self, host: &str) -> bool {
+        self.by_host.get_mut(host).map(|relay| relay.direct_failed = true).is_some()
+    }
+
+    /// An answer has come by way of a control machine.
+    pub fn answered(&mut self, answer: &RelayedAnswer) -> Relayed {
+        let asked = self.by_host.iter_mut().find(|(_, relay)| relay.number == answer.number);
+        let Some((host, relay)) = asked else { return Relayed::Waiting };
+        let host = host.clone();
+        relay.outstanding = relay.outstanding.saturating_sub(1);
+        if let Some((row, to)) = answer.row.as_ref().zip(relay.ask.to()) {
+            let service = relay.service.clone();
+            self.by_host.remove(&host);
+            return Relayed::Answered { service, reply: Reply::Row { host, to, row: observed(row) } };
+        }
+        if relay.outstanding > 0 {
+            return Relayed::Waiting;
+        }
+        self.ended(&host)
+    }
+
+    /// Whoever has not answered by now does not.
+    pub fn expire(&mut self, now: Point) -> Vec<Relayed> {
+        let late = self.by_host.iter().filter(|(_, relay)| relay.until <= now);
+        let late: Vec<String> = late.map(|(host, _)| host.clone()).collect();
+        late.iter().map(|host| self.ended(host)).collect()
+    }
+
+    /// No router brought an answer. The host's own may still come, unless it has failed as well.
+    fn ended(&mut self, host: &str) -> Relayed {
+        match self.by_host.remove(host) {
+            Some(relay) if relay.direct_failed => {
+                Relayed::Unreachable { service: relay.service, host: host.to_string() }
+            }
+            _ => Relayed::Waiting,
+        }
+    }
+
+    pub fn due(&self) -> Option<Point> {
+        self.by_host.values().map(|relay| relay.until).min()
+    }
+}
+
+fn observed(row: &HostRow) -> Observed {
+    let received = Position { term: row.received_term, number: row.received_number };
+    Observed { primary: row.primary, term: row.term, received }
+}
+
+impl Control {
+    /// Relays a question to a host that has fallen silent. A primary is not asked so: while control does not reach it, it
+    /// is replaced.
+    pub(super) fn relay(&mut self, now: Point, id: &str, ask: &Ask, orders: &mut Orders) {
+        let Some(host) = self.cell.get(id) else { return };
+        let service = host.service.clone();
+        let is_primary = self.cell.primary(&service).is_some_and(|primary| primary.id == id);
+        if is_primary || !self.silent.contains_key(id) {
+            return;
+        }
+        let machines = 1 + self.reachable_peers();
+        let Some(question) = self.relays.begin(now, self.me, &service, ask, machines) else { return };
+        self.say_to_peers(&Word::RelayedQuestion(question.clone()), orders);
+        self.relay_to_router(now, question, orders);
+    }
+
+    /// Passes a question on to one of the routers that are fed here, another one for each question.
+    pub(super) fn relay_to_router(&mut self, now: Point, question: RelayedQuestion, orders: &mut Orders) {
+        let mut fed: Vec<Conn> = self.routers_fed().map(|(conn, _)| conn).collect();
+        fed.sort_unstable();
+        if fed.is_empty() {
+            let answer = RelayedAnswer { asked_by: question.asked_by, number: question.number, row: None };
+            return self.relayed(now, answer, orders);
+        }
+        let chosen = fed[(question.number % fed.len() as u64) as usize];
+        self.say(chosen, Word::RelayedQuestion(question), orders);
+    }
+
+    /// An answer of a router, on its way to whoever asked.
+    pub(super) fn relayed(&mut self, now: Point, answer: RelayedAnswer, orders: &mut Orders) {
+        if answer.asked_by != self.me {
+            return self.say_to_peer(answer.asked_by, &Word::RelayedAnswer(answer), orders);
+        }
+        let relayed = self.relays.answered(&answer);
+        self.conclude_relay(now, relayed, orders);
+    }
+
+    /// Relayed questions that nobody has answered in time.
+    pub(super) fn expire_relays(&mut self, now: Point, orders: &mut Orders) {
+        for relayed in self.relays.expire(now) {
+            self.conclude_relay(now, relayed, orders);
+        }
+    }
+
+    fn conclude_relay(&mut self, now: Point, relayed: Relayed, orders: &mut Orders) {
+        match relayed {
+            Relayed::Waiting => {}
+            Relayed::Answered { service, reply } => {
+                if let Reply::Row { host, .. } = &reply {
+                    self.drop_link(host, orders);
+                }
+                self.replied(now, &service, reply, orders);
+            }
+            Relayed::Unreachable { service, host } => {
+                self.replied(now, &service, Reply::Silent { host }, orders);
+            }
+        }
+    }
+}
--- a/crates/arrowyard-control/src/lib.rs
+++ b/crates/arrowyard-control/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use applied::{Applied, Digest, REMEMBERED, Standing, digest};
 pub use cell::Cell;
-pub use control::{Control, DOORS, Departures, DiskWatch};
+pub use control::{Control, DOORS, Departures, DiskWatch, Relayed, Relays};
 pub use duty::Duties;
 pub use ledger::{Answer, Ledger, Output, ProposalId};
 pub use promotion::{Ask, Promotion, Promotions, Reply, Sight, Stage, To, is_repeated};
--- a/crates/arrowyard-control/src/promotion/mod.rs
+++ b/crates/arrowyard-control/src/promotion/mod.rs
@@ -29,6 +29,8 @@
 /// that was to stop receiving and is to go on.
 const RETRY: Span = Span::from_millis(150);
 const HELD: Span = Span::from_millis(1000);
+/// A question to stop receiving that a router relays may arrive so long after it was asked.
+const LATE_PAUSE: Span = Span::from_millis(1000);
 const CATCH_UP: Span = Span::from_millis(15);
 /// A candidate has so long to receive what the others have; the platform so long to make it primary.
 /// An old primary that lives has so long to yield; once it has, hosts that joined it before have so long to be heard of.
@@ -51,6 +53,7 @@
     quiet_until: Point,
     /// Hosts that were asked to stop receiving, and have not said since that they go on.
     held: BTreeSet<String>,
+    paused_at: Point,
     /// What the primary had after a replica fell silent: whoever has as much has all that this replica acknowledged.
     floors: BTreeMap<String, Position>,
     /// Replicas that were silent when the primary was asked for that.
@@ -93,6 +96,7 @@
             wake_at: None,
             quiet_until: Point::DAWN,
             held: BTreeSet::new(),
+            paused_at: Point::DAWN,
             floors: BTreeMap::new(),
             floor_of: BTreeSet::new(),
             floor_at: Point::DAWN,
@@ -228,7 +232,7 @@
                 let known = missing
                     .filter(|host| sight.cell.get(host).is_some_and(|host| host.phase() != Phase::Gone));
                 let known: Vec<String> = known.cloned().collect();
-                self.pause(known.iter(), term, asks);
+                self.pause(now, known.iter(), term, asks);
                 let asked = rows.keys().cloned().chain(known).collect();
                 self.go(Stage::Fencing { old, candidate, asked, term, rows }, Some(now + RETRY));
                 self.paused(now, sight, asks);
@@ -287,8 +291,10 @@
     /// Takes what came back.
     pub fn take(&mut self, now: Point, reply: Reply, sight: &Sight<'_>, asks: &mut Vec<Ask>) {
         match &reply {
-            // Danger: it may be asked to stop again by now.
-            Reply::Row { host, to: To::Continue, .. } if self.stage == Stage::Steady => {
+            // Safety: it may be asked to stop again by now, or the last question to stop may arrive only now.
+            Reply::Row { host, to: To::Continue, .. }
+                if self.stage == Stage::Steady && now - self.paused_at >= LATE_PAUSE =>
+            {
                 self.held.remove(host);
             }
             Reply::Row { to: To::Observe, row, .. } if row.primary => {
@@ -426,7 +432,14 @@
         self.go(Stage::Promoting { old, candidate, planned, tries: 0 }, None);
     }
 
-    fn pause<'a>(&mut self, hosts: impl Iterator<Item = &'a String>, term: u64, asks: &mut Vec<Ask>) {
+    fn pause<'a>(
+        &mut self,
+        now: Point,
+        hosts: impl Iterator<Item = &'a String>,
+        term: u64,
+        asks: &mut Vec<Ask>,
+    ) {
+        self.paused_at = now;
         for host in hosts {
             self.held.insert(host.clone());
             asks.push(Ask::Pause { host: host.clone(), term, turn: self.turn });
--- a/crates/arrowyard-control/src/promotion/survey.rs
+++ b/crates/arrowyard-control/src/promotion/survey.rs
@@ -82,7 +82,7 @@
         let asked: BTreeSet<String> =
             rows.keys().filter(|host| Some(*host) != candidate.as_ref()).cloned().collect();
         self.turn += 1;
-        self.pause(asked.iter(), term, asks);
+        self.pause(now, asked.iter(), term, asks);
         let rows = rows.into_iter().filter(|(host, _)| Some(host) == candidate.as_ref()).collect();
         self.go(Stage::Fencing { old, candidate, asked, term, rows }, Some(now + RETRY));
         self.paused(now, sight, asks);
--- a/crates/arrowyard-control/tests/control.rs
+++ b/crates/arrowyard-control/tests/control.rs
@@ -378,6 +378,27 @@
     assert!(scene.pass(1000).is_empty() && scene.pass(9000).is_empty());
 }
 
+/// A router may bring a question to stop after the host has said that it goes on.
+#[test]
+fn a_replica_goes_on_for_sure_once_no_question_to_stop_is_under_way() {
+    let mut scene = Scene::new();
+    scene.cell.told(at(900), host("a", DbRole::Primary, Phase::Draining, 2));
+    scene.pass(0);
+    scene.row("b", false, 20);
+    scene.row("c", false, 22);
+    scene.row("b", false, 24);
+    scene.silent("c");
+    scene.cell.told(at(900), host("a", DbRole::Primary, Phase::InService, 3));
+    let on = Ask::Continue { host: "b".into() };
+    let row = Observed { primary: false, term: 3, received: Position { term: 3, number: 24 } };
+    let reply = Reply::Row { host: "b".into(), to: To::Continue, row };
+    scene.pass(500);
+    scene.sight(|promotion, now, sight, asks| promotion.take(now, reply.clone(), sight, asks));
+    assert_eq!(scene.pass(1000), [on], "its answer came within a second of the question to stop");
+    scene.sight(|promotion, now, sight, asks| promotion.take(now, reply, sight, asks));
+    assert!(scene.pass(1000).is_empty() && scene.pass(9000).is_empty());
+}
+
 #[test]
 fn a_primary_that_leaves_serves_until_its_heir_has_all() {
     let mut scene = Scene::new();
--- a/crates/arrowyard-sluice/src/link.rs
+++ b/crates/arrowyard-sluice/src/link.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
-use arrowyard_flume::{Code, Lines, Mode, Position};
+use arrowyard_conduit::{HostRequest, RelayedQuestion};
+use arrowyard_flume::{Code, Lines, Mode, Observed, Position};
 use arrowyard_runtime::Conn;
 use arrowyard_types::{HostId, OpId, Point, SendNo};
 use arrowyard_weir::ServiceId;
@@ -22,8 +23,32 @@
     Client,
     Abort,
     Observe,
-    /// The host is replaced as primary.
-    Yield,
+    /// A question that control has for the host.
+    Aside,
+}
+
+/// What control has this router ask of a host, beside all statements.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HostQuestion {
+    /// It is replaced as primary, and yields to this term.
+    Yield(u64),
+    /// Control does not reach it. After the time, control does not wait for the answer any more.
+    Relayed(RelayedQuestion, Point),
+}
+
+impl HostQuestion {
+    /// The words of the question; none if it is not one of those that are known here.
+    pub fn words(&self) -> Option<String> {
+        let (question, _) = match self {
+            HostQuestion::Yield(term) => return Some(format!("YIELD {term}")),
+            HostQuestion::Relayed(question, until) => (question, until),
+        };
+        match HostRequest::try_from(question.request).ok()? {
+            HostRequest::Observe => Some("OBSERVE".to_string()),
+            HostRequest::Pause => Some(format!("PAUSE {}", question.term)),
+            HostRequest::Continue => Some("CONTINUE".to_string()),
+        }
+    }
 }
 
 /// Where a connection is in its life.
@@ -71,8 +96,8 @@
     pub fault: Option<(Code, String)>,
     pub opened_at: Point,
     pub since: Point,
-    /// It was opened to tell its host to yield to this term.
-    pub yields_to: Option<u64>,
+    /// The question that is to be asked on it, or is being asked.
+    pub aside: Option<HostQuestion>,
 }
 
 impl Link {
@@ -94,7 +119,7 @@
             fault: None,
             opened_at: now,
             since: now,
-            yields_to: None,
+            aside: None,
         }
     }
 
@@ -138,3 +163,12 @@
     pub position: Option<Position>,
     pub in_transaction: bool,
 }
+
+impl Answered {
+    /// What the host says of itself, if this answers such a question.
+    pub fn observed(&self) -> Option<Observed> {
+        let text = String::from_utf8_lossy(&self.rows);
+        let line = text.lines().next()?;
+        Observed::read(arrowyard_flume::split(line).1)
+    }
+}
--- a/crates/arrowyard-sluice/src/plane.rs
+++ b/crates/arrowyard-sluice/src/plane.rs
@@ -4,6 +4,7 @@
 mod feed;
 mod hosts;
 mod ops;
+mod questions;
 mod shares;
 
 use std::collections::VecDeque;
--- a/crates/arrowyard-sluice/src/plane/feed.rs
+++ b/crates/arrowyard-sluice/src/plane/feed.rs
@@ -6,11 +6,11 @@
 
 use arrowyard_conduit::{
     Change, DbRole, Frames, Hello, Host, Known as Machine, Phase, Replacements, Seen, Step, Suspect, Whole,
-    Word, Yielded, number, said,
+    Word, number, said,
 };
 use arrowyard_gauge::{Change as Revision, ChangeKind, Configuration};
 use arrowyard_runtime::{Conn, Orders};
-use arrowyard_types::{HostId, Note, Point, Span};
+use arrowyard_types::{Note, Point, Span};
 
 use super::{Alarm, Line, Sluice};
 use crate::module::Known;
@@ -154,6 +154,7 @@
                     Some(Word::Change(change)) => self.take_change(now, conn, &change, orders),
                     Some(Word::Allots(allots)) => self.take_allots(now, allots, orders),
                     Some(Word::Replacements(told)) => self.take_replacements(now, told, orders),
+                    Some(Word::RelayedQuestion(question)) => self.relay_question(now, question, orders),
                     Some(Word::Pressed(pressed)) => self.hosts_pressed(now, &pressed.hosts, orders),
                     _ => {}
                 },
@@ -250,14 +251,6 @@
         }
     }
 
-    /// Control hears that an old primary leads no more.
-    pub(super) fn say_yielded(&mut self, host: HostId, orders: &mut Orders) {
-        let Host { service, id, .. } = self.module.host(host).host.clone();
-        if let Some(conn) = self.feed.open_conn() {
-            orders.write(conn, &[&said(Word::Yielded(Yielded { service, host: id }))]);
-        }
-    }
-
     fn take_view(&mut self, view: &[Machine]) {
         if !view.is_empty() {
             self.controls = view.to_vec();
--- a/crates/arrowyard-sluice/src/plane/hosts.rs
+++ b/crates/arrowyard-sluice/src/plane/hosts.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use arrowyard_flume::{Answer, Code, OWN, Observed, Position, State};
+use arrowyard_flume::{Answer, Code, OWN, Position, State};
 use arrowyard_runtime::{Conn, Orders, Why};
 use arrowyard_types::{HostId, Note, OpId, Outcome, Point, Role, Span, Word};
 
@@ -12,7 +12,7 @@
 
 /// A connection that is not open by then is given up; so is an orphan that is not answered by then.
 const OPENS: Span = Span::from_millis(1000);
-const ORPHAN: Span = Span::from_millis(3000);
+pub(super) const ORPHAN: Span = Span::from_millis(3000);
 /// So many idle connections to a host are kept however long they rest; more are closed after so long.
 const SPARE: usize = 2;
 const RESTED: Span = Span::from_millis(3000);
@@ -127,7 +127,12 @@
         }
     }
 
-    fn dial(&mut self, now: Point, host: HostId, orders: &mut Orders) -> Conn {
+    /// One of a host's connections that rest, for whoever asks.
+    pub(super) fn take_idle(&mut self, host: HostId) -> Option<Conn> {
+        self.pools[host.0 as usize].idle.pop()
+    }
+
+    pub(super) fn dial(&mut self, now: Point, host: HostId, orders: &mut Orders) -> Conn {
         let conn = orders.dial(self.module.host(host).address);
         self.lines.insert(conn, Line::Link(Box::new(Link::new(conn, host, now))));
         self.timers.set(now + OPENS, Alarm::Link(conn));
@@ -304,11 +309,12 @@
         let Some(expected) = link.expect.pop_front() else { return self.drop_link(now, conn, orders) };
         match expected {
             Expect::Open => {
-                let yields_to = link.yields_to.take();
+                let has_question = link.aside.is_some();
                 self.pools[host.0 as usize].opening -= 1;
-                match yields_to {
-                    Some(term) => self.say_yield(now, conn, term, orders),
-                    None => self.rest(now, conn, orders),
+                if has_question {
+                    self.send_aside(now, conn, orders);
+                } else {
+                    self.rest(now, conn, orders);
                 }
             }
             Expect::Dress if answer.fault.is_some() => self.drop_link(now, conn, orders),
@@ -343,10 +349,8 @@
                 }
             }
             Expect::Abort => self.tidy(now, conn, orders),
-            Expect::Yield => {
-                if answer.fault.is_none() {
-                    self.say_yielded(host, orders);
-                }
+            Expect::Aside => {
+                self.aside_answered(conn, host, &answer, orders);
                 self.tidy(now, conn, orders);
             }
             Expect::Observe => {
@@ -412,7 +416,7 @@
     }
 
     /// A connection is free: whoever waits longest gets it.
-    fn rest(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
+    pub(super) fn rest(&mut self, now: Point, conn: Conn, orders: &mut Orders) {
         let Some(link) = self.link(conn) else { return };
         link.shift(now, Stage::Idle);
         let host = link.host;
@@ -487,6 +491,7 @@
         let Some(link) = self.forget_link(conn) else { return };
         let host = link.host;
         let opening = link.expect.front() == Some(&Expect::Open);
+        self.aside_lost(link.aside, orders);
         // A connection that rested may have been closed for its rest; that says nothing of the host.
         if link.stage != Stage::Idle {
             let pool = &mut self.pools[host.0 as usize];
@@ -571,27 +576,6 @@
         }
     }
 
-    /// A primary that is replaced is told to yield: on a connection that rests, or on one more than its share, since all
-    /// others may wait for commits that it cannot acknowledge.
-    pub(super) fn tell_to_yield(&mut self, now: Point, host: HostId, term: u64, orders: &mut Orders) {
-        log::info!("hosts: {} is replaced and told to yield to term {term}.", self.module.host(host).host.id);
-        if let Some(conn) = self.pools[host.0 as usize].idle.pop() {
-            return self.say_yield(now, conn, term, orders);
-        }
-        let conn = self.dial(now, host, orders);
-        if let Some(link) = self.link(conn) {
-            link.yields_to = Some(term);
-        }
-    }
-
-    fn say_yield(&mut self, now: Point, conn: Conn, term: u64, orders: &mut Orders) {
-        let Some(link) = self.link(conn) else { return };
-        link.shift(now, Stage::Orphan);
-        link.expect.push_back(Expect::Yield);
-        orders.line(conn, &["QUERY ", OWN, " YIELD ", &term.to_string()]);
-        self.timers.set(now + ORPHAN, Alarm::Link(conn));
-    }
-
     /// The module asks a host where it is.
     pub(super) fn probe(&mut self, now: Point, host: HostId, orders: &mut Orders) {
         let idle = self.pools.get(host.0 as usize).and_then(|pool| pool.idle.last().copied());
@@ -621,8 +605,7 @@
 
     fn observed(&mut self, now: Point, host: HostId, answer: &Answered) {
         let sent = self.probing.remove(&host).unwrap_or(now);
-        let text = String::from_utf8_lossy(&answer.rows);
-        let row = text.lines().next().and_then(|line| Observed::read(arrowyard_flume::split(line).1));
+        let row = answer.observed();
         let service = self.module.host(host).host.service.clone();
         let (outcome, word) = match row {
             Some(row) => {
--- a/crates/arrowyard-sluice/tests/helpers/mod.rs
+++ b/crates/arrowyard-sluice/tests/helpers/mod.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddrV4;
 
-use arrowyard_conduit::{DbRole, Host, Phase, Whole, Word, said};
+use arrowyard_conduit::{DbRole, Frames, Host, Phase, Whole, Word, said};
 use arrowyard_gauge::Settings;
 use arrowyard_runtime::{Conn, Event, Order, Orders, Plane};
 use arrowyard_sluice::{DOORS, Sluice};
@@ -29,6 +29,7 @@
     pub dropped: Vec<Conn>,
     /// The connection to control.
     feed: Conn,
+    to_control: Frames,
 }
 
 /// A configuration in which neither database is left.
@@ -62,6 +63,7 @@
             dialled: Vec::new(),
             dropped: Vec::new(),
             feed: Conn(0),
+            to_control: Frames::default(),
         };
         hand.event(Event::Start);
         (hand.feed, _) = hand.dialled[0];
@@ -96,6 +98,15 @@
         self.event(Event::Came { conn: self.feed, bytes: &said(word) });
     }
 
+    /// What the router answered control since the last look.
+    pub fn control_hears(&mut self) -> Vec<Word> {
+        let mut words = Vec::new();
+        while let Ok(Some(frame)) = self.to_control.take() {
+            words.extend(frame.word.filter(|word| matches!(word, Word::RelayedAnswer(_))));
+        }
+        words
+    }
+
     pub fn event(&mut self, event: Event<'_>) {
         self.sluice.handle(self.now, event, &mut self.orders);
         let (list, bytes) = (std::mem::take(&mut self.orders.list), std::mem::take(&mut self.orders.bytes));
@@ -104,8 +115,13 @@
             match order {
                 Order::Dial { conn, to } => self.dialled.push((conn, to)),
                 Order::Write { conn, len } => {
-                    let text = String::from_utf8_lossy(&bytes[at..at + len]).into_owned();
+                    let written = &bytes[at..at + len];
                     at += len;
+                    if conn == self.feed {
+                        self.to_control.put(written);
+                        continue;
+                    }
+                    let text = String::from_utf8_lossy(written).into_owned();
                     self.said.entry(conn).or_default().extend(text.lines().map(str::to_string));
                 }
                 Order::Close { conn } | Order::Drop { conn } => self.dropped.push(conn),
--- a/crates/arrowyard-sluice/tests/plane.rs
+++ b/crates/arrowyard-sluice/tests/plane.rs
@@ -2,7 +2,9 @@
 
 mod helpers;
 
-use arrowyard_conduit::{DbRole, Phase, Replacement, Replacements, Word};
+use arrowyard_conduit::{
+    DbRole, HostRequest, HostRow, Phase, RelayedAnswer, RelayedQuestion, Replacement, Replacements, Word,
+};
 use arrowyard_runtime::{Event, Why};
 use helpers::{Hand, WITHOUT_ROUTES, host};
 
@@ -254,3 +256,38 @@
     hand.hosts_say(&leaving, 1000);
     assert_eq!(hand.dialled.len(), dials);
 }
+
+fn relayed(number: u64, host: &str, request: HostRequest) -> Word {
+    let request = request.into();
+    Word::RelayedQuestion(RelayedQuestion { asked_by: 7, number, host: host.into(), request, term: 4 })
+}
+
+/// What control does not reach, routers ask in its place; it hears at once of what cannot be asked.
+#[test]
+fn a_question_of_control_is_relayed_and_its_answer_brought_back() {
+    let mut hand = Hand::among(1);
+    hand.control_says(relayed(1, "i-1", HostRequest::Pause));
+    let link = hand.host_opens();
+    assert_eq!(hand.hears(link), ["QUERY - PAUSE 4"]);
+    hand.says(link, "ROW replica 3 3.21 0 12 2 17\nSETTLED -\nIDLE I 3.9");
+    let row = HostRow { primary: false, term: 3, received_term: 3, received_number: 21 };
+    let answer = |number, row| Word::RelayedAnswer(RelayedAnswer { asked_by: 7, number, row });
+    assert_eq!(hand.control_hears(), [answer(1, Some(row))]);
+    // On the connection that rests now; its end is an answer as well.
+    hand.control_says(relayed(2, "i-1", HostRequest::Observe));
+    assert_eq!(hand.hears(link), ["QUERY - OBSERVE"]);
+    hand.event(Event::Closed { conn: link, why: Why::Broken });
+    assert_eq!(hand.control_hears(), [answer(2, None)]);
+    hand.control_says(relayed(3, "i-9", HostRequest::Observe));
+    assert_eq!(hand.control_hears(), [answer(3, None)], "nobody knows it");
+}
+
+/// A host that is to stop receiving and hears so only after control has asked it to go on would never go on.
+#[test]
+fn a_relayed_question_that_control_waits_for_no_more_is_not_asked() {
+    let mut hand = Hand::among(1);
+    hand.control_says(relayed(1, "i-1", HostRequest::Pause));
+    hand.pass(310);
+    let link = hand.host_opens();
+    assert_eq!(hand.hears(link), Vec::<String>::new());
+}
