--- a/crates/arrowyard-conduit/src/relay.rs
+++ b/crates/arrowyard-conduit/src/relay.rs
@@ -14,7 +14,7 @@
     Continue = 2,
 }
 
-/// From the owner of the duty, by way of every control machine, to one router of each.
+/// From the owner of the duty, by way of some control machines, to one router of each.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct RelayedQuestion {
     /// The control machine that waits for the answer, and its number for the question.
--- a/crates/arrowyard-control/src/control/mesh.rs
+++ b/crates/arrowyard-control/src/control/mesh.rs
@@ -257,9 +257,11 @@
         }
     }
 
-    /// How many machines `say_to_peers` reaches.
-    pub(super) fn reachable_peers(&self) -> usize {
-        self.peers.values().filter(|peer| !peer.conns.is_empty()).count()
+    /// So many of the machines that are connected, drawn anew each time.
+    pub(super) fn some_peers(&mut self, most: usize) -> Vec<u32> {
+        let connected = self.peers.iter().filter(|(_, peer)| !peer.conns.is_empty());
+        let connected = connected.map(|(ip, _)| *ip);
+        self.rng.choose_multiple(connected, most)
     }
 
     pub(super) fn say_to_peer(&mut self, ip: u32, word: &Word, orders: &mut Orders) {
--- a/crates/arrowyard-control/src/control/relays.rs
+++ b/crates/arrowyard-control/src/control/relays.rs
@@ -18,6 +18,8 @@
 /// Routers have so long to bring an answer. It is shorter than the wait for the host's own, so that a host that is down
 /// is not waited for longer.
 const RELAY_TIMEOUT: Span = Span::from_millis(300);
+/// Beside this machine so many others have one of their routers ask: each takes a connection to the host.
+const OTHER_MACHINES: usize = 2;
 
 /// A question that routers were asked to relay.
 #[derive(Debug)]
@@ -155,9 +157,11 @@
         if is_primary || !self.silent.contains_key(id) {
             return;
         }
-        let machines = 1 + self.reachable_peers();
-        let Some(question) = self.relays.begin(now, self.me, &service, ask, machines) else { return };
-        self.say_to_peers(&Word::RelayedQuestion(question.clone()), orders);
+        let peers = self.some_peers(OTHER_MACHINES);
+        let Some(question) = self.relays.begin(now, self.me, &service, ask, 1 + peers.len()) else { return };
+        for peer in peers {
+            self.say_to_peer(peer, &Word::RelayedQuestion(question.clone()), orders);
+        }
         self.relay_to_router(now, question, orders);
     }
 
