A replica that control does not reach is explored with the change of primary

Scene `a hidden replica`: the replica goes on receiving while control misses it; its primary crashes. What ships is not changed.

--- a/crates/arrowyard-basin/src/models/promotion.rs
+++ b/crates/arrowyard-basin/src/models/promotion.rs
@@ -28,6 +28,8 @@
     NoFloors,
     /// Each question is asked once.
     AskedOnce,
+    /// A host that control does not reach is not asked by way of routers.
+    NoRelays,
 }
 
 #[derive(Clone, Debug)]
@@ -38,6 +40,8 @@
     starts: u8,
     /// Replicas that receive nothing from some moment on; the last of the hosts only.
     deaf: u8,
+    /// Replicas that control does not reach from some moment on, and routers do; the last of the hosts only.
+    hidden: u8,
     suspicions: u8,
     planned: bool,
     /// Questions whose answers are lost, carried out or not.
@@ -52,6 +56,7 @@
     leads: bool,
     paused: bool,
     deaf: bool,
+    hidden: bool,
     draining: bool,
     /// Commits: their terms and numbers.
     log: Vec<(u64, u8)>,
@@ -91,8 +96,8 @@
         (&servers, self.term, &self.promotion, &self.acknowledged).hash(state);
         (self.silent.keys().collect::<Vec<_>>(), self.changes, self.lost_commit).hash(state);
         (&self.calls, &self.late_calls, &self.replies).hash(state);
-        (left.commits, left.crashes, left.starts, left.deaf, left.suspicions, left.lost, left.late)
-            .hash(state);
+        (left.commits, left.crashes, left.starts, left.deaf, left.hidden).hash(state);
+        (left.suspicions, left.lost, left.late).hash(state);
     }
 }
 
@@ -110,6 +115,7 @@
     Crash(usize),
     Start(usize),
     Deafen(usize),
+    Hide(usize),
     Drain,
     /// A host's call tells how it sees itself.
     Call(usize),
@@ -151,6 +157,12 @@
         self.servers.iter().position(|server| server.up && server.leads)
     }
 
+    /// Whether questions reach a host that is up: by way of routers, once control does not hear of it any more.
+    fn is_reached(&self, number: usize) -> bool {
+        let relays = self.left.flaw != Some(Flaw::NoRelays) && self.silent.contains_key(NAMES[number]);
+        !self.servers[number].hidden || relays
+    }
+
     /// Lets the promotion decide, with hosts as they told control of themselves.
     fn decide(&mut self, act: impl FnOnce(&mut Promotion, Point, &Sight<'_>, &mut Vec<Ask>)) {
         let (now, mut cell, mut asks) = (self.now(), Cell::default(), Vec::new());
@@ -266,6 +278,7 @@
             leads,
             paused: false,
             deaf: false,
+            hidden: false,
             draining: false,
             log: Vec::new(),
             told: (leads, false),
@@ -295,7 +308,7 @@
         let (left, leader) = (&world.left, world.leader());
         // Questions wait 400 ms at most: before more are asked, the first has its answer.
         if let Some(number) = world.servers.iter().position(|server| server.queue.len() > 3) {
-            steps.push(if world.servers[number].up {
+            steps.push(if world.servers[number].up && world.is_reached(number) {
                 Step::Answer(number)
             } else {
                 Step::QuestionLost(number)
@@ -317,10 +330,16 @@
                 if left.deaf > 0 && !server.leads && !server.deaf && number == 2 {
                     steps.push(Step::Deafen(number));
                 }
-                if server.told != (server.leads, server.draining) || world.silent.contains_key(NAMES[number])
-                {
+                if left.hidden > 0 && !server.leads && !server.hidden && number == 2 {
+                    steps.push(Step::Hide(number));
+                }
+                let is_silent = world.silent.contains_key(NAMES[number]);
+                if !server.hidden && (server.told != (server.leads, server.draining) || is_silent) {
                     steps.push(Step::Call(number));
                 }
+                if server.hidden && !is_silent {
+                    steps.push(Step::Miss(number));
+                }
             } else {
                 // Not borne, and said in the design note: a replica that is counted out, or has stopped, comes back within
                 // the change, and receives from a primary that answers control no more and is alive.
@@ -333,13 +352,14 @@
                 }
             }
             if !server.queue.is_empty() {
-                if server.up {
+                let is_reached = server.up && world.is_reached(number);
+                if is_reached {
                     steps.push(Step::Answer(number));
                 }
                 if left.lost > 0 && server.up {
                     steps.push(Step::AnswerLost(number));
                 }
-                if !server.up || left.lost > 0 {
+                if !is_reached || left.lost > 0 {
                     steps.push(Step::QuestionLost(number));
                 }
             }
@@ -401,6 +421,12 @@
                 world.left.deaf -= 1;
                 world.servers[number].deaf = true;
             }
+            Step::Hide(number) => {
+                world.left.hidden -= 1;
+                world.servers[number].hidden = true;
+                let now = world.now();
+                world.crashed_at.insert(NAMES[number].into(), now);
+            }
             Step::Drain => {
                 let leader = world.leader()?;
                 world.servers[leader].draining = true;
@@ -439,7 +465,8 @@
                 world.hear(Reply::Silent { host: NAMES[number].into() });
             }
             Step::QuestionLost(number) => {
-                world.left.lost -= u8::from(world.servers[number].up);
+                let is_reached = world.servers[number].up && world.is_reached(number);
+                world.left.lost -= u8::from(is_reached);
                 world.servers[number].queue.clear();
                 world.hear(Reply::Silent { host: NAMES[number].into() });
             }
@@ -496,6 +523,7 @@
         crashes: 0,
         starts: 0,
         deaf: 0,
+        hidden: 0,
         suspicions: 1,
         planned: false,
         lost: 0,
@@ -507,17 +535,19 @@
         "a plan" => Scene { planned: true, suspicions: 1, lost: 2, ..base },
         "a plan and a crash" => Scene { planned: true, crashes: 1, ..base },
         "a late platform" => Scene { crashes: 1, late: 1, commits: 1, planned: true, ..base },
+        "a hidden replica" => Scene { crashes: 1, hidden: 1, ..base },
         "lost answers" => Scene { crashes: 1, lost: 2, starts: 1, ..base },
         _ => return None,
     })
 }
 
-pub const SCENES: [&str; 6] = [
+pub const SCENES: [&str; 7] = [
     "a crash",
     "a replica before the primary",
     "a plan",
     "a plan and a crash",
     "a late platform",
+    "a hidden replica",
     "lost answers",
 ];
 
--- a/crates/arrowyard-basin/tests/models.rs
+++ b/crates/arrowyard-basin/tests/models.rs
@@ -50,6 +50,7 @@
         (AnyRowIsAPause, "a plan"),
         (NoFloors, "a replica before the primary"),
         (AskedOnce, "a plan"),
+        (NoRelays, "a hidden replica"),
     ] {
         caught(&format!("{flaw:?}"), name, promotion::check(name, Some(flaw)));
     }
