Tests of processes: bounded logs and answers; a killed machine's disk holds what it is asked for

What the tests keep of logs and answers is bounded, so that the next one fails in time and shows the last lines. The test now makes a change that needs that disk before it kills the machine; what it asserts is as it was.

--- a/crates/arrowyard-works/tests/helpers/mod.rs
+++ b/crates/arrowyard-works/tests/helpers/mod.rs
@@ -7,7 +7,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
-use std::sync::mpsc::{Receiver, channel};
+use std::sync::mpsc::{Receiver, sync_channel};
 use std::thread;
 use std::time::Duration;
 
@@ -17,6 +17,13 @@
 use arrowyard_types::Span;
 
 pub const LONG: Duration = Duration::from_secs(30);
+/// Lines of a log that nobody has waited for yet; a process that says more waits, and the test fails in time. Without
+/// a bound, a process that logged without end took all of the machine's memory.
+const WAITING_LINES: usize = 100_000;
+/// So many of the last lines are shown where a test waits in vain.
+const SHOWN_LINES: usize = 50;
+/// A longer answer is no answer of ours.
+const LONGEST_ANSWER: u64 = 16 << 20;
 
 /// The first port of all, below those that the system gives to connections and to listeners without a port of their own.
 const FIRST_PORT: u32 = 10_000;
@@ -51,7 +58,7 @@
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program is built");
-        let (send, lines) = channel();
+        let (send, lines) = sync_channel(WAITING_LINES);
         let stderr = child.stderr.take().expect("it is piped");
         thread::spawn(move || {
             BufReader::new(stderr).lines().map_while(Result::ok).all(|line| send.send(line).is_ok());
@@ -65,7 +72,8 @@
         loop {
             let line = self.lines.recv_timeout(LONG);
             let line = line.unwrap_or_else(|fault| {
-                panic!("nothing was said of: {words} ({fault}), but:\n{}", passed.join("\n"))
+                let last = &passed[passed.len().saturating_sub(SHOWN_LINES)..];
+                panic!("nothing was said of: {words} ({fault}), but:\n{}", last.join("\n"))
             });
             if line.contains(words) {
                 return line;
@@ -193,7 +201,7 @@
         stream.set_read_timeout(Some(LONG)).expect("a time");
         stream.write_all(text.as_bytes()).expect("it reads");
         let mut answer = String::new();
-        stream.read_to_string(&mut answer).expect("it answers and ends");
+        stream.take(LONGEST_ANSWER).read_to_string(&mut answer).expect("it answers and ends");
         let status = answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
         (status, answer.split("\r\n\r\n").nth(1).unwrap_or_default().to_string())
     }
@@ -294,7 +302,8 @@
         loop {
             let mut line = String::new();
             assert!(
-                self.stream.read_line(&mut line).expect("an answer in time") > 0,
+                self.stream.by_ref().take(LONGEST_ANSWER).read_line(&mut line).expect("an answer in time")
+                    > 0,
                 "it closed after {lines:?}"
             );
             lines.push(line.trim_end().to_string());
--- a/crates/arrowyard-works/tests/processes.rs
+++ b/crates/arrowyard-works/tests/processes.rs
@@ -28,12 +28,18 @@
         fleet.change(0, "/Config.Replace", 3, r#"{"revision":9,"channels":[{"name":"x","service":"s9"}]}"#);
     assert_eq!((status, body.contains("/channels/0/service")), (400, true), "{body}");
     assert_eq!(fleet.change(0, "/Config.Replace", 3, "{\"revision\":").0, 400);
+    // Without the third machine a change needs the first one's disk: from here on that holds what was agreed on.
+    controls[2].signal("-STOP");
+    let added =
+        r#"{"revision":5,"upsert":{"channels":[{"name":"y","plant":"y0","service":"s0","kind":"primary"}]}}"#;
+    assert_eq!(fleet.change(1, "/Config.Adjust", 3, added).0, 200);
+    controls[2].signal("-CONT");
     // A machine is killed while changes go on, and knows all when it is back.
     controls[0].child.kill().expect("it is ours");
     controls[0].child.wait().expect("it ended");
     let adjust =
         r#"{"revision":7,"upsert":{"channels":[{"name":"q","plant":"q0","service":"s0","kind":"primary"}]}}"#;
-    assert_eq!(fleet.change(1, "/Config.Adjust", 3, adjust).0, 200);
+    assert_eq!(fleet.change(1, "/Config.Adjust", 5, adjust).0, 200);
     controls[0] = fleet.control(0, false);
     let line = controls[0].says("ledger:");
     assert!(line.contains("3 voters, votes"), "{line}");
