--- a/crates/arrowyard-control/src/promotion/mod.rs
+++ b/crates/arrowyard-control/src/promotion/mod.rs
@@ -34,10 +34,10 @@
 /// A question to stop receiving that a router relays may arrive so long after it was asked.
 const LATE_PAUSE: Span = Span::from_millis(1000);
 const CATCH_UP: Span = Span::from_millis(15);
-/// A candidate has so long to receive what the others have; the platform so long to make it primary.
 /// An old primary that lives has so long to yield; once it has, hosts that joined it before have so long to be heard of.
 const YIELDS: Span = Span::from_millis(40);
 const NEWCOMERS: Span = Span::from_millis(500);
+/// A candidate has so long to receive what the others have; the platform so long to make it primary.
 const PATIENCE: Span = Span::from_millis(1500);
 const SETTLE: Span = Span::from_millis(4000);
 /// So many questions in a row must stay without an answer.
--- a/crates/arrowyard-control/tests/control.rs
+++ b/crates/arrowyard-control/tests/control.rs
@@ -164,6 +164,18 @@
         Scene { cell, silent: BTreeMap::new(), promotion: Promotion::new("s"), asks: Vec::new(), now: 1000 }
     }
 
+    /// A planned change was given up, since its candidate does not answer; the other replica has stopped receiving.
+    fn with_a_change_given_up() -> Self {
+        let mut scene = Scene::new();
+        scene.cell.told(at(900), host("a", DbRole::Primary, Phase::Draining, 2));
+        scene.pass(0);
+        scene.row("b", false, 20);
+        scene.row("c", false, 22);
+        scene.row("b", false, 24);
+        scene.silent("c");
+        scene
+    }
+
     fn sight(&mut self, act: impl FnOnce(&mut Promotion, Point, &Sight<'_>, &mut Vec<Ask>)) -> Vec<Ask> {
         let sight = Sight { cell: &self.cell, silent: &self.silent, left: &[] };
         let mut asks = Vec::new();
@@ -370,13 +382,7 @@
 
 #[test]
 fn replicas_that_were_held_are_asked_to_go_on_until_they_say_so() {
-    let mut scene = Scene::new();
-    scene.cell.told(at(900), host("a", DbRole::Primary, Phase::Draining, 2));
-    scene.pass(0);
-    scene.row("b", false, 20);
-    scene.row("c", false, 22);
-    scene.row("b", false, 24);
-    scene.silent("c");
+    let mut scene = Scene::with_a_change_given_up();
     assert_eq!(scene.promotion.stage, Stage::Steady, "its candidate does not answer");
     let on = Ask::Continue { host: "b".into() };
     assert_eq!(scene.asks.last(), Some(&on));
@@ -392,13 +398,7 @@
 /// A router may bring a question to stop after the host has said that it goes on.
 #[test]
 fn a_replica_goes_on_for_sure_once_no_question_to_stop_is_under_way() {
-    let mut scene = Scene::new();
-    scene.cell.told(at(900), host("a", DbRole::Primary, Phase::Draining, 2));
-    scene.pass(0);
-    scene.row("b", false, 20);
-    scene.row("c", false, 22);
-    scene.row("b", false, 24);
-    scene.silent("c");
+    let mut scene = Scene::with_a_change_given_up();
     scene.cell.told(at(900), host("a", DbRole::Primary, Phase::InService, 3));
     let on = Ask::Continue { host: "b".into() };
     let row = Observed { primary: false, term: 3, received: Position { term: 3, number: 24 } };
--- a/crates/arrowyard-works/tests/helpers/mod.rs
+++ b/crates/arrowyard-works/tests/helpers/mod.rs
@@ -17,8 +17,8 @@
 use arrowyard_types::Span;
 
 pub const LONG: Duration = Duration::from_secs(30);
-/// Lines of a log that nobody has waited for yet; a process that says more waits, and the test fails in time. Without
-/// a bound, a process that logged without end took all of the machine's memory.
+/// Lines of a log that nobody has waited for yet; a process that says more waits, and the test fails in time. These tests
+/// once took all of the machine's memory; by what is not known, and this had no bound.
 const WAITING_LINES: usize = 100_000;
 /// So many of the last lines are shown where a test waits in vain.
 const SHOWN_LINES: usize = 50;
