--- a/crates/arrowyard-control/src/control.rs
+++ b/crates/arrowyard-control/src/control.rs
@@ -102,7 +102,7 @@
     /// By service of the configuration.
     primary_watches: BTreeMap<String, PrimaryWatch>,
     /// Replacements of primaries last published to routers.
-    published_replacements: Vec<arrowyard_messages::Replacement>,
+    published_replacements: arrowyard_messages::Replacements,
     /// Fencing token under which this machine carries out the duty.
     fence: Option<u64>,
     /// Fencing token that a majority has confirmed since this machine last lost the quorum, and the read
@@ -189,7 +189,7 @@
             duty,
             promotions: Promotions::default(),
             primary_watches: BTreeMap::new(),
-            published_replacements: Vec::new(),
+            published_replacements: arrowyard_messages::Replacements::default(),
             fence: None,
             confirmed: None,
             confirming: None,
--- a/crates/arrowyard-control/src/control/replacements.rs
+++ b/crates/arrowyard-control/src/control/replacements.rs
@@ -1,5 +1,6 @@
-//! Announces to routers which primaries are being replaced. Routers then acknowledge no commit of the
-//! old primary and tell it to yield.
+//! Announces to routers which primaries are being replaced. If a primary has failed, routers acknowledge
+//! none of its commits and tell it to yield. If the replacement is planned, the old primary serves on, and
+//! routers acknowledge its commits once the candidate has received them.
 //!
 //! Safety: a primary that control cannot reach may still serve routers. Its replicas were paused, so it
 //! acknowledges nothing; but a replica that joins it later, and was not paused, would let it
@@ -7,30 +8,39 @@
 //! hears of the decision. A router that no control machine reaches does not receive it, so any router
 //! that does makes the old primary yield for all of them.
 
-use arrowyard_messages::{Demotion, Payload, Replacement, Replacements};
+use arrowyard_messages::{Demotion, Payload, Replacements};
 use arrowyard_runtime::{Commands, Conn};
 use arrowyard_types::Timestamp;
 
 use super::Control;
+use crate::Promotion;
 use crate::applied_state::PROMOTION_DUTY;
 use crate::promotion::Reply;
 
 impl Control {
     /// Publishes the replacements in progress when they change, and periodically while there are any.
     pub(super) fn publish_replacements(&mut self, again: bool, commands: &mut Commands) {
-        let services = self.replacements();
-        let changed = services != self.published_replacements;
-        if !changed && (!again || services.is_empty()) {
+        let replacements = self.replacements();
+        let is_empty = replacements.services.is_empty() && replacements.planned.is_empty();
+        let published = &self.published_replacements;
+        let changed =
+            (&replacements.services, &replacements.planned) != (&published.services, &published.planned);
+        if !changed && (!again || is_empty) {
             return;
         }
-        self.published_replacements.clone_from(&services);
-        let message = Payload::Replacements(Replacements { fence: self.fence.unwrap_or_default(), services });
+        self.published_replacements.clone_from(&replacements);
+        let message = Payload::Replacements(replacements);
         self.broadcast_to_peers(&message, commands);
         self.forward_replacements(&message, commands);
     }
 
-    fn replacements(&self) -> Vec<Replacement> {
-        self.promotions.by_service.values().filter_map(crate::Promotion::replacement).collect()
+    fn replacements(&self) -> Replacements {
+        let promotions = self.promotions.by_service.values();
+        Replacements {
+            fence: self.fence.unwrap_or_default(),
+            services: promotions.clone().filter_map(Promotion::replacement).collect(),
+            planned: promotions.filter_map(Promotion::planned_replacement).collect(),
+        }
     }
 
     /// Handles the report that a router made an old primary yield; forwarded once, to the duty holder only.
--- a/crates/arrowyard-control/src/promotion/mod.rs
+++ b/crates/arrowyard-control/src/promotion/mod.rs
@@ -4,8 +4,9 @@
 //! Safety: the new primary must have every acknowledged commit. A commit is acknowledged once one
 //! replica has received it, so every replica that could have acknowledged one is made to stop receiving
 //! (`PAUSE`), and the one that has received most is promoted; positions compare by term first. In a
-//! planned change the old primary still serves and the candidate alone keeps receiving, so it has
-//! whatever is acknowledged until the change.
+//! planned change the old primary still serves. The surveyed replicas but the candidate are paused, but a
+//! host that joins the service before the change takes effect is not, so routers acknowledge a commit only
+//! once the candidate has received it.
 
 mod primary_watch;
 mod request;
@@ -70,6 +71,8 @@
     next_term: u64,
     /// Whether the old primary has yielded in this change and can acknowledge nothing more.
     has_yielded: bool,
+    /// The candidate of a planned change, from the time at which it catches up until the change ends.
+    planned_candidate: Option<String>,
     primary_watch: PrimaryWatch,
 }
 
@@ -79,6 +82,7 @@
     fn hash<H: Hasher>(&self, state: &mut H) {
         (&self.service, &self.stage, self.wake_at.is_some()).hash(state);
         (&self.paused_hosts, &self.floors, &self.floor_pending, self.has_yielded).hash(state);
+        self.planned_candidate.hash(state);
         self.primary_watch.is_primary_missing().hash(state);
     }
 }
@@ -110,6 +114,7 @@
             surveyed_hosts: BTreeSet::new(),
             next_term: 0,
             has_yielded: false,
+            planned_candidate: None,
             primary_watch: PrimaryWatch::default(),
         }
     }
@@ -141,6 +146,15 @@
         })
     }
 
+    /// The planned replacement to announce: from the time at which the position that the candidate must
+    /// reach is requested until the change has taken effect. Safety: once the platform has been called, its
+    /// promotion of this candidate may take effect whatever is decided later.
+    pub fn planned_replacement(&self) -> Option<Replacement> {
+        self.planned_candidate.as_ref().filter(|_| self.replacement().is_none()).map(|candidate| {
+            Replacement { service: self.service.clone(), candidate: candidate.clone(), term: self.next_term }
+        })
+    }
+
     /// Restarts the survey if a host has joined the service since it was complete. Returns whether it did;
     /// the decision based on the old survey must not be carried out then.
     pub fn survey_newcomers(
@@ -186,7 +200,7 @@
             log::info!("promotion: {}: {}.", self.service, stage);
         }
         if stage == Stage::Idle {
-            self.has_yielded = false;
+            (self.has_yielded, self.planned_candidate) = (false, None);
         }
         (self.stage, self.wake_at) = (stage, wake_at);
     }
@@ -464,6 +478,7 @@
                 requests.extend(old.iter().map(|host| PromotionRequest::Observe { host: host.clone() }));
                 let until = now + CATCH_UP_TIMEOUT;
                 let includes_old = old.is_none();
+                self.planned_candidate = Some(candidate.clone());
                 let stage = Stage::CatchingUp { old, candidate, required, includes_old, until };
                 self.set_stage(stage, Some(now + RETRY_INTERVAL));
             }
--- a/crates/arrowyard-control/tests/control.rs
+++ b/crates/arrowyard-control/tests/control.rs
@@ -480,6 +480,32 @@
     assert_eq!(promoted_host(&fixture.row("c", false, 26)), Some("c"));
 }
 
+/// Guards against lost commits in a planned change: routers have to check commits at the candidate from
+/// before its position is compared until the change has taken effect, also where the platform did not answer.
+#[test]
+fn a_planned_change_is_announced_until_it_has_taken_effect() {
+    let mut fixture = Fixture::new();
+    fixture.registry.merge_report(at(900), host("a", DbRole::Primary, Phase::Draining, 2));
+    fixture.advance(0);
+    let announced =
+        |fixture: &Fixture| fixture.promotion.planned_replacement().map(|change| change.candidate);
+    fixture.row("b", false, 20);
+    fixture.row("c", false, 22);
+    assert_eq!(announced(&fixture), None, "the other replica is not paused yet");
+    fixture.row("b", false, 20);
+    assert_eq!(announced(&fixture).as_deref(), Some("c"), "before the old primary is asked");
+    fixture.row("a", true, 26);
+    assert_eq!(promoted_host(&fixture.row("c", false, 26)), Some("c"));
+    for _ in 0..7 {
+        fixture.status(0);
+        fixture.advance(2000);
+    }
+    assert!(matches!(fixture.promotion.stage, Stage::Surveying { planned: false, .. }));
+    assert_eq!(announced(&fixture).as_deref(), Some("c"), "the platform may still promote it");
+    fixture.row("c", true, 30);
+    assert_eq!((fixture.promotion.stage.clone(), announced(&fixture)), (Stage::Idle, None));
+}
+
 /// A candidate that receives nothing has as much as the other replicas, but lacks what only the old
 /// primary has.
 #[test]
--- a/crates/arrowyard-messages/src/message.rs
+++ b/crates/arrowyard-messages/src/message.rs
@@ -587,19 +587,23 @@
     pub hosts: Vec<String>,
 }
 
-/// From the holder of the duty through all control machines to all routers: the services whose unresponsive
-/// primary is being replaced. It is repeated during the replacement, and each message supersedes all earlier
-/// ones.
+/// From the holder of the duty through all control machines to all routers: the services whose primary is
+/// being replaced. It is repeated during the replacement, and each message supersedes all earlier ones.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Replacements {
     /// Fence of the duty when the holder acquired it.
     #[prost(uint64, tag = "1")]
     pub fence: u64,
+    /// Replacements of unresponsive primaries: routers acknowledge commits only from the candidate.
     #[prost(message, repeated, tag = "2")]
     pub services: Vec<Replacement>,
+    /// Planned replacements: the old primary serves until the change, and routers acknowledge its commits
+    /// only once the candidate has received them.
+    #[prost(message, repeated, tag = "3")]
+    pub planned: Vec<Replacement>,
 }
 
-/// During the replacement, routers acknowledge commits of this service only from the candidate.
+/// A primary that is being replaced.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Replacement {
     #[prost(string, tag = "1")]
--- a/crates/arrowyard-pooler/src/host_connection.rs
+++ b/crates/arrowyard-pooler/src/host_connection.rs
@@ -32,6 +32,8 @@
 pub enum ControlRequest {
     /// The host is being replaced as primary and is to yield to this term.
     Yield(u64),
+    /// The host is the candidate of a planned replacement; its position confirms commits of the old primary.
+    ObserveCandidate,
     /// Control cannot reach the host. After this time control no longer waits for the response.
     Relayed(RelayedRequest, Timestamp),
 }
@@ -41,6 +43,7 @@
     pub fn statement(&self) -> Option<String> {
         let (request, _) = match self {
             ControlRequest::Yield(term) => return Some(format!("YIELD {term}")),
+            ControlRequest::ObserveCandidate => return Some("OBSERVE".to_string()),
             ControlRequest::Relayed(request, until) => (request, until),
         };
         match HostRequest::try_from(request.request).ok()? {
@@ -99,6 +102,9 @@
     pub stage_since: Timestamp,
     /// The request of control that it is used for next or now.
     pub control_request: Option<ControlRequest>,
+    /// The complete reply to a commit that the candidate of a planned replacement has not confirmed yet. The
+    /// reply still counts as expected.
+    pub unconfirmed_reply: Option<HostReply>,
 }
 
 impl HostConnection {
@@ -122,6 +128,7 @@
             opened_at: now,
             stage_since: now,
             control_request: None,
+            unconfirmed_reply: None,
         }
     }
 
@@ -171,6 +178,13 @@
 }
 
 impl HostReply {
+    /// The newest position of its log that the host reports, if this is the reply to OBSERVE or a request with
+    /// the same rows: the received one, or else the applied one.
+    pub fn newest_position(&self) -> Option<Position> {
+        let received = self.observed().filter(|_| self.fault.is_none()).map(|row| row.received);
+        received.max(self.position)
+    }
+
     /// The state that the host reports, if this is the reply to OBSERVE or a request with the same rows.
     pub fn observed(&self) -> Option<Observed> {
         let text = String::from_utf8_lossy(&self.rows);
--- a/crates/arrowyard-pooler/src/plane.rs
+++ b/crates/arrowyard-pooler/src/plane.rs
@@ -2,6 +2,7 @@
 //! own.
 
 mod clients;
+mod commit_checks;
 mod control_requests;
 mod feed;
 mod hosts;
@@ -26,6 +27,7 @@
 use crate::routes::{Configured, OpTypes};
 use crate::session::Session;
 
+use commit_checks::CommitChecks;
 use feed::Feed;
 use hosts::ConnectionPool;
 use shares::Shares;
@@ -66,6 +68,8 @@
     /// A connection to a host has not opened, or an orphaned one has not been answered.
     HostConnection(Conn),
     Feed,
+    /// Commits may wait for the position of this candidate.
+    CommitCheck(HostId),
     /// Check of the demand for hosts.
     Demand,
     ReloadSettings,
@@ -105,6 +109,7 @@
     timers: Timers<Timer>,
     feed: Feed,
     replacements: Replacements,
+    commit_checks: CommitChecks,
     shares: Shares,
     /// Number of routers that share the hosts' connections.
     routers: u32,
@@ -149,6 +154,7 @@
             timers: Timers::default(),
             feed: Feed::default(),
             replacements: Replacements::default(),
+            commit_checks: CommitChecks::default(),
             shares: Shares::default(),
             routers: DEFAULT_ROUTERS,
             controls,
@@ -212,6 +218,7 @@
             Timer::LostReply(conn) => self.check_lost_reply(now, conn, commands),
             Timer::HostConnection(conn) => self.connection_timed_out(now, conn, commands),
             Timer::Feed => self.check_feed(now, commands),
+            Timer::CommitCheck(candidate) => self.observe_candidate(now, candidate, commands),
             Timer::Demand => self.demand_check_due(now, commands),
             Timer::ReloadSettings => {
                 self.timers.set(now + SETTINGS_RELOAD_INTERVAL, Timer::ReloadSettings);
--- a/crates/arrowyard-pooler/src/plane/control_requests.rs
+++ b/crates/arrowyard-pooler/src/plane/control_requests.rs
@@ -39,7 +39,7 @@
 
     /// Uses an idle connection, or opens one beyond the pool's limit: all others may wait for a host that
     /// answers nothing else.
-    fn start_control_request(
+    pub(super) fn start_control_request(
         &mut self,
         now: Timestamp,
         host: HostId,
@@ -78,6 +78,7 @@
     /// Reports a host's reply to control.
     pub(super) fn control_request_answered(
         &mut self,
+        now: Timestamp,
         conn: Conn,
         host: HostId,
         reply: &HostReply,
@@ -89,6 +90,7 @@
             Some(ControlRequest::Relayed(request, _)) => {
                 self.send_relayed_response(&request, host_status(reply), commands);
             }
+            Some(ControlRequest::ObserveCandidate) => self.candidate_observed(now, host),
             _ => {}
         }
     }
--- a/crates/arrowyard-pooler/src/plane/hosts.rs
+++ b/crates/arrowyard-pooler/src/plane/hosts.rs
@@ -363,6 +363,13 @@
         let Some(expected) = connection.expected.pop_front() else {
             return self.reset_connection(now, conn, commands);
         };
+        // Only the rows of the router's own statements tell a position: a client's row may look like one.
+        let reported = match expected {
+            ExpectedReply::Observe | ExpectedReply::ControlRequest => reply.newest_position(),
+            _ => reply.position,
+        };
+        self.host_position_known(now, host, reported, commands);
+        let Some(connection) = self.host_connection(conn) else { return };
         match expected {
             ExpectedReply::Open => {
                 let has_request = connection.control_request.is_some();
@@ -398,21 +405,13 @@
                 self.reset_connection(now, conn, commands);
             }
             ExpectedReply::Client => {
-                let (stage, sent) = (connection.stage, connection.sent.take());
-                match (stage, sent) {
-                    (ConnectionStage::Assigned(_), Some(sent)) => {
-                        self.host_replied(now, conn, sent, reply, commands)
-                    }
-                    (_, Some(sent)) => {
-                        self.discard_reply(now, conn, sent, &reply);
-                        self.recover_orphan(now, conn, commands);
-                    }
-                    (_, None) => self.recover_orphan(now, conn, commands),
+                if let Some(reply) = self.hold_unconfirmed_commit(now, conn, reply, commands) {
+                    self.statement_replied(now, conn, reply, commands);
                 }
             }
             ExpectedReply::Abort => self.recover_orphan(now, conn, commands),
             ExpectedReply::ControlRequest => {
-                self.control_request_answered(conn, host, &reply, commands);
+                self.control_request_answered(now, conn, host, &reply, commands);
                 self.recover_orphan(now, conn, commands);
             }
             ExpectedReply::Observe => {
@@ -422,6 +421,25 @@
         }
     }
 
+    /// Passes the reply to a client's statement on, unless the client no longer waits for it.
+    pub(super) fn statement_replied(
+        &mut self,
+        now: Timestamp,
+        conn: Conn,
+        reply: HostReply,
+        commands: &mut Commands,
+    ) {
+        let Some(connection) = self.host_connection(conn) else { return };
+        match (connection.stage, connection.sent.take()) {
+            (ConnectionStage::Assigned(_), Some(sent)) => self.host_replied(now, conn, sent, reply, commands),
+            (_, Some(sent)) => {
+                self.discard_reply(now, conn, sent, &reply);
+                self.recover_orphan(now, conn, commands);
+            }
+            (_, None) => self.recover_orphan(now, conn, commands),
+        }
+    }
+
     pub(super) fn record_lost_reply(&mut self, now: Timestamp, host_conn: Conn) {
         if let Some(host) = self.host_connection(host_conn).map(|connection| connection.host) {
             self.pools[host.0 as usize].reply_lost_at = now;
--- a/crates/arrowyard-pooler/src/plane/ops.rs
+++ b/crates/arrowyard-pooler/src/plane/ops.rs
@@ -15,7 +15,7 @@
 use super::{RouterPlane, Timer};
 use crate::host_connection::{HostReply, SentStatement};
 use crate::routes::StatementKind;
-use crate::session::{PendingStatement, SessionStage};
+use crate::session::{PendingStatement, Session, SessionStage};
 
 /// A statement is answered this long before its deadline.
 const REPLY_MARGIN: TimeDelta = TimeDelta::from_millis(8);
@@ -202,6 +202,7 @@
         let Some(statement) = self.session(conn).and_then(|session| session.pending()) else { return };
         let (kind, is_write, is_commit, verifies_primary) =
             (statement.kind, statement.is_write, statement.is_commit, statement.verifies_primary);
+        let commits = self.session(conn).is_some_and(Session::commits_writes);
         let in_transaction = self
             .session(conn)
             .is_some_and(|session| session.transaction_state == TransactionState::InTransaction);
@@ -225,7 +226,6 @@
         } else {
             is_write || verifies_primary
         };
-        let commits = if in_transaction { is_commit && wrote } else { is_write };
         let mut reply = reply;
         if reply.fault.is_none() && commits && self.replacements.forbids_commit(now, &service, &id) {
             reply.fault = Some((FaultCode::Unknown, "its host is being replaced".to_string()));
--- a/crates/arrowyard-pooler/src/session.rs
+++ b/crates/arrowyard-pooler/src/session.rs
@@ -123,6 +123,15 @@
         }
     }
 
+    /// Whether a success of its pending statement acknowledges writes: a single write, or the commit of a
+    /// transaction that wrote.
+    pub fn commits_writes(&mut self) -> bool {
+        let in_transaction = self.transaction_state == TransactionState::InTransaction;
+        let wrote = self.transaction.as_ref().is_some_and(|transaction| transaction.wrote);
+        let Some(statement) = self.pending() else { return false };
+        if in_transaction { statement.is_commit && wrote } else { statement.is_write }
+    }
+
     /// Whether it has neither a pending statement nor an open transaction, so that closing it loses nothing.
     pub fn is_idle(&self) -> bool {
         matches!(self.stage, SessionStage::New | SessionStage::Idle)
--- a/crates/arrowyard-pooler/tests/helpers/mod.rs
+++ b/crates/arrowyard-pooler/tests/helpers/mod.rs
@@ -11,7 +11,7 @@
 
 const SETTINGS: &str = "node: \"edge\"\nip: \"10.0.0.9\"\nzone: \"z\"\nbind-addrs: {}\ninternal-ports:\n  - 7440\n  - 7455\n\
                         seeds:\n  - \"10.0.0.1:8782\"\n";
-const CONFIGURATION: &str = "{\"revision\":3,\"channels\":[{\"name\":\"r\",\"plant\":\"p0\",\"path-prefix\":\"/\",\"kind\":\"primary\",\
+pub const CONFIGURATION: &str = "{\"revision\":3,\"channels\":[{\"name\":\"r\",\"plant\":\"p0\",\"path-prefix\":\"/\",\"kind\":\"primary\",\
      \"deadline-ms\":900,\"setpoint-ms\":150,\"priority\":1,\"service\":\"s0\",\"tries\":2},{\"name\":\"b\",\"plant\":\"b0\",\"path-prefix\":\"/\",\
      \"kind\":\"bounded_staleness\",\"deadline-ms\":900,\"setpoint-ms\":150,\"priority\":1,\"service\":\"s0\",\"tries\":2,\
      \"staleness-bound-ms\":1500}],\"services\":[{\"name\":\"s0\",\
@@ -168,9 +168,14 @@
 
     /// Accepts the router's newest connection to the host.
     pub fn accept_host_connection(&mut self) -> Conn {
+        self.accept_connection_to("i-1")
+    }
+
+    /// Accepts the router's newest connection, which is to this host.
+    pub fn accept_connection_to(&mut self, host: &str) -> Conn {
         let (conn, _) = *self.dialed.last().expect("the router dialed a host");
         self.handle(Event::Connected { conn });
-        assert_eq!(self.received(conn), ["OPEN s0 sluice i-1"]);
+        assert_eq!(self.received(conn), [format!("OPEN s0 sluice {host}")]);
         self.send(conn, "IDLE I 1.1");
         conn
     }
--- a/crates/arrowyard-pooler/tests/plane.rs
+++ b/crates/arrowyard-pooler/tests/plane.rs
@@ -3,11 +3,11 @@
 mod helpers;
 
 use arrowyard_messages::{
-    DbRole, HostRequest, HostStatus, Payload, Phase, RelayedRequest, RelayedResponse, Replacement,
+    DbRole, Host, HostRequest, HostStatus, Payload, Phase, RelayedRequest, RelayedResponse, Replacement,
     Replacements,
 };
 use arrowyard_runtime::{CloseReason, Event};
-use helpers::{TestRouter, WITHOUT_ROUTES, host};
+use helpers::{CONFIGURATION, TestRouter, WITHOUT_ROUTES, host};
 
 /// Begins a transaction and runs one statement in it. Returns the client and the host connection.
 fn begin_transaction(router: &mut TestRouter) -> (arrowyard_runtime::Conn, arrowyard_runtime::Conn) {
@@ -200,8 +200,9 @@
 /// not acknowledged.
 #[test]
 fn a_commit_of_a_replaced_primary_is_not_acknowledged() {
-    let replaced =
-        |fence: u64, services: Vec<Replacement>| Payload::Replacements(Replacements { fence, services });
+    let replaced = |fence: u64, services: Vec<Replacement>| {
+        Payload::Replacements(Replacements { fence, services, ..Replacements::default() })
+    };
     let change = Replacement { service: "s0".into(), candidate: "i-2".into(), term: 4 };
     let mut router = TestRouter::shared_by(1);
     let client = router.client();
@@ -227,6 +228,86 @@
     assert!(!answers.iter().any(|line| line.contains("replaced")), "{answers:?}");
 }
 
+/// A router whose primary `i-1` is replaced by `i-2` as planned, with a client that has sent a write and the
+/// connections to both hosts. The candidate is asked for its position.
+fn planned_replacement() -> (TestRouter, arrowyard_runtime::Conn, [arrowyard_runtime::Conn; 2]) {
+    let mut router = TestRouter::shared_by(1);
+    let candidate = Host { id: "i-2".into(), ..host(Phase::InService, DbRole::Replica, 1) };
+    router.send_snapshot(1, CONFIGURATION, vec![host(Phase::InService, DbRole::Primary, 1), candidate], 1);
+    let client = router.client();
+    router.send(client, "QUERY a1 WRITE t1 x");
+    let primary = router.accept_host_connection();
+    let change = Replacement { service: "s0".into(), candidate: "i-2".into(), term: 4 };
+    router.control_sends(Payload::Replacements(Replacements {
+        fence: 9,
+        planned: vec![change],
+        ..Replacements::default()
+    }));
+    router.received(primary);
+    router.send(primary, "SETTLED 1.aa\nIDLE I 3.20");
+    assert_eq!(router.received(client), Vec::<String>::new(), "the candidate has not confirmed it");
+    let candidate = router.accept_connection_to("i-2");
+    assert_eq!(router.received(candidate), ["QUERY - OBSERVE"]);
+    (router, client, [primary, candidate])
+}
+
+/// Guards against lost commits in a planned change: a host that joins during the change lets the old primary
+/// report commits that the candidate, which is promoted, has not received (LOST).
+#[test]
+fn a_commit_is_acknowledged_once_the_candidate_of_a_planned_change_has_received_it() {
+    let (mut router, client, [_, candidate]) = planned_replacement();
+    router.send(candidate, "ROW replica 3 3.19 0 8 1 2\nSETTLED -\nIDLE I 3.18");
+    assert_eq!(router.received(client), Vec::<String>::new(), "the candidate lacks it");
+    router.advance(10);
+    assert_eq!(router.received(candidate), ["QUERY - OBSERVE"], "the candidate is asked again");
+    router.send(candidate, "ROW replica 3 3.20 0 8 1 2\nSETTLED -\nIDLE I 3.18");
+    assert_eq!(router.received(client), ["SETTLED 1.aa", "IDLE I 3.20"]);
+}
+
+/// Guards against lost commits in a planned change: a promoted candidate has a higher position without
+/// everything that the old primary reported (LOST).
+#[test]
+fn a_commit_that_a_promoted_candidate_may_lack_has_an_unknown_outcome() {
+    let (mut router, client, [_, candidate]) = planned_replacement();
+    router.send(candidate, "ROW primary 4 4.20 0 8 1 2\nSETTLED -\nIDLE I 4.20");
+    assert_eq!(router.received(client), ["FAULT UNKNOWN its host was replaced", "IDLE I -"]);
+}
+
+/// Guards against lost commits in a planned change: neither the deadline of a statement, nor the end of
+/// control's report, nor a new duty holder acknowledges a commit that the candidate has not confirmed (LOST).
+#[test]
+fn a_commit_that_no_candidate_confirms_is_never_acknowledged() {
+    let (mut router, client, [primary, candidate]) = planned_replacement();
+    router.control_sends(Payload::Replacements(Replacements { fence: 9, ..Replacements::default() }));
+    router.send(candidate, "ROW replica 3 3.19 0 8 1 2\nSETTLED -\nIDLE I 3.18");
+    assert_eq!(router.received(client), Vec::<String>::new());
+    router.advance(900);
+    assert_eq!(router.received(client), ["FAULT UNKNOWN the host did not answer in time", "IDLE I -"]);
+    // The reply of the host arrives late, and its connection serves the next statement.
+    router.received(candidate);
+    router.send(candidate, "ROW replica 3 3.20 0 8 1 2\nSETTLED -\nIDLE I 3.20");
+    router.send(client, "QUERY a2 WRITE t1 y");
+    assert_eq!(router.received(primary), ["QUERY a2 WRITE t1 y"]);
+    router.send(primary, "SETTLED 2.aa\nIDLE I 3.21");
+    assert_eq!(router.received(client), ["SETTLED 2.aa", "IDLE I 3.21"], "the change is over");
+}
+
+/// Guards against lost commits in a planned change: the next duty holder does not know of a promotion that
+/// the previous one has requested (LOST).
+#[test]
+fn a_new_duty_holder_does_not_end_the_planned_changes_of_the_previous_one() {
+    let (mut router, client, [primary, candidate]) = planned_replacement();
+    router.send(candidate, "ROW replica 3 3.20 0 8 1 2\nSETTLED -\nIDLE I 3.20");
+    assert_eq!(router.received(client), ["SETTLED 1.aa", "IDLE I 3.20"]);
+    router.control_sends(Payload::Replacements(Replacements { fence: 10, ..Replacements::default() }));
+    router.send(client, "QUERY a2 WRITE t1 y");
+    router.received(primary);
+    router.send(primary, "SETTLED 2.aa\nIDLE I 3.21");
+    assert_eq!(router.received(client), Vec::<String>::new());
+    router.send(candidate, "ROW replica 3 3.21 0 8 1 2\nSETTLED -\nIDLE I 3.20");
+    assert_eq!(router.received(client), ["SETTLED 2.aa", "IDLE I 3.21"]);
+}
+
 /// A draining primary is replaced and promoted again, since no other host has its commits. The drain bound
 /// runs from the first report that it drains and does not start again with the promotion.
 #[test]
