--- a/crates/arrowyard-leases/src/candidate.rs
+++ b/crates/arrowyard-leases/src/candidate.rs
@@ -401,7 +401,8 @@
                 let Some(task) = self.tasks.get_mut(lease).filter(|task| task.wanted) else { return };
                 // A candidate in backoff after a conflict ignores notifications, and one counts per epoch.
                 // Otherwise two candidates that collided would be notified and collide again without end.
-                let is_new = *epoch >= task.newest_known && task.released_epoch != Some(*epoch);
+                // A newer epoch that a refusal told of may be that of a minority, which holds nothing.
+                let is_new = task.released_epoch.is_none_or(|known| *epoch > known);
                 task.newest_known = task.newest_known.max(*epoch);
                 if task.state == State::Idle && task.conflicts == 0 && is_new {
                     (task.next_request_at, task.released_epoch) = (now, Some(*epoch));
--- a/crates/arrowyard-leases/tests/protocol.rs
+++ b/crates/arrowyard-leases/tests/protocol.rs
@@ -332,6 +332,55 @@
     );
 }
 
+/// Delivers the verdict of one voter on the lease to a candidate.
+fn deliver_verdict(candidate: &mut Candidate, now: i64, voter: u8, round: u64, verdict: Verdict) {
+    let verdicts = vec![(LeaseId(1), verdict)];
+    let message = Message::Response { from: VoterId(voter), round, clock: at(now), verdicts };
+    candidate.handle_message(at(now), &message, || 0.5);
+}
+
+/// Runs the candidate until its next round and returns the time and the round.
+fn next_round(candidate: &mut Candidate) -> (i64, u64) {
+    candidate.outbox.clear();
+    loop {
+        let due = candidate.next_at().expect("it requests the lease");
+        candidate.tick(due, || 0.5);
+        if let Some(round) = candidate.open_round(LeaseId(1)) {
+            return (due.micros() / 1000, round);
+        }
+    }
+}
+
+fn candidate_for_one_lease() -> Candidate {
+    let mut candidate = Candidate::new(LeaseConfig::default(), CandidateId(1));
+    candidate.request(at(0), LeaseId(1), 0, 0.0);
+    candidate
+}
+
+fn held(epoch: u64) -> Verdict {
+    Verdict::Held { epoch: Epoch(epoch), remaining: ms(800) }
+}
+
+/// Guards against a lease that nobody holds for a term after its release: a single voter that has granted a
+/// later epoch to a losing candidate must not make the others ignore the release of the holder's epoch.
+#[test]
+fn a_release_is_noticed_although_a_minority_granted_a_later_epoch() {
+    let mut candidate = candidate_for_one_lease();
+    let (now, round) = next_round(&mut candidate);
+    deliver_verdict(&mut candidate, now, 0, round, held(3));
+    deliver_verdict(&mut candidate, now, 1, round, held(2));
+    assert!(candidate.open_round(LeaseId(1)).is_none());
+    let released = Message::Available { from: VoterId(1), lease: LeaseId(1), epoch: Epoch(2) };
+    candidate.handle_message(at(now + 10), &released, || 0.5);
+    assert_eq!(next_round(&mut candidate).0, now + 10);
+    // The notifications of other voters for the same epoch do not start another round.
+    let (now, round) = (now + 10, candidate.open_round(LeaseId(1)).expect("a round is open"));
+    deliver_verdict(&mut candidate, now, 0, round, held(3));
+    deliver_verdict(&mut candidate, now, 1, round, held(4));
+    candidate.handle_message(at(now + 1), &released, || 0.5);
+    assert!(next_round(&mut candidate).0 > now + 100);
+}
+
 #[test]
 fn a_voter_limits_the_number_of_leases() {
     let config = LeaseConfig { max_leases: 4, ..LeaseConfig::default() };
