--- a/crates/arrowyard-leases/src/candidate.rs
+++ b/crates/arrowyard-leases/src/candidate.rs
@@ -435,7 +435,10 @@
         let (epoch, mut round) = match task.state {
             State::Requesting { epoch, round, .. } => (epoch, round),
             State::Holding { epoch, round: Some(round), .. } => (epoch, round),
-            _ => return None,
+            // The round was lost before this grant arrived, or the lease was released or has expired. Unless
+            // it is released, the voter refuses the other candidates for a term.
+            State::Idle => return verdict.granted_epoch().map(|epoch| LeaseEpoch { lease, epoch }),
+            State::Holding { round: None, .. } => return None,
         };
         if round.number != round_number {
             return None;
--- a/crates/arrowyard-leases/src/lib.rs
+++ b/crates/arrowyard-leases/src/lib.rs
@@ -52,6 +52,17 @@
     AtCapacity,
 }
 
+impl Verdict {
+    /// The epoch under which the lease was granted, if it was.
+    #[must_use]
+    pub fn granted_epoch(self) -> Option<Epoch> {
+        match self {
+            Verdict::Granted(epoch) => Some(epoch),
+            _ => None,
+        }
+    }
+}
+
 /// A message of the lease protocol.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Message {
--- a/crates/arrowyard-leases/tests/protocol.rs
+++ b/crates/arrowyard-leases/tests/protocol.rs
@@ -381,6 +381,23 @@
     assert!(next_round(&mut candidate).0 > now + 100);
 }
 
+/// Guards against a lease that nobody holds for a term after its release: a grant that arrives after its
+/// round was lost would keep the other candidates from this voter for a whole term.
+#[test]
+fn a_grant_of_a_lost_round_is_released() {
+    let mut candidate = candidate_for_one_lease();
+    let (now, round) = next_round(&mut candidate);
+    deliver_verdict(&mut candidate, now, 1, round, held(2));
+    deliver_verdict(&mut candidate, now, 2, round, held(2));
+    candidate.outbox.clear();
+    deliver_verdict(&mut candidate, now, 0, round, Verdict::Granted(Epoch(1)));
+    let is_release = |message: &Message| {
+        matches!(message, Message::Release { round: released, held: false, leases, .. }
+            if *released == round && leases == &[LeaseEpoch { lease: LeaseId(1), epoch: Epoch(1) }])
+    };
+    assert_eq!(candidate.outbox.iter().filter(|(_, message)| is_release(message)).count(), 3);
+}
+
 #[test]
 fn a_voter_limits_the_number_of_leases() {
     let config = LeaseConfig { max_leases: 4, ..LeaseConfig::default() };
