--- a/crates/arrowyard-leases/src/candidate.rs
+++ b/crates/arrowyard-leases/src/candidate.rs
@@ -469,6 +469,8 @@
                         + match verdict {
                             // Not a conflict: a request with the next epoch may succeed.
                             Verdict::StaleEpoch(_) => config.contention_window * (0.1 * draw),
+                            // A voter that has restarted does not vote yet, which is no conflict.
+                            Verdict::Abstained if !granted => config.retry_interval * (0.5 + draw),
                             // The lease was released, but this voter has not received the release.
                             Verdict::Held { epoch, .. } if !granted && task.released_epoch == Some(epoch) => {
                                 task.conflicts = task.conflicts.saturating_add(1);
--- a/crates/arrowyard-leases/tests/protocol.rs
+++ b/crates/arrowyard-leases/tests/protocol.rs
@@ -398,6 +398,26 @@
     assert_eq!(candidate.outbox.iter().filter(|(_, message)| is_release(message)).count(), 3);
 }
 
+/// Guards against growing waits, and ignored releases, after voters have restarted: a voter that abstains is
+/// not in conflict with the candidate.
+#[test]
+fn abstentions_do_not_count_as_conflicts() {
+    let mut candidate = candidate_for_one_lease();
+    let mut waits = Vec::new();
+    let mut last = 0;
+    for _ in 0..8 {
+        let (now, round) = next_round(&mut candidate);
+        waits.push(now - last);
+        last = now;
+        deliver_verdict(&mut candidate, now, 0, round, Verdict::Abstained);
+        deliver_verdict(&mut candidate, now, 2, round, Verdict::Abstained);
+    }
+    assert!(waits.iter().all(|wait| *wait <= 250), "{waits:?}");
+    let released = Message::Available { from: VoterId(1), lease: LeaseId(1), epoch: Epoch(2) };
+    candidate.handle_message(at(last + 1), &released, || 0.5);
+    assert_eq!(next_round(&mut candidate).0, last + 1);
+}
+
 #[test]
 fn a_voter_limits_the_number_of_leases() {
     let config = LeaseConfig { max_leases: 4, ..LeaseConfig::default() };
