--- a/crates/arrowyard-control/src/control/duty.rs
+++ b/crates/arrowyard-control/src/control/duty.rs
@@ -43,7 +43,7 @@
             let replicas: Vec<String> = self.registry.hosts().map(|host| host.id.clone()).collect();
             self.send_host_requests(
                 now,
-                replicas.into_iter().map(|host| PromotionRequest::Continue { host }).collect(),
+                replicas.into_iter().map(|host| PromotionRequest::Continue { host, attempt: 0 }).collect(),
                 commands,
             );
         }
--- a/crates/arrowyard-control/src/control/host_requests.rs
+++ b/crates/arrowyard-control/src/control/host_requests.rs
@@ -32,7 +32,7 @@
     match request {
         PromotionRequest::Observe { host }
         | PromotionRequest::Pause { host, .. }
-        | PromotionRequest::Continue { host }
+        | PromotionRequest::Continue { host, .. }
         | PromotionRequest::Promote { host, .. } => host,
     }
 }
--- a/crates/arrowyard-control/src/control/relays.rs
+++ b/crates/arrowyard-control/src/control/relays.rs
@@ -74,7 +74,7 @@
         let (host, request, term) = match promotion_request {
             PromotionRequest::Observe { host } => (host, HostRequest::Observe, 0),
             PromotionRequest::Pause { host, term, .. } => (host, HostRequest::Pause, *term),
-            PromotionRequest::Continue { host } => (host, HostRequest::Continue, 0),
+            PromotionRequest::Continue { host, .. } => (host, HostRequest::Continue, 0),
             PromotionRequest::Promote { .. } => return None,
         };
         self.last_number = self.last_number.wrapping_add(1);
--- a/crates/arrowyard-control/src/promotion/mod.rs
+++ b/crates/arrowyard-control/src/promotion/mod.rs
@@ -55,8 +55,9 @@
     pub stage: Stage,
     wake_at: Option<Timestamp>,
     cooldown_until: Timestamp,
-    /// Hosts that were paused and have not confirmed since that they continue.
-    paused_hosts: BTreeSet<String>,
+    /// Hosts that were paused and have not confirmed since that they continue, with the attempt of the last
+    /// pause request.
+    paused_hosts: BTreeMap<String, u64>,
     paused_at: Timestamp,
     /// By silent replica: a position of the primary observed since the replica fell silent. A host that has
     /// received as much has everything that the replica acknowledged.
@@ -81,7 +82,8 @@
 impl Hash for Promotion {
     fn hash<H: Hasher>(&self, state: &mut H) {
         (&self.service, &self.stage, self.wake_at.is_some()).hash(state);
-        (&self.paused_hosts, &self.floors, &self.floor_pending, self.has_yielded).hash(state);
+        self.paused_hosts.keys().for_each(|host| host.hash(state));
+        (&self.floors, &self.floor_pending, self.has_yielded).hash(state);
         self.planned_candidate.hash(state);
         self.primary_watch.is_primary_missing().hash(state);
     }
@@ -105,7 +107,7 @@
             stage: Stage::Idle,
             wake_at: None,
             cooldown_until: Timestamp::DISTANT_PAST,
-            paused_hosts: BTreeSet::new(),
+            paused_hosts: BTreeMap::new(),
             paused_at: Timestamp::DISTANT_PAST,
             floors: BTreeMap::new(),
             floor_pending: BTreeSet::new(),
@@ -192,7 +194,12 @@
 
     /// Whether a host is still to be told to continue receiving.
     pub fn is_paused(&self, host: &str) -> bool {
-        self.paused_hosts.contains(host)
+        self.paused_hosts.contains_key(host)
+    }
+
+    /// The attempt of the last pause request to a host that is still to be told to continue.
+    pub fn pause_attempt(&self, host: &str) -> Option<u64> {
+        self.paused_hosts.get(host).copied()
     }
 
     fn set_stage(&mut self, stage: Stage, wake_at: Option<Timestamp>) {
@@ -240,14 +247,10 @@
                 self.request_floors(now, hosts, requests);
                 let known =
                     |host: &String| hosts.registry.get(host).is_some_and(|host| host.phase() != Phase::Gone);
-                self.paused_hosts.retain(known);
+                self.paused_hosts.retain(|host, _| known(host));
                 if self.wake_at.is_none() && !self.paused_hosts.is_empty() {
                     // Repeat the request: a replica whose request was lost would stay paused for good.
-                    requests.extend(
-                        self.paused_hosts
-                            .iter()
-                            .map(|host| PromotionRequest::Continue { host: host.clone() }),
-                    );
+                    self.request_continue(requests);
                     self.wake_at = Some(now + CONTINUE_INTERVAL);
                 }
                 let primary = hosts.registry.primary(&self.service);
@@ -343,10 +346,12 @@
         requests: &mut Vec<PromotionRequest>,
     ) {
         match &reply {
-            // Safety: the host may have been paused again meanwhile, or a delayed pause request may still
-            // arrive.
-            Reply::Row { host, kind: RequestKind::Continue, .. }
-                if self.stage == Stage::Idle && now - self.paused_at >= MAX_PAUSE_DELAY =>
+            // Safety: an earlier request proves nothing about a later pause, and a delayed pause request may
+            // still arrive.
+            Reply::Row { host, kind: RequestKind::Continue(attempt), .. }
+                if self.pause_attempt(host) == Some(*attempt)
+                    && self.stage == Stage::Idle
+                    && now - self.paused_at >= MAX_PAUSE_DELAY =>
             {
                 self.paused_hosts.remove(host);
             }
@@ -526,15 +531,22 @@
     ) {
         self.paused_at = now;
         for host in hosts {
-            self.paused_hosts.insert(host.clone());
+            self.paused_hosts.insert(host.clone(), self.attempt);
             requests.push(PromotionRequest::Pause { host: host.clone(), term, attempt: self.attempt });
         }
     }
 
+    fn request_continue(&self, requests: &mut Vec<PromotionRequest>) {
+        let to_continue = |(host, attempt): (&String, &u64)| PromotionRequest::Continue {
+            host: host.clone(),
+            attempt: *attempt,
+        };
+        requests.extend(self.paused_hosts.iter().map(to_continue));
+    }
+
     /// Gives the change up. Paused hosts are told to continue; `poll` repeats this until they confirm.
     fn abort(&mut self, now: Timestamp, requests: &mut Vec<PromotionRequest>) {
-        requests
-            .extend(self.paused_hosts.iter().map(|host| PromotionRequest::Continue { host: host.clone() }));
+        self.request_continue(requests);
         self.cooldown_until = now + COOLDOWN;
         self.set_stage(Stage::Idle, None);
     }
--- a/crates/arrowyard-control/src/promotion/request.rs
+++ b/crates/arrowyard-control/src/promotion/request.rs
@@ -10,19 +10,19 @@
     /// Tells a replica to stop receiving. `attempt` distinguishes the response from that to an earlier
     /// pause request.
     Pause { host: String, term: u64, attempt: u64 },
-    /// Tells a replica to continue receiving.
-    Continue { host: String },
+    /// Tells a replica to continue receiving. `attempt` is that of the last pause request to it.
+    Continue { host: String, attempt: u64 },
     /// Asks the platform to promote a host, under a fencing token.
     Promote { service: String, host: String },
 }
 
 /// The kind of request that a row answers. Safety: a late response to an earlier request does not prove
-/// that a host has stopped receiving.
+/// that a host has stopped receiving, or that it continues: it may have been paused again meanwhile.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum RequestKind {
     Observe,
     Pause(u64),
-    Continue,
+    Continue(u64),
 }
 
 impl PromotionRequest {
@@ -31,7 +31,7 @@
         match self {
             PromotionRequest::Observe { .. } => Some(RequestKind::Observe),
             PromotionRequest::Pause { attempt, .. } => Some(RequestKind::Pause(*attempt)),
-            PromotionRequest::Continue { .. } => Some(RequestKind::Continue),
+            PromotionRequest::Continue { attempt, .. } => Some(RequestKind::Continue(*attempt)),
             PromotionRequest::Promote { .. } => None,
         }
     }
--- a/crates/arrowyard-control/tests/control.rs
+++ b/crates/arrowyard-control/tests/control.rs
@@ -425,13 +425,13 @@
 fn paused_replicas_are_told_to_continue_until_they_confirm() {
     let mut fixture = Fixture::after_aborted_change();
     assert_eq!(fixture.promotion.stage, Stage::Idle, "its candidate does not respond");
-    let continue_b = PromotionRequest::Continue { host: "b".into() };
+    let continue_b = PromotionRequest::Continue { host: "b".into(), attempt: 1 };
     assert_eq!(fixture.requests.last(), Some(&continue_b));
     fixture.registry.merge_report(at(900), host("a", DbRole::Primary, Phase::InService, 3));
     fixture.advance(0);
     assert_eq!(fixture.advance(1000), [continue_b], "the request was lost");
     let row = Observed { primary: false, term: 3, received: Position { term: 3, number: 24 } };
-    let reply = Reply::Row { host: "b".into(), kind: RequestKind::Continue, row };
+    let reply = Reply::Row { host: "b".into(), kind: RequestKind::Continue(1), row };
     fixture.with_hosts(|promotion, now, hosts, requests| promotion.handle_reply(now, reply, hosts, requests));
     assert!(fixture.advance(1000).is_empty() && fixture.advance(9000).is_empty());
 }
@@ -441,9 +441,9 @@
 fn a_continue_is_repeated_while_a_pause_may_be_in_transit() {
     let mut fixture = Fixture::after_aborted_change();
     fixture.registry.merge_report(at(900), host("a", DbRole::Primary, Phase::InService, 3));
-    let continue_b = PromotionRequest::Continue { host: "b".into() };
+    let continue_b = PromotionRequest::Continue { host: "b".into(), attempt: 1 };
     let row = Observed { primary: false, term: 3, received: Position { term: 3, number: 24 } };
-    let reply = Reply::Row { host: "b".into(), kind: RequestKind::Continue, row };
+    let reply = Reply::Row { host: "b".into(), kind: RequestKind::Continue(1), row };
     fixture.advance(500);
     fixture.with_hosts(|promotion, now, hosts, requests| {
         promotion.handle_reply(now, reply.clone(), hosts, requests)
@@ -527,12 +527,37 @@
         }
         assert!(promoted_host(&fixture.requests).is_none());
         assert!(
-            fixture.requests.contains(&PromotionRequest::Continue { host: "b".into() }),
+            fixture.requests.contains(&PromotionRequest::Continue { host: "b".into(), attempt: 1 }),
             "it does not stay paused"
         );
     }
 }
 
+/// Guards against a replica that stays paused: the reply to an earlier request to continue does not prove that
+/// the replica continues after a later pause.
+#[test]
+fn a_reply_to_an_earlier_continue_request_does_not_end_a_later_pause() {
+    let mut fixture = Fixture::after_aborted_change();
+    fixture.advance(500);
+    fixture.row("b", false, 20);
+    fixture.row("c", false, 22);
+    let reply_of_b = |fixture: &mut Fixture, kind: RequestKind| {
+        let row = Observed { primary: false, term: 3, received: Position { term: 3, number: 20 } };
+        let reply = Reply::Row { host: "b".into(), kind, row };
+        fixture.with_hosts(|promotion, now, hosts, requests| {
+            promotion.handle_reply(now, reply, hosts, requests)
+        });
+    };
+    reply_of_b(&mut fixture, RequestKind::Pause(2));
+    fixture.silent("c");
+    assert_eq!((fixture.promotion.stage.clone(), fixture.promotion.attempt()), (Stage::Idle, 2));
+    fixture.now += 2000;
+    reply_of_b(&mut fixture, RequestKind::Continue(1));
+    assert!(fixture.promotion.is_paused("b"), "it was paused again after that request");
+    reply_of_b(&mut fixture, RequestKind::Continue(2));
+    assert!(!fixture.promotion.is_paused("b"));
+}
+
 #[test]
 fn another_primary_ends_a_planned_change_but_the_draining_one_does_not() {
     let mut fixture = Fixture::new();
--- a/crates/arrowyard-emulator/src/models/promotion.rs
+++ b/crates/arrowyard-emulator/src/models/promotion.rs
@@ -104,8 +104,14 @@
         // Only whether an attempt is the current one affects behavior, so its number is normalized.
         let mut servers = self.servers.clone();
         for request in servers.iter_mut().flat_map(|server| &mut server.request_queue) {
-            if let PromotionRequest::Pause { attempt, .. } = request {
-                *attempt = u64::from(*attempt == self.promotion.attempt());
+            match request {
+                PromotionRequest::Pause { attempt, .. } => {
+                    *attempt = u64::from(*attempt == self.promotion.attempt());
+                }
+                PromotionRequest::Continue { host, attempt } => {
+                    *attempt = u64::from(self.promotion.pause_attempt(host) == Some(*attempt));
+                }
+                _ => {}
             }
         }
         (&servers, self.term, &self.promotion, &self.acknowledged).hash(hasher);
@@ -225,7 +231,7 @@
                 PromotionRequest::Promote { host, .. } => self.platform_calls.push(host.clone()),
                 PromotionRequest::Observe { host }
                 | PromotionRequest::Pause { host, .. }
-                | PromotionRequest::Continue { host } => {
+                | PromotionRequest::Continue { host, .. } => {
                     let queue = &mut self.servers[host_index(host)].request_queue;
                     if !is_redundant(queue.iter(), &request) {
                         queue.push_back(request);
