--- a/crates/arrowyard-control/src/promotion/mod.rs
+++ b/crates/arrowyard-control/src/promotion/mod.rs
@@ -408,6 +408,17 @@
                 self.set_stage(Stage::Fencing { old, candidate, pending_hosts, term, rows }, wake_at);
                 self.finish_fencing(now, hosts, requests);
             }
+            // A replica that fails after it answered would never confirm the pause; a planned change does
+            // without it, as in the survey.
+            (
+                Stage::Fencing { old, candidate: Some(candidate), mut pending_hosts, term, rows },
+                Reply::NoResponse { host },
+            ) if pending_hosts.contains(&host) && !rows.contains_key(&host) => {
+                pending_hosts.remove(&host);
+                let (candidate, wake_at) = (Some(candidate), self.wake_at);
+                self.set_stage(Stage::Fencing { old, candidate, pending_hosts, term, rows }, wake_at);
+                self.finish_fencing(now, hosts, requests);
+            }
             (
                 Stage::CatchingUp { old, candidate, required, includes_old, until },
                 Reply::Row { host, row, .. },
@@ -419,7 +430,13 @@
                 self.set_stage(stage, Some(now + CATCH_UP_INTERVAL));
             }
             // Safety: a candidate that receives nothing has as much as the other replicas, but lacks what
-            // the old primary holds back. So a planned change needs the position of the old primary.
+            // the old primary holds back. So a planned change needs the position of the old primary. A host
+            // that leads no more lacks what its successor, which may not have responded, acknowledged.
+            (Stage::CatchingUp { old, .. }, Reply::Row { host, row, .. })
+                if old.as_ref() == Some(&host) && !row.primary =>
+            {
+                self.abort(now, requests);
+            }
             (Stage::CatchingUp { old, candidate, required, until, .. }, Reply::Row { host, row, .. })
                 if old.as_ref() == Some(&host) =>
             {
--- a/crates/arrowyard-control/src/promotion/survey.rs
+++ b/crates/arrowyard-control/src/promotion/survey.rs
@@ -74,9 +74,14 @@
         let replicas: Vec<&Host> =
             self.members(hosts).into_iter().filter(|host| Some(&host.id) != old.as_ref()).collect();
         // Safety: a silent host may be back before its next heartbeat arrives, so it is skipped only after
-        // it failed to respond.
-        let needed =
-            |host: &&&Host| !(unanswered.contains(&host.id) && self.is_dispensable(&host.id, &rows, hosts));
+        // it failed to respond. In a planned change that suffices: the old primary has everything that the
+        // host acknowledged, and the candidate has to catch up with it; what the host acknowledges later
+        // is checked at the candidate. Waiting would leave the service without a primary, since a host
+        // that is lost for good never responds and the old primary serves for a limited time.
+        let is_skipped = |host: &Host| {
+            unanswered.contains(&host.id) && (planned || self.is_dispensable(&host.id, &rows, hosts))
+        };
+        let needed = |host: &&&Host| !is_skipped(host);
         let all = replicas.iter().filter(needed).all(|host| rows.contains_key(&host.id));
         if rows.is_empty() || !all || !self.are_logs_handed_over(now, hosts) {
             return;
--- a/crates/arrowyard-control/tests/control.rs
+++ b/crates/arrowyard-control/tests/control.rs
@@ -533,6 +533,48 @@
     }
 }
 
+/// Guards against a service that never gets a primary again (RECOVER): a replica that fails less than 3 s before
+/// its primary is released is not silent yet, and has no floor.
+#[test]
+fn a_planned_change_does_not_wait_for_a_replica_that_does_not_respond() {
+    let mut fixture = Fixture::new();
+    fixture.registry.merge_report(at(900), host("a", DbRole::Primary, Phase::Draining, 2));
+    fixture.advance(0);
+    fixture.row("c", false, 22);
+    assert!(matches!(fixture.promotion.stage, Stage::Surveying { planned: true, .. }), "`b` may respond");
+    assert_eq!(fixture.silent("b"), [PromotionRequest::Observe { host: "a".into() }]);
+    fixture.row("a", true, 26);
+    assert!(promoted_host(&fixture.row("c", false, 25)).is_none(), "it lacks what only the old primary has");
+    assert_eq!(promoted_host(&fixture.row("c", false, 26)), Some("c"));
+}
+
+/// Guards against a service that never gets a primary again (RECOVER): a replica fails after it responded to
+/// the survey, so that it never confirms its pause.
+#[test]
+fn a_planned_change_does_not_wait_for_the_pause_of_a_replica_that_fails() {
+    let mut fixture = Fixture::new();
+    fixture.registry.merge_report(at(900), host("a", DbRole::Primary, Phase::Draining, 2));
+    fixture.advance(0);
+    fixture.row("b", false, 20);
+    fixture.row("c", false, 22);
+    assert!(matches!(fixture.promotion.stage, Stage::Fencing { .. }));
+    assert_eq!(fixture.silent("b"), [PromotionRequest::Observe { host: "a".into() }]);
+    assert!(fixture.promotion.is_paused("b"), "it may have received the request");
+}
+
+/// Guards against lost commits (LOST): a host that does not respond may be primary already, by the decision of
+/// an earlier duty holder, and the leaving host then lacks what it acknowledges.
+#[test]
+fn a_planned_change_ends_if_the_leaving_host_leads_no_more() {
+    let mut fixture = Fixture::new();
+    fixture.registry.merge_report(at(900), host("a", DbRole::Primary, Phase::Draining, 2));
+    fixture.advance(0);
+    fixture.row("c", false, 22);
+    fixture.silent("b");
+    fixture.row("a", false, 22);
+    assert_eq!(fixture.promotion.stage, Stage::Idle);
+}
+
 /// Guards against a replica that stays paused: the reply to an earlier request to continue does not prove that
 /// the replica continues after a later pause.
 #[test]
--- a/crates/arrowyard-emulator/src/models/promotion.rs
+++ b/crates/arrowyard-emulator/src/models/promotion.rs
@@ -31,6 +31,8 @@
     NoRetries,
     /// Requests to hosts that control cannot reach are not relayed by routers.
     NoRelays,
+    /// Routers acknowledge commits during a planned change that the candidate has not received.
+    UncheckedCommits,
 }
 
 /// Bounds on the events of a scenario.
@@ -203,6 +205,18 @@
         !self.servers[index].partitioned || is_relayed
     }
 
+    /// Whether a router acknowledges a commit that the primary reports: in a planned change, only once the
+    /// candidate has received it.
+    fn is_acknowledged_by_router(&self, commit: (u64, u8)) -> bool {
+        if self.budget.mutation == Some(Mutation::UncheckedCommits) {
+            return true;
+        }
+        self.promotion.planned_replacement().is_none_or(|change| {
+            let candidate = &self.servers[host_index(&change.candidate)];
+            candidate.is_primary || candidate.log.contains(&commit)
+        })
+    }
+
     /// Runs a step of the promotion with the host registry built from the last heartbeats.
     fn step_promotion(
         &mut self,
@@ -454,8 +468,12 @@
                 let common_length = server.log.iter().zip(&log).take_while(|(own, new)| own == new).count();
                 server.log.truncate(common_length);
                 server.log.extend(log.get(common_length));
-                // The primary is alive and acknowledges the commit to its client.
-                state.acknowledged.extend(log.get(common_length));
+                // The primary is alive and reports the commit to a router.
+                if let Some(commit) = log.get(common_length)
+                    && state.is_acknowledged_by_router(*commit)
+                {
+                    state.acknowledged.insert(*commit);
+                }
             }
             ModelAction::Crash(index) => {
                 state.budget.crashes -= 1;
--- /dev/null
+++ b/crates/arrowyard-emulator/tests/lost_hosts.rs
@@ -0,0 +1,90 @@
+//! Changes of primary in services that have lost a host: shipped control machines in simulated time, without
+//! clients.
+
+use arrowyard_emulator::{Deployment, DeploymentPlan};
+use arrowyard_types::{TimeDelta, Timestamp};
+
+/// How long a draining host serves after its heartbeat, plus a margin.
+const DRAIN_TIME: TimeDelta = TimeDelta::from_millis(8000);
+/// Time in which a released primary must be replaced: a heartbeat period, the survey, and the platform.
+const RELEASE_BOUND: TimeDelta = TimeDelta::from_millis(5000);
+
+fn ms(millis: i64) -> TimeDelta {
+    TimeDelta::from_millis(millis)
+}
+
+/// Three control machines and one service of three hosts, which are in service.
+fn start_deployment() -> Deployment {
+    let mut deployment = Deployment::new(DeploymentPlan {
+        seed: 5,
+        controls: 3,
+        routers: 2,
+        services: 1,
+        users: 0,
+        think_time: ms(100),
+        load_start: Timestamp::from_micros(0),
+        load_end: Timestamp::from_micros(3_600_000_000),
+        changes: Vec::new(),
+        connection_limit: 40,
+        zones: 3,
+        tolerance: 1,
+        fence_checked: true,
+        surges: Vec::new(),
+        divide_hosts: false,
+        shares: String::new(),
+    });
+    advance(&mut deployment, ms(8000));
+    deployment
+}
+
+fn advance(deployment: &mut Deployment, duration: TimeDelta) {
+    let until = deployment.simulation.now + duration;
+    deployment.simulation.run_until(until);
+}
+
+fn primary_id(deployment: &Deployment) -> Option<String> {
+    deployment.groups[0].borrow().primary.clone()
+}
+
+/// Waits until a host other than `old` is primary; returns whether one is within the bound.
+fn is_replaced_within(deployment: &mut Deployment, old: &str, bound: TimeDelta) -> bool {
+    let until = deployment.simulation.now + bound;
+    while deployment.simulation.now < until {
+        if primary_id(deployment).is_some_and(|primary| primary != old) {
+            return true;
+        }
+        advance(deployment, ms(50));
+    }
+    false
+}
+
+/// Guards against a service that never gets a primary again (RECOVER): a replica is lost for good up to 3 s,
+/// in which it does not count as silent, before or after its primary is released.
+#[test]
+fn a_primary_is_released_beside_a_replica_that_is_lost_for_good() {
+    for distance_ms in [-1200, -600, 0, 300, 600, 900, 1200, 1800, 2400, 3000, 6000] {
+        for power_loss in [false, true] {
+            let mut deployment = start_deployment();
+            let released = deployment.host_index_of(0, true, 0).expect("a primary");
+            let lost = deployment.host_index_of(0, false, 0).expect("a replica");
+            let old = deployment.hosts[released].id.clone();
+            let lose = |deployment: &mut Deployment| deployment.stop_host(lost, power_loss);
+            let release = |deployment: &mut Deployment| {
+                deployment.hosts[released].faults.borrow_mut().draining = true;
+            };
+            let replaced = if distance_ms >= 0 {
+                lose(&mut deployment);
+                advance(&mut deployment, ms(distance_ms));
+                release(&mut deployment);
+                is_replaced_within(&mut deployment, &old, RELEASE_BOUND)
+            } else {
+                release(&mut deployment);
+                let early = is_replaced_within(&mut deployment, &old, ms(-distance_ms));
+                lose(&mut deployment);
+                early || is_replaced_within(&mut deployment, &old, RELEASE_BOUND)
+            };
+            assert!(replaced, "lost {distance_ms} ms before the release, power loss: {power_loss}");
+            assert!(deployment.simulation.now < Timestamp::from_micros(0) + ms(20_000) + DRAIN_TIME);
+        }
+    }
+}
--- a/crates/arrowyard-emulator/tests/models.rs
+++ b/crates/arrowyard-emulator/tests/models.rs
@@ -55,6 +55,7 @@
         (NoPositionFloor, "a replica before the primary"),
         (NoRetries, "a plan"),
         (NoRelays, "a hidden replica"),
+        (UncheckedCommits, "a plan"),
     ] {
         assert_detected(&format!("{mutation:?}"), name, promotion::check(name, Some(mutation)));
     }
