--- a/crates/arrowyard-control/src/control/api.rs
+++ b/crates/arrowyard-control/src/control/api.rs
@@ -184,15 +184,24 @@
     fn handle_leave(&mut self, now: Timestamp, conn: Conn, id: &str, commands: &mut Commands) {
         self.silent_hosts.remove(id);
         let known = self.registry.get(id).cloned();
-        let departed = match known {
-            Some(host) if host.phase() == Phase::Gone => host,
-            Some(host) => Host { phase: Phase::Gone.into(), call_seq: host.call_seq + 1, ..host },
-            None => Host { id: id.to_string(), phase: Phase::Gone.into(), ..Host::default() },
-        };
+        let departed = self.record_departure(
+            now,
+            known.unwrap_or_else(|| Host { id: id.to_string(), ..Host::default() }),
+            commands,
+        );
+        self.begin_departure(now, conn, departed, "{}".to_string(), commands);
+    }
+
+    /// Records and publishes that a host has departed; returns its record.
+    pub(super) fn record_departure(&mut self, now: Timestamp, host: Host, commands: &mut Commands) -> Host {
+        if host.phase() == Phase::Gone {
+            return host;
+        }
+        let departed = Host { phase: Phase::Gone.into(), call_seq: host.call_seq + 1, ..host };
         if self.registry.record_heartbeat(now, departed.clone()) {
             self.publish_host_change(now, departed.clone(), commands);
         }
-        self.begin_departure(now, conn, departed, "{}".to_string(), commands);
+        departed
     }
 
     /// Handles an operator's change: answers at once if the result is certain, otherwise proposes it.
--- a/crates/arrowyard-control/src/control/host_requests.rs
+++ b/crates/arrowyard-control/src/control/host_requests.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+use arrowyard_messages::Phase;
 use arrowyard_protocol::{FaultCode, LineDecoder, Observed, Response};
 use arrowyard_runtime::{Commands, Conn};
 use arrowyard_types::{TimeDelta, Timestamp};
@@ -146,6 +147,9 @@
                         .for_each(|reply| self.promotion_replied(now, &service, reply, commands));
                     self.send_next_request(now, &id, commands);
                 }
+                Some(Response::Fault { code: FaultCode::Misrouted, .. }) if !connection.is_open => {
+                    return self.host_misrouted(now, &id, commands);
+                }
                 // A host that reports overload is alive.
                 Some(Response::Fault { code: FaultCode::Overload | FaultCode::Saturated, .. }) => {
                     let service = connection.service.clone();
@@ -157,6 +161,19 @@
         }
     }
 
+    /// Another host answers at the address of this one, which therefore does not run any more. Once the other
+    /// one is known, this one counts as departed: its log is with the other one, or lost.
+    fn host_misrouted(&mut self, now: Timestamp, id: &str, commands: &mut Commands) {
+        if let Some(replaced) = self.registry.get(id).cloned()
+            && replaced.phase() != Phase::Gone
+            && let Some(successor) = self.registry.other_at_address(&replaced)
+        {
+            log::info!("hosts: {id} has departed: {} runs at its address", successor.id);
+            self.record_departure(now, replaced, commands);
+        }
+        self.host_connection_failed(now, id, commands);
+    }
+
     pub(super) fn drop_host_connection(&mut self, id: &str, commands: &mut Commands) {
         if let Some(conn) = self.host_connections.remove(id).and_then(|connection| connection.conn) {
             commands.reset(conn);
--- a/crates/arrowyard-control/src/host_registry.rs
+++ b/crates/arrowyard-control/src/host_registry.rs
@@ -83,6 +83,16 @@
         self.insert_entry(HostEntry { host, changed_at: now, last_heartbeat });
     }
 
+    /// Another host at the address of this one that has not departed.
+    pub fn other_at_address(&self, host: &Host) -> Option<&Host> {
+        let is_other = |other: &&Host| {
+            (other.ip, other.port) == (host.ip, host.port)
+                && other.id != host.id
+                && other.phase() != Phase::Gone
+        };
+        self.hosts().find(is_other)
+    }
+
     /// Replaces the entry of a host, and updates the service index and the digest.
     fn insert_entry(&mut self, entry: HostEntry) {
         self.digest = self.digest.wrapping_add(host_digest(&entry.host));
--- a/crates/arrowyard-emulator/tests/lost_hosts.rs
+++ b/crates/arrowyard-emulator/tests/lost_hosts.rs
@@ -8,6 +8,8 @@
 const DRAIN_TIME: TimeDelta = TimeDelta::from_millis(8000);
 /// Time in which a released primary must be replaced: a heartbeat period, the survey, and the platform.
 const RELEASE_BOUND: TimeDelta = TimeDelta::from_millis(5000);
+/// Time in which a failed primary must be replaced: the silence of 3 s, the survey, and the platform.
+const FAILOVER_BOUND: TimeDelta = TimeDelta::from_millis(8000);
 
 fn ms(millis: i64) -> TimeDelta {
     TimeDelta::from_millis(millis)
@@ -88,3 +90,27 @@
         }
     }
 }
+
+/// Guards against a service that never gets a primary again (RECOVER): the id of a replica that crashed and
+/// is back under a new id stays a member, and the primary crashes before the old id counts as silent.
+#[test]
+fn a_crashed_replica_that_is_back_under_a_new_id_is_not_waited_for() {
+    let mut deployment = start_deployment();
+    let primary = deployment.host_index_of(0, true, 0).expect("a primary");
+    let replica = deployment.host_index_of(0, false, 0).expect("a replica");
+    let old_primary = deployment.hosts[primary].id.clone();
+    deployment.stop_host(replica, false);
+    let old_id = deployment.hosts[replica].id.clone();
+    let new_id = format!("{old_id}n");
+    {
+        let mut group = deployment.groups[0].borrow_mut();
+        let host_log = group.host_logs.remove(&old_id).expect("the log of the replica");
+        group.host_logs.insert(new_id.clone(), host_log);
+    }
+    deployment.hosts[replica].id = new_id;
+    deployment.hosts[replica].call_seq = Default::default();
+    deployment.start_host(replica);
+    advance(&mut deployment, ms(200));
+    deployment.stop_host(primary, true);
+    assert!(is_replaced_within(&mut deployment, &old_primary, FAILOVER_BOUND));
+}
