--- a/crates/arrowyard-control/src/control/peers.rs
+++ b/crates/arrowyard-control/src/control/peers.rs
@@ -386,25 +386,7 @@
         match message {
             Payload::Hello(hello) => self.handle_hello(now, &hello, commands),
             Payload::Heartbeat(heartbeat) => self.handle_peer_heartbeat(now, ip, &heartbeat, commands),
-            Payload::HostUpdate(report) => {
-                let mut news = Vec::new();
-                for host in report.hosts {
-                    self.silent_hosts.remove(&host.id);
-                    if !report.whole {
-                        self.registry.clear_heartbeat(&host.id);
-                    }
-                    if self.registry.merge_report(now, host.clone()) {
-                        if host.phase() == arrowyard_messages::Phase::Gone {
-                            self.departed_hosts.push((now, host.clone()));
-                        }
-                        news.push(host);
-                    }
-                }
-                if !news.is_empty() {
-                    self.publish_hosts_to_routers(news, commands);
-                    self.poll_promotions(now, commands);
-                }
-            }
+            Payload::HostUpdate(update) => self.handle_host_update(now, update, commands),
             Payload::DepartureNotice(notice) => self.handle_departure_notice(now, ip, notice, commands),
             Payload::DepartureStored(stored) => {
                 self.handle_departure_stored(now, ip, stored.number, commands)
@@ -421,6 +403,38 @@
         }
     }
 
+    fn handle_host_update(&mut self, now: Timestamp, update: HostUpdate, commands: &mut Commands) {
+        let HostUpdate { hosts, whole } = update;
+        let mut changed_hosts = Vec::new();
+        for host in hosts {
+            let is_unknown = self.registry.get(&host.id).is_none();
+            if !whole {
+                self.registry.clear_heartbeat(&host.id);
+            }
+            let has_changed = self.registry.merge_report(now, host.clone());
+            // A whole registry names silent hosts as well; only a change shows that the peer has heard one.
+            if !whole || has_changed {
+                self.silent_hosts.remove(&host.id);
+            }
+            if !has_changed {
+                continue;
+            }
+            // A host of this zone that has failed sends no heartbeat to a machine that is new here, and the
+            // machine that noticed its silence may be gone.
+            if whole && is_unknown && host.zone == self.settings.zone {
+                self.registry.expect_heartbeats(now, &host.id);
+            }
+            if host.phase() == arrowyard_messages::Phase::Gone {
+                self.departed_hosts.push((now, host.clone()));
+            }
+            changed_hosts.push(host);
+        }
+        if !changed_hosts.is_empty() {
+            self.publish_hosts_to_routers(changed_hosts, commands);
+            self.poll_promotions(now, commands);
+        }
+    }
+
     fn handle_peer_heartbeat(
         &mut self,
         now: Timestamp,
--- a/crates/arrowyard-control/src/host_registry.rs
+++ b/crates/arrowyard-control/src/host_registry.rs
@@ -83,6 +83,15 @@
         self.insert_entry(HostEntry { host, changed_at: now, last_heartbeat });
     }
 
+    /// Expects heartbeats of a host from now on, unless it has sent some: if none arrives, it is silent.
+    pub fn expect_heartbeats(&mut self, now: Timestamp, id: &str) {
+        if let Some(entry) = self.hosts.get_mut(id)
+            && entry.host.phase() != Phase::Gone
+        {
+            entry.last_heartbeat.get_or_insert(now);
+        }
+    }
+
     /// Another host at the address of this one that has not departed.
     pub fn other_at_address(&self, host: &Host) -> Option<&Host> {
         let is_other = |other: &&Host| {
--- a/crates/arrowyard-emulator/tests/lost_hosts.rs
+++ b/crates/arrowyard-emulator/tests/lost_hosts.rs
@@ -114,3 +114,24 @@
     deployment.stop_host(primary, true);
     assert!(is_replaced_within(&mut deployment, &old_primary, FAILOVER_BOUND));
 }
+
+/// Guards against a service that never gets a primary again (RECOVER): control machines that replace all
+/// others have never had a heartbeat of a replica that was lost for good, so that none holds it to be silent.
+#[test]
+fn machines_that_replace_all_others_notice_a_lost_replica() {
+    let mut deployment = start_deployment();
+    let primary = deployment.host_index_of(0, true, 0).expect("a primary");
+    let replica = deployment.host_index_of(0, false, 0).expect("a replica");
+    let old_primary = deployment.hosts[primary].id.clone();
+    deployment.stop_host(replica, true);
+    advance(&mut deployment, ms(6000));
+    for number in 0..3 {
+        // The machine that has noticed the silence is gone before the new one starts.
+        deployment.remove_control(number);
+        advance(&mut deployment, ms(1000));
+        deployment.add_control();
+        advance(&mut deployment, ms(8000));
+    }
+    deployment.stop_host(primary, true);
+    assert!(is_replaced_within(&mut deployment, &old_primary, FAILOVER_BOUND));
+}
