--- a/crates/arrowyard-pooler/src/host_connection.rs
+++ b/crates/arrowyard-pooler/src/host_connection.rs
@@ -188,7 +188,7 @@
     /// The state that the host reports, if this is the reply to OBSERVE or a request with the same rows.
     pub fn observed(&self) -> Option<Observed> {
         let text = String::from_utf8_lossy(&self.rows);
-        let line = text.lines().next()?;
+        let line = text.split("\r\n").next()?;
         Observed::parse(arrowyard_protocol::split_word(line).1)
     }
 }
--- a/crates/arrowyard-pooler/tests/helpers/mod.rs
+++ b/crates/arrowyard-pooler/tests/helpers/mod.rs
@@ -123,7 +123,8 @@
                         continue;
                     }
                     let text = String::from_utf8_lossy(written).into_owned();
-                    self.lines.entry(conn).or_default().extend(text.lines().map(str::to_string));
+                    let lines = text.split_terminator("\r\n").map(str::to_string);
+                    self.lines.entry(conn).or_default().extend(lines);
                 }
                 Command::Close { conn } | Command::Reset { conn } => self.closed.push(conn),
                 Command::Store { .. } | Command::Stop => {}
@@ -161,6 +162,11 @@
         self.handle(Event::Received { conn, bytes: bytes.as_bytes() });
     }
 
+    /// Sends one message, which may contain line feeds, from a peer to the router.
+    pub fn send_message(&mut self, conn: Conn, message: &str) {
+        self.handle(Event::Received { conn, bytes: format!("{message}\r\n").as_bytes() });
+    }
+
     /// The lines that a peer received since the last call.
     pub fn received(&mut self, conn: Conn) -> Vec<String> {
         self.lines.remove(&conn).unwrap_or_default().into()
--- a/crates/arrowyard-pooler/tests/plane.rs
+++ b/crates/arrowyard-pooler/tests/plane.rs
@@ -72,6 +72,30 @@
     assert_eq!(router.dialed.len(), dials, "the statement is not sent to another connection");
 }
 
+/// Guards against a line feed in a client's data, or in a row, that ends its message: what follows would run as
+/// a statement that no client sent (UNASKED), or pass for the rest of the reply.
+#[test]
+fn a_line_feed_in_data_does_not_end_a_message() {
+    let mut router = TestRouter::shared_by(1);
+    let client = router.client();
+    let write = "QUERY a1 WRITE t1 paid\nQUERY a2 WRITE t2 not sent\r";
+    router.send_message(client, write);
+    let host = router.accept_host_connection();
+    assert_eq!(router.received(host), [write]);
+    router.send_message(host, "SETTLED 1.aa");
+    router.send_message(host, "IDLE I 1.2");
+    assert_eq!(router.received(client), ["SETTLED 1.aa", "IDLE I 1.2"]);
+    // Rows, within a transaction that verifies the primary.
+    router.send_message(client, "QUERY a3 READ t1");
+    assert_eq!(router.received(host), ["QUERY - BEGIN"]);
+    router.send(host, "SETTLED -\nIDLE T 1.2");
+    assert_eq!(router.received(host), ["QUERY a3 READ t1", "QUERY - ABORT"]);
+    let row = "ROW paid\nSETTLED 9.zz\nIDLE I 9.9";
+    router.send_message(host, row);
+    router.send(host, "SETTLED 2.aa\nIDLE T 1.2\nSETTLED -\nIDLE I 1.2");
+    assert_eq!(router.received(client), [row, "SETTLED 2.aa", "IDLE I 1.2"]);
+}
+
 /// The host's reply to the read is lost, and the next reply is the one to the router's own ABORT.
 #[test]
 fn a_reply_to_an_internal_statement_is_not_taken_as_a_success() {
--- a/crates/arrowyard-protocol/src/lib.rs
+++ b/crates/arrowyard-protocol/src/lib.rs
@@ -1,5 +1,5 @@
 //! The line protocol between clients, routers and hosts. A message is one line of fields separated by
-//! spaces; the last field extends to the end of the line. This package parses and formats lines, without I/O
+//! spaces and ends with CR LF; the last field extends to the end of the line and may contain either byte alone. This package parses and formats lines, without I/O
 //! or session state.
 
 mod fault_code;
--- a/crates/arrowyard-protocol/src/line.rs
+++ b/crates/arrowyard-protocol/src/line.rs
@@ -1,9 +1,12 @@
-//! Splits received bytes into lines.
+//! Splits received bytes into lines. A line ends with a carriage return and a line feed; either byte alone is
+//! part of the line's last field.
 
 use bytes::{Buf, Bytes, BytesMut};
 
 use crate::MAX_LINE_BYTES;
 
+const LINE_END: &[u8] = b"\r\n";
+
 /// the message exceeds the maximum line length
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
 pub struct LineTooLong;
@@ -40,24 +43,35 @@
     /// # Errors
     /// When the line exceeds [`MAX_LINE_BYTES`].
     pub fn take(&mut self) -> Result<Option<Bytes>, LineTooLong> {
-        let Some(end) = self.buffer[self.scanned..].iter().position(|&byte| byte == b'\n') else {
+        let Some(length) = self.find_line_end() else {
             self.scanned = self.buffer.len();
-            return if self.scanned > MAX_LINE_BYTES { Err(LineTooLong) } else { Ok(None) };
+            // The last byte may be the first one of the terminator.
+            let unterminated = self.buffer.strip_suffix(b"\r").unwrap_or(&self.buffer);
+            return if unterminated.len() > MAX_LINE_BYTES { Err(LineTooLong) } else { Ok(None) };
         };
-        let end = self.scanned + end;
         self.scanned = 0;
-        let mut line = self.buffer.split_to(end).freeze();
-        self.buffer.advance(1);
+        let line = self.buffer.split_to(length).freeze();
+        self.buffer.advance(LINE_END.len());
         if line.len() > MAX_LINE_BYTES {
             return Err(LineTooLong);
         }
-        if line.last() == Some(&b'\r') {
-            line.truncate(line.len() - 1);
-        }
         // Free the buffer so that an idle connection does not keep the size of its largest message.
         if self.buffer.is_empty() {
             self.buffer = BytesMut::new();
         }
         Ok(Some(line))
     }
+
+    /// The length of the first line, if its terminator has arrived. Looks for the second byte of the
+    /// terminator, since the first one may have been scanned already.
+    fn find_line_end(&self) -> Option<usize> {
+        let mut from = self.scanned;
+        loop {
+            let line_feed = from + self.buffer[from..].iter().position(|&byte| byte == b'\n')?;
+            if self.buffer[..=line_feed].ends_with(LINE_END) {
+                return Some(line_feed + 1 - LINE_END.len());
+            }
+            from = line_feed + 1;
+        }
+    }
 }
--- a/crates/arrowyard-protocol/tests/wire.rs
+++ b/crates/arrowyard-protocol/tests/wire.rs
@@ -26,6 +26,31 @@
         prop_assert_eq!(buffer.waiting(), 0);
     }
 
+    /// Guards against a line feed in a client's data that becomes a message of its own (UNASKED): only CR LF ends
+    /// a message.
+    #[test]
+    fn lines_of_any_bytes_are_decoded_from_arbitrary_chunks(
+        lines in prop::collection::vec(prop::collection::vec(prop_oneof![Just(b'\n'), Just(b'\r'), any::<u8>()], 0..40), 0..12),
+        cuts in prop::collection::vec(1usize..9, 1..200),
+    ) {
+        let lines: Vec<Vec<u8>> = lines.into_iter().map(without_terminators).collect();
+        let sent: Vec<u8> = lines.iter().flat_map(|line| [line.as_slice(), b"\r\n"].concat()).collect();
+        let (mut read, mut buffer, mut rest) = (Vec::new(), LineDecoder::default(), sent.as_slice());
+        for cut in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (piece, left) = rest.split_at((*cut).min(rest.len()));
+            buffer.put(piece);
+            rest = left;
+            while let Some(line) = buffer.take().expect("short lines") {
+                read.push(line.to_vec());
+            }
+        }
+        prop_assert_eq!(read, lines);
+        prop_assert_eq!(buffer.waiting(), 0);
+    }
+
     #[test]
     fn arbitrary_lines_do_not_panic(line in "\\PC{0,60}") {
         let _ = Request::parse(&line);
@@ -41,6 +66,33 @@
     }
 }
 
+/// The same bytes without a line feed after a carriage return.
+fn without_terminators(line: Vec<u8>) -> Vec<u8> {
+    let mut kept = Vec::new();
+    for byte in line {
+        if byte != b'\n' || kept.last() != Some(&b'\r') {
+            kept.push(byte);
+        }
+    }
+    kept
+}
+
+/// Guards against the rejection of a message of the maximum length whose terminator arrives in two parts.
+#[test]
+fn a_line_of_the_maximum_length_is_decoded_from_any_two_chunks_of_its_end() {
+    for cut in 0..=2 {
+        let mut lines = LineDecoder::default();
+        let message = [vec![b'x'; MAX_LINE_BYTES], b"\r\n".to_vec()].concat();
+        let (first, second) = message.split_at(MAX_LINE_BYTES + cut);
+        lines.put(first);
+        if cut < 2 {
+            assert_eq!(lines.take(), Ok(None), "{cut}");
+        }
+        lines.put(second);
+        assert_eq!(lines.take().map(|line| line.map(|line| line.len())), Ok(Some(MAX_LINE_BYTES)), "{cut}");
+    }
+}
+
 #[test]
 fn unterminated_line_is_rejected_above_the_maximum() {
     let mut lines = LineDecoder::default();
