--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,6 +10,7 @@
 const LOAD_WINDOW: f64 = 0.1;
 pub const LONG_READ_WEIGHT: f64 = 6.0;
 /// Below this share of its latency target the primary takes reads without a probe of the replicas.
+/// A primary that works at its capacity answers about half of its statements this fast.
 const IDLE_RATIO: f64 = FAST_RATIO / 2.0;
 pub const PRIMARY_READ_SHARE: f64 = 0.75;
 /// Load of opening a connection, in sends of the op type with the shortest latency target.
@@ -26,6 +27,7 @@
         if group.roles_probed_at.is_none() {
             group.roles_probed_at = Some(self.now);
             // Without a listed primary only: routers that start together would flood the hosts with probes.
+            // A listed one shows its role with its first send.
             let group = &self.groups[&id];
             if self.primary(group).is_none() && self.probe(&group.members, false, queues) {
                 return None;
@@ -61,6 +63,7 @@
                 && (sends as f64) < max_sends * 0.5
             {
                 // No primary known: members of unknown role in turn, or at first the most advanced replica.
+                // Known replicas are not tried in turn: one that does not check reads would answer a fresh read.
                 let fits = |v: &HostView| (v.role.is_none() || sends == 0) && !v.probing && v.is_usable();
                 let untried = |h: &HostId| self.has_room(*h, 1.0) && !op.sends.has_tried(*h);
                 let next = group.members.iter().copied().filter(|h| fits(self.view(*h)) && untried(h));
@@ -72,6 +75,7 @@
         let available = |host: &HostId| is_replica(host) && self.view(*host).available;
         let replicas: HostIds = group.members.iter().copied().filter(available).collect();
         // If most replicas are unhealthy the cause is likely shared: all that still answer stay in use.
+        // This harms when most replicas really are lost.
         let mostly_down = replicas.iter().filter(|&&h| self.view(h).is_usable()).count() * 2 < replicas.len();
         let usable = |h: &HostId| self.view(*h).is_usable() || mostly_down && !self.view(*h).unresponsive;
         let fit: HostIds = replicas.iter().copied().filter(|h| self.is_fresh(op, *h) && usable(h)).collect();
@@ -90,6 +94,7 @@
             let takes = |host: &HostId| self.has_room(*host, PRIMARY_READ_SHARE) && self.has_quota(op, *host);
             candidates.extend(ahead.or(primary.filter(takes)));
             // Without recent positions every read would go to the primary. Fewer probes if it answers fast.
+            // A probe costs as much as the read saves the primary, and with hundreds of routers there are many.
             let faster = |ratio| primary.is_some_and(|host| self.primary_takes_reads(host, ratio));
             let probed = |&h: &HostId| self.view(h).probed_at >= op.arrived_at && !self.view(h).probing;
             let skip = faster(IDLE_RATIO) || faster(FAST_RATIO) && replicas.iter().any(probed);
@@ -98,6 +103,7 @@
             }
         } else if self.weight(op_type) >= LONG_READ_WEIGHT {
             // Long reads delay the apply of the log: they share the replica that lags most.
+            // Spread out, they would leave no replica fresh. Harms when they need most of the replicas.
             let furthest = candidates.iter().map(|&host| self.view(host).lag).max().unwrap_or_default();
             candidates.retain(|&mut host| self.view(host).lag >= furthest);
         } else if fit.len() < replicas.len() && candidates.iter().all(|&host| self.view(host).in_flight > 0) {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -136,6 +136,7 @@
     }
 
     pub fn apply_host_list(&mut self, kind: ListKind, entries: Vec<HostEntry>, queues: &mut Queues) {
+        // One pass over the entries, not one for each host: lists of thousands arrive while ops wait.
         let mut listed = vec![kind == ListKind::Incremental; self.host_views.len()];
         for entry in &entries {
             listed.get_mut(entry.host.0 as usize).into_iter().for_each(|listed| *listed = true);
--- a/src/pressure.rs
+++ b/src/pressure.rs
@@ -35,6 +35,7 @@
 
 impl Dispatcher {
     /// Sheds more reads while most hosts are slow, which would run sends whose clients have given up.
+    /// Slowness of a few hosts is left to their limits. Harms where most hosts are slow for other reasons.
     pub fn adjust_read_shedding(&mut self, group: GroupId, outcome: Outcome, latency_ratio: f64) {
         let acked = outcome == Outcome::Acked;
         let is_sample = acked || matches!(outcome, Outcome::TimedOut | Outcome::Overloaded);
@@ -71,6 +72,7 @@
         let rate = self.warm_rate;
         self.host_ids().for_each(|id| queues.hosts.push(id, HostEvent::Maintain(elapsed, rate, headroom)));
         // Sheds writes while bounded reads have no host, but not where long reads cause the replicas' lag.
+        // Writes that come faster than replicas apply them would cost all bounded reads. Harms if reports lag.
         let long_reads = self.op_types.iter().any(|op_type| self.weight(op_type) >= LONG_READ_WEIGHT);
         let step = if long_reads { 0.0 } else { elapsed / timeout * WRITE_SHED_INCREASE };
         for group in self.groups.values_mut() {
@@ -87,6 +89,7 @@
         }
         for group in self.groups.values().filter(|group| group.primary_wanted.replace(false)) {
             // After one round only the most advanced member is probed often: it is the likely next primary.
+            // Otherwise all routers would probe all members for as long as a change of primary takes.
             let usable = group.members.iter().copied().filter(|&host| self.view(host).is_usable());
             let most_advanced = usable.max_by_key(|&host| self.view(host).position);
             let gap = |host: HostId| if Some(host) == most_advanced { 2.0 } else { RARE_PROBE_PERIODS };
@@ -116,6 +119,8 @@
         f64::from(self.tenant_in_flight.get(&(host, tenant)).copied().unwrap_or(0))
     }
 
+    /// Whether an op's tenant may have one more op in flight at the host.
+    /// Of many routers each has a quota below one op: a whole op is sent, and its excess time is owed.
     pub fn has_quota(&self, op: &Op, host: HostId) -> bool {
         let Some(tenant) = op.request.tenant.filter(|_| !self.quotas.is_empty()) else { return true };
         let Some(mut quota) = self.quotas.get(&(host, tenant)).copied() else { return true };
--- a/src/probing.rs
+++ b/src/probing.rs
@@ -50,6 +50,8 @@
         self.probe(next.as_slice(), self.settings.flag("peers"), queues)
     }
 
+    /// Spares other routers the probe, where probes fail or there are many routers. The gap grows with their
+    /// number, so that all together do not flood each other.
     pub fn broadcast_status(&mut self, host: HostId, status: &HostStatus, queues: &mut Queues) {
         let gap_timeouts = BROADCAST_GAP_TIMEOUTS * self.settings.number_or("routers", 1.0);
         let gap = self.settings.time_delta("connect_timeout") * gap_timeouts;
--- a/src/sending.rs
+++ b/src/sending.rs
@@ -48,6 +48,7 @@
     /// Whether the op may be sent (again), to this host if one is given, without the risk of a second run.
     pub fn may_send(&self, op: &Op, host: Option<HostId>) -> bool {
         let max_sends = self.settings.number_or("max_sends", 1.0) as usize;
+        // All ops of a cell in trouble share its retries.
         let exhausted = op.sends.len() > 0 && self.retry_budgets.get(&op.request.cell) == Some(&0);
         if op.sends.len() >= max_sends || exhausted {
             return false;
@@ -210,6 +211,7 @@
             self.adjust_read_shedding(group, result.outcome, latency_ratio);
         }
         queues.hosts.push(send.host, HostEvent::SendEnded(result, weight, latency_ratio));
+        // Otherwise an op that waits for this place would lose it for a tick.
         if tenant.is_some_and(|tenant| self.quotas.contains_key(&(send.host, tenant))) {
             self.retry_waiting(queues);
         }
