--- a/crates/arrowyard-control/src/promotion/survey.rs
+++ b/crates/arrowyard-control/src/promotion/survey.rs
@@ -83,7 +83,9 @@
         };
         let needed = |host: &&&Host| !is_skipped(host);
         let all = replicas.iter().filter(needed).all(|host| rows.contains_key(&host.id));
-        if rows.is_empty() || !all || !self.are_logs_handed_over(now, hosts) {
+        // The same holds for the log of a departed host, which may go to no other host.
+        let is_complete = all && (planned || self.are_logs_handed_over(now, hosts));
+        if rows.is_empty() || !is_complete {
             return;
         }
         self.surveyed_hosts = self.members(hosts).into_iter().map(|host| host.id.clone()).collect();
--- a/crates/arrowyard-control/tests/control.rs
+++ b/crates/arrowyard-control/tests/control.rs
@@ -548,6 +548,31 @@
     assert_eq!(promoted_host(&fixture.row("c", false, 26)), Some("c"));
 }
 
+/// Guards against a planned change that waits until the old primary has left: a replica departed shortly before,
+/// and nobody takes over its log. Without the old primary, the log may hold the only copy of a commit.
+#[test]
+fn only_an_unplanned_change_waits_for_the_log_of_a_departed_replica() {
+    for planned in [true, false] {
+        let mut fixture = Fixture::new();
+        if planned {
+            fixture.registry.merge_report(at(900), host("a", DbRole::Primary, Phase::Draining, 2));
+            fixture.advance(0);
+        } else {
+            fixture.fail_primary();
+        }
+        let departed = [(at(900), host("d", DbRole::Replica, Phase::Gone, 2))];
+        for id in ["b", "c"] {
+            let row = Observed { primary: false, term: 3, received: Position { term: 3, number: 20 } };
+            let reply = Reply::Row { host: id.into(), kind: RequestKind::Observe, row };
+            let hosts =
+                HostsSnapshot { registry: &fixture.registry, silent: &fixture.silent, departed: &departed };
+            fixture.promotion.handle_reply(at(fixture.now), reply, &hosts, &mut fixture.requests);
+        }
+        let goes_on = matches!(fixture.promotion.stage, Stage::Fencing { .. });
+        assert_eq!(goes_on, planned);
+    }
+}
+
 /// Guards against a service that never gets a primary again (RECOVER): a replica fails after it responded to
 /// the survey, so that it never confirms its pause.
 #[test]
