--- a/crates/arrowyard-pooler/src/plane/commit_checks.rs
+++ b/crates/arrowyard-pooler/src/plane/commit_checks.rs
@@ -94,7 +94,12 @@
         if reply.fault.is_some() {
             return Some(reply);
         }
-        let Some(candidate) = self.candidate_to_confirm(now, host_conn) else { return Some(reply) };
+        let Some(name) = self.required_receiver(now, host_conn) else { return Some(reply) };
+        // A candidate that this router has not heard of cannot be asked.
+        let Some(candidate) = self.decision.host_id(&name) else {
+            reply.fault = Some(unconfirmed_fault());
+            return Some(reply);
+        };
         let received = self.commit_checks.by_candidate.get(&candidate).and_then(|checks| checks.received);
         let confirmation = match (reply.position, received) {
             (None, _) => Confirmation::Unknown,
@@ -118,7 +123,7 @@
     }
 
     /// The candidate that has to confirm the commit that a connection has just answered.
-    fn candidate_to_confirm(&mut self, now: Timestamp, host_conn: Conn) -> Option<HostId> {
+    fn required_receiver(&mut self, now: Timestamp, host_conn: Conn) -> Option<String> {
         let connection = self.host_connection(host_conn)?;
         let (ConnectionStage::Assigned(session), host) = (connection.stage, connection.host) else {
             return None;
@@ -127,8 +132,7 @@
             return None;
         }
         let host = &self.decision.host(host).host;
-        let candidate = self.replacements.required_receiver(now, &host.service, &host.id)?;
-        self.decision.host_id(candidate)
+        self.replacements.required_receiver(now, &host.service, &host.id).map(str::to_string)
     }
 
     /// The reply counts as expected again, so that time-outs, disconnects and resets find the connection in
--- a/crates/arrowyard-pooler/tests/plane.rs
+++ b/crates/arrowyard-pooler/tests/plane.rs
@@ -288,6 +288,21 @@
     assert_eq!(router.received(client), ["SETTLED 1.aa", "IDLE I 3.20"]);
 }
 
+/// Guards against lost commits in a planned change: a candidate that the router has not heard of cannot
+/// confirm a commit (LOST).
+#[test]
+fn a_commit_has_an_unknown_outcome_if_the_candidate_is_not_known_here() {
+    let mut router = TestRouter::shared_by(1);
+    let client = router.client();
+    router.send(client, "QUERY a1 WRITE t1 x");
+    let primary = router.accept_host_connection();
+    let change = Replacement { service: "s0".into(), candidate: "i-9".into(), term: 4 };
+    let planned = Replacements { fence: 9, planned: vec![change], ..Replacements::default() };
+    router.control_sends(Payload::Replacements(planned));
+    router.send(primary, "SETTLED 1.aa\nIDLE I 3.20");
+    assert_eq!(router.received(client), ["FAULT UNKNOWN its host was replaced", "IDLE I -"]);
+}
+
 /// Guards against lost commits in a planned change: a promoted candidate has a higher position without
 /// everything that the old primary reported (LOST).
 #[test]
