--- a/crates/arrowyard-control/src/control.rs
+++ b/crates/arrowyard-control/src/control.rs
@@ -27,6 +27,7 @@
 use fastrand::Rng;
 use rustc_hash::FxHashMap;
 
+use crate::announcements::Announcements;
 use crate::applied_state::PROMOTION_DUTY;
 use crate::promotion::{PrimaryWatch, Promotions};
 use crate::{DutyElection, HostRegistry, Output, PeerView, ProposalId, ReplicatedLog};
@@ -103,6 +104,9 @@
     primary_watches: BTreeMap<String, PrimaryWatch>,
     /// Replacements of primaries last published to routers.
     published_replacements: arrowyard_messages::Replacements,
+    announcements: Announcements,
+    /// The last list that was forwarded to routers.
+    forwarded_replacements: Option<Payload>,
     /// Fencing token under which this machine carries out the duty.
     fence: Option<u64>,
     /// Fencing token that a majority has confirmed since this machine last lost the quorum, and the read
@@ -190,6 +194,8 @@
             promotions: Promotions::default(),
             primary_watches: BTreeMap::new(),
             published_replacements: arrowyard_messages::Replacements::default(),
+            announcements: Announcements::default(),
+            forwarded_replacements: None,
             fence: None,
             confirmed: None,
             confirming: None,
--- a/crates/arrowyard-control/src/control/duty.rs
+++ b/crates/arrowyard-control/src/control/duty.rs
@@ -6,6 +6,7 @@
 use arrowyard_types::{TimeDelta, Timestamp};
 
 use super::Control;
+use crate::announcements::Announcements;
 use crate::applied_state::PROMOTION_DUTY;
 use crate::promotion::{HostsSnapshot, PromotionRequest, Promotions};
 use crate::{ProposalId, ProposalOutcome};
@@ -33,6 +34,7 @@
         self.start_allocator(now, after_another);
         self.set_decision_start(now, after_another);
         self.promotions = Promotions::default();
+        self.announcements = Announcements::default();
         self.drop_platform_calls(commands);
         match fence {
             Some(fence) => log::info!("duty: holds `promote` under fencing token {fence}"),
@@ -108,6 +110,8 @@
             return;
         }
         let mut requests = Vec::new();
+        let informed: BTreeSet<&String> =
+            services.iter().filter(|service| self.are_routers_informed(now, service)).collect();
         let hosts = HostsSnapshot {
             registry: &self.registry,
             silent: &self.silent_hosts,
@@ -116,6 +120,7 @@
         for service in &services {
             let promotion = self.promotions.get_or_create(service);
             promotion.set_primary_watch(&self.primary_watches[service]);
+            promotion.set_routers_informed(informed.contains(service));
             if let Some(primary) = hosts.registry.primary(service)
                 && hosts.silent.contains_key(&primary.id)
             {
--- a/crates/arrowyard-control/src/control/feed.rs
+++ b/crates/arrowyard-control/src/control/feed.rs
@@ -50,6 +50,9 @@
         };
         self.connections.insert(conn, Connection::Router(router));
         self.send_snapshot(conn, commands);
+        if let Some(replacements) = self.forwarded_replacements.clone() {
+            self.send(conn, replacements, commands);
+        }
     }
 
     fn send_snapshot(&mut self, conn: Conn, commands: &mut Commands) {
@@ -93,6 +96,9 @@
                     Some(Payload::Suspect(suspect)) => self.handle_suspicion(now, suspect, commands),
                     Some(Payload::DemandReport(needs)) => self.handle_demand(now, None, needs, commands),
                     Some(Payload::Demotion(yielded)) => self.handle_yielded(now, true, yielded, commands),
+                    Some(Payload::ReplacementsSeen(seen)) => {
+                        self.handle_replacements_seen(true, &seen, commands)
+                    }
                     Some(Payload::RelayedResponse(response)) => {
                         self.handle_relay_response(now, response, commands)
                     }
@@ -102,6 +108,11 @@
         }
     }
 
+    /// The number of subscribed routers that were heard within this time.
+    pub(super) fn routers_heard_within(&self, now: Timestamp, time: TimeDelta) -> usize {
+        self.subscribed_routers().filter(|(_, router)| now - router.last_heard_at < time).count()
+    }
+
     /// Whether a router has been silent for longer than its timeout.
     pub(super) fn is_router_silent(&self, now: Timestamp, conn: Conn) -> bool {
         matches!(
--- a/crates/arrowyard-control/src/control/host_requests.rs
+++ b/crates/arrowyard-control/src/control/host_requests.rs
@@ -208,12 +208,15 @@
             return;
         }
         let mut requests = Vec::new();
+        let routers_informed = self.are_routers_informed(now, service);
         let hosts = HostsSnapshot {
             registry: &self.registry,
             silent: &self.silent_hosts,
             departed: &self.departed_hosts,
         };
-        self.promotions.get_or_create(service).handle_reply(now, reply, &hosts, &mut requests);
+        let promotion = self.promotions.get_or_create(service);
+        promotion.set_routers_informed(routers_informed);
+        promotion.handle_reply(now, reply, &hosts, &mut requests);
         self.publish_replacements(false, commands);
         self.send_host_requests(now, requests, commands);
     }
--- a/crates/arrowyard-control/src/control/peers.rs
+++ b/crates/arrowyard-control/src/control/peers.rs
@@ -194,6 +194,13 @@
             .collect();
     }
 
+    /// The number of routers that are subscribed to the control machines heard within this time, as they last
+    /// reported.
+    pub(super) fn routers_of_peers(&self, now: Timestamp, time: TimeDelta) -> usize {
+        let peers = self.peers.values().filter(|peer| now - peer.last_heard_at < time);
+        peers.map(|peer| peer.routers as usize).sum()
+    }
+
     pub(super) fn reachable_peers(&self, now: Timestamp) -> impl Iterator<Item = (&u32, &Peer)> {
         self.peers.iter().filter(move |(_, peer)| peer.is_open() && now - peer.last_heard_at < PEER_TIMEOUT)
     }
@@ -395,6 +402,7 @@
             Payload::Demotion(yielded) => self.handle_yielded(now, false, yielded, commands),
             message @ Payload::Replacements(_) => self.forward_replacements(&message, commands),
             Payload::RelayedRequest(request) => self.relay_to_router(now, request, commands),
+            Payload::ReplacementsSeen(seen) => self.handle_replacements_seen(false, &seen, commands),
             Payload::RelayedResponse(answer) => self.handle_relay_response(now, answer, commands),
             Payload::DemandReport(needs) => self.handle_demand(now, Some(ip), needs, commands),
             Payload::HostAllocations(allocations) => self.forward_allocations(allocations, commands),
--- a/crates/arrowyard-control/src/lib.rs
+++ b/crates/arrowyard-control/src/lib.rs
@@ -1,6 +1,7 @@
 //! Control plane: membership of hosts and routers, the replicated configuration, and singleton duties.
 //! All decisions are made without I/O; `arrowyard-runtime` carries out the commands that they produce.
 
+mod announcements;
 mod applied_state;
 mod control;
 mod duty;
@@ -11,6 +12,7 @@
 mod replicated_log;
 pub mod voter_set;
 
+pub use announcements::Announcements;
 pub use applied_state::{AppliedState, ChangeDigest, ChangeStatus, MAX_REMEMBERED_CHANGES, change_digest};
 pub use control::{Control, Departures, DiskHealth, LISTENERS, RelayOutcome, Relays};
 pub use duty::DutyElection;
--- a/crates/arrowyard-control/src/promotion/mod.rs
+++ b/crates/arrowyard-control/src/promotion/mod.rs
@@ -74,6 +74,10 @@
     has_yielded: bool,
     /// The candidate of a planned change, from the time at which it catches up until the change ends.
     planned_candidate: Option<String>,
+    /// Whether all routers check commits at the candidate, and whether the position of the old primary was
+    /// requested since.
+    routers_informed: bool,
+    is_position_requested: bool,
     primary_watch: PrimaryWatch,
 }
 
@@ -84,7 +88,7 @@
         (&self.service, &self.stage, self.wake_at.is_some()).hash(state);
         self.paused_hosts.keys().for_each(|host| host.hash(state));
         (&self.floors, &self.floor_pending, self.has_yielded).hash(state);
-        self.planned_candidate.hash(state);
+        (&self.planned_candidate, self.routers_informed, self.is_position_requested).hash(state);
         self.primary_watch.is_primary_missing().hash(state);
     }
 }
@@ -117,6 +121,8 @@
             next_term: 0,
             has_yielded: false,
             planned_candidate: None,
+            routers_informed: true,
+            is_position_requested: true,
             primary_watch: PrimaryWatch::default(),
         }
     }
@@ -181,6 +187,14 @@
         joined
     }
 
+    /// Sets whether all routers act by the announced planned replacement. Safety: until then a router may
+    /// acknowledge commits that the candidate lacks, so a position of the old primary that was requested
+    /// earlier is not compared with that of the candidate.
+    pub fn set_routers_informed(&mut self, informed: bool) {
+        self.routers_informed = informed;
+        self.is_position_requested &= informed;
+    }
+
     /// Takes over the primary status observed before this machine held the duty.
     pub fn set_primary_watch(&mut self, primary_watch: &PrimaryWatch) {
         self.primary_watch.clone_from(primary_watch);
@@ -437,6 +451,17 @@
             {
                 self.abort(now, requests);
             }
+            (Stage::CatchingUp { old, .. }, Reply::Row { host, .. })
+                if old.as_ref() == Some(&host) && !self.is_position_requested =>
+            {
+                // The next row is a response to a request that is sent now.
+                self.is_position_requested = self.routers_informed;
+                if self.routers_informed {
+                    requests.push(PromotionRequest::Observe { host });
+                } else {
+                    self.wake_at = Some(now + CATCH_UP_INTERVAL);
+                }
+            }
             (Stage::CatchingUp { old, candidate, required, until, .. }, Reply::Row { host, row, .. })
                 if old.as_ref() == Some(&host) =>
             {
--- a/crates/arrowyard-control/tests/control.rs
+++ b/crates/arrowyard-control/tests/control.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 
 use arrowyard_control::{
-    AppliedState, DiskHealth, DutyElection, HostRegistry, HostsSnapshot, PeerView, Promotion,
+    Announcements, AppliedState, DiskHealth, DutyElection, HostRegistry, HostsSnapshot, PeerView, Promotion,
     PromotionRequest, Reply, RequestKind, Stage,
 };
-use arrowyard_messages::{DbRole, Duty, Entry, EntryPayload, Host, KnownControl, Phase};
+use arrowyard_messages::{DbRole, Duty, Entry, EntryPayload, Host, KnownControl, Phase, Replacement};
 use arrowyard_protocol::{Observed, Position};
 use arrowyard_types::{TimeDelta, Timestamp};
 use fastrand::Rng;
@@ -506,6 +506,56 @@
     assert_eq!((fixture.promotion.stage.clone(), announced(&fixture)), (Stage::Idle, None));
 }
 
+/// Guards against lost commits in a planned change: a router that has not heard of it acknowledges commits that the
+/// candidate lacks, until after the position of the old primary was read (LOST).
+#[test]
+fn a_planned_change_compares_positions_only_once_all_routers_are_informed() {
+    let mut fixture = Fixture::new();
+    fixture.registry.merge_report(at(900), host("a", DbRole::Primary, Phase::Draining, 2));
+    fixture.advance(0);
+    fixture.row("b", false, 20);
+    fixture.promotion.set_routers_informed(false);
+    fixture.row("c", false, 20);
+    fixture.row("b", false, 20);
+    for _ in 0..3 {
+        fixture.row("a", true, 20);
+        assert!(promoted_host(&fixture.row("c", false, 20)).is_none(), "not all routers check commits");
+        fixture.advance(20);
+    }
+    fixture.promotion.set_routers_informed(true);
+    let requests = fixture.row("a", true, 20);
+    assert_eq!(requests, [PromotionRequest::Observe { host: "a".into() }], "that row may be older");
+    fixture.row("a", true, 24);
+    assert!(promoted_host(&fixture.row("c", false, 23)).is_none());
+    assert_eq!(promoted_host(&fixture.row("c", false, 24)), Some("c"));
+}
+
+#[test]
+fn routers_confirm_the_lists_that_contain_a_planned_replacement() {
+    let change = |service: &str, candidate: &str| Replacement {
+        service: service.into(),
+        candidate: candidate.into(),
+        term: 4,
+    };
+    let mut announcements = Announcements::default();
+    assert_eq!(announcements.confirmations("s"), None);
+    announcements.lists_changed(&[change("s", "b")]);
+    announcements.router_confirmed(7, 1);
+    announcements.router_confirmed(7, 1);
+    assert_eq!(announcements.confirmations("s"), Some(1), "a router counts once");
+    // A list that adds another service still contains this one.
+    announcements.lists_changed(&[change("s", "b"), change("t", "e")]);
+    assert_eq!((announcements.confirmations("s"), announcements.confirmations("t")), (Some(1), Some(0)));
+    announcements.router_confirmed(8, 2);
+    assert_eq!((announcements.confirmations("s"), announcements.confirmations("t")), (Some(2), Some(1)));
+    // Another candidate has to be confirmed anew; a late confirmation of an earlier list does not count.
+    announcements.lists_changed(&[change("s", "c")]);
+    announcements.router_confirmed(8, 2);
+    assert_eq!(announcements.confirmations("s"), Some(0));
+    announcements.lists_changed(&[]);
+    assert_eq!(announcements.confirmations("s"), None);
+}
+
 /// A candidate that receives nothing has as much as the other replicas, but lacks what only the old
 /// primary has.
 #[test]
--- a/crates/arrowyard-messages/src/message.rs
+++ b/crates/arrowyard-messages/src/message.rs
@@ -12,7 +12,7 @@
 pub struct Frame {
     #[prost(
         oneof = "Payload",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
     )]
     pub payload: Option<Payload>,
 }
@@ -70,6 +70,8 @@
     RelayedRequest(RelayedRequest),
     #[prost(message, tag = "25")]
     RelayedResponse(RelayedResponse),
+    #[prost(message, tag = "26")]
+    ReplacementsSeen(ReplacementsSeen),
 }
 
 /// The first frame on a connection, sent by both ends.
@@ -601,6 +603,21 @@
     /// only once the candidate has received them.
     #[prost(message, repeated, tag = "3")]
     pub planned: Vec<Replacement>,
+    /// Rises with each change of the lists under one fence.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+}
+
+/// From a router through its control machine to the holder of the duty: the router acts by this list.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct ReplacementsSeen {
+    #[prost(uint64, tag = "1")]
+    pub fence: u64,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Incarnation of the router's process.
+    #[prost(uint64, tag = "3")]
+    pub router: u64,
 }
 
 /// A primary that is being replaced.
--- a/crates/arrowyard-pooler/src/plane/control_requests.rs
+++ b/crates/arrowyard-pooler/src/plane/control_requests.rs
@@ -128,7 +128,7 @@
         self.send_to_control(Payload::Demotion(Demotion { service, host: id }), commands);
     }
 
-    fn send_to_control(&self, payload: Payload, commands: &mut Commands) {
+    pub(super) fn send_to_control(&self, payload: Payload, commands: &mut Commands) {
         if let Some(conn) = self.feed.open_conn() {
             commands.write(conn, &[&encode_payload(payload)]);
         }
--- a/crates/arrowyard-pooler/src/plane/feed.rs
+++ b/crates/arrowyard-pooler/src/plane/feed.rs
@@ -7,7 +7,7 @@
 use arrowyard_config::{Change, ChangeKind, Configuration};
 use arrowyard_messages::{
     ChosenRevision, DbRole, FeedAck, FeedSnapshot, FeedUpdate, FrameDecoder, Hello, Host, KnownControl,
-    Payload, Phase, Replacements, Suspect, encode_payload, ip_to_u32,
+    Payload, Phase, Replacements, ReplacementsSeen, Suspect, encode_payload, ip_to_u32,
 };
 use arrowyard_runtime::{Commands, Conn};
 use arrowyard_types::{RouterEvent, TimeDelta, Timestamp};
@@ -287,6 +287,11 @@
     }
 
     fn apply_replacements(&mut self, now: Timestamp, replacements: Replacements, commands: &mut Commands) {
+        if !replacements.planned.is_empty() {
+            let Replacements { fence, number, .. } = replacements;
+            let seen = ReplacementsSeen { fence, number, router: self.incarnation };
+            self.send_to_control(Payload::ReplacementsSeen(seen), commands);
+        }
         for change in self.replacements.update(now, replacements) {
             let is_replaced = |known: &&KnownHost| {
                 known.host.service == change.service
