--- a/crates/arrowyard-pooler/src/plane/clients.rs
+++ b/crates/arrowyard-pooler/src/plane/clients.rs
@@ -407,9 +407,10 @@
     ) {
         let Some(session) = self.session(conn) else { return };
         let mut prepare = None;
-        let (mut text, mut is_write) = (text.to_string(), false);
+        let (mut text, mut is_write, mut is_commit) = (text.to_string(), false, false);
         match Statement::parse(&text) {
             Some(Statement::Write) => is_write = true,
+            Some(Statement::Commit) => is_commit = true,
             Some(Statement::Run { name, rest }) => {
                 let Some((mode, shape)) = session.prepared.get(name).cloned() else {
                     return self.refuse_statement(
@@ -430,7 +431,6 @@
             _ => {}
         }
         let Some(session) = self.session(conn) else { return };
-        let is_commit = text == "COMMIT";
         let transaction =
             session.transaction.as_ref().map(|transaction| (transaction.read_only, transaction.host_conn));
         if is_write && transaction.is_some_and(|(read_only, _)| read_only) {
--- a/crates/arrowyard-pooler/tests/plane.rs
+++ b/crates/arrowyard-pooler/tests/plane.rs
@@ -288,6 +288,27 @@
     assert_eq!(router.received(client), ["SETTLED 1.aa", "IDLE I 3.20"]);
 }
 
+/// Guards against lost commits in a planned change: a `COMMIT` with a blank behind it is a commit for hosts, and must
+/// be checked at the candidate like any other (LOST).
+#[test]
+fn a_commit_with_a_blank_behind_it_is_checked_at_the_candidate() {
+    let mut router = TestRouter::shared_by(1);
+    let candidate = Host { id: "i-2".into(), ..host(Phase::InService, DbRole::Replica, 1) };
+    router.send_snapshot(1, CONFIGURATION, vec![host(Phase::InService, DbRole::Primary, 1), candidate], 1);
+    let (client, primary) = begin_transaction(&mut router);
+    let change = Replacement { service: "s0".into(), candidate: "i-2".into(), term: 4 };
+    let planned = Replacements { fence: 9, planned: vec![change], ..Replacements::default() };
+    router.control_sends(Payload::Replacements(planned));
+    router.send(client, "QUERY a3 COMMIT ");
+    assert_eq!(router.received(primary), ["QUERY a3 COMMIT "], "the text is unchanged");
+    router.send(primary, "SETTLED 2.aa\nIDLE I 1.2");
+    assert_eq!(router.received(client), Vec::<String>::new(), "the candidate has not confirmed it");
+    let candidate = router.accept_connection_to("i-2");
+    router.received(candidate);
+    router.send(candidate, "ROW replica 1 1.2 0 8 1 2\nSETTLED -\nIDLE I 1.2");
+    assert_eq!(router.received(client), ["SETTLED 2.aa", "IDLE I 1.2"]);
+}
+
 /// Guards against lost commits in a planned change: a candidate that the router has not heard of cannot
 /// confirm a commit (LOST).
 #[test]
