--- a/crates/arrowyard-control/src/announcements.rs
+++ b/crates/arrowyard-control/src/announcements.rs
@@ -3,7 +3,31 @@
 
 use std::collections::BTreeMap;
 
-use arrowyard_messages::Replacement;
+use arrowyard_messages::{Payload, Replacement};
+use arrowyard_types::{TimeDelta, Timestamp};
+
+/// Validity of a forwarded list. The duty holder repeats its list four times a second while it is not empty.
+const FORWARDED_LIST_VALIDITY: TimeDelta = TimeDelta::from_millis(1000);
+
+/// The list of replacements last forwarded to routers, for those that subscribe later.
+#[derive(Debug, Default)]
+pub struct ForwardedList {
+    last: Option<(Timestamp, Payload)>,
+}
+
+impl ForwardedList {
+    /// Records a list that is forwarded now.
+    pub fn record(&mut self, now: Timestamp, list: Payload) {
+        self.last = Some((now, list));
+    }
+
+    /// The list to send to a router that subscribes now. A list that the duty holder no longer repeats may be
+    /// of a replacement that has ended.
+    pub fn for_subscriber(&self, now: Timestamp) -> Option<&Payload> {
+        let (at, list) = self.last.as_ref()?;
+        (now - *at < FORWARDED_LIST_VALIDITY).then_some(list)
+    }
+}
 
 /// Numbered lists of planned replacements under one fence, and the routers that act by them.
 #[derive(Debug, Default)]
--- a/crates/arrowyard-control/src/control.rs
+++ b/crates/arrowyard-control/src/control.rs
@@ -27,7 +27,7 @@
 use fastrand::Rng;
 use rustc_hash::FxHashMap;
 
-use crate::announcements::Announcements;
+use crate::announcements::{Announcements, ForwardedList};
 use crate::applied_state::PROMOTION_DUTY;
 use crate::promotion::{PrimaryWatch, Promotions};
 use crate::{DutyElection, HostRegistry, Output, PeerView, ProposalId, ReplicatedLog};
@@ -105,8 +105,7 @@
     /// Replacements of primaries last published to routers.
     published_replacements: arrowyard_messages::Replacements,
     announcements: Announcements,
-    /// The last list that was forwarded to routers.
-    forwarded_replacements: Option<Payload>,
+    forwarded_replacements: ForwardedList,
     /// Fencing token under which this machine carries out the duty.
     fence: Option<u64>,
     /// Fencing token that a majority has confirmed since this machine last lost the quorum, and the read
@@ -195,7 +194,7 @@
             primary_watches: BTreeMap::new(),
             published_replacements: arrowyard_messages::Replacements::default(),
             announcements: Announcements::default(),
-            forwarded_replacements: None,
+            forwarded_replacements: ForwardedList::default(),
             fence: None,
             confirmed: None,
             confirming: None,
@@ -297,7 +296,7 @@
             if self.is_able_to_vote(now) { None } else { self.unable_to_vote_since.or(Some(now)) };
         self.update_duty(now, commands);
         self.adjust_voter_set(now, commands);
-        self.publish_replacements(true, commands);
+        self.publish_replacements(now, true, commands);
         self.allocate_shares(now, commands);
     }
 
--- a/crates/arrowyard-control/src/control/duty.rs
+++ b/crates/arrowyard-control/src/control/duty.rs
@@ -128,7 +128,7 @@
             }
             promotion.poll(now, &hosts, &mut requests);
         }
-        self.publish_replacements(false, commands);
+        self.publish_replacements(now, false, commands);
         self.send_host_requests(now, requests, commands);
     }
 }
--- a/crates/arrowyard-control/src/control/feed.rs
+++ b/crates/arrowyard-control/src/control/feed.rs
@@ -50,7 +50,7 @@
         };
         self.connections.insert(conn, Connection::Router(router));
         self.send_snapshot(conn, commands);
-        if let Some(replacements) = self.forwarded_replacements.clone() {
+        if let Some(replacements) = self.forwarded_replacements.for_subscriber(now).cloned() {
             self.send(conn, replacements, commands);
         }
     }
--- a/crates/arrowyard-control/src/control/host_requests.rs
+++ b/crates/arrowyard-control/src/control/host_requests.rs
@@ -217,7 +217,7 @@
         let promotion = self.promotions.get_or_create(service);
         promotion.set_routers_informed(routers_informed);
         promotion.handle_reply(now, reply, &hosts, &mut requests);
-        self.publish_replacements(false, commands);
+        self.publish_replacements(now, false, commands);
         self.send_host_requests(now, requests, commands);
     }
 
--- a/crates/arrowyard-control/src/control/peers.rs
+++ b/crates/arrowyard-control/src/control/peers.rs
@@ -400,7 +400,7 @@
             }
             Payload::Suspect(suspect) => self.handle_suspicion(now, suspect, commands),
             Payload::Demotion(yielded) => self.handle_yielded(now, false, yielded, commands),
-            message @ Payload::Replacements(_) => self.forward_replacements(&message, commands),
+            message @ Payload::Replacements(_) => self.forward_replacements(now, message, commands),
             Payload::RelayedRequest(request) => self.relay_to_router(now, request, commands),
             Payload::ReplacementsSeen(seen) => self.handle_replacements_seen(false, &seen, commands),
             Payload::RelayedResponse(answer) => self.handle_relay_response(now, answer, commands),
--- a/crates/arrowyard-control/src/control/platform.rs
+++ b/crates/arrowyard-control/src/control/platform.rs
@@ -164,7 +164,7 @@
             departed: &self.departed_hosts,
         };
         let joined = self.promotions.get_or_create(service).survey_newcomers(now, &hosts, &mut requests);
-        self.publish_replacements(false, commands);
+        self.publish_replacements(now, false, commands);
         self.send_host_requests(now, requests, commands);
         joined
     }
--- a/crates/arrowyard-control/src/control/replacements.rs
+++ b/crates/arrowyard-control/src/control/replacements.rs
@@ -23,7 +23,7 @@
 
 impl Control {
     /// Publishes the replacements in progress when they change, and periodically while there are any.
-    pub(super) fn publish_replacements(&mut self, again: bool, commands: &mut Commands) {
+    pub(super) fn publish_replacements(&mut self, now: Timestamp, again: bool, commands: &mut Commands) {
         let replacements = self.replacements();
         let is_empty = replacements.services.is_empty() && replacements.planned.is_empty();
         let published = &self.published_replacements;
@@ -39,7 +39,7 @@
         self.published_replacements.clone_from(&replacements);
         let message = Payload::Replacements(replacements);
         self.broadcast_to_peers(&message, commands);
-        self.forward_replacements(&message, commands);
+        self.forward_replacements(now, message, commands);
     }
 
     fn replacements(&self) -> Replacements {
@@ -97,8 +97,8 @@
     }
 
     /// Forwards replacements to the subscribed routers, and to those that subscribe later.
-    pub(super) fn forward_replacements(&mut self, message: &Payload, commands: &mut Commands) {
-        self.forwarded_replacements = Some(message.clone());
+    pub(super) fn forward_replacements(&mut self, now: Timestamp, message: Payload, commands: &mut Commands) {
+        self.forwarded_replacements.record(now, message.clone());
         let mut subscribed: Vec<Conn> = self.subscribed_routers().map(|(conn, _)| conn).collect();
         subscribed.sort_unstable();
         subscribed.into_iter().for_each(|conn| self.send(conn, message.clone(), commands));
--- a/crates/arrowyard-control/src/lib.rs
+++ b/crates/arrowyard-control/src/lib.rs
@@ -12,7 +12,7 @@
 mod replicated_log;
 pub mod voter_set;
 
-pub use announcements::Announcements;
+pub use announcements::{Announcements, ForwardedList};
 pub use applied_state::{AppliedState, ChangeDigest, ChangeStatus, MAX_REMEMBERED_CHANGES, change_digest};
 pub use control::{Control, Departures, DiskHealth, LISTENERS, RelayOutcome, Relays};
 pub use duty::DutyElection;
--- a/crates/arrowyard-control/tests/control.rs
+++ b/crates/arrowyard-control/tests/control.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 
 use arrowyard_control::{
-    Announcements, AppliedState, DiskHealth, DutyElection, HostRegistry, HostsSnapshot, PeerView, Promotion,
-    PromotionRequest, Reply, RequestKind, Stage,
+    Announcements, AppliedState, DiskHealth, DutyElection, ForwardedList, HostRegistry, HostsSnapshot,
+    PeerView, Promotion, PromotionRequest, Reply, RequestKind, Stage,
+};
+use arrowyard_messages::{
+    DbRole, Duty, Entry, EntryPayload, Host, KnownControl, Payload, Phase, Replacement, Replacements,
 };
-use arrowyard_messages::{DbRole, Duty, Entry, EntryPayload, Host, KnownControl, Phase, Replacement};
 use arrowyard_protocol::{Observed, Position};
 use arrowyard_types::{TimeDelta, Timestamp};
 use fastrand::Rng;
@@ -725,6 +727,18 @@
     assert!(fixture.advance(TimeDelta::from_millis(60_000).micros() / 1000).is_empty());
 }
 
+/// Guards against commits that are checked at a host that is gone: a control machine missed the end of a replacement,
+/// and a router subscribes later.
+#[test]
+fn a_router_that_subscribes_receives_only_a_recent_list_of_replacements() {
+    let mut forwarded = ForwardedList::default();
+    assert_eq!(forwarded.for_subscriber(at(0)), None);
+    let list = Payload::Replacements(Replacements { fence: 1, number: 1, ..Replacements::default() });
+    forwarded.record(at(1000), list.clone());
+    assert_eq!(forwarded.for_subscriber(at(1999)), Some(&list));
+    assert_eq!(forwarded.for_subscriber(at(2000)), None);
+}
+
 #[test]
 fn a_failing_or_hanging_disk_is_unhealthy_until_it_accepts_writes() {
     let mut disk = DiskHealth::default();
