--- a/crates/arrowyard-control/src/control/api.rs
+++ b/crates/arrowyard-control/src/control/api.rs
@@ -1,14 +1,13 @@
 //! Calls of hosts and operators, described in `openapi/control.yaml`.
 
-use std::net::SocketAddrV4;
-
 use arrowyard_config::{ConfigError, Configuration};
-use arrowyard_messages::{ConfigRevision, DbRole, Entry, EntryPayload, Host, Phase, ip_to_u32};
+use arrowyard_messages::{ConfigRevision, Entry, EntryPayload, Host, Phase};
 use arrowyard_runtime::http::{HttpDecoder, Request, format_response};
 use arrowyard_runtime::{Commands, Conn};
 use arrowyard_types::{TimeDelta, Timestamp};
-use sonic_rs::{JsonValueTrait, Value};
+use sonic_rs::JsonValueTrait;
 
+use super::heartbeat::parse_heartbeat;
 use super::{Connection, Control};
 use crate::applied_state::to_change;
 use crate::{ChangeStatus, Output, ProposalId, ProposalOutcome, ReplicatedLog};
@@ -328,29 +327,3 @@
 fn parse_revision(body: &[u8]) -> Option<u64> {
     sonic_rs::get(body, ["revision"]).ok()?.as_u64()
 }
-
-/// Parses the body of a heartbeat.
-fn parse_heartbeat(id: &str, body: &[u8]) -> Result<Host, &'static str> {
-    let document: Value = sonic_rs::from_slice(body).map_err(|_| "The body is no JSON.")?;
-    let text = |field: &str| document.pointer([field]).and_then(|value| value.as_str()).map(str::to_string);
-    let count = |field: &str| document.pointer([field]).and_then(|value| value.as_f64());
-    let address: SocketAddrV4 =
-        text("address").and_then(|address| address.parse().ok()).ok_or("address: is no address.")?;
-    let phase = match text("phase").as_deref() {
-        Some("draining") => Phase::Draining,
-        Some("in_service") | None => Phase::InService,
-        Some(_) => return Err("phase: is no phase."),
-    };
-    let role = if text("db-role").as_deref() == Some("primary") { DbRole::Primary } else { DbRole::Replica };
-    Ok(Host {
-        id: id.to_string(),
-        service: text("service").filter(|service| !service.is_empty()).ok_or("service: is no text.")?,
-        ip: ip_to_u32(*address.ip()),
-        port: address.port().into(),
-        zone: text("zone").unwrap_or_default(),
-        capacity: count("capacity").unwrap_or(1.0).clamp(1.0, 1e6) as u32,
-        phase: phase.into(),
-        role: role.into(),
-        call_seq: count("call-seq").unwrap_or(0.0).max(0.0) as u64,
-    })
-}
--- a/crates/arrowyard-control/src/lib.rs
+++ b/crates/arrowyard-control/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use announcements::{Announcements, ForwardedList};
 pub use applied_state::{AppliedState, ChangeDigest, ChangeStatus, MAX_REMEMBERED_CHANGES, change_digest};
-pub use control::{Control, Departures, DiskHealth, LISTENERS, RelayOutcome, Relays};
+pub use control::{Control, Departures, DiskHealth, LISTENERS, RelayOutcome, Relays, parse_heartbeat};
 pub use duty::DutyElection;
 pub use host_registry::HostRegistry;
 pub use peer_view::PeerView;
--- a/crates/arrowyard-control/tests/control.rs
+++ b/crates/arrowyard-control/tests/control.rs
@@ -4,7 +4,7 @@
 
 use arrowyard_control::{
     Announcements, AppliedState, DiskHealth, DutyElection, ForwardedList, HostRegistry, HostsSnapshot,
-    PeerView, Promotion, PromotionRequest, Reply, RequestKind, Stage,
+    PeerView, Promotion, PromotionRequest, Reply, RequestKind, Stage, parse_heartbeat,
 };
 use arrowyard_messages::{
     DbRole, Duty, Entry, EntryPayload, Host, KnownControl, Payload, Phase, Replacement, Replacements,
@@ -739,6 +739,27 @@
     assert_eq!(forwarded.for_subscriber(at(2000)), None);
 }
 
+/// Guards against statements that no client sent (UNASKED): a line break in the name of a service or the id of a host
+/// ends the line in which control sends it to a host.
+#[test]
+fn a_heartbeat_whose_names_are_no_words_is_refused() {
+    let body = |service: &str| {
+        format!(r#"{{"service":"{service}","address":"10.0.0.9:80","db-role":"primary","call-seq":4}}"#)
+    };
+    let accepted = parse_heartbeat("i-1", body("s").as_bytes());
+    assert!(accepted.is_ok_and(|host| host.service == "s" && host.role() == DbRole::Primary));
+    for service in ["", "s x", r"s\r\nQUERY - WRITE t x", r"s\u0000"] {
+        assert_eq!(
+            parse_heartbeat("i-1", body(service).as_bytes()),
+            Err("service: is no word."),
+            "{service}"
+        );
+    }
+    for id in ["", "i 1", "i\r\nCLOSE", "i\u{85}"] {
+        assert_eq!(parse_heartbeat(id, body("s").as_bytes()), Err("id: is no word."), "{id:?}");
+    }
+}
+
 #[test]
 fn a_failing_or_hanging_disk_is_unhealthy_until_it_accepts_writes() {
     let mut disk = DiskHealth::default();
