--- a/crates/arrowyard-control/src/control/feed.rs
+++ b/crates/arrowyard-control/src/control/feed.rs
@@ -63,7 +63,7 @@
             number: 0,
             slot: applied.slot,
             configuration,
-            hosts: self.registry.hosts().cloned().collect(),
+            hosts: self.registry.hosts_by_change(),
             routers: self.routers,
             view: self.controls(),
         };
--- a/crates/arrowyard-control/src/control/peers.rs
+++ b/crates/arrowyard-control/src/control/peers.rs
@@ -347,7 +347,7 @@
             // A new connection proves that messages pass in both directions.
             (peer.incarnation, peer.hears_this_machine) = (hello.incarnation, true);
         }
-        let report = HostUpdate { hosts: self.registry.hosts().cloned().collect(), whole: true };
+        let report = HostUpdate { hosts: self.registry.hosts_by_change(), whole: true };
         self.send_to_peer(hello.ip, &Payload::HostUpdate(report), commands);
         self.with_log(now, commands, |log, out| log.observe_peer_progress(now, hello.ip, 0, out));
         if !self.quorum_reachable && self.can_reach_quorum(now) {
@@ -476,7 +476,7 @@
             if heartbeat.digest == local_digest { 0 } else { peer.digest_mismatches + 1 };
         if peer.digest_mismatches >= 2 {
             peer.digest_mismatches = 0;
-            let report = HostUpdate { hosts: self.registry.hosts().cloned().collect(), whole: true };
+            let report = HostUpdate { hosts: self.registry.hosts_by_change(), whole: true };
             self.send_to_peer(ip, &Payload::HostUpdate(report), commands);
         }
         if self.quorum_reachable && !self.can_reach_quorum(now) {
--- a/crates/arrowyard-control/src/control/registry_snapshot.rs
+++ b/crates/arrowyard-control/src/control/registry_snapshot.rs
@@ -33,7 +33,7 @@
 
 impl Control {
     pub(super) fn registry_snapshot(&self) -> RegistrySnapshot {
-        RegistrySnapshot { hosts: self.registry.hosts().cloned().collect(), routers: self.routers }
+        RegistrySnapshot { hosts: self.registry.hosts_by_change(), routers: self.routers }
     }
 
     /// Stores the registry if it has changed since the last time; nothing waits for this record.
--- a/crates/arrowyard-control/src/host_registry.rs
+++ b/crates/arrowyard-control/src/host_registry.rs
@@ -30,6 +30,8 @@
     /// Index by service: scanning all hosts for each of thousands of services would be too slow.
     by_service: BTreeMap<String, BTreeSet<String>>,
     digest: u64,
+    /// Number of the last change of a host.
+    last_change: u64,
 }
 
 /// Contribution of one host to the digest over all hosts (FNV-1a).
@@ -46,6 +48,8 @@
 struct HostEntry {
     host: Host,
     changed_at: Timestamp,
+    /// Orders the changes of all hosts: those that arrive in one message have the same time.
+    change: u64,
     /// Time of its last heartbeat to this machine.
     last_heartbeat: Option<Timestamp>,
     /// Unknown for hosts restored after a restart of this machine.
@@ -90,7 +94,7 @@
     /// here.
     pub fn restore_host(&mut self, now: Timestamp, host: Host, zone: &str) {
         let last_heartbeat = (host.zone == zone && host.phase() != Phase::Gone).then_some(now);
-        self.insert_entry(HostEntry { host, changed_at: now, last_heartbeat, departure: None });
+        self.insert_entry(now, host, last_heartbeat, None);
     }
 
     /// Expects heartbeats of a host from now on, unless it has sent some: if none arrives, it is silent.
@@ -112,8 +116,16 @@
         self.hosts().find(is_other)
     }
 
-    /// Replaces the entry of a host, and updates the service index and the digest.
-    fn insert_entry(&mut self, entry: HostEntry) {
+    /// Replaces the entry of a host that has changed, and updates the service index and the digest.
+    fn insert_entry(
+        &mut self,
+        now: Timestamp,
+        host: Host,
+        last_heartbeat: Option<Timestamp>,
+        departure: Option<Departure>,
+    ) {
+        self.last_change += 1;
+        let entry = HostEntry { host, changed_at: now, change: self.last_change, last_heartbeat, departure };
         self.digest = self.digest.wrapping_add(host_digest(&entry.host));
         let (id, service) = (entry.host.id.clone(), entry.host.service.clone());
         if let Some(previous) = self.hosts.insert(id.clone(), entry) {
@@ -157,7 +169,7 @@
             None => {
                 let is_gone = host.phase() == Phase::Gone;
                 let departure = is_gone.then_some(Departure { at: now, without_drain: false });
-                self.insert_entry(HostEntry { host, changed_at: now, last_heartbeat: None, departure });
+                self.insert_entry(now, host, None, departure);
                 true
             }
             Some(entry) => {
@@ -175,7 +187,7 @@
                     let without_drain = entry.host.phase() == Phase::InService;
                     let departs = (is_gone && !was_gone).then_some(Departure { at: now, without_drain });
                     let departure = departs.or(entry.departure);
-                    self.insert_entry(HostEntry { host, changed_at: now, last_heartbeat, departure });
+                    self.insert_entry(now, host, last_heartbeat, departure);
                 } else if let Some(entry) = self.hosts.get_mut(&host.id) {
                     entry.host.call_seq = host.call_seq;
                 }
@@ -208,6 +220,14 @@
         self.hosts.get(id).and_then(|entry| entry.last_heartbeat)
     }
 
+    /// All hosts in the order of their last changes. A registry that takes them over in this order names the
+    /// same primaries.
+    pub fn hosts_by_change(&self) -> Vec<Host> {
+        let mut entries: Vec<&HostEntry> = self.hosts.values().collect();
+        entries.sort_unstable_by_key(|entry| entry.change);
+        entries.into_iter().map(|entry| entry.host.clone()).collect()
+    }
+
     /// All hosts, departed ones included.
     pub fn hosts(&self) -> impl Iterator<Item = &Host> {
         self.hosts.values().map(|entry| &entry.host)
@@ -232,7 +252,7 @@
     pub fn primary(&self, service: &str) -> Option<&Host> {
         let leads =
             |entry: &&HostEntry| entry.host.phase() != Phase::Gone && entry.host.role() == DbRole::Primary;
-        self.entries_of(service).filter(leads).max_by_key(|entry| entry.changed_at).map(|entry| &entry.host)
+        self.entries_of(service).filter(leads).max_by_key(|entry| entry.change).map(|entry| &entry.host)
     }
 
     /// Order-independent digest over all hosts, by which machines detect that their registries differ.
--- a/crates/arrowyard-control/tests/control.rs
+++ b/crates/arrowyard-control/tests/control.rs
@@ -75,6 +75,23 @@
     assert_eq!(registry.hosts().count(), 0);
 }
 
+/// Guards against a service that never gets a primary again (RECOVER): a crashed primary is back under a new id, and
+/// the dead id passes for the primary after a restart or at a machine that is new, where all reports arrive at once.
+#[test]
+fn the_dead_id_of_a_primary_does_not_pass_for_the_live_one() {
+    let mut registry = HostRegistry::default();
+    registry.record_heartbeat(at(0), host("z-dead", DbRole::Primary, Phase::InService, 1));
+    registry.record_heartbeat(at(5000), host("a-live", DbRole::Primary, Phase::InService, 1));
+    let (mut restored, mut exchanged) = (HostRegistry::default(), HostRegistry::default());
+    for host in registry.hosts_by_change() {
+        restored.restore_host(at(0), host.clone(), "z");
+        exchanged.merge_report(at(9000), host);
+    }
+    for registry in [&registry, &restored, &exchanged] {
+        assert_eq!(registry.primary("s").map(|host| host.id.as_str()), Some("a-live"));
+    }
+}
+
 #[test]
 fn views_keep_live_machines_and_drop_failed_ones() {
     let (machines, mut rng) = (40_u32, Rng::with_seed(3));
