--- a/crates/arrowyard-pooler/src/plane.rs
+++ b/crates/arrowyard-pooler/src/plane.rs
@@ -7,6 +7,9 @@
 mod feed;
 mod hosts;
 mod ops;
+mod pool;
+mod probes;
+mod replies;
 mod shares;
 
 use std::collections::VecDeque;
@@ -29,7 +32,7 @@
 
 use commit_checks::CommitChecks;
 use feed::Feed;
-use hosts::ConnectionPool;
+use pool::ConnectionPool;
 use shares::Shares;
 
 /// The listeners of a router: clients, and readiness checks.
--- a/crates/arrowyard-pooler/src/plane/feed.rs
+++ b/crates/arrowyard-pooler/src/plane/feed.rs
@@ -274,7 +274,7 @@
     fn update_hosts(&mut self, now: Timestamp, hosts: &[Host]) {
         self.decision.update_hosts(now, hosts, &mut self.actions);
         let count = self.decision.hosts().count();
-        self.pools.resize_with(count.max(self.pools.len()), super::hosts::ConnectionPool::default);
+        self.pools.resize_with(count.max(self.pools.len()), super::pool::ConnectionPool::default);
     }
 
     fn update_router_count(&mut self, now: Timestamp, routers: u32, commands: &mut Commands) {
