--- a/crates/arrowyard-control/src/control.rs
+++ b/crates/arrowyard-control/src/control.rs
@@ -9,6 +9,7 @@
 mod feed;
 mod heartbeat;
 mod host_requests;
+mod peer_messages;
 mod peers;
 mod platform;
 mod registry_snapshot;
