--- a/crates/arrowyard-emulator/src/capacity.rs
+++ b/crates/arrowyard-emulator/src/capacity.rs
@@ -91,12 +91,8 @@
             .map(|change| at(start + 0.5 + change as f64 * seconds / changes as f64))
             .collect(),
         connection_limit: 57,
-        zones: 3,
-        tolerance: 1,
-        fence_checked: true,
-        surges: Vec::new(),
         divide_hosts: true,
-        shares: String::new(),
+        ..DeploymentPlan::default()
     };
     let mut deployment = Deployment::new(plan);
     deployment.simulation.run_until(at(start));
--- a/crates/arrowyard-emulator/src/catch_up.rs
+++ b/crates/arrowyard-emulator/src/catch_up.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use arrowyard_runtime::http::format_request;
-use arrowyard_types::{TimeDelta, Timestamp};
+use arrowyard_types::TimeDelta;
 
 use crate::deployment::{Deployment, DeploymentPlan};
 
@@ -35,27 +35,6 @@
     }
 }
 
-fn deployment_plan() -> DeploymentPlan {
-    DeploymentPlan {
-        seed: 11,
-        controls: 3,
-        routers: 2,
-        services: 1,
-        users: 0,
-        think_time: TimeDelta::from_millis(100),
-        load_start: Timestamp::from_micros(0),
-        load_end: Timestamp::from_micros(3_600_000_000),
-        changes: Vec::new(),
-        connection_limit: 40,
-        zones: 3,
-        tolerance: 1,
-        fence_checked: true,
-        surges: Vec::new(),
-        divide_hosts: false,
-        shares: String::new(),
-    }
-}
-
 fn route_json(number: usize, deadline: u64) -> String {
     format!(
         "{{\"name\":\"r-{number}\",\"plant\":\"p{number}\",\"path-prefix\":\"/\",\"kind\":\"primary\",\"deadline-ms\":{deadline},\
@@ -82,7 +61,7 @@
 /// # Errors
 /// If a change is not accepted, or if the machine does not catch up.
 pub fn measure_catch_up(entries: u64, routes: usize) -> Result<CatchUp, String> {
-    let mut deployment = Deployment::new(deployment_plan());
+    let mut deployment = Deployment::new(DeploymentPlan { seed: 11, ..DeploymentPlan::default() });
     advance(&mut deployment, TimeDelta::from_millis(6000));
     let mut revision = FIRST_REVISION + 1;
     let route_objects: Vec<String> = (0..routes).map(|number| route_json(number, 800)).collect();
--- a/crates/arrowyard-emulator/src/deployment.rs
+++ b/crates/arrowyard-emulator/src/deployment.rs
@@ -49,6 +49,30 @@
     pub shares: String,
 }
 
+/// Three control machines, two routers and one service, without clients.
+impl Default for DeploymentPlan {
+    fn default() -> Self {
+        DeploymentPlan {
+            seed: 1,
+            controls: 3,
+            routers: 2,
+            services: 1,
+            users: 0,
+            think_time: TimeDelta::from_millis(100),
+            load_start: Timestamp::from_micros(0),
+            load_end: Timestamp::from_micros(3_600_000_000),
+            changes: Vec::new(),
+            connection_limit: 40,
+            zones: 3,
+            tolerance: 1,
+            fence_checked: true,
+            surges: Vec::new(),
+            divide_hosts: false,
+            shares: String::new(),
+        }
+    }
+}
+
 /// Additional clients of one kind for a limited time.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/arrowyard-emulator/tests/control.rs
+++ b/crates/arrowyard-emulator/tests/control.rs
@@ -8,7 +8,7 @@
 };
 use arrowyard_runtime::Signal;
 use arrowyard_runtime::http::format_request;
-use arrowyard_types::{TimeDelta, Timestamp};
+use arrowyard_types::TimeDelta;
 
 fn ms(millis: i64) -> TimeDelta {
     TimeDelta::from_millis(millis)
@@ -21,24 +21,7 @@
 }
 
 fn deployment_plan(controls: usize, tolerance: u32) -> DeploymentPlan {
-    DeploymentPlan {
-        seed: 5,
-        controls,
-        routers: 2,
-        services: 1,
-        users: 0,
-        think_time: ms(100),
-        load_start: Timestamp::from_micros(0),
-        load_end: Timestamp::from_micros(3_600_000_000),
-        changes: Vec::new(),
-        connection_limit: 40,
-        zones: 3,
-        tolerance,
-        fence_checked: true,
-        surges: Vec::new(),
-        divide_hosts: false,
-        shares: String::new(),
-    }
+    DeploymentPlan { seed: 5, controls, tolerance, ..DeploymentPlan::default() }
 }
 
 impl Fleet {
--- a/crates/arrowyard-emulator/tests/lost_hosts.rs
+++ b/crates/arrowyard-emulator/tests/lost_hosts.rs
@@ -17,24 +17,7 @@
 
 /// Three control machines and one service of three hosts, which are in service.
 fn start_deployment() -> Deployment {
-    let mut deployment = Deployment::new(DeploymentPlan {
-        seed: 5,
-        controls: 3,
-        routers: 2,
-        services: 1,
-        users: 0,
-        think_time: ms(100),
-        load_start: Timestamp::from_micros(0),
-        load_end: Timestamp::from_micros(3_600_000_000),
-        changes: Vec::new(),
-        connection_limit: 40,
-        zones: 3,
-        tolerance: 1,
-        fence_checked: true,
-        surges: Vec::new(),
-        divide_hosts: false,
-        shares: String::new(),
-    });
+    let mut deployment = Deployment::new(DeploymentPlan { seed: 5, ..DeploymentPlan::default() });
     advance(&mut deployment, ms(8000));
     deployment
 }
