--- a/crates/arrowyard-control/src/control.rs
+++ b/crates/arrowyard-control/src/control.rs
@@ -7,6 +7,7 @@
 mod duty;
 mod fair_shares;
 mod feed;
+mod floors;
 mod heartbeat;
 mod host_requests;
 mod peer_messages;
@@ -32,7 +33,9 @@
 use crate::announcements::{Announcements, ForwardedList};
 use crate::applied_state::PROMOTION_DUTY;
 use crate::promotion::{PrimaryWatch, Promotions};
-use crate::{DutyElection, HostRegistry, Output, PeerView, ProposalId, ReplicatedLog};
+use crate::{
+    DutyElection, HostRegistry, Output, PeerView, ProposalId, PublishedFloors, ReplicatedLog, Silences,
+};
 
 use api::ApiConnection;
 pub use departures::Departures;
@@ -95,7 +98,8 @@
     registry: HostRegistry,
     /// Digest of the hosts and router count last stored.
     stored_digest: u64,
-    silent_hosts: BTreeMap<String, Timestamp>,
+    silences: Silences,
+    published_floors: PublishedFloors,
     view: PeerView,
     duty: DutyElection,
     promotions: Promotions,
@@ -185,7 +189,8 @@
             vote_announced: false,
             stored_digest: registry.digest(),
             registry,
-            silent_hosts: BTreeMap::new(),
+            silences: Silences::default(),
+            published_floors: PublishedFloors::default(),
             view,
             duty,
             promotions: Promotions::default(),
@@ -294,6 +299,7 @@
         self.update_duty(now, commands);
         self.adjust_voter_set(now, commands);
         self.publish_replacements(now, true, commands);
+        self.publish_floors(commands);
         self.allocate_shares(now, commands);
     }
 
--- a/crates/arrowyard-control/src/control/api.rs
+++ b/crates/arrowyard-control/src/control/api.rs
@@ -161,10 +161,13 @@
 
     /// Records a host's heartbeat. Refers the host to a control machine of its own zone if there is one.
     fn handle_heartbeat(&mut self, now: Timestamp, conn: Conn, host: Host, commands: &mut Commands) {
-        self.silent_hosts.remove(&host.id);
+        let is_new_here = self.registry.last_heartbeat_at(&host.id).is_none();
+        let was_silent = self.end_silence(&host.id);
         let zone = host.zone.clone();
         if self.registry.record_heartbeat(now, host.clone()) {
             self.publish_host_change(now, host.clone(), commands);
+        } else if was_silent || is_new_here {
+            self.publish_heard(&host.id, commands);
         }
         let zone_control = if zone == self.settings.zone { None } else { self.peer_in_zone(now, &zone) };
         let body = match zone_control.and_then(|ip| self.api_address(ip)) {
@@ -181,7 +184,7 @@
     /// Records the departure of a host. A host unknown here may be known elsewhere, so its departure is
     /// stored and published as well.
     fn handle_leave(&mut self, now: Timestamp, conn: Conn, id: &str, commands: &mut Commands) {
-        self.silent_hosts.remove(id);
+        self.end_silence(id);
         let known = self.registry.get(id).cloned();
         let departed = self.record_departure(
             now,
--- a/crates/arrowyard-control/src/control/duty.rs
+++ b/crates/arrowyard-control/src/control/duty.rs
@@ -35,6 +35,9 @@
         self.set_decision_start(now, after_another);
         self.promotions = Promotions::default();
         self.announcements = Announcements::default();
+        if fence.is_some() {
+            self.take_over_floors();
+        }
         self.drop_platform_calls(commands);
         match fence {
             Some(fence) => log::info!("duty: holds `promote` under fencing token {fence}"),
@@ -112,7 +115,7 @@
         let mut requests = Vec::new();
         let informed: BTreeSet<&String> =
             services.iter().filter(|service| self.are_routers_informed(now, service)).collect();
-        let hosts = HostsSnapshot { registry: &self.registry, silent: &self.silent_hosts };
+        let hosts = HostsSnapshot { registry: &self.registry, silent: self.silences.since() };
         for service in &services {
             let promotion = self.promotions.get_or_create(service);
             promotion.set_primary_watch(&self.primary_watches[service]);
--- a/crates/arrowyard-control/src/control/host_requests.rs
+++ b/crates/arrowyard-control/src/control/host_requests.rs
@@ -209,7 +209,7 @@
         }
         let mut requests = Vec::new();
         let routers_informed = self.are_routers_informed(now, service);
-        let hosts = HostsSnapshot { registry: &self.registry, silent: &self.silent_hosts };
+        let hosts = HostsSnapshot { registry: &self.registry, silent: self.silences.since() };
         let promotion = self.promotions.get_or_create(service);
         promotion.set_routers_informed(routers_informed);
         promotion.handle_reply(now, reply, &hosts, &mut requests);
--- a/crates/arrowyard-control/src/control/peer_messages.rs
+++ b/crates/arrowyard-control/src/control/peer_messages.rs
@@ -53,6 +53,7 @@
         }
         let report = HostUpdate { hosts: self.registry.hosts_by_change(), whole: true };
         self.send_to_peer(hello.ip, &Payload::HostUpdate(report), commands);
+        self.send_floors(hello.ip, commands);
         self.with_log(now, commands, |log, out| log.observe_peer_progress(now, hello.ip, 0, out));
         if !self.quorum_reachable && self.can_reach_quorum(now) {
             self.update_quorum_status(now, commands);
@@ -97,11 +98,12 @@
         match message {
             Payload::Hello(hello) => self.handle_hello(now, &hello, commands),
             Payload::Heartbeat(heartbeat) => self.handle_peer_heartbeat(now, ip, &heartbeat, commands),
-            Payload::HostUpdate(update) => self.handle_host_update(now, update, commands),
+            Payload::HostUpdate(update) => self.handle_host_update(now, ip, update, commands),
             Payload::DepartureNotice(notice) => self.handle_departure_notice(now, ip, notice, commands),
             Payload::DepartureStored(stored) => {
                 self.handle_departure_stored(now, ip, stored.number, commands)
             }
+            Payload::ReplicaFloors(floors) => self.handle_floors(floors),
             Payload::Suspect(suspect) => self.handle_suspicion(now, suspect, commands),
             Payload::Demotion(yielded) => self.handle_yielded(now, false, yielded, commands),
             message @ Payload::Replacements(_) => self.forward_replacements(now, message, commands),
@@ -115,18 +117,18 @@
         }
     }
 
-    fn handle_host_update(&mut self, now: Timestamp, update: HostUpdate, commands: &mut Commands) {
+    fn handle_host_update(&mut self, now: Timestamp, ip: u32, update: HostUpdate, commands: &mut Commands) {
         let HostUpdate { hosts, whole } = update;
         let mut changed_hosts = Vec::new();
         for host in hosts {
             let is_unknown = self.registry.get(&host.id).is_none();
+            let has_changed = self.registry.merge_report(now, host.clone());
             if !whole {
-                self.registry.clear_heartbeat(&host.id);
+                self.registry.record_receiver(&host.id, ip);
             }
-            let has_changed = self.registry.merge_report(now, host.clone());
-            // A whole registry names silent hosts as well; only a change shows that the peer has heard one.
-            if !whole || has_changed {
-                self.silent_hosts.remove(&host.id);
+            // A whole registry names silent hosts as well; only a change or a later call shows that one was heard.
+            if !whole || has_changed || self.silences.is_ended_by(&host.id, host.call_seq) {
+                self.end_silence(&host.id);
             }
             if !has_changed {
                 continue;
@@ -144,6 +146,12 @@
         }
     }
 
+    /// Tells all control machines that a host sends heartbeats here.
+    pub(super) fn publish_heard(&mut self, id: &str, commands: &mut Commands) {
+        let hosts = self.registry.get(id).cloned().into_iter().collect();
+        self.broadcast_to_peers(&Payload::HostUpdate(HostUpdate { hosts, whole: false }), commands);
+    }
+
     fn handle_peer_heartbeat(
         &mut self,
         now: Timestamp,
@@ -174,6 +182,7 @@
         peer.disk_fails = heartbeat.disk_failing;
         peer.stopping = heartbeat.shutting_down;
         peer.hears_this_machine = heartbeat.reachable.contains(&self.local_ip);
+        peer.hears.clone_from(&heartbeat.reachable);
         // Updates in transit make the digests differ briefly; a lasting difference triggers a full
         // exchange.
         peer.digest_mismatches =
@@ -192,12 +201,16 @@
                 .registry
                 .last_heartbeat_at(&silent.id)
                 .is_some_and(|at| (now - at).micros() / 1000 < silent.silent_ms as i64);
+            // Safety: a machine that is cut off from the one that receives the heartbeats takes the host for
+            // silent, and a floor observed meanwhile would not cover what the host acknowledges.
+            let receiver = self.registry.receiver(&silent.id).filter(|machine| *machine != ip);
+            let is_received = receiver
+                .is_some_and(|machine| self.reachable_peers(now).any(|(reachable, _)| *reachable == machine));
             if here {
-                let hosts = self.registry.get(&silent.id).cloned().into_iter().collect();
-                self.broadcast_to_peers(&Payload::HostUpdate(HostUpdate { hosts, whole: false }), commands);
-            } else {
+                self.publish_heard(&silent.id, commands);
+            } else if !is_received {
                 let since = now - TimeDelta::from_millis(silent.silent_ms as i64);
-                self.silent_hosts.entry(silent.id.clone()).or_insert(since);
+                self.silences.report(&silent.id, since, silent.last_call);
             }
         }
         let (chosen, from) = (heartbeat.chosen, ip);
--- a/crates/arrowyard-control/src/control/peers.rs
+++ b/crates/arrowyard-control/src/control/peers.rs
@@ -1,5 +1,6 @@
 //! Connections, heartbeats and reachability among control machines.
 
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
 use arrowyard_messages::{FrameDecoder, Heartbeat, Hello, Payload, encode_payload};
@@ -40,6 +41,8 @@
     pub disk_fails: bool,
     /// Whether it is shutting down.
     pub stopping: bool,
+    /// The machines that it hears, as it last reported; only voters report them.
+    pub(super) hears: Vec<u32>,
     /// Whether it last reported that it hears this machine.
     pub(super) hears_this_machine: bool,
     /// Start of the current period of contact, and the last message.
@@ -176,20 +179,29 @@
 
     /// Detects hosts that stopped sending heartbeats to this machine.
     fn detect_silent_hosts(&mut self, now: Timestamp) {
+        let hears = |(ip, peer): (&u32, &Peer)| std::iter::once(*ip).chain(peer.hears.clone());
+        let heard: BTreeSet<u32> = self.reachable_peers(now).flat_map(hears).collect();
+        // Safety: a machine that others hear still receives heartbeats, and its hosts are not silent.
+        self.registry.expect_heartbeats_of(now, |machine| !heard.contains(&machine));
         let silence_limit = TimeDelta::from_millis((self.settings.heartbeat_interval_ms as f64 * 2.5) as i64);
-        let is_silent =
-            |id: &str| self.registry.last_heartbeat_at(id).is_some_and(|at| now - at >= silence_limit);
+        let is_silent = |id: &str| self.registry.silent_since(id).is_some_and(|at| now - at >= silence_limit);
         let live = self.registry.hosts().filter(|host| host.phase() != arrowyard_messages::Phase::Gone);
         let ids: Vec<String> = live.filter(|host| is_silent(&host.id)).map(|host| host.id.clone()).collect();
         for id in &ids {
-            let since = self.registry.last_heartbeat_at(id).unwrap_or(now);
-            self.silent_hosts.entry(id.clone()).or_insert(since);
+            let since = self.registry.silent_since(id).unwrap_or(now);
+            let last_call = self.registry.get(id).map_or(0, |host| host.call_seq);
+            self.silences.report(id, since, last_call);
         }
         self.local_silent_hosts = ids
             .into_iter()
             .map(|id| {
-                let since = self.registry.last_heartbeat_at(&id).unwrap_or(now);
-                arrowyard_messages::SilentHost { id, silent_ms: ((now - since).micros() / 1000) as u64 }
+                let since = self.registry.silent_since(&id).unwrap_or(now);
+                let last_call = self.registry.get(&id).map_or(0, |host| host.call_seq);
+                arrowyard_messages::SilentHost {
+                    id,
+                    silent_ms: ((now - since).micros() / 1000) as u64,
+                    last_call,
+                }
             })
             .collect();
     }
--- a/crates/arrowyard-control/src/control/platform.rs
+++ b/crates/arrowyard-control/src/control/platform.rs
@@ -158,7 +158,7 @@
     /// Whether a host has joined the service since the survey, which is then repeated.
     fn survey_newcomers(&mut self, now: Timestamp, service: &str, commands: &mut Commands) -> bool {
         let mut requests = Vec::new();
-        let hosts = HostsSnapshot { registry: &self.registry, silent: &self.silent_hosts };
+        let hosts = HostsSnapshot { registry: &self.registry, silent: self.silences.since() };
         let joined = self.promotions.get_or_create(service).survey_newcomers(now, &hosts, &mut requests);
         self.publish_replacements(now, false, commands);
         self.send_host_requests(now, requests, commands);
--- a/crates/arrowyard-control/src/control/relays.rs
+++ b/crates/arrowyard-control/src/control/relays.rs
@@ -164,7 +164,7 @@
         let Some(host) = self.registry.get(id) else { return };
         let service = host.service.clone();
         let is_primary = self.registry.primary(&service).is_some_and(|primary| primary.id == id);
-        if is_primary || !self.silent_hosts.contains_key(id) {
+        if is_primary || !self.silences.contains(id) {
             return;
         }
         let peers = self.random_peers(OTHER_MACHINES);
--- a/crates/arrowyard-control/src/control/status.rs
+++ b/crates/arrowyard-control/src/control/status.rs
@@ -21,7 +21,7 @@
                 text(&host.zone),
                 text(host.phase().as_str()),
                 text(host.role().as_str()),
-                self.silent_hosts.contains_key(&host.id)
+                self.silences.contains(&host.id)
             )
         });
         let routers = self.subscribed_routers().map(|(_, router)| {
--- a/crates/arrowyard-control/src/control/suspicions.rs
+++ b/crates/arrowyard-control/src/control/suspicions.rs
@@ -33,7 +33,7 @@
 
     fn check_primary(&mut self, now: Timestamp, suspect: &Suspect, commands: &mut Commands) {
         let mut requests = Vec::new();
-        let hosts = HostsSnapshot { registry: &self.registry, silent: &self.silent_hosts };
+        let hosts = HostsSnapshot { registry: &self.registry, silent: self.silences.since() };
         self.promotions.get_or_create(&suspect.service).suspect_primary(
             now,
             &suspect.host,
--- a/crates/arrowyard-control/src/host_registry.rs
+++ b/crates/arrowyard-control/src/host_registry.rs
@@ -22,6 +22,28 @@
     pub without_drain: bool,
 }
 
+/// Which control machine receives the heartbeats of a host, as far as this machine knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HeartbeatReceiver {
+    Unknown,
+    /// This machine, the last one at this time.
+    ThisMachine(Timestamp),
+    /// Perhaps none: if no heartbeat arrives here or elsewhere, the host is silent since this time.
+    Expected(Timestamp),
+    /// The machine that last reported to receive them.
+    OtherMachine(u32),
+}
+
+impl HeartbeatReceiver {
+    /// Since when a host that is to send heartbeats here has sent none.
+    fn silent_since(self) -> Option<Timestamp> {
+        match self {
+            HeartbeatReceiver::ThisMachine(at) | HeartbeatReceiver::Expected(at) => Some(at),
+            HeartbeatReceiver::Unknown | HeartbeatReceiver::OtherMachine(_) => None,
+        }
+    }
+}
+
 /// Database hosts known to the control plane. The control machine of a zone receives the heartbeats of
 /// its hosts; the others receive its reports.
 #[derive(Debug, Default)]
@@ -50,8 +72,7 @@
     changed_at: Timestamp,
     /// Orders the changes of all hosts: those that arrive in one message have the same time.
     change: u64,
-    /// Time of its last heartbeat to this machine.
-    last_heartbeat: Option<Timestamp>,
+    receiver: HeartbeatReceiver,
     /// Unknown for hosts restored after a restart of this machine.
     departure: Option<Departure>,
 }
@@ -80,12 +101,12 @@
                 Phase::Draining => DRAINING_SEQUENCE_RESET_TIMEOUT,
                 Phase::InService => SEQUENCE_RESET_TIMEOUT,
             };
-            entry.last_heartbeat.is_some_and(|at| now - at >= silence)
+            entry.receiver.silent_since().is_some_and(|at| now - at >= silence)
         });
         let id = host.id.clone();
         let changed = self.merge(now, host, sequence_reset);
         if let Some(entry) = self.hosts.get_mut(&id) {
-            entry.last_heartbeat = Some(now);
+            entry.receiver = HeartbeatReceiver::ThisMachine(now);
         }
         changed
     }
@@ -93,16 +114,21 @@
     /// Restores a host recorded before a restart. Hosts of the local zone are expected to send heartbeats
     /// here.
     pub fn restore_host(&mut self, now: Timestamp, host: Host, zone: &str) {
-        let last_heartbeat = (host.zone == zone && host.phase() != Phase::Gone).then_some(now);
-        self.insert_entry(now, host, last_heartbeat, None);
+        let (id, is_local) = (host.id.clone(), host.zone == zone);
+        self.insert_entry(now, host, None);
+        if is_local {
+            self.expect_heartbeats(now, &id);
+        }
     }
 
-    /// Expects heartbeats of a host from now on, unless it has sent some: if none arrives, it is silent.
+    /// Expects heartbeats of a host from now on, if no machine is known to receive them: if none arrives, it is
+    /// silent.
     pub fn expect_heartbeats(&mut self, now: Timestamp, id: &str) {
         if let Some(entry) = self.hosts.get_mut(id)
             && entry.host.phase() != Phase::Gone
+            && entry.receiver == HeartbeatReceiver::Unknown
         {
-            entry.last_heartbeat.get_or_insert(now);
+            entry.receiver = HeartbeatReceiver::Expected(now);
         }
     }
 
@@ -117,15 +143,10 @@
     }
 
     /// Replaces the entry of a host that has changed, and updates the service index and the digest.
-    fn insert_entry(
-        &mut self,
-        now: Timestamp,
-        host: Host,
-        last_heartbeat: Option<Timestamp>,
-        departure: Option<Departure>,
-    ) {
+    fn insert_entry(&mut self, now: Timestamp, host: Host, departure: Option<Departure>) {
         self.last_change += 1;
-        let entry = HostEntry { host, changed_at: now, change: self.last_change, last_heartbeat, departure };
+        let receiver = self.hosts.get(&host.id).map_or(HeartbeatReceiver::Unknown, |entry| entry.receiver);
+        let entry = HostEntry { host, changed_at: now, change: self.last_change, receiver, departure };
         self.digest = self.digest.wrapping_add(host_digest(&entry.host));
         let (id, service) = (entry.host.id.clone(), entry.host.service.clone());
         if let Some(previous) = self.hosts.insert(id.clone(), entry) {
@@ -151,9 +172,19 @@
     }
 
     /// Records that a host sends its heartbeats to another control machine.
-    pub fn clear_heartbeat(&mut self, id: &str) {
+    pub fn record_receiver(&mut self, id: &str, machine: u32) {
         if let Some(entry) = self.hosts.get_mut(id) {
-            entry.last_heartbeat = None;
+            entry.receiver = HeartbeatReceiver::OtherMachine(machine);
+        }
+    }
+
+    /// Expects heartbeats of all hosts that have sent them to control machines that are lost: they turn to another
+    /// machine, which reports it, unless they have failed as well.
+    pub fn expect_heartbeats_of(&mut self, now: Timestamp, is_lost: impl Fn(u32) -> bool) {
+        for entry in self.hosts.values_mut().filter(|entry| entry.host.phase() != Phase::Gone) {
+            if matches!(entry.receiver, HeartbeatReceiver::OtherMachine(machine) if is_lost(machine)) {
+                entry.receiver = HeartbeatReceiver::Expected(now);
+            }
         }
     }
 
@@ -169,7 +200,7 @@
             None => {
                 let is_gone = host.phase() == Phase::Gone;
                 let departure = is_gone.then_some(Departure { at: now, without_drain: false });
-                self.insert_entry(now, host, None, departure);
+                self.insert_entry(now, host, departure);
                 true
             }
             Some(entry) => {
@@ -183,11 +214,10 @@
                 }
                 let changed = !is_equivalent(&entry.host, &host);
                 if changed {
-                    let last_heartbeat = entry.last_heartbeat;
                     let without_drain = entry.host.phase() == Phase::InService;
                     let departs = (is_gone && !was_gone).then_some(Departure { at: now, without_drain });
                     let departure = departs.or(entry.departure);
-                    self.insert_entry(now, host, last_heartbeat, departure);
+                    self.insert_entry(now, host, departure);
                 } else if let Some(entry) = self.hosts.get_mut(&host.id) {
                     entry.host.call_seq = host.call_seq;
                 }
@@ -215,9 +245,25 @@
         self.hosts.get(id).map(|entry| &entry.host)
     }
 
-    /// When a host last sent a heartbeat to this machine.
+    /// When a host last sent a heartbeat to this machine, if it still does.
     pub fn last_heartbeat_at(&self, id: &str) -> Option<Timestamp> {
-        self.hosts.get(id).and_then(|entry| entry.last_heartbeat)
+        match self.hosts.get(id)?.receiver {
+            HeartbeatReceiver::ThisMachine(at) => Some(at),
+            _ => None,
+        }
+    }
+
+    /// The other control machine that last reported to receive the heartbeats of a host.
+    pub fn receiver(&self, id: &str) -> Option<u32> {
+        match self.hosts.get(id)?.receiver {
+            HeartbeatReceiver::OtherMachine(machine) => Some(machine),
+            _ => None,
+        }
+    }
+
+    /// Since when a host that is to send heartbeats to this machine has sent none.
+    pub fn silent_since(&self, id: &str) -> Option<Timestamp> {
+        self.hosts.get(id)?.receiver.silent_since()
     }
 
     /// All hosts in the order of their last changes. A registry that takes them over in this order names the
--- a/crates/arrowyard-control/src/lib.rs
+++ b/crates/arrowyard-control/src/lib.rs
@@ -10,6 +10,7 @@
 mod promotion;
 mod record;
 mod replicated_log;
+mod silences;
 pub mod voter_set;
 
 pub use announcements::{Announcements, ForwardedList};
@@ -23,3 +24,4 @@
 };
 pub use record::{Record, RecordKind, RegistrySnapshot};
 pub use replicated_log::{Output, ProposalId, ProposalOutcome, ReplicatedLog};
+pub use silences::{PublishedFloors, Silences};
--- a/crates/arrowyard-control/src/promotion/mod.rs
+++ b/crates/arrowyard-control/src/promotion/mod.rs
@@ -205,6 +205,22 @@
         self.primary_watch.clone_from(primary_watch);
     }
 
+    /// The floors of silent replicas.
+    pub fn floors(&self) -> impl Iterator<Item = (&String, &Position)> {
+        self.floors.iter()
+    }
+
+    /// Takes over a floor that the previous duty holder has observed.
+    pub fn restore_floor(&mut self, host: &str, floor: Position) {
+        self.floors.insert(host.to_string(), floor);
+    }
+
+    /// Forgets the floor of a host that was heard.
+    pub fn forget_floor(&mut self, host: &str) {
+        self.floors.remove(host);
+        self.floor_pending.remove(host);
+    }
+
     /// Treats a silent replica as one that acknowledged nothing, without asking the primary. Only for a
     /// model checker, which has to detect the resulting data loss.
     pub fn assume_no_floor(&mut self, host: &str) {
--- a/crates/arrowyard-emulator/tests/lost_hosts.rs
+++ b/crates/arrowyard-emulator/tests/lost_hosts.rs
@@ -2,6 +2,7 @@
 //! clients.
 
 use arrowyard_emulator::{Deployment, DeploymentPlan};
+use arrowyard_runtime::http::format_request;
 use arrowyard_types::{TimeDelta, Timestamp};
 
 /// How long a draining host serves after its heartbeat, plus a margin.
@@ -11,6 +12,9 @@
 /// Time in which a failed primary must be replaced: the silence of 3 s, the survey, and the platform.
 const FAILOVER_BOUND: TimeDelta = TimeDelta::from_millis(8000);
 
+/// Time in which another control machine takes over the duty of one that has failed.
+const DUTY_BOUND: TimeDelta = TimeDelta::from_millis(4000);
+
 fn ms(millis: i64) -> TimeDelta {
     TimeDelta::from_millis(millis)
 }
@@ -118,3 +122,43 @@
     deployment.stop_host(primary, true);
     assert!(is_replaced_within(&mut deployment, &old_primary, FAILOVER_BOUND));
 }
+
+/// Guards against a service that never gets a primary again (RECOVER): the duty holder, which alone knew what a replica
+/// that was lost for good may have acknowledged, fails together with the primary.
+#[test]
+fn a_primary_is_replaced_beside_a_lost_replica_whichever_control_machine_fails_with_it() {
+    for number in 0..3 {
+        let mut deployment = start_deployment();
+        let primary = deployment.host_index_of(0, true, 0).expect("a primary");
+        let replica = deployment.host_index_of(0, false, 0).expect("a replica");
+        let old_primary = deployment.hosts[primary].id.clone();
+        deployment.stop_host(replica, true);
+        advance(&mut deployment, ms(6000));
+        deployment.remove_control(number);
+        deployment.stop_host(primary, true);
+        let bound = FAILOVER_BOUND + DUTY_BOUND;
+        assert!(is_replaced_within(&mut deployment, &old_primary, bound), "control machine {number}");
+    }
+}
+
+/// Guards against lost commits (LOST): a control machine that is cut off from the one that receives the heartbeats of
+/// live replicas takes them for silent, and what they acknowledge from then on is not waited for.
+#[test]
+fn hosts_are_not_silent_while_any_control_machine_receives_their_heartbeats() {
+    let status = format_request("GET", "/status", "c", &[], "");
+    for (one, other) in [(0, 1), (0, 2), (1, 2)] {
+        let mut deployment = start_deployment();
+        let machines = (deployment.controls[one], deployment.controls[other]);
+        deployment.simulation.partition(machines.0, machines.1);
+        for _ in 0..10 {
+            advance(&mut deployment, ms(1000));
+            for number in 0..3 {
+                let (code, body) = deployment.call(number, &status);
+                assert!(
+                    code == 200 && !body.contains("\"silent\":true"),
+                    "{one} and {other}, at {number}: {body}"
+                );
+            }
+        }
+    }
+}
--- a/crates/arrowyard-messages/src/message.rs
+++ b/crates/arrowyard-messages/src/message.rs
@@ -12,7 +12,7 @@
 pub struct Frame {
     #[prost(
         oneof = "Payload",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27"
     )]
     pub payload: Option<Payload>,
 }
@@ -72,6 +72,8 @@
     RelayedResponse(RelayedResponse),
     #[prost(message, tag = "26")]
     ReplacementsSeen(ReplacementsSeen),
+    #[prost(message, tag = "27")]
+    ReplicaFloors(ReplicaFloors),
 }
 
 /// The first frame on a connection, sent by both ends.
@@ -145,6 +147,9 @@
     /// Time since its last heartbeat.
     #[prost(uint64, tag = "2")]
     pub silent_ms: u64,
+    /// Number of its last call to the sender, which identifies the silence.
+    #[prost(uint64, tag = "3")]
+    pub last_call: u64,
 }
 
 /// A ballot, ordered by round, then by proposer, then by the incarnation of the proposer. A machine that
@@ -620,6 +625,35 @@
     pub router: u64,
 }
 
+/// From the holder of the duty to all control machines: positions that primaries had after replicas of theirs
+/// fell silent. The next holder needs them if this one fails together with a primary.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct ReplicaFloors {
+    /// Fence of the duty when the holder acquired it.
+    #[prost(uint64, tag = "1")]
+    pub fence: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub floors: Vec<ReplicaFloor>,
+    /// Whether these are all floors; otherwise they are added.
+    #[prost(bool, tag = "3")]
+    pub whole: bool,
+}
+
+/// A position that a primary had after a replica fell silent.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct ReplicaFloor {
+    /// The silent replica.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    #[prost(uint64, tag = "2")]
+    pub received_term: u64,
+    #[prost(uint64, tag = "3")]
+    pub received_number: u64,
+    /// Number of the replica's last call, which identifies the silence.
+    #[prost(uint64, tag = "4")]
+    pub last_call: u64,
+}
+
 /// A primary that is being replaced.
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct Replacement {
