--- a/crates/arrowyard-emulator/tests/lost_hosts.rs
+++ b/crates/arrowyard-emulator/tests/lost_hosts.rs
@@ -162,3 +162,42 @@
         }
     }
 }
+
+/// Guards against lost commits (LOST): a control machine that has restarted expects heartbeats that another one receives,
+/// from which it is cut off, and its report of silence is taken by a third one.
+#[test]
+fn a_report_of_silence_does_not_count_while_the_receiver_of_the_heartbeats_is_reachable() {
+    let status = format_request("GET", "/status", "c", &[], "");
+    for (restarted, receiver, third) in [(0, 1, 2), (0, 2, 1), (1, 0, 2), (1, 2, 0), (2, 0, 1), (2, 1, 0)] {
+        let mut deployment = start_deployment();
+        let machine = deployment.controls[restarted];
+        deployment.simulation.kill(machine);
+        advance(&mut deployment, ms(6000));
+        deployment.simulation.partition(machine, deployment.controls[receiver]);
+        deployment.start_control(restarted, false);
+        for _ in 0..10 {
+            advance(&mut deployment, ms(1000));
+            let (_, body) = deployment.call(third, &status);
+            assert!(!body.contains("\"silent\":true"), "{restarted} restarted, at {third}: {body}");
+        }
+    }
+}
+
+/// Guards against floors of replicas that are well (LOST): hosts whose control machine has failed turn to another one,
+/// which says so at their first heartbeat, before the others take them for silent.
+#[test]
+fn hosts_that_turn_to_another_control_machine_are_not_silent() {
+    let status = format_request("GET", "/status", "c", &[], "");
+    for failed in 0..3 {
+        let mut deployment = start_deployment();
+        let machine = deployment.controls[failed];
+        deployment.simulation.power_off(machine);
+        for _ in 0..40 {
+            advance(&mut deployment, ms(250));
+            for number in (0..3).filter(|number| *number != failed) {
+                let (_, body) = deployment.call(number, &status);
+                assert!(!body.contains("\"silent\":true"), "{failed} failed, at {number}: {body}");
+            }
+        }
+    }
+}
