--- a/crates/arrowyard-control/src/silences.rs
+++ b/crates/arrowyard-control/src/silences.rs
@@ -5,7 +5,7 @@
 //! so that the next holder has them if this one fails together with the primary.
 //!
 //! Safety: a floor is valid for one silence only, since a replica that was back in between has acknowledged
-//! more. The number of the host's last call before the silence identifies it.
+//! more. The number of the host's last call before the silence tells it from a later one.
 
 use std::collections::BTreeMap;
 
@@ -93,9 +93,12 @@
         self.by_host.values().cloned().collect()
     }
 
-    /// The floors of hosts that have been silent since.
+    /// The floors of hosts that have been silent since. A machine that has restarted may know an earlier last call of
+    /// a host than the duty holder did; a later one shows that the host was back.
     pub fn valid<'a>(&'a self, silences: &'a Silences) -> impl Iterator<Item = (&'a str, Position)> {
-        let is_valid = |floor: &&ReplicaFloor| silences.last_call(&floor.host) == Some(floor.last_call);
+        let is_valid = |floor: &&ReplicaFloor| {
+            silences.last_call(&floor.host).is_some_and(|last_call| last_call <= floor.last_call)
+        };
         self.by_host.values().filter(is_valid).map(|floor| {
             (floor.host.as_str(), Position { term: floor.received_term, number: floor.received_number })
         })
--- a/crates/arrowyard-control/tests/silences.rs
+++ b/crates/arrowyard-control/tests/silences.rs
@@ -24,6 +24,12 @@
     let message = ReplicaFloors { fence: 4, floors: vec![floor("b", 20, 7)], whole: false };
     floors.update(message.clone());
     assert!(valid_hosts(&floors, &silences).is_empty(), "its silence is not known here");
+    silences.report("b", at(100), 2);
+    assert_eq!(
+        valid_hosts(&floors, &silences),
+        ["b"],
+        "this machine has restarted and knows an earlier call"
+    );
     silences.report("b", at(100), 7);
     assert_eq!(valid_hosts(&floors, &silences), ["b"]);
     assert!(silences.is_ended_by("b", 8) && !silences.is_ended_by("b", 7));
--- a/crates/arrowyard-emulator/tests/lost_hosts.rs
+++ b/crates/arrowyard-emulator/tests/lost_hosts.rs
@@ -201,3 +201,51 @@
         }
     }
 }
+
+/// Guards against a service that never gets a primary again (RECOVER): a control machine that restarted after the floor
+/// of a lost replica was published takes over the duty.
+#[test]
+fn a_control_machine_that_restarted_knows_the_floors_of_lost_replicas() {
+    for (restarted, failed) in [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)] {
+        let mut deployment = start_deployment();
+        let primary = deployment.host_index_of(0, true, 0).expect("a primary");
+        let replica = deployment.host_index_of(0, false, 0).expect("a replica");
+        let old_primary = deployment.hosts[primary].id.clone();
+        deployment.stop_host(replica, true);
+        advance(&mut deployment, ms(8000));
+        let machine = deployment.controls[restarted];
+        deployment.simulation.kill(machine);
+        deployment.start_control(restarted, false);
+        advance(&mut deployment, ms(4000));
+        deployment.remove_control(failed);
+        deployment.stop_host(primary, true);
+        let bound = FAILOVER_BOUND + DUTY_BOUND;
+        assert!(
+            is_replaced_within(&mut deployment, &old_primary, bound),
+            "{restarted} restarted, {failed} failed"
+        );
+    }
+}
+
+/// Guards against lost commits (LOST): a host is back while a control machine is cut off from the one that receives its
+/// heartbeats, and passes for silent there after the cut as well.
+#[test]
+fn a_silence_ends_once_a_machine_that_heard_the_host_is_reached_again() {
+    let status = format_request("GET", "/status", "c", &[], "");
+    for (one, other) in [(0, 1), (0, 2), (1, 2)] {
+        let mut deployment = start_deployment();
+        let replica = deployment.host_index_of(0, false, 0).expect("a replica");
+        deployment.stop_host(replica, false);
+        advance(&mut deployment, ms(6000));
+        let machines = (deployment.controls[one], deployment.controls[other]);
+        deployment.simulation.partition(machines.0, machines.1);
+        deployment.start_host(replica);
+        advance(&mut deployment, ms(6000));
+        deployment.simulation.heal(machines.0, machines.1);
+        advance(&mut deployment, ms(6000));
+        for number in 0..3 {
+            let (_, body) = deployment.call(number, &status);
+            assert!(!body.contains("\"silent\":true"), "{one} and {other}, at {number}: {body}");
+        }
+    }
+}
